--- a/agent/internal/cache/cache.go
+++ b/agent/internal/cache/cache.go
@@ -76,6 +76,8 @@
 	// chunks holds checked bytes only, which are never changed.
 	chunks   map[chunks.Digest][]byte
 	versions map[chunks.Digest]*Version
+	// named holds what names a version and isn't the digest of its manifest.
+	named map[chunks.Digest]bool
 	// changed is closed and replaced whenever something was added.
 	changed chan struct{}
 }
@@ -84,6 +86,7 @@
 func New() *Cache {
 	return &Cache{
 		chunks: make(map[chunks.Digest][]byte), versions: make(map[chunks.Digest]*Version),
+		named:   make(map[chunks.Digest]bool),
 		changed: make(chan struct{}),
 	}
 }
@@ -124,9 +127,31 @@
 	c.announce()
 }
 
+// Name tells that a digest names a version whose manifest isn't known beforehand, so
+// that any well-formed manifest is taken for it.
+func (c *Cache) Name(digest chunks.Digest) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.named[digest] = true
+}
+
+func (c *Cache) isNamed(digest chunks.Digest) bool {
+	c.mutex.RLock()
+	defer c.mutex.RUnlock()
+	return c.named[digest]
+}
+
+// Forget drops the manifest of a version, so that it is brought again. The chunks
+// stay.
+func (c *Cache) Forget(digest chunks.Digest) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.versions, digest)
+}
+
 // AddManifest checks and keeps an encoded manifest.
 func (c *Cache) AddManifest(digest chunks.Digest, encoded []byte) (*Version, error) {
-	if !chunks.Check(digest, encoded) {
+	if !c.isNamed(digest) && !chunks.Check(digest, encoded) {
 		return nil, ErrCorrupt
 	}
 	m, err := chunks.DecodeManifest(encoded)
--- a/agent/internal/fetch/fetch.go
+++ b/agent/internal/fetch/fetch.go
@@ -90,9 +90,9 @@
 // Fetch brings every chunk of the pool's version into the cache. It returns
 // once all are checked or the context has ended.
 func (f *Fetcher) Fetch(ctx context.Context, pool tables.Pool) (*cache.Version, error) {
-	v, err := f.manifest(ctx, pool)
+	v, err := f.Manifest(ctx, pool)
 	if err != nil {
-		return nil, oops.In("fetch").With("manifest", pool.Manifest).Wrap(err)
+		return nil, err
 	}
 	if err := newSession(f, pool, v).run(ctx); err != nil {
 		return nil, oops.In("fetch").With("manifest", pool.Manifest).Wrap(err)
@@ -100,6 +100,15 @@
 	return v, nil
 }
 
+// Manifest brings the manifest of the pool's version into the cache.
+func (f *Fetcher) Manifest(ctx context.Context, pool tables.Pool) (*cache.Version, error) {
+	v, err := f.manifest(ctx, pool)
+	if err != nil {
+		return nil, oops.In("fetch").With("manifest", pool.Manifest).Wrap(err)
+	}
+	return v, nil
+}
+
 // draw returns a random number below n.
 func (f *Fetcher) draw(n int64) int64 {
 	f.mutex.Lock()
@@ -108,11 +117,18 @@
 }
 
 // members returns the live hosts of the pool, the own one included, ordered by
-// name.
+// name. A pool without hosts has all that the roster lists.
 func (f *Fetcher) members(pool tables.Pool) []hosts.Host {
 	list := f.options.Roster.Now()
 	self := f.options.Self
 	all := []hosts.Host{self}
+	if len(pool.Hosts) == 0 {
+		for _, h := range list.All() {
+			if h.Name != self.Name && h.State == hosts.StateLive {
+				all = append(all, h)
+			}
+		}
+	}
 	for _, n := range pool.Hosts {
 		if h, ok := list.Find(n); ok && n != self.Name && h.State == hosts.StateLive {
 			all = append(all, h)
--- /dev/null
+++ b/agent/internal/teller/teller.go
@@ -0,0 +1,151 @@
+// Package teller tells entries how loaded the engine beside the agent is.
+package teller
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"currantport.example/agent/internal/loader"
+	"currantport.example/core/clocks"
+	"currantport.example/core/shell"
+	"currantport.example/core/wire"
+)
+
+const (
+	// interval is the time between two digests.
+	interval = 120 * time.Millisecond
+	// idleIntervals is the number of these between two digests of an engine that has
+	// nothing to do and hasn't changed.
+	idleIntervals = 5
+	// interestLife is how long an entry is told after it showed interest.
+	interestLife = 3 * time.Second
+	// maxInterests bounds the entries that are told.
+	maxInterests = 1024
+)
+
+// Source is what is told.
+type Source interface {
+	Report() (loader.Report, bool)
+}
+
+// Mesh carries the digests.
+type Mesh interface {
+	Send(to netip.AddrPort, d *wire.Datagram)
+}
+
+// interest is what an entry has at the engine.
+type interest struct {
+	address netip.AddrPort
+	at      time.Time
+	unread  int
+	running int
+}
+
+// Teller tells the entries that want to hear.
+type Teller struct {
+	source Source
+	mesh   Mesh
+	wake   chan struct{}
+
+	mutex     sync.Mutex
+	interests map[string]interest
+	serial    uint64
+}
+
+// New returns a teller without entries to tell.
+func New() *Teller {
+	return &Teller{
+		wake: make(chan struct{}, 1), interests: make(map[string]interest),
+		serial: uint64(time.Now().UnixMicro()),
+	}
+}
+
+// Start begins to tell. The clean-up function ends that.
+func (t *Teller) Start(source Source, m Mesh) func() {
+	t.source, t.mesh = source, m
+	g := shell.NewGroup()
+	g.Go(t.run)
+	return g.Stop
+}
+
+// Hear takes the interest of an entry.
+func (t *Teller) Hear(from netip.AddrPort, i *wire.Interest) {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	if _, ok := t.interests[i.Name]; !ok && len(t.interests) >= maxInterests {
+		return
+	}
+	_, known := t.interests[i.Name]
+	t.interests[i.Name] = interest{address: from, at: clocks.Now(), unread: int(i.Unread), running: int(i.Running)}
+	if !known {
+		t.Notify()
+	}
+}
+
+// Notify tells all entries at once.
+func (t *Teller) Notify() {
+	select {
+	case t.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (t *Teller) run(ctx context.Context) {
+	tick := time.NewTicker(interval)
+	defer tick.Stop()
+	for idle := 0; ; {
+		select {
+		case <-tick.C:
+		case <-t.wake:
+			idle = idleIntervals
+		case <-ctx.Done():
+			return
+		}
+		d, to, busy := t.digest()
+		idle++
+		if d == nil || !busy && idle < idleIntervals {
+			continue
+		}
+		idle = 0
+		for _, a := range to {
+			t.mesh.Send(a, d)
+		}
+	}
+}
+
+// digest builds what is told and to whom, and reports whether the engine is at work.
+func (t *Teller) digest() (*wire.Datagram, []netip.AddrPort, bool) {
+	r, ok := t.source.Report()
+	if !ok {
+		return nil, nil, false
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	now := clocks.Now()
+	var to []netip.AddrPort
+	unread := 0
+	for name, i := range t.interests {
+		if now.Sub(i.at) > interestLife {
+			delete(t.interests, name)
+			continue
+		}
+		unread += i.unread
+		to = append(to, i.address)
+	}
+	t.serial++
+	s := r.Status
+	l := &wire.LoadDigest{
+		Upstream: r.Row.ID, Serial: t.serial, Queued: uint32(s.Queued), Active: uint32(s.Active), Used: uint64(s.Used),
+		Total: uint64(s.Total), Pace: float32(s.Pace), Busy: s.Busy, Closing: r.Closing, Unread: uint32(unread),
+	}
+	if !s.Started.IsZero() {
+		l.Started = s.Started.UnixMicro()
+	}
+	for _, h := range s.Held {
+		l.Held = append(l.Held, &wire.HeldVersion{Model: h.Model, Version: uint32(h.Version), Whole: h.Whole})
+	}
+	busy := s.Queued+s.Active > 0 || s.Busy || r.Closing
+	return &wire.Datagram{Body: &wire.Datagram_Load{Load: l}}, to, busy
+}
--- /dev/null
+++ b/agent/server/build.go
@@ -0,0 +1,253 @@
+// Package server puts the parts of an agent together. What the outside world speaks is
+// passed in, so that the same parts serve any platform.
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"currantport.example/agent/internal/cache"
+	"currantport.example/agent/internal/fetch"
+	"currantport.example/agent/internal/loader"
+	"currantport.example/agent/internal/peer"
+	"currantport.example/agent/internal/teller"
+	"currantport.example/core/chunks"
+	"currantport.example/core/engine"
+	"currantport.example/core/feed"
+	"currantport.example/core/hosts"
+	"currantport.example/core/links"
+	"currantport.example/core/logs"
+	"currantport.example/core/member"
+	"currantport.example/core/mesh"
+	"currantport.example/core/meter"
+	"currantport.example/core/parts"
+	"currantport.example/core/reload"
+	"currantport.example/core/roster"
+	"currantport.example/core/shell"
+	"currantport.example/core/state"
+	"currantport.example/core/wire"
+)
+
+const (
+	// closeWithin bounds the end of calls of others at a stop.
+	closeWithin = time.Second
+	// memoryShare is the part of the memory that the collector aims at.
+	memoryShare = 0.7
+	// waitShare is the part of the time for a key that was taken away for which an
+	// entry may hold a pull.
+	waitShare = 0.4
+	// directAfter is the age of the copy from which on an agent reads the platform. It
+	// is long, since agents are many and entries read for them.
+	directAfter = 5 * time.Second
+)
+
+// Weights hands out versions of models.
+type Weights interface {
+	chunks.Source
+	loader.Names
+}
+
+// Outside is what the agent speaks with the outside world.
+type Outside struct {
+	// Platform publishes the rows.
+	Platform feed.Source
+	// Engine returns the engine beside the agent. Layers is the number of layers of
+	// its model, or zero while that isn't known.
+	Engine func(layers func() int) engine.Local
+	// Weights returns the origin that a snapshot names.
+	Weights func(origin func() (netip.AddrPort, bool)) Weights
+}
+
+// Build returns the parts of an agent with the settings. File is that of the settings,
+// which is looked at for changes. An Outside must be provided beside them.
+func Build(s Settings, file string) fx.Option {
+	return fx.Options(
+		fx.Supply(s, links.Sockets(), fx.Annotate(file, fx.ResultTags(`name:"file"`))),
+		fx.Provide(
+			newLog, newMetrics, newPeers, feed.NewMirror, cache.New, roster.New, teller.New, newMesh, newFollower,
+			newWeights, newLoader,
+		),
+		fx.Invoke(setMemory, startMembers, startTeller, startServer, startReload, startStop),
+	)
+}
+
+func setMemory(s Settings) { debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare)) }
+
+func newLog(lc fx.Lifecycle, s Settings) (*zap.Logger, error) {
+	l, stop, err := logs.New(os.Stdout, s.Level)
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.StopHook(stop))
+	return l.With(zap.String("host", string(s.Host))), nil
+}
+
+func newMetrics(lc fx.Lifecycle) parts.Metrics {
+	scope, handler, stop := meter.New(string(hosts.RoleAgent))
+	return shell.Owned(lc, parts.Metrics{Scope: scope, Handler: handler}, stop)
+}
+
+func newPeers(lc fx.Lifecycle, n links.Network) parts.PeerClient {
+	c, stop := links.NewPeerClient(n.Dial)
+	return shell.Owned(lc, parts.PeerClient{Client: c}, stop)
+}
+
+func newMesh(lc fx.Lifecycle, s Settings, t *teller.Teller, log *zap.Logger) (*mesh.Node, error) {
+	socket, err := mesh.Listen(s.Mesh)
+	if err != nil {
+		return nil, err
+	}
+	self := member.Member{Host: hosts.Host{Name: s.Host, Place: s.Place, Role: hosts.RoleAgent, State: hosts.StateLive, Address: s.Mesh}}
+	n, stop := mesh.New(mesh.Options{
+		Self: self, Socket: socket, Seeds: s.Seeds, Seed: rand.Uint64(), Log: log, Interest: t.Hear,
+	})
+	return shell.Owned(lc, n, stop), nil
+}
+
+func newFollower(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, log *zap.Logger) *feed.Follower {
+	f, stop := feed.NewFollower(feed.FollowOptions{
+		Reader: feed.Reader{Self: s.Host, Place: s.Place, Role: hosts.RoleAgent},
+		Mirror: m, Entries: n.Entries, Wait: time.Duration(waitShare * float64(s.Revoke)), DirectAfter: directAfter, Log: log,
+		Source: func(name hosts.Name) (feed.Source, bool) {
+			if name == feed.Direct {
+				return o.Platform, true
+			}
+			e, ok := n.Find(name)
+			return feed.NewRemote(peers.Client, e.Address, feed.AgentScope(s.Pool), false), ok
+		},
+	})
+	return shell.Owned(lc, f, stop)
+}
+
+func newWeights(o Outside, m *feed.Mirror) Weights {
+	return o.Weights(func() (netip.AddrPort, bool) {
+		p := originOf(m.Now())
+		if p == nil {
+			return netip.AddrPort{}, false
+		}
+		return p.Address, true
+	})
+}
+
+func originOf(s *state.Snapshot) *state.Origin {
+	for _, p := range s.Pools() {
+		if p.Origin != nil {
+			return p.Origin
+		}
+	}
+	return nil
+}
+
+func newLoader(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, _ *feed.Follower, c *cache.Cache, w Weights, r *roster.Roster, peers parts.PeerClient, t *teller.Teller, metrics parts.Metrics, log *zap.Logger) *loader.Loader {
+	self := hosts.Host{Name: hosts.Name(s.Mesh.Addr().String()), Place: s.Place, Role: hosts.RoleAgent, State: hosts.StateLive, Address: s.Mesh}
+	f := fetch.New(fetch.Options{
+		Self: self, Cache: c, Source: w, Roster: r, Peers: fetch.NewRemote(peers.Client), Log: log, Seed: rand.Uint64(),
+	})
+	local := o.Engine(func() int {
+		if p := m.Now().Pool(s.Pool); p != nil && p.Engine != nil {
+			return p.Engine.Layers
+		}
+		return 0
+	})
+	l, stop := loader.New(loader.Options{
+		Pool: s.Pool, Address: s.Engine, Mirror: m, Engine: local, Cache: c, Names: w, Fetcher: f, Within: s.Version,
+		Notify: t.Notify, Scope: metrics.Scope, Log: log,
+	})
+	return shell.Owned(lc, l, stop)
+}
+
+// startMembers keeps the list of the pool's agents.
+func startMembers(lc fx.Lifecycle, s Settings, m *feed.Mirror, r *roster.Roster) {
+	k := &keeper{settings: s, mirror: m, roster: r}
+	g := shell.NewGroup()
+	g.Go(k.run)
+	lc.Append(fx.StopHook(g.Stop))
+}
+
+// keeper lists the agents beside the upstreams of the pool.
+type keeper struct {
+	settings Settings
+	mirror   *feed.Mirror
+	roster   *roster.Roster
+}
+
+func (k *keeper) run(ctx context.Context) {
+	for {
+		changed := k.mirror.Changed()
+		var all []hosts.Host
+		for _, u := range k.mirror.Now().Upstreams(k.settings.Pool) {
+			domain := hosts.Domain(u.Domain)
+			all = append(all, hosts.Host{
+				Name: loader.AgentName(u), Place: hosts.Place{Region: k.settings.Regions[domain], Domain: domain},
+				Role: hosts.RoleAgent, State: hosts.StateLive,
+				Address: netip.AddrPortFrom(u.Address.Addr(), k.settings.Mesh.Port()),
+			})
+		}
+		k.roster.Set(hosts.NewList(all))
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func startTeller(lc fx.Lifecycle, t *teller.Teller, l *loader.Loader, n *mesh.Node) {
+	lc.Append(fx.StopHook(t.Start(l, n)))
+}
+
+// startServer serves what other processes and operators call.
+func startServer(lc fx.Lifecycle, s Settings, network links.Network, c *cache.Cache, metrics parts.Metrics, log *zap.Logger) error {
+	p, stop := peer.NewServer(c, nil)
+	r := mux.NewRouter()
+	path, handler := wire.NewPeerHandler(peer.NewHandler(p), wire.WithoutCompression())
+	r.PathPrefix(path).Handler(handler)
+	l, err := network.Listen(context.Background(), s.Mesh)
+	if err != nil {
+		return err
+	}
+	lc.Append(fx.StopHook(links.Serve(l, r, log, closeWithin)))
+	lc.Append(fx.StopHook(stop))
+	admin := http.NewServeMux()
+	admin.Handle("/metrics", metrics.Handler)
+	l, err = network.Listen(context.Background(), s.Admin)
+	if err != nil {
+		return err
+	}
+	lc.Append(fx.StopHook(links.Serve(l, admin, log, closeWithin)))
+	return nil
+}
+
+// startReload follows changes of the settings file. Only the seeds can change while a
+// process runs.
+func startReload(lc fx.Lifecycle, p struct {
+	fx.In
+	File string `name:"file"`
+	Mesh *mesh.Node
+	Log  *zap.Logger
+},
+) {
+	lc.Append(fx.StopHook(reload.Watch(p.File, p.Log, func() {
+		next, err := Read(p.File)
+		if err != nil {
+			p.Log.Error("settings-refused", zap.Error(err))
+			return
+		}
+		p.Mesh.SetSeeds(next.Seeds)
+		p.Log.Info("settings-in-force", zap.String("file", p.File), zap.Int("seeds", len(next.Seeds)))
+	})))
+}
+
+func startStop(lc fx.Lifecycle, s Settings, log *zap.Logger) {
+	log.Info("start", zap.String("mesh", s.Mesh.String()), zap.String("engine", s.Engine.String()), zap.Int("pid", os.Getpid()))
+	lc.Append(fx.StopHook(func() { log.Info("stop") }))
+}
--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -61,6 +61,10 @@
 	ReasonUpstream    Reason = "upstream"
 	ReasonOwner       Reason = "owner"
 	ReasonCanceled    Reason = "canceled"
+	// ReasonStale is that of a process whose copy of the platform's rows is too old.
+	ReasonStale Reason = "stale"
+	// ReasonKeyUnknown is that of a key that no workspace holds.
+	ReasonKeyUnknown Reason = "key-unknown"
 )
 
 // Request is a request as the processes of the system hand it on.
--- a/core/calls/problem.go
+++ b/core/calls/problem.go
@@ -77,6 +77,7 @@
 	ReasonRunning:    http.StatusConflict,
 	ReasonOverload:   http.StatusTooManyRequests,
 	ReasonDeadline:   http.StatusGatewayTimeout,
+	ReasonKeyUnknown: http.StatusUnauthorized,
 }
 
 func waitSeconds(wait time.Duration) int { return int(math.Ceil(wait.Seconds())) }
--- a/core/config/values.go
+++ b/core/config/values.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 	"net/url"
 	"strconv"
@@ -100,6 +101,54 @@
 	}
 }
 
+// Addresses returns a Set function for a list of IP addresses with ports, divided by
+// commas. The word none stands for an empty list.
+func Addresses(into *[]netip.AddrPort) func(string) error {
+	return func(text string) error {
+		*into = nil
+		if text == "none" {
+			return nil
+		}
+		for _, part := range strings.Split(text, ",") {
+			var a netip.AddrPort
+			if err := Address(&a)(strings.TrimSpace(part)); err != nil {
+				return err
+			}
+			*into = append(*into, a)
+		}
+		return nil
+	}
+}
+
+// Pairs returns a Set function for a list of names with a value each, such as
+// a:one,b:two.
+func Pairs[K, V ~string](into *map[K]V) func(string) error {
+	return func(text string) error {
+		pairs := make(map[K]V)
+		for _, part := range strings.Split(text, ",") {
+			name, value, ok := strings.Cut(strings.TrimSpace(part), ":")
+			if !ok || name == "" || value == "" {
+				return errors.New("must be pairs such as a:one,b:two")
+			}
+			pairs[K(name)] = V(value)
+		}
+		*into = pairs
+		return nil
+	}
+}
+
+// Number returns a Set function for a number within the bounds.
+func Number(into *float64, least, most float64) func(string) error {
+	return func(text string) error {
+		n, err := strconv.ParseFloat(text, 64)
+		if err != nil || n < least || n > most || math.IsNaN(n) {
+			return fmt.Errorf("must be a number from %g to %g", least, most)
+		}
+		*into = n
+		return nil
+	}
+}
+
 // URL returns a Set function for an HTTP URL whose host is an IP address.
 func URL(into *url.URL) func(string) error {
 	return func(text string) error {
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -6,9 +6,11 @@
 	"context"
 	"io"
 	"net/url"
+	"time"
 
 	"currantport.example/core/calls"
 	"currantport.example/core/chunks"
+	"currantport.example/core/state"
 )
 
 // Fence orders the orders to one engine. A greater one is newer.
@@ -109,3 +111,61 @@
 	// or has refused.
 	Load(ctx context.Context, order Order) error
 }
+
+// Status is what an engine says of itself to the agent beside it.
+type Status struct {
+	// Started is when the engine started, by its own clock, or zero.
+	Started time.Time
+	// Busy tells that an order is being carried out, Orders counts those taken since
+	// the start.
+	Busy   bool
+	Orders uint64
+	// Queued and Active are the requests that wait and that run.
+	Queued int
+	Active int
+	// Used and Total are the tokens in memory and those that fit.
+	Used  int
+	Total int
+	// Pace is above one for a slow engine.
+	Pace float64
+	Held []state.Held
+}
+
+// Holds reports whether the engine serves the version of the model whole.
+func (s *Status) Holds(model string, version int) bool {
+	for _, h := range s.Held {
+		if h.Model == model && h.Version == version && h.Whole {
+			return true
+		}
+	}
+	return false
+}
+
+// Ack is how an engine took an order.
+type Ack string
+
+// The answers to an order.
+const (
+	// AckBegun tells that the order has begun, AckDone that it is in effect.
+	AckBegun Ack = "begun"
+	AckDone  Ack = "done"
+	// AckUnfit tells that the order doesn't fit the state of the engine.
+	AckUnfit Ack = "unfit"
+	// AckFenced tells that an order with a higher fencing token came before.
+	AckFenced Ack = "fenced"
+)
+
+// Local is an engine that takes its weights piece by piece from the agent on its own
+// host.
+type Local interface {
+	Status(ctx context.Context) (Status, error)
+	// Staged lists the pieces of a model that lie staged. They may have gone bad.
+	Staged(ctx context.Context, model string) ([]int, error)
+	// ReadStaged returns a staged piece as it is now.
+	ReadStaged(ctx context.Context, model string, piece int) ([]byte, error)
+	// Stage puts a piece in place of the one staged before.
+	Stage(ctx context.Context, model string, piece int, data []byte) error
+	// Load orders the engine to serve what is staged, once what runs has ended. It
+	// takes no requests until then.
+	Load(ctx context.Context, model string, version int) (Ack, error)
+}
--- /dev/null
+++ b/core/feed/follow.go
@@ -0,0 +1,191 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/clocks"
+	"currantport.example/core/hosts"
+	"currantport.example/core/shell"
+	"currantport.example/core/state"
+)
+
+const (
+	// callSlack is how much longer than its wait a pull may take.
+	callSlack = 800 * time.Millisecond
+	// directSlack is the same for the platform, which answers over a longer way.
+	directSlack = 1500 * time.Millisecond
+	// staleWaits is the age of a proof, in waits, beyond which a source lags.
+	staleWaits = 2
+	// batchPause lets changes that come together arrive as one update.
+	batchPause = 40 * time.Millisecond
+	// idlePause is the wait before an empty list of sources is looked at again.
+	idlePause = 100 * time.Millisecond
+)
+
+// FollowOptions are the parts of a follower.
+type FollowOptions struct {
+	Reader Reader
+	Mirror *Mirror
+	// Entries returns the live entries.
+	Entries func() []hosts.Host
+	// Source returns how to pull from a process, or from the platform for Direct.
+	Source func(name hosts.Name) (Source, bool)
+	// Wait is how long a source may hold a pull. The age of a proof stays below
+	// about twice this time while sources answer.
+	Wait time.Duration
+	// DirectAfter is the age of the copy from which on a process that doesn't lead
+	// may read the platform.
+	DirectAfter time.Duration
+	Log         *zap.Logger
+}
+
+// Follower keeps the mirror of a process up to date.
+type Follower struct {
+	options FollowOptions
+	chooser Chooser
+	// current is the source of the last update, or empty.
+	current hosts.Name
+	// all tells that the next pull asks for all rows.
+	all   bool
+	began time.Time
+}
+
+// NewFollower starts to follow. The clean-up function ends it.
+func NewFollower(o FollowOptions) (*Follower, func()) {
+	f := &Follower{options: o, began: clocks.Now()}
+	g := shell.NewGroup()
+	g.Go(f.run)
+	return f, g.Stop
+}
+
+func (f *Follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		name, wait := f.chooser.Next(clocks.Now(), f.order())
+		if name == "" {
+			wait = idlePause
+		}
+		if wait > 0 {
+			sleep(ctx, min(wait, idlePause))
+			continue
+		}
+		if f.pull(ctx, name) {
+			sleep(ctx, batchPause)
+		}
+	}
+}
+
+// order returns the sources that may be pulled from now.
+func (f *Follower) order() []hosts.Name {
+	order := f.options.Reader.Order(f.options.Entries())
+	if order[0] == Direct && f.options.Reader.Role == hosts.RoleEntry || f.mayReadDirectly() {
+		return order
+	}
+	return slices.DeleteFunc(order, func(n hosts.Name) bool { return n == Direct })
+}
+
+func (f *Follower) mayReadDirectly() bool {
+	age, ok := f.options.Mirror.Age()
+	if !ok {
+		age = clocks.Since(f.began)
+	}
+	return age > f.options.DirectAfter
+}
+
+// pull takes one update and reports whether it changed rows.
+func (f *Follower) pull(ctx context.Context, name hosts.Name) bool {
+	source, ok := f.options.Source(name)
+	if !ok {
+		f.chooser.Failed(clocks.Now(), name, rand.Float64())
+		return false
+	}
+	slack := callSlack
+	if name == Direct {
+		slack = directSlack
+	}
+	after := f.options.Mirror.Head()
+	if f.all {
+		after = 0
+	}
+	pulling, cancel := context.WithTimeout(ctx, f.options.Wait+slack)
+	defer cancel()
+	u, err := source.Pull(pulling, after, f.options.Wait)
+	if err != nil {
+		f.fail(ctx, name, err)
+		return false
+	}
+	change, err := f.options.Mirror.Offer(u)
+	f.report(name, u, change)
+	f.all = errors.Is(err, ErrDiverged)
+	if f.all {
+		f.options.Log.Warn("feed-diverged", zap.String("source", string(name)), zap.Uint64("head", uint64(u.Head)))
+		return false
+	}
+	f.settle(name, u)
+	return change.Rows > 0
+}
+
+func (f *Follower) fail(ctx context.Context, name hosts.Name, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f.chooser.Failed(clocks.Now(), name, rand.Float64())
+	if f.current == name {
+		f.current = ""
+		age, _ := f.options.Mirror.Age()
+		f.options.Log.Warn("feed-lost", zap.String("source", string(name)), zap.Duration("age", age), zap.Error(err))
+	}
+}
+
+// settle notes how good the source is.
+func (f *Follower) settle(name hosts.Name, u Update) {
+	now := clocks.Now()
+	if now.Sub(u.Proven) > staleWaits*f.options.Wait+callSlack || u.Head < f.options.Mirror.Head() {
+		f.chooser.Lagged(now, name)
+		return
+	}
+	f.chooser.Succeeded(name)
+	if f.current != name {
+		f.current = name
+		f.options.Log.Info("feed-source", zap.String("source", string(name)), zap.Uint64("head", uint64(u.Head)),
+			zap.Duration("age", now.Sub(u.Proven)))
+	}
+}
+
+func (f *Follower) report(name hosts.Name, u Update, c Change) {
+	for _, fault := range c.Faults {
+		f.options.Log.Warn("row-refused", zap.String("row", fault.Key), zap.Uint64("revision", uint64(fault.Revision)),
+			zap.String("fault", fault.Reason))
+	}
+	if c.Rows == 0 {
+		return
+	}
+	f.options.Log.Info("rows-in-force", zap.String("source", string(name)), zap.Uint64("from", uint64(c.From)),
+		zap.Uint64("to", uint64(c.To)), zap.Int("rows", c.Rows), zap.Strings("keys", someKeys(u.Rows)),
+		zap.Duration("age", clocks.Since(u.Proven)))
+}
+
+// loggedKeys bounds the keys in one log line.
+const loggedKeys = 6
+
+func someKeys(rows []state.Row) []string {
+	var keys []string
+	for _, r := range rows[:min(len(rows), loggedKeys)] {
+		keys = append(keys, r.Key)
+	}
+	return keys
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/core/feed/handler.go
@@ -0,0 +1,67 @@
+package feed
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"connectrpc.com/connect"
+
+	"currantport.example/core/clocks"
+	"currantport.example/core/state"
+	"currantport.example/core/wire"
+)
+
+const (
+	// mostWait bounds how long a pull is held.
+	mostWait = 5 * time.Second
+	// pullBytes bounds the reply to a pull.
+	pullBytes = 64 << 20
+)
+
+// Handler lets other processes pull from a mirror. It implements wire.FeedHandler.
+type Handler struct{ mirror *Mirror }
+
+// NewHandler returns the path and the handler of a mirror.
+func NewHandler(m *Mirror) (string, http.Handler) {
+	return wire.NewFeedHandler(&Handler{mirror: m}, wire.WithLargeCompression())
+}
+
+// Pull implements wire.FeedHandler.
+func (h *Handler) Pull(ctx context.Context, r *connect.Request[wire.PullRequest]) (*connect.Response[wire.PullReply], error) {
+	began := clocks.Now()
+	timer := time.NewTimer(min(time.Duration(r.Msg.Wait)*time.Millisecond, mostWait))
+	defer timer.Stop()
+	proven := h.mirror.Proven()
+	for {
+		changed := h.mirror.Changed()
+		u, ok := h.mirror.Since(state.Revision(r.Msg.After), r.Msg.Scope)
+		if ok && (len(u.Rows) > 0 || r.Msg.After == 0 || r.Msg.Proofs && u.Proven.After(proven)) {
+			return connect.NewResponse(encodeUpdate(u, began)), nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			if !ok {
+				return nil, connect.NewError(connect.CodeUnavailable, errBehind)
+			}
+			return connect.NewResponse(encodeUpdate(u, began)), nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func encodeUpdate(u Update, began time.Time) *wire.PullReply {
+	now := clocks.Now()
+	m := &wire.PullReply{
+		Head: uint64(u.Head), Full: u.Full, Sum: u.Sum, Held: now.Sub(began).Microseconds(), Proven: !u.Proven.IsZero(),
+	}
+	if m.Proven {
+		m.Age = now.Sub(u.Proven).Microseconds()
+	}
+	for _, r := range u.Rows {
+		m.Rows = append(m.Rows, &wire.FeedRow{Key: r.Key, Revision: uint64(r.Revision), Value: r.Value, Gone: r.Value == nil})
+	}
+	return m
+}
--- /dev/null
+++ b/core/feed/remote.go
@@ -0,0 +1,65 @@
+package feed
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/samber/oops"
+
+	"currantport.example/core/clocks"
+	"currantport.example/core/state"
+	"currantport.example/core/wire"
+)
+
+var errBehind = errors.New("this process has no copy, or an older one")
+
+// Remote pulls from the mirror of another process. It implements Source.
+type Remote struct {
+	client wire.FeedClient
+	scope  Scope
+	proofs bool
+}
+
+// NewRemote returns the mirror of the process at the address. Proofs asks for an
+// update when the copy is proven anew too.
+func NewRemote(client *http.Client, at netip.AddrPort, scope Scope, proofs bool) *Remote {
+	return &Remote{
+		client: wire.NewFeedClient(client, "http://"+at.String(), connect.WithReadMaxBytes(pullBytes)),
+		scope:  scope, proofs: proofs,
+	}
+}
+
+// Pull implements Source.
+func (r *Remote) Pull(ctx context.Context, after state.Revision, wait time.Duration) (Update, error) {
+	asked := clocks.Now()
+	reply, err := r.client.Pull(ctx, connect.NewRequest(&wire.PullRequest{
+		After: uint64(after), Wait: wait.Milliseconds(), Scope: r.scope, Proofs: r.proofs,
+	}))
+	if err != nil {
+		return Update{}, oops.In("feed").Wrap(err)
+	}
+	return decodeUpdate(reply.Msg, asked), nil
+}
+
+// decodeUpdate maps a reply. The other process gave its age at a time that is no
+// earlier than when it was asked plus how long it held the call.
+func decodeUpdate(m *wire.PullReply, asked time.Time) Update {
+	u := Update{Head: state.Revision(m.Head), Full: m.Full, Sum: m.Sum, Summed: true}
+	if m.Proven {
+		u.Proven = asked.Add(time.Duration(m.Held-m.Age) * time.Microsecond)
+	}
+	for _, r := range m.Rows {
+		row := state.Row{Key: r.Key, Revision: state.Revision(r.Revision), Value: r.Value}
+		if r.Gone {
+			row.Value = nil
+		} else if row.Value == nil {
+			row.Value = []byte{}
+		}
+		u.Rows = append(u.Rows, row)
+	}
+	return u
+}
--- a/core/links/links.go
+++ b/core/links/links.go
@@ -118,17 +118,22 @@
 }
 
 func newTransport(dial Dialer) *http.Transport {
-	if dial == nil {
-		dial = newDialer().DialContext
-	}
-	b := boundedDialer{dial: dial}
 	return &http.Transport{
-		DialContext:        b.dialBounded,
+		DialContext:        OutsideDialer(dial),
 		DisableCompression: true,
 		IdleConnTimeout:    clientIdleTimeout,
 	}
 }
 
+// OutsideDialer returns what opens connections to outside systems. A nil Dialer means
+// the network of the machine.
+func OutsideDialer(dial Dialer) Dialer {
+	if dial == nil {
+		dial = newDialer().DialContext
+	}
+	return boundedDialer{dial: dial}.dialBounded
+}
+
 // boundedDialer gives up an attempt after dialTimeout.
 type boundedDialer struct{ dial Dialer }
 
--- /dev/null
+++ b/core/state/codec.go
@@ -0,0 +1,326 @@
+package state
+
+import (
+	"encoding/json"
+	"errors"
+	"net/netip"
+	"time"
+)
+
+var (
+	errKind    = errors.New("unknown kind of row")
+	errName    = errors.New("the name is missing")
+	errPrefix  = errors.New("the prefix must begin and end with a slash")
+	errTargets = errors.New("a route needs a pool, and weights above zero")
+	errTimes   = errors.New("times must not be negative")
+	errCounts  = errors.New("numbers must not be negative")
+	errAddress = errors.New("the address can't be read")
+)
+
+// The documents are the form of rows between the processes of the system. Times are
+// in microseconds.
+
+type routeDocument struct {
+	Name      string           `json:"name"`
+	Host      string           `json:"host,omitempty"`
+	Prefix    string           `json:"prefix"`
+	Targets   []targetDocument `json:"targets"`
+	Repeat    bool             `json:"repeat,omitempty"`
+	Stream    bool             `json:"stream,omitempty"`
+	Resume    bool             `json:"resume,omitempty"`
+	Timeout   int64            `json:"timeout,omitempty"`
+	Objective int64            `json:"objective,omitempty"`
+	Gap       int64            `json:"gap,omitempty"`
+	Attempts  int              `json:"attempts,omitempty"`
+	Priority  int              `json:"priority,omitempty"`
+	Anonymous bool             `json:"anonymous,omitempty"`
+}
+
+type targetDocument struct {
+	Pool   string `json:"pool"`
+	Weight int    `json:"weight"`
+}
+
+type poolDocument struct {
+	Name        string          `json:"name"`
+	Connections int             `json:"connections,omitempty"`
+	Engine      *engineDocument `json:"engine,omitempty"`
+	Origin      *originDocument `json:"origin,omitempty"`
+}
+
+type engineDocument struct {
+	Slots   int             `json:"slots"`
+	Stride  int             `json:"stride"`
+	Step    float64         `json:"step"`
+	Request float64         `json:"request"`
+	Context float64         `json:"context"`
+	Read    float64         `json:"read"`
+	Pairs   float64         `json:"pairs"`
+	Most    int             `json:"most"`
+	Memory  int             `json:"memory"`
+	Prompt  int             `json:"prompt"`
+	Answer  int             `json:"answer"`
+	Models  []modelDocument `json:"models"`
+	Layers  int             `json:"layers"`
+	Pieces  int             `json:"pieces"`
+	Bytes   int             `json:"bytes"`
+}
+
+type modelDocument struct {
+	Name string `json:"name"`
+	Warm int64  `json:"warm"`
+}
+
+type originDocument struct {
+	Address     string `json:"address"`
+	Domain      string `json:"domain,omitempty"`
+	Connections int    `json:"connections,omitempty"`
+}
+
+type workspaceDocument struct {
+	Name     string   `json:"name"`
+	Keys     []string `json:"keys"`
+	Priority *int     `json:"priority,omitempty"`
+}
+
+type limitsDocument struct {
+	Header        int   `json:"header,omitempty"`
+	Body          int64 `json:"body,omitempty"`
+	HeaderTimeout int64 `json:"headertime,omitempty"`
+	IdleTimeout   int64 `json:"idletime,omitempty"`
+}
+
+type releaseDocument struct {
+	Model   string `json:"model"`
+	Version int    `json:"version"`
+}
+
+type upstreamDocument struct {
+	ID       string         `json:"id"`
+	Pool     string         `json:"pool"`
+	Address  string         `json:"address"`
+	Domain   string         `json:"domain,omitempty"`
+	Draining bool           `json:"draining,omitempty"`
+	Slots    int            `json:"slots,omitempty"`
+	Started  int64          `json:"started,omitempty"`
+	Held     []heldDocument `json:"held,omitempty"`
+}
+
+type heldDocument struct {
+	Model   string `json:"model"`
+	Version int    `json:"version"`
+	Whole   bool   `json:"whole,omitempty"`
+}
+
+func micros(us int64) time.Duration { return time.Duration(us) * time.Microsecond }
+
+func fraction(us float64) time.Duration { return time.Duration(us * float64(time.Microsecond)) }
+
+func decodeRoute(value []byte) (*Route, error) {
+	var d routeDocument
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	r := &Route{
+		Name: d.Name, Host: d.Host, Prefix: d.Prefix, Idempotent: d.Repeat, Stream: d.Stream, Resumable: d.Resume,
+		Timeout: micros(d.Timeout), Objective: micros(d.Objective), Gap: micros(d.Gap),
+		Attempts: max(d.Attempts, 1), Priority: d.Priority, Anonymous: d.Anonymous,
+	}
+	for _, t := range d.Targets {
+		if t.Pool == "" || t.Weight <= 0 {
+			return nil, errTargets
+		}
+		r.Targets = append(r.Targets, Target(t))
+	}
+	switch {
+	case d.Name == "":
+		return nil, errName
+	case d.Prefix == "" || d.Prefix[0] != '/' || d.Prefix[len(d.Prefix)-1] != '/':
+		return nil, errPrefix
+	case len(r.Targets) == 0:
+		return nil, errTargets
+	case d.Timeout < 0 || d.Objective < 0 || d.Gap < 0:
+		return nil, errTimes
+	}
+	return r, nil
+}
+
+// EncodeRoute returns the row of a route.
+func EncodeRoute(r *Route) (Row, error) {
+	d := routeDocument{
+		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeat: r.Idempotent, Stream: r.Stream, Resume: r.Resumable,
+		Timeout: r.Timeout.Microseconds(), Objective: r.Objective.Microseconds(), Gap: r.Gap.Microseconds(),
+		Attempts: r.Attempts, Priority: r.Priority, Anonymous: r.Anonymous,
+	}
+	for _, t := range r.Targets {
+		d.Targets = append(d.Targets, targetDocument(t))
+	}
+	return encode(KindRoute, r.Name, d)
+}
+
+func decodePool(value []byte) (*Pool, error) {
+	var d poolDocument
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	p := &Pool{Name: d.Name, Connections: d.Connections}
+	if d.Name == "" {
+		return nil, errName
+	}
+	if d.Connections < 0 {
+		return nil, errCounts
+	}
+	var err error
+	if d.Origin != nil {
+		p.Origin = &Origin{Domain: d.Origin.Domain, Connections: d.Origin.Connections}
+		if p.Origin.Address, err = netip.ParseAddrPort(d.Origin.Address); err != nil {
+			return nil, errAddress
+		}
+	}
+	if d.Engine != nil {
+		p.Engine, err = d.Engine.engine()
+	}
+	return p, err
+}
+
+func (d *engineDocument) engine() (*Engine, error) {
+	if d.Slots <= 0 || d.Step < 0 || d.Read <= 0 || d.Pieces < 0 || d.Bytes < 0 || d.Layers < 0 {
+		return nil, errCounts
+	}
+	e := &Engine{
+		Slots: d.Slots, Stride: max(d.Stride, 1), Step: fraction(d.Step), StepRequest: fraction(d.Request),
+		StepContext: fraction(d.Context), Read: d.Read, ReadPairs: fraction(d.Pairs), ReadMost: d.Most,
+		Memory: d.Memory, Prompt: d.Prompt, Answer: d.Answer, Layers: d.Layers, Pieces: d.Pieces, PieceBytes: d.Bytes,
+	}
+	for _, m := range d.Models {
+		if m.Name == "" {
+			return nil, errName
+		}
+		e.Models = append(e.Models, Model{Name: m.Name, Warm: micros(m.Warm)})
+	}
+	return e, nil
+}
+
+// EncodePool returns the row of a pool.
+func EncodePool(p *Pool) (Row, error) {
+	d := poolDocument{Name: p.Name, Connections: p.Connections}
+	if o := p.Origin; o != nil {
+		d.Origin = &originDocument{Address: o.Address.String(), Domain: o.Domain, Connections: o.Connections}
+	}
+	if e := p.Engine; e != nil {
+		us := func(t time.Duration) float64 { return float64(t) / float64(time.Microsecond) }
+		d.Engine = &engineDocument{
+			Slots: e.Slots, Stride: e.Stride, Step: us(e.Step), Request: us(e.StepRequest), Context: us(e.StepContext),
+			Read: e.Read, Pairs: us(e.ReadPairs), Most: e.ReadMost, Memory: e.Memory, Prompt: e.Prompt, Answer: e.Answer,
+			Layers: e.Layers, Pieces: e.Pieces, Bytes: e.PieceBytes,
+		}
+		for _, m := range e.Models {
+			d.Engine.Models = append(d.Engine.Models, modelDocument{Name: m.Name, Warm: m.Warm.Microseconds()})
+		}
+	}
+	return encode(KindPool, p.Name, d)
+}
+
+func decodeWorkspace(value []byte) (*Workspace, error) {
+	var d workspaceDocument
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	if d.Name == "" {
+		return nil, errName
+	}
+	w := &Workspace{Name: d.Name, Keys: d.Keys}
+	if d.Priority != nil {
+		w.Priority, w.Ranked = *d.Priority, true
+	}
+	return w, nil
+}
+
+// EncodeWorkspace returns the row of a workspace.
+func EncodeWorkspace(w *Workspace) (Row, error) {
+	d := workspaceDocument{Name: w.Name, Keys: w.Keys}
+	if w.Ranked {
+		d.Priority = &w.Priority
+	}
+	return encode(KindWorkspace, w.Name, d)
+}
+
+func decodeLimits(value []byte) (Limits, error) {
+	var d limitsDocument
+	if err := json.Unmarshal(value, &d); err != nil {
+		return Limits{}, err
+	}
+	if d.Header < 0 || d.Body < 0 || d.HeaderTimeout < 0 || d.IdleTimeout < 0 {
+		return Limits{}, errCounts
+	}
+	return Limits{
+		HeaderBytes: d.Header, BodyBytes: d.Body,
+		HeaderTimeout: micros(d.HeaderTimeout), IdleTimeout: micros(d.IdleTimeout),
+	}, nil
+}
+
+// EncodeLimits returns the row of the limits.
+func EncodeLimits(l Limits) (Row, error) {
+	return encode(KindLimits, "all", limitsDocument{
+		Header: l.HeaderBytes, Body: l.BodyBytes,
+		HeaderTimeout: l.HeaderTimeout.Microseconds(), IdleTimeout: l.IdleTimeout.Microseconds(),
+	})
+}
+
+func decodeRelease(value []byte) (Release, error) {
+	var d releaseDocument
+	if err := json.Unmarshal(value, &d); err != nil {
+		return Release{}, err
+	}
+	if d.Model == "" {
+		return Release{}, errName
+	}
+	if d.Version < FirstVersion {
+		return Release{}, errCounts
+	}
+	return Release(d), nil
+}
+
+// EncodeRelease returns the row of a release.
+func EncodeRelease(r Release) (Row, error) { return encode(KindRelease, r.Model, releaseDocument(r)) }
+
+func decodeUpstream(value []byte) (*Upstream, error) {
+	var d upstreamDocument
+	if err := json.Unmarshal(value, &d); err != nil {
+		return nil, err
+	}
+	if d.ID == "" || d.Pool == "" {
+		return nil, errName
+	}
+	address, err := netip.ParseAddrPort(d.Address)
+	if err != nil {
+		return nil, errAddress
+	}
+	u := &Upstream{ID: d.ID, Pool: d.Pool, Address: address, Domain: d.Domain, Draining: d.Draining, Slots: d.Slots}
+	if d.Started > 0 {
+		u.Started = time.UnixMicro(d.Started)
+	}
+	for _, h := range d.Held {
+		u.Held = append(u.Held, Held(h))
+	}
+	return u, nil
+}
+
+// EncodeUpstream returns the row of an upstream.
+func EncodeUpstream(u *Upstream) (Row, error) {
+	d := upstreamDocument{
+		ID: u.ID, Pool: u.Pool, Address: u.Address.String(), Domain: u.Domain, Draining: u.Draining, Slots: u.Slots,
+	}
+	if !u.Started.IsZero() {
+		d.Started = u.Started.UnixMicro()
+	}
+	for _, h := range u.Held {
+		d.Held = append(d.Held, heldDocument(h))
+	}
+	return encode(KindUpstream, u.Pool+"/"+u.ID, d)
+}
+
+func encode(kind, name string, document any) (Row, error) {
+	value, err := json.Marshal(document)
+	return Row{Key: kind + "/" + name, Value: value}, err
+}
--- /dev/null
+++ b/core/state/match.go
@@ -0,0 +1,56 @@
+package state
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// hostRoutes are the routes of one host name, the longest prefixes first.
+type hostRoutes []*Route
+
+func indexRoutes(routes map[string]*Route) map[string]hostRoutes {
+	index := make(map[string]hostRoutes)
+	for _, r := range routes {
+		index[r.Host] = append(index[r.Host], r)
+	}
+	for _, all := range index {
+		slices.SortFunc(all, func(a, b *Route) int {
+			return cmp.Or(cmp.Compare(len(b.Prefix), len(a.Prefix)), cmp.Compare(a.Prefix, b.Prefix))
+		})
+	}
+	return index
+}
+
+// find returns the route with the longest prefix that begins the path, or nil.
+// Routes of one length stand in the order of their prefixes.
+func (h hostRoutes) find(path string) *Route {
+	for at := 0; at < len(h); {
+		length := len(h[at].Prefix)
+		end := at + 1
+		for end < len(h) && len(h[end].Prefix) == length {
+			end++
+		}
+		if length <= len(path) {
+			i, ok := slices.BinarySearchFunc(h[at:end], path[:length], func(r *Route, p string) int { return cmp.Compare(r.Prefix, p) })
+			if ok {
+				return h[at+i]
+			}
+		}
+		at = end
+	}
+	return nil
+}
+
+// Match returns the route of a request, or nil. The path is as the caller sent it,
+// without its query.
+func (s *Snapshot) Match(host, path string) *Route {
+	if r := s.routes[host].find(path); r != nil {
+		return r
+	}
+	name, _, ok := strings.Cut(host, ":")
+	if !ok {
+		return nil
+	}
+	return s.routes[name].find(path)
+}
--- /dev/null
+++ b/core/state/snapshot.go
@@ -0,0 +1,65 @@
+package state
+
+import (
+	"maps"
+	"slices"
+)
+
+// Snapshot is what is in force in a process at one time. It is never changed. The
+// zero value holds nothing.
+type Snapshot struct {
+	// Revision is the newest that the snapshot covers.
+	Revision Revision
+	// Configured tells that a configuration has been read.
+	Configured bool
+	Limits     Limits
+
+	routes     map[string]hostRoutes
+	pools      map[string]*Pool
+	workspaces map[string]*Workspace
+	releases   map[string]Release
+	upstreams  map[string][]*Upstream
+}
+
+// Pool returns the pool with the name, or nil.
+func (s *Snapshot) Pool(name string) *Pool { return s.pools[name] }
+
+// Pools returns the pools ordered by name.
+func (s *Snapshot) Pools() []*Pool {
+	all := make([]*Pool, 0, len(s.pools))
+	for _, name := range slices.Sorted(maps.Keys(s.pools)) {
+		all = append(all, s.pools[name])
+	}
+	return all
+}
+
+// Routes returns the number of routes.
+func (s *Snapshot) Routes() int {
+	n := 0
+	for _, r := range s.routes {
+		n += len(r)
+	}
+	return n
+}
+
+// Workspace returns the workspace that holds the key, or nil.
+func (s *Snapshot) Workspace(key string) *Workspace { return s.workspaces[key] }
+
+// Keyed reports whether requests need a key.
+func (s *Snapshot) Keyed() bool { return len(s.workspaces) > 0 }
+
+// Release returns the version of a model that engines are to serve, or the first
+// one if none was released.
+func (s *Snapshot) Release(model string) Release {
+	if r, ok := s.releases[model]; ok {
+		return r
+	}
+	return Release{Model: model, Version: FirstVersion}
+}
+
+// FirstVersion is the version of a model before another one is released.
+const FirstVersion = 1
+
+// Upstreams returns the upstreams of a pool ordered by id. Callers must not change
+// the slice.
+func (s *Snapshot) Upstreams(pool string) []*Upstream { return s.upstreams[pool] }
--- /dev/null
+++ b/entry/internal/course/report.go
@@ -0,0 +1,89 @@
+package course
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"currantport.example/core/tries"
+	"currantport.example/entry/internal/target"
+)
+
+// metrics count what becomes of requests.
+type metrics struct {
+	scope   tally.Scope
+	again   tally.Counter
+	seconds tally.Histogram
+	first   tally.Histogram
+}
+
+func newMetrics(s tally.Scope) *metrics {
+	buckets := tally.MustMakeExponentialDurationBuckets(leastDuration, 2, durationSteps)
+	return &metrics{scope: s, again: s.Counter("repeats"), seconds: s.Histogram("seconds", buckets), first: s.Histogram("first_seconds", buckets)}
+}
+
+const (
+	leastDuration = 4 * time.Millisecond
+	durationSteps = 12
+)
+
+var resultNames = map[tries.Result]string{
+	tries.ResultAnswered: "answered", tries.ResultFailed: "failed", tries.ResultUnsent: "unsent",
+	tries.ResultDeclined: "declined", tries.ResultLost: "lost", tries.ResultBroken: "broken",
+}
+
+// logAttempt writes how a try went. A good one is told by the line of the request.
+func (t *trip) logAttempt(w *target.Flight, result tries.Result, start time.Time, err error) {
+	fields := []zap.Field{
+		zap.String("upstream", w.Row.ID), zap.Int("version", w.Version), zap.Int("running", w.Running),
+		zap.Duration("age", w.Age), zap.Duration("predicted", w.Predicted),
+	}
+	t.detail = fields
+	if result == tries.ResultAnswered && err == nil {
+		return
+	}
+	all := append([]zap.Field{
+		zap.String("id", string(t.call.ID)), zap.Int("try", len(t.tried)), zap.String("result", resultNames[result]),
+		zap.Duration("took", time.Since(start)), zap.Int("events", t.events), zap.Error(err),
+	}, fields...)
+	t.courses.options.Log.Info("attempt", all...)
+}
+
+// report writes one line for each request and counts it. It runs also when the
+// connection to the caller is being broken off.
+func (t *trip) report() {
+	took := time.Since(t.arrived)
+	reason := ""
+	if t.refusal != nil {
+		reason = string(t.refusal.Reason)
+	}
+	m := t.courses.metrics
+	m.scope.Tagged(map[string]string{"ending": t.ending, "reason": reason}).Counter("requests").Inc(1)
+	m.seconds.RecordDuration(took)
+	fields := []zap.Field{
+		zap.String("id", string(t.call.ID)), zap.String("ending", t.ending), zap.Int("status", t.status),
+		zap.Duration("took", took),
+	}
+	if r := t.admission.Route; r != nil {
+		fields = append(fields, zap.String("route", r.Name))
+	}
+	if t.pool != nil {
+		fields = append(fields, zap.String("pool", t.pool.Name), zap.Int("tries", len(t.tried)))
+	}
+	if t.refusal != nil {
+		fields = append(fields, zap.String("reason", reason), zap.String("detail", t.refusal.Detail), zap.Duration("wait", t.refusal.Wait))
+	}
+	if t.first > 0 {
+		m.first.RecordDuration(t.first)
+		fields = append(fields, zap.Duration("first", t.first), zap.Int("events", t.events))
+	}
+	fields = append(fields, zap.Uint64("revision", uint64(t.view.State.Revision)), zap.Duration("copyage", t.view.Age))
+	fields = append(fields, t.detail...)
+	if t.status >= http.StatusInternalServerError || t.ending == "broken" {
+		t.courses.options.Log.Warn("request", fields...)
+		return
+	}
+	t.courses.options.Log.Info("request", fields...)
+}
--- /dev/null
+++ b/entry/internal/course/trip.go
@@ -0,0 +1,353 @@
+package course
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/calls"
+	"currantport.example/core/conns"
+	"currantport.example/core/crash"
+	"currantport.example/core/state"
+	"currantport.example/core/tries"
+	"currantport.example/entry/internal/target"
+)
+
+const (
+	// dialTimeout bounds the wait for a connection to an upstream, which is several
+	// round trips away from a lost packet's second try.
+	dialTimeout = 300 * time.Millisecond
+	// holdShare is the part of the latency objective for which a request may wait
+	// for room at an engine before it is refused.
+	holdShare = 8
+	// holdStep is the time between two looks for room.
+	holdStep = 5 * time.Millisecond
+	// defaultObjective stands in for routes without an objective.
+	defaultObjective = 500 * time.Millisecond
+	// comeBackLeast and comeBackMost bound when a refused caller is told to come
+	// back.
+	comeBackLeast = 250 * time.Millisecond
+	comeBackMost  = 2 * time.Second
+	// noneWait is when to come back if no upstream can answer.
+	noneWait = time.Second
+)
+
+// trip is one request on its way.
+type trip struct {
+	courses   *Courses
+	writer    http.ResponseWriter
+	arrived   time.Time
+	deadline  time.Time
+	view      View
+	call      calls.Call
+	admission Admission
+	pool      *state.Pool
+	tries     *tries.Tries
+	tried     []string
+	// fingerprint names the request for the crash marks.
+	fingerprint crash.Fingerprint
+	sink        sink
+	// kept is the failure of an upstream that is handed on if no other try succeeds.
+	kept *unary
+	// began tells that a first sending has been counted.
+	began  bool
+	status int
+	// ending says how the request ended, for the log.
+	ending  string
+	refusal *calls.Refusal
+	events  int
+	first   time.Duration
+	detail  []zap.Field
+}
+
+// run serves an admitted request to its end.
+func (t *trip) run(ctx context.Context) {
+	route := t.admission.Route
+	t.sink = sink{writer: t.writer, after: t.call.After}
+	t.fingerprint = crash.Of(t.call.Target, t.call.Credential, t.call.Body)
+	t.tries = tries.New(route, t.deadline)
+	ctx, cancel := context.WithDeadline(ctx, t.deadline)
+	defer cancel()
+	if t.courses.options.Crashes.Refuses(t.fingerprint) {
+		t.refuse(calls.NotRun(calls.ReasonQuarantined, comeBackMost, "the request has crashed upstreams"))
+		return
+	}
+	for {
+		flight, refusal := t.place(ctx)
+		if flight == nil {
+			t.finish(t.tries.Unplaced(), refusal)
+			return
+		}
+		result := t.attempt(ctx, flight)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			t.leave()
+			return
+		}
+		if t.ending != "" {
+			return
+		}
+		step := t.tries.After(time.Now(), result, t.spend)
+		if step != tries.StepAgain {
+			t.finish(step, nil)
+			return
+		}
+		t.courses.metrics.again.Inc(1)
+		if t.courses.options.Crashes.Refuses(t.fingerprint) {
+			t.finish(t.tries.Unplaced(), calls.NotRun(calls.ReasonQuarantined, comeBackMost, "the request has crashed upstreams"))
+			return
+		}
+	}
+}
+
+func (t *trip) spend() bool { return t.courses.spend(t.pool.Name) }
+
+// place chooses an upstream. It holds the request for a short while if there is no
+// room.
+func (t *trip) place(ctx context.Context) (*target.Flight, *calls.Refusal) {
+	if t.pool == nil && !t.choosePool() {
+		return nil, calls.NotRun(calls.ReasonNoPool, noneWait, "the route's pools aren't listed")
+	}
+	if t.pool.Engine == nil {
+		if w := t.courses.options.Fleet.Plain(time.Now(), t.pool.Name, t.tried); w != nil {
+			return w, nil
+		}
+		return nil, calls.NotRun(calls.ReasonNoUpstream, noneWait, "no upstream takes requests")
+	}
+	need := target.Need{
+		Pool: t.pool, Model: t.call.Model, Prompt: t.call.Prompt, Version: t.sink.version, Not: t.tried,
+		Gap: t.admission.Route.Gap,
+	}
+	until := t.arrived.Add(t.objective() / holdShare)
+	for {
+		w, wait := t.courses.options.Fleet.Engine(time.Now(), need)
+		if w != nil {
+			return w, nil
+		}
+		if wait == 0 {
+			return nil, calls.NotRun(calls.ReasonNoUpstream, noneWait, "no engine serves the version")
+		}
+		if time.Now().Add(holdStep).After(until) || !pause(ctx, holdStep) {
+			return nil, calls.NotRun(calls.ReasonOverload, t.comeBack(wait), "the engines are full")
+		}
+	}
+}
+
+func (t *trip) objective() time.Duration {
+	if o := t.admission.Route.Objective; o > 0 {
+		return o
+	}
+	return defaultObjective
+}
+
+// comeBack returns when a refused caller should come back. The times are spread, so
+// that those refused together don't return together.
+func (t *trip) comeBack(wait time.Duration) time.Duration {
+	spread := time.Duration(t.courses.options.Random() * float64(comeBackMost-comeBackLeast) / 2)
+	return min(max(wait, comeBackLeast)+spread, comeBackMost)
+}
+
+// choosePool draws one of the route's pools by weight.
+func (t *trip) choosePool() bool {
+	var listed []state.Target
+	sum := 0
+	for _, g := range t.admission.Route.Targets {
+		if t.view.State.Pool(g.Pool) != nil {
+			listed = append(listed, g)
+			sum += g.Weight
+		}
+	}
+	at := int(t.courses.options.Random() * float64(sum))
+	for _, g := range listed {
+		if at < g.Weight {
+			t.pool = t.view.State.Pool(g.Pool)
+			return true
+		}
+		at -= g.Weight
+	}
+	return false
+}
+
+// finish ends the request after its last try.
+func (t *trip) finish(step tries.Step, refusal *calls.Refusal) {
+	reason := t.tries.Reason(time.Now())
+	switch {
+	case step == tries.StepBreak || t.sink.began:
+		t.ending = "broken"
+		panic(http.ErrAbortHandler)
+	case t.kept != nil:
+		t.hand(t.kept)
+	case step == tries.StepRefuse && refusal != nil:
+		t.refuse(refusal)
+	case step == tries.StepRefuse:
+		t.refuse(calls.NotRun(reason, t.comeBack(0), "no upstream took the request"))
+	default:
+		t.refuse(calls.Unknown(reason, 0, "the request may have run"))
+	}
+}
+
+// leave ends a request whose caller has gone.
+func (t *trip) leave() {
+	if t.ending == "" {
+		t.ending = "left"
+	}
+	if t.sink.began {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (t *trip) refuse(r *calls.Refusal) {
+	t.ending, t.refusal = string(r.Outcome), r
+	t.status = calls.StatusOf(r)
+	t.courses.options.Callers.Refuse(t.writer, &t.call, r)
+}
+
+// attempt sends the request to the upstream of a flight and hands the answer on.
+func (t *trip) attempt(ctx context.Context, w *target.Flight) tries.Result {
+	t.tried = append(t.tried, w.Row.ID)
+	if !t.began {
+		t.began = true
+		t.courses.first(t.pool.Name)
+	}
+	outer := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	g := newGuard(cancel)
+	defer g.stop()
+	start := time.Now()
+	result, outcome, err := t.exchange(ctx, w, g)
+	switch {
+	case outcome == target.OutcomeFailed && errors.Is(outer.Err(), context.Canceled):
+		outcome = target.OutcomeNeutral
+	case outcome == target.OutcomeFailed && g.fired():
+		outcome = target.OutcomeSlow
+	}
+	w.End(time.Now(), outcome)
+	t.logAttempt(w, result, start, err)
+	return result
+}
+
+// exchange sends the request and returns how that went.
+func (t *trip) exchange(ctx context.Context, w *target.Flight, g *guard) (tries.Result, target.Outcome, error) {
+	conn, err := t.connect(ctx, w)
+	if err != nil {
+		return t.unconnected(ctx, w, err)
+	}
+	g.reset(t.firstLimit(w))
+	a := calls.Attempt{Upstream: w.Row, Left: time.Until(t.deadline), After: t.sink.after}
+	if t.admission.Workspace != nil {
+		a.Workspace = t.admission.Workspace.Name
+	}
+	if w.Strict {
+		a.Version = w.Version
+	}
+	answer, err := conn.Do(ctx, t.courses.options.Upstreams.Request(&t.call, a))
+	if err != nil {
+		return t.lost(ctx, w, err)
+	}
+	defer answer.Close()
+	reply := t.courses.options.Upstreams.Reply(&t.call, answer.Status, answer.Header)
+	switch reply.Verdict {
+	case calls.VerdictDeclined, calls.VerdictMoved:
+		drain(answer)
+		if reply.Verdict == calls.VerdictMoved {
+			return tries.ResultDeclined, target.OutcomeMoved, declinedError(answer.Status)
+		}
+		return tries.ResultDeclined, target.OutcomeShed, declinedError(answer.Status)
+	case calls.VerdictForeign:
+		return tries.ResultLost, target.OutcomeFailed, errForeign
+	}
+	if t.admission.Route.Stream && reply.Good {
+		return t.stream(ctx, w, g, answer, reply)
+	}
+	return t.unary(ctx, w, answer, reply)
+}
+
+func (t *trip) connect(ctx context.Context, w *target.Flight) (*conns.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	// A request that may not run twice gets a connection of its own: on a kept one
+	// it could be lost without a word if the upstream closes it.
+	return t.courses.options.Conns.Get(ctx, w.Row.Address, !t.admission.Route.Repeatable())
+}
+
+func (t *trip) unconnected(ctx context.Context, w *target.Flight, err error) (tries.Result, target.Outcome, error) {
+	if ctx.Err() != nil {
+		return tries.ResultUnsent, target.OutcomeNeutral, err
+	}
+	if isRefused(err) {
+		t.courses.options.Crashes.Crashed(w.Row.ID, "connection refused")
+	}
+	return tries.ResultUnsent, target.OutcomeRefused, err
+}
+
+// lost judges a request that got no answer.
+func (t *trip) lost(ctx context.Context, w *target.Flight, err error) (tries.Result, target.Outcome, error) {
+	var l *conns.LostError
+	if errors.As(err, &l) && l.Fate == conns.FateUnsent {
+		return tries.ResultUnsent, target.OutcomeNeutral, err
+	}
+	if ctx.Err() != nil {
+		return tries.ResultLost, target.OutcomeFailed, err
+	}
+	t.suspect(w)
+	return tries.ResultLost, target.OutcomeFailed, err
+}
+
+// suspect notes that the upstream may have crashed by the request.
+func (t *trip) suspect(w *target.Flight) {
+	if w.Row.Draining {
+		return
+	}
+	t.courses.options.Crashes.Lost(t.fingerprint, w.Row.ID)
+	p := &probe{courses: t.courses, row: w.Row}
+	go p.run()
+}
+
+// firstLimit returns how long the first byte of an answer is awaited.
+func (t *trip) firstLimit(w *target.Flight) time.Duration {
+	left := time.Until(t.deadline)
+	route := t.admission.Route
+	if !route.Repeatable() || t.tries.Count()+1 >= route.Attempts {
+		return left
+	}
+	if t.pool.Engine == nil {
+		return min(left*2/5, plainPatience*t.objective())
+	}
+	return min(left/2, max(enginePatience*w.Predicted, t.objective())+engineSlack)
+}
+
+const (
+	// plainPatience is the number of latency objectives for which a plain service is
+	// awaited while another one may be asked.
+	plainPatience = 2
+	// enginePatience is the number of predicted times to the first event for which an
+	// engine is awaited, and engineSlack is added.
+	enginePatience = 3
+	engineSlack    = 400 * time.Millisecond
+)
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// drainBytes bounds what is read of an answer that isn't handed on.
+const drainBytes = 16 << 10
+
+// drain reads a short answer to its end, so that its connection can be kept.
+func drain(a *conns.Answer) {
+	_, _ = io.CopyN(io.Discard, a.Body, drainBytes)
+}
+
+func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- /dev/null
+++ b/entry/internal/target/choose.go
@@ -0,0 +1,201 @@
+package target
+
+import (
+	"slices"
+	"time"
+
+	"currantport.example/core/hosts"
+	"currantport.example/core/place"
+	"currantport.example/core/state"
+)
+
+const (
+	// versionGuard is how long before the end of its time a version that is to be
+	// replaced takes no more requests, so that none begins too late.
+	versionGuard = 1300 * time.Millisecond
+	// farCost is what an engine in another region must be faster to be chosen. It
+	// stands for the bytes between regions.
+	farCost = 15 * time.Millisecond
+	// spread is the share by which predictions are varied, so that entries which know
+	// the same don't all choose the same engine.
+	spread = 0.2
+	// poorCost is what an engine that fails requests must be faster.
+	poorCost = 2 * time.Second
+	// queueMost is the number of requests that may wait at an engine.
+	queueMost = 2
+)
+
+// Need is what a request needs of an engine.
+type Need struct {
+	Pool   *state.Pool
+	Model  string
+	Prompt int
+	// Version is the only one that may answer, or zero.
+	Version int
+	// Not lists the upstreams that were tried already.
+	Not []string
+	// Gap is the longest pause between events, or zero.
+	Gap time.Duration
+}
+
+// candidate is an engine that may take a request.
+type candidate struct {
+	upstream *upstream
+	version  int
+	load     place.Load
+	first    time.Duration
+	cost     time.Duration
+}
+
+// Engine gives the request to the engine that is expected to answer first. If there
+// is none with room, it returns nil and the time after which there may be.
+func (f *Fleet) Engine(now time.Time, n Need) (*Flight, time.Duration) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	all := f.candidates(now, n)
+	if len(all) == 0 {
+		return nil, 0
+	}
+	best := slices.MinFunc(all, func(a, b candidate) int { return int(a.cost - b.cost) })
+	if best.load.Running >= n.Pool.Engine.Slots+queueMost {
+		return nil, f.wait(n.Pool.Engine, all)
+	}
+	w := f.begin(now, best.upstream, n.Prompt)
+	w.Version, w.Predicted, w.Running = best.version, best.first, best.load.Running
+	w.Strict = n.Version != 0 || best.version == f.newest(n.Model)
+	return w, 0
+}
+
+// wait returns when the engines will have room.
+func (f *Fleet) wait(e *state.Engine, all []candidate) time.Duration {
+	over, rate := 0, 0.0
+	for _, c := range all {
+		over += max(c.load.Running-e.Slots+1, 0)
+		rate += place.Rate(e, c.load.Pace)
+	}
+	return time.Duration(float64(over) / rate * float64(time.Second))
+}
+
+func (f *Fleet) candidates(now time.Time, n Need) []candidate {
+	var all []candidate
+	for _, u := range f.pools[n.Pool.Name] {
+		if u.row.Draining || u.health.Down(now) || slices.Contains(n.Not, u.row.ID) || u.isHeard(now) && u.digest.Closed {
+			continue
+		}
+		v := u.held(now, n.Model)
+		if v == 0 || n.Version != 0 && v != n.Version || !f.mayServe(now, n.Model, v) {
+			continue
+		}
+		c := candidate{upstream: u, version: v, load: u.load(now)}
+		c.first = place.First(n.Pool.Engine, c.load, n.Prompt)
+		c.cost = time.Duration(float64(c.first) * (1 + spread*f.options.Random()))
+		if n.Gap > 0 && place.Pause(n.Pool.Engine, c.load, n.Prompt) > n.Gap {
+			c.cost += n.Gap
+		}
+		if f.isFar(u) {
+			c.cost += farCost
+		}
+		if u.health.Poor(now) {
+			c.cost += poorCost
+		}
+		all = append(all, c)
+	}
+	return all
+}
+
+// mayServe reports whether requests may still begin on the version: until shortly
+// before the end of the time for the first version after it.
+func (f *Fleet) mayServe(now time.Time, model string, version int) bool {
+	if f.options.VersionWithin == 0 {
+		return true
+	}
+	for _, r := range f.releases[model] {
+		if r.version > version {
+			return now.Sub(r.learnt) < f.options.VersionWithin-versionGuard
+		}
+	}
+	return true
+}
+
+// newest returns the version of a model that was released last.
+func (f *Fleet) newest(model string) int {
+	if all := f.releases[model]; len(all) > 0 {
+		return all[len(all)-1].version
+	}
+	return 0
+}
+
+func (f *Fleet) isFar(u *upstream) bool {
+	return f.options.Regions[hosts.Domain(u.row.Domain)] != f.options.Place.Region
+}
+
+// Plain gives the request to an upstream of a plain service, or returns nil if there
+// is none.
+func (f *Fleet) Plain(now time.Time, pool string, not []string) *Flight {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var best *upstream
+	least := 0.0
+	for _, u := range f.pools[pool] {
+		if u.row.Draining || slices.Contains(not, u.row.ID) {
+			continue
+		}
+		c := f.plainCost(now, u)
+		if best == nil || c < least {
+			best, least = u, c
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	w := f.begin(now, best, 0)
+	w.Running = best.running - 1
+	return w
+}
+
+const (
+	// plainFar is the number of own requests in progress that an upstream in another
+	// region must have less to be chosen.
+	plainFar = 1.5
+	// plainFailure is the same for one whose requests all fail, plainDown for one
+	// that takes no connections.
+	plainFailure = 20
+	plainDown    = 100
+	// plainSlow is the same for each second of latency.
+	plainSlow = 30
+)
+
+func (f *Fleet) plainCost(now time.Time, u *upstream) float64 {
+	c := float64(u.running) + f.options.Random() + plainFailure*u.health.Failures(now)
+	c += plainSlow * u.health.Latency(now).Seconds()
+	if f.isFar(u) {
+		c += plainFar
+	}
+	if u.health.Down(now) {
+		c += plainDown
+	}
+	return c
+}
+
+// Interest is what the entry has at an engine.
+type Interest struct {
+	Row     *state.Upstream
+	Running int
+	Unread  int
+}
+
+// Interests returns the engines whose load the entry wants to hear of.
+func (f *Fleet) Interests(s *state.Snapshot) []Interest {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var all []Interest
+	for _, p := range s.Pools() {
+		if p.Engine == nil {
+			continue
+		}
+		for _, u := range f.pools[p.Name] {
+			all = append(all, Interest{Row: u.row, Running: u.running, Unread: u.unread})
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/entry/internal/target/target.go
@@ -0,0 +1,292 @@
+// Package target keeps what an entry knows of the upstreams: which there are, what
+// it has sent to each, how loaded their agents say they are and how well they
+// answer. It chooses where the next request goes.
+package target
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/health"
+	"currantport.example/core/hosts"
+	"currantport.example/core/place"
+	"currantport.example/core/state"
+)
+
+const (
+	// digestLife is how long a load digest counts. Agents send several in that time.
+	digestLife = 1500 * time.Millisecond
+)
+
+// Digest is what the agent beside an engine says of it.
+type Digest struct {
+	// Started is when the engine started, by its own clock.
+	Started time.Time
+	// Serial grows with each digest of one start of the agent.
+	Serial uint64
+	// Running counts the requests that run or wait, Unread the prompt tokens that
+	// wait to be read.
+	Running int
+	Unread  int
+	Pace    float64
+	// Closed tells that the engine takes no requests for now.
+	Closed bool
+	Held   []state.Held
+}
+
+// upstream is what is known of one upstream.
+type upstream struct {
+	row    *state.Upstream
+	health health.Record
+	// running and unread are what this entry has sent.
+	running int
+	unread  int
+
+	digest Digest
+	heard  time.Time
+	// others and othersUnread are what others had sent at the last digest.
+	others       int
+	othersUnread int
+}
+
+// releasesMost is the number of versions of a model that are remembered.
+const releasesMost = 8
+
+// release is a version and when this process learnt of it.
+type release struct {
+	version int
+	learnt  time.Time
+}
+
+// Options are the parts of a fleet.
+type Options struct {
+	Place hosts.Place
+	// Regions maps failure domains to regions.
+	Regions map[hosts.Domain]hosts.Region
+	// VersionWithin is the time within which engines must serve a released version.
+	// Zero means no bound.
+	VersionWithin time.Duration
+	// Random returns a number from 0 to 1.
+	Random func() float64
+	Log    *zap.Logger
+}
+
+// Fleet is what an entry knows of all upstreams. Goroutines share it.
+type Fleet struct {
+	options   Options
+	mutex     sync.Mutex
+	upstreams map[string]*upstream
+	// pools lists the upstreams of each pool, ordered by id.
+	pools map[string][]*upstream
+	// releases lists the versions of each model that this process has learnt of, the
+	// newest last.
+	releases map[string][]release
+}
+
+// New returns a fleet without upstreams.
+func New(o Options) *Fleet {
+	return &Fleet{
+		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
+		releases: make(map[string][]release),
+	}
+}
+
+// Take brings the rows of a snapshot in and returns the addresses at which no
+// upstream is left.
+func (f *Fleet) Take(now time.Time, s *state.Snapshot) []netip.AddrPort {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	before := f.upstreams
+	f.upstreams, f.pools = make(map[string]*upstream, len(before)), make(map[string][]*upstream)
+	used := make(map[netip.AddrPort]bool)
+	for _, p := range s.Pools() {
+		for _, row := range s.Upstreams(p.Name) {
+			u := f.renew(before[row.ID], row)
+			f.upstreams[row.ID] = u
+			f.pools[p.Name] = append(f.pools[p.Name], u)
+			used[row.Address] = true
+		}
+		if p.Engine != nil {
+			f.release(now, s, p.Engine)
+		}
+	}
+	var gone []netip.AddrPort
+	for _, u := range before {
+		if !used[u.row.Address] {
+			gone = append(gone, u.row.Address)
+		}
+	}
+	return gone
+}
+
+// renew keeps what is known of an upstream unless its process has started anew.
+func (f *Fleet) renew(known *upstream, row *state.Upstream) *upstream {
+	if known == nil || !known.row.Same(row) {
+		return &upstream{row: row}
+	}
+	if known.row.Draining != row.Draining {
+		f.options.Log.Info("upstream-drains", zap.String("upstream", row.ID), zap.Bool("draining", row.Draining))
+	}
+	known.row = row
+	return known
+}
+
+func (f *Fleet) release(now time.Time, s *state.Snapshot, e *state.Engine) {
+	for _, m := range e.Models {
+		r := s.Release(m.Name)
+		known := f.releases[m.Name]
+		switch {
+		case len(known) == 0:
+			// It isn't known when a version was released that is there from the
+			// start, so that none before it may be served.
+			f.releases[m.Name] = []release{{version: r.Version}}
+		case known[len(known)-1].version < r.Version:
+			f.releases[m.Name] = append(known[max(len(known)-releasesMost+1, 0):], release{version: r.Version, learnt: now})
+		}
+	}
+}
+
+// Heard takes a digest of an upstream.
+func (f *Fleet) Heard(now time.Time, id string, d Digest) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	u := f.upstreams[id]
+	if u == nil || u.digest.Serial >= d.Serial && now.Sub(u.heard) < digestLife {
+		return
+	}
+	u.digest, u.heard = d, now
+	u.others = max(d.Running-u.running, 0)
+	u.othersUnread = max(d.Unread-u.unread, 0)
+}
+
+// held returns the version of a model that the upstream serves, or zero.
+func (u *upstream) held(now time.Time, model string) int {
+	all := u.row.Held
+	if u.isHeard(now) {
+		all = u.digest.Held
+	}
+	for _, h := range all {
+		if h.Model == model && h.Whole {
+			return h.Version
+		}
+	}
+	return 0
+}
+
+func (u *upstream) isHeard(now time.Time) bool {
+	return !u.heard.IsZero() && now.Sub(u.heard) < digestLife
+}
+
+// load returns what is at the upstream.
+func (u *upstream) load(now time.Time) place.Load {
+	l := place.Load{Running: u.running, Unread: u.unread, Pace: 1}
+	if u.isHeard(now) {
+		l.Running += u.others
+		l.Unread += u.othersUnread
+		l.Pace = u.digest.Pace
+	}
+	return l
+}
+
+// Flight is a request that was given to an upstream. It ends with End.
+type Flight struct {
+	fleet    *Fleet
+	upstream *upstream
+	// Row is the upstream as it was chosen.
+	Row *state.Upstream
+	// Version is the version that the engine serves, or zero.
+	Version int
+	// Strict tells that no other version may answer.
+	Strict bool
+	// Predicted is the expected time to the first event.
+	Predicted time.Duration
+	// Running is the number of requests that were at the upstream, with Age the age
+	// of what others say of it.
+	Running int
+	Age     time.Duration
+	prompt  int
+	began   time.Time
+	first   bool
+	ended   bool
+}
+
+// begin counts a request that is about to be sent. The mutex is held.
+func (f *Fleet) begin(now time.Time, u *upstream, prompt int) *Flight {
+	u.running++
+	u.unread += prompt
+	w := &Flight{fleet: f, upstream: u, Row: u.row, prompt: prompt, began: now}
+	if u.isHeard(now) {
+		w.Age = now.Sub(u.heard)
+	}
+	return w
+}
+
+// First records that the first byte of the answer has come.
+func (w *Flight) First(now time.Time) {
+	w.fleet.mutex.Lock()
+	defer w.fleet.mutex.Unlock()
+	if w.first {
+		return
+	}
+	w.first = true
+	w.upstream.unread -= w.prompt
+	w.upstream.health.Answered(now, now.Sub(w.began))
+}
+
+// Outcome is how a flight ended for the upstream.
+type Outcome int
+
+// The outcomes of a flight.
+const (
+	// OutcomeGood is a whole answer.
+	OutcomeGood Outcome = iota
+	// OutcomeNeutral says nothing about the upstream: the caller left, or it was
+	// asked for another instance.
+	OutcomeNeutral
+	// OutcomeRefused is a connection that could not be made.
+	OutcomeRefused
+	// OutcomeFailed is a lost, broken or failed answer.
+	OutcomeFailed
+	// OutcomeSlow is an answer that didn't come in time.
+	OutcomeSlow
+	// OutcomeShed is a request that the upstream declined for load.
+	OutcomeShed
+	// OutcomeMoved is a request that the upstream declined since it isn't what it
+	// was taken for.
+	OutcomeMoved
+)
+
+// End records how the flight ended.
+func (w *Flight) End(now time.Time, o Outcome) {
+	w.fleet.mutex.Lock()
+	defer w.fleet.mutex.Unlock()
+	if w.ended {
+		return
+	}
+	w.ended = true
+	u := w.upstream
+	u.running--
+	if !w.first {
+		u.unread -= w.prompt
+	}
+	switch o {
+	case OutcomeRefused:
+		u.health.Refused(now)
+	case OutcomeFailed:
+		u.health.Failed(now)
+	case OutcomeSlow:
+		u.health.Slow(now, now.Sub(w.began))
+	case OutcomeShed, OutcomeMoved:
+		u.shed(now)
+	}
+}
+
+// shed notes that the engine has no room, whatever the last digest said.
+func (u *upstream) shed(now time.Time) {
+	if u.row.Slots > 0 && u.isHeard(now) {
+		u.others = max(u.others, u.row.Slots-u.running)
+	}
+}
--- /dev/null
+++ b/entry/server/build.go
@@ -0,0 +1,257 @@
+// Package server puts the parts of an entry together. What the outside world speaks is
+// passed in, so that the same parts serve any platform.
+package server
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/gorilla/mux"
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"currantport.example/core/budget"
+	"currantport.example/core/clocks"
+	"currantport.example/core/conns"
+	"currantport.example/core/crash"
+	"currantport.example/core/edges"
+	"currantport.example/core/feed"
+	"currantport.example/core/hosts"
+	"currantport.example/core/links"
+	"currantport.example/core/logs"
+	"currantport.example/core/member"
+	"currantport.example/core/mesh"
+	"currantport.example/core/meter"
+	"currantport.example/core/parts"
+	"currantport.example/core/reload"
+	"currantport.example/core/shell"
+	"currantport.example/core/wire"
+	"currantport.example/entry/internal/caller"
+	"currantport.example/entry/internal/course"
+	"currantport.example/entry/internal/naming"
+	"currantport.example/entry/internal/target"
+	"currantport.example/entry/internal/upkeep"
+)
+
+const (
+	// closeWithin bounds the end of calls other than requests at a stop.
+	closeWithin = 300 * time.Millisecond
+	// memoryShare is the part of the memory that the collector aims at. The rest is
+	// for what it doesn't see.
+	memoryShare = 0.7
+	// revokeMargin is the part of the time for a key that was taken away that is kept
+	// for the way of a request to its upstream.
+	revokeMargin = 0.15
+	// readyShare is the part of that time beyond which callers are told to go
+	// elsewhere.
+	readyShare = 0.6
+	// waitShare is the part of that time for which a source may hold a pull, and
+	// mostWait bounds it.
+	waitShare = 0.25
+	mostWait  = 1200 * time.Millisecond
+	// directAfter is the age of the copy, in waits, from which on an entry that
+	// doesn't lead reads the platform.
+	directAfter = 1.6
+	// keepShares is the number of lifetimes for which callers may keep an address.
+	keepShares = 3
+	// stopReserve is the part of the time of a stop that is kept for its end.
+	stopReserve = 600 * time.Millisecond
+)
+
+// Outside is what the entry speaks with the outside world.
+type Outside struct {
+	Callers   edges.Callers
+	Upstreams edges.Upstreams
+	// Platform publishes the rows.
+	Platform feed.Source
+}
+
+// Build returns the parts of an entry with the settings. File is that of the settings,
+// which is looked at for changes. An Outside must be provided beside them.
+func Build(s Settings, file string) fx.Option {
+	return fx.Options(
+		fx.Supply(s, links.Sockets(), fx.Annotate(file, fx.ResultTags(`name:"file"`))),
+		fx.Provide(
+			newLog, newMetrics, newPeers, feed.NewMirror, crash.NewBook, newConns, newFleet, newMesh, newFollower,
+			newCourses, newFront, newUpkeep, newDirectory,
+		),
+		fx.Invoke(setMemory, startAdmin, startReload, startStop),
+	)
+}
+
+func setMemory(s Settings) { debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare)) }
+
+func newLog(lc fx.Lifecycle, s Settings) (*zap.Logger, error) {
+	l, stop, err := logs.New(os.Stdout, s.Level)
+	if err != nil {
+		return nil, err
+	}
+	lc.Append(fx.StopHook(stop))
+	return l.With(zap.String("host", string(s.Host))), nil
+}
+
+func newMetrics(lc fx.Lifecycle) parts.Metrics {
+	scope, handler, stop := meter.New(string(hosts.RoleEntry))
+	return shell.Owned(lc, parts.Metrics{Scope: scope, Handler: handler}, stop)
+}
+
+func newPeers(lc fx.Lifecycle, n links.Network) parts.PeerClient {
+	c, stop := links.NewPeerClient(n.Dial)
+	return shell.Owned(lc, parts.PeerClient{Client: c}, stop)
+}
+
+func newConns(lc fx.Lifecycle, n links.Network, m parts.Metrics) *conns.Pool {
+	opened := m.Scope.Counter("upstream_connections")
+	p, stop := conns.New(links.OutsideDialer(n.Dial), func() { opened.Inc(1) })
+	return shell.Owned(lc, p, stop)
+}
+
+func newFleet(s Settings, log *zap.Logger) *target.Fleet {
+	return target.New(target.Options{
+		Place: s.Place, Regions: s.Regions, VersionWithin: s.Bounds.Version, Random: rand.Float64, Log: log,
+	})
+}
+
+func newMesh(lc fx.Lifecycle, s Settings, f *target.Fleet, b *crash.Book, log *zap.Logger) (*mesh.Node, error) {
+	socket, err := mesh.Listen(s.Mesh)
+	if err != nil {
+		return nil, err
+	}
+	self := member.Member{Front: s.Calls, Incarnation: mesh.NewIncarnation()}
+	self.Host = hosts.Host{Name: s.Host, Place: s.Place, Role: hosts.RoleEntry, State: hosts.StateLive, Address: s.Mesh}
+	n, stop := mesh.New(mesh.Options{
+		Self: self, Socket: socket, Seeds: s.Seeds, Seed: rand.Uint64(), Marks: b, Log: log,
+		Load: func(_ netip.AddrPort, l *wire.LoadDigest) { f.Heard(clocks.Now(), l.Upstream, upkeep.Digest(l)) },
+	})
+	return shell.Owned(lc, n, stop), nil
+}
+
+func newFollower(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, log *zap.Logger) *feed.Follower {
+	wait := min(time.Duration(waitShare*float64(s.Bounds.Revoke)), mostWait)
+	f, stop := feed.NewFollower(feed.FollowOptions{
+		Reader: feed.Reader{Self: s.Host, Place: s.Place, Role: hosts.RoleEntry},
+		Mirror: m, Entries: n.Entries, Wait: wait, DirectAfter: time.Duration(directAfter * float64(wait)), Log: log,
+		Source: func(name hosts.Name) (feed.Source, bool) {
+			if name == feed.Direct {
+				return o.Platform, true
+			}
+			e, ok := n.Find(name)
+			return feed.NewRemote(peers.Client, e.Address, nil, true), ok
+		},
+	})
+	return shell.Owned(lc, f, stop)
+}
+
+func newCourses(s Settings, o Outside, m *feed.Mirror, f *target.Fleet, p *conns.Pool, b *crash.Book, n *mesh.Node, metrics parts.Metrics, log *zap.Logger) *course.Courses {
+	revoke := time.Duration((1 - revokeMargin) * float64(s.Bounds.Revoke))
+	return course.New(course.Options{
+		Mirror: m, Fleet: f, Conns: p, Callers: o.Callers, Upstreams: o.Upstreams, Crashes: b,
+		Bounds:  course.Bounds{Revoke: revoke, Settled: s.Bounds.Apply},
+		Repeats: budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
+		Entries: func() int { return len(n.Members()) }, Random: rand.Float64, Scope: metrics.Scope, Log: log,
+	})
+}
+
+func newFront(lc fx.Lifecycle, s Settings, network links.Network, c *course.Courses, log *zap.Logger) (*caller.Server, error) {
+	l, err := network.Listen(context.Background(), s.Calls)
+	if err != nil {
+		return nil, err
+	}
+	f, stop := caller.New(caller.Options{
+		Listener: l, Handler: c, Refuse: c.Leaving(), Log: log,
+		Serve: min(keepShares*s.Lifetime, s.StopWithin/2), Within: s.StopWithin - stopReserve,
+	})
+	return shell.Owned(lc, f, stop), nil
+}
+
+func newUpkeep(lc fx.Lifecycle, s Settings, m *feed.Mirror, _ *feed.Follower, f *target.Fleet, front *caller.Server, n *mesh.Node, p *conns.Pool, b *crash.Book, log *zap.Logger) *upkeep.Upkeep {
+	u, stop := upkeep.New(upkeep.Options{
+		Self: s.Host, Mirror: m, Fleet: f, Front: front, Mesh: n, Conns: p, Crash: b,
+		ReadyAge: time.Duration(readyShare * float64(s.Bounds.Revoke)), Agent: s.Agent, Log: log,
+	})
+	return shell.Owned(lc, u, stop)
+}
+
+// Directory tells callers and the platform about the entry.
+type Directory struct {
+	settings Settings
+	mesh     *mesh.Node
+	upkeep   *upkeep.Upkeep
+}
+
+func newDirectory(s Settings, n *mesh.Node, u *upkeep.Upkeep) *Directory {
+	return &Directory{settings: s, mesh: n, upkeep: u}
+}
+
+// Ready reports whether the entry serves requests.
+func (d *Directory) Ready() bool { return d.upkeep.Ready() }
+
+// Addresses returns where a caller at a place should connect and for how long it may
+// keep the answer. It is empty if the entry doesn't know.
+func (d *Directory) Addresses(domain hosts.Domain) ([]netip.AddrPort, time.Duration) {
+	if !d.Ready() {
+		return nil, 0
+	}
+	at := hosts.Place{Domain: domain, Region: d.settings.Regions[domain]}
+	return naming.Choose(d.mesh.Members(), at), d.settings.Lifetime
+}
+
+// startAdmin serves what other processes and operators call.
+func startAdmin(lc fx.Lifecycle, s Settings, network links.Network, m *feed.Mirror, metrics parts.Metrics, log *zap.Logger) error {
+	r := mux.NewRouter()
+	path, handler := feed.NewHandler(m)
+	r.PathPrefix(path).Handler(handler)
+	l, err := network.Listen(context.Background(), s.Mesh)
+	if err != nil {
+		return err
+	}
+	lc.Append(fx.StopHook(links.Serve(l, r, log, closeWithin)))
+	admin := http.NewServeMux()
+	admin.Handle("/metrics", metrics.Handler)
+	l, err = network.Listen(context.Background(), s.Admin)
+	if err != nil {
+		return err
+	}
+	lc.Append(fx.StopHook(links.Serve(l, admin, log, closeWithin)))
+	return nil
+}
+
+// startReload follows changes of the settings file. Only the seeds can change while a
+// process runs.
+func startReload(lc fx.Lifecycle, p struct {
+	fx.In
+	File     string `name:"file"`
+	Settings Settings
+	Mesh     *mesh.Node
+	Log      *zap.Logger
+},
+) {
+	lc.Append(fx.StopHook(reload.Watch(p.File, p.Log, func() {
+		next, err := Read(p.File)
+		if err != nil {
+			p.Log.Error("settings-refused", zap.Error(err))
+			return
+		}
+		p.Mesh.SetSeeds(next.Seeds)
+		p.Log.Info("settings-in-force", zap.String("file", p.File), zap.Int("seeds", len(next.Seeds)))
+	})))
+}
+
+// startStop logs the start and stops the entry gracefully before its parts end.
+func startStop(lc fx.Lifecycle, s Settings, front *caller.Server, u *upkeep.Upkeep, log *zap.Logger) {
+	log.Info("start", zap.String("calls", s.Calls.String()), zap.String("mesh", s.Mesh.String()), zap.Int("pid", os.Getpid()))
+	lc.Append(fx.StopHook(func(ctx context.Context) error {
+		log.Info("stop", zap.Int("running", front.Running()))
+		u.Leave()
+		if cut := front.Stop(ctx); cut > 0 {
+			log.Warn("requests-cut", zap.Int("count", cut))
+		}
+		log.Info("stopped")
+		return nil
+	}))
+}
--- /dev/null
+++ b/entry/server/settings.go
@@ -0,0 +1,86 @@
+package server
+
+import (
+	"net/netip"
+	"time"
+
+	"currantport.example/core/config"
+	"currantport.example/core/hosts"
+	"currantport.example/core/logs"
+)
+
+// Settings are those of an entry.
+type Settings struct {
+	Host  hosts.Name
+	Place hosts.Place
+	// Regions maps failure domains to regions.
+	Regions map[hosts.Domain]hosts.Region
+	// Calls is where callers connect, Mesh where other processes do.
+	Calls netip.AddrPort
+	Mesh  netip.AddrPort
+	// Admin serves metrics and the administration interface. It may be unset.
+	Admin netip.AddrPort
+	// Seeds are where other entries may be found.
+	Seeds []netip.AddrPort
+	// Agent is the port of the agents of upstreams.
+	Agent int
+	// Lifetime is how long a caller may keep an address.
+	Lifetime time.Duration
+	// StopWithin bounds a graceful stop.
+	StopWithin time.Duration
+	// Memory is what the process may use.
+	Memory config.Bytes
+	Level  logs.Level
+	Bounds Bounds
+}
+
+// Bounds are promises that the fleet makes.
+type Bounds struct {
+	// Revoke is the time within which a key that was taken away isn't served any
+	// more.
+	Revoke time.Duration
+	// Apply is the time within which a configuration is in force.
+	Apply time.Duration
+	// Version is the time within which a released version is served, or zero.
+	Version time.Duration
+	// RetryRatio, RetrySlack and RetryWindow bound the repeats to a pool in any
+	// window: a share of its requests and a number besides.
+	RetryRatio  float64
+	RetrySlack  float64
+	RetryWindow time.Duration
+}
+
+// Read returns the settings of a file, or every fault as an error. Others are further
+// keys of the file.
+func Read(file string, others ...config.Key) (Settings, error) {
+	var s Settings
+	err := config.Read(file, append(s.keys(), others...))
+	return s, err
+}
+
+func (s *Settings) keys() []config.Key {
+	return []config.Key{
+		{Section: "host", Name: "name", Set: config.Text(&s.Host)},
+		{Section: "host", Name: "region", Set: config.Text(&s.Place.Region)},
+		{Section: "host", Name: "domain", Set: config.Text(&s.Place.Domain)},
+		{Section: "host", Name: "domains", Set: config.Pairs(&s.Regions)},
+		{Section: "host", Name: "memory", Default: "256MiB", Set: config.Size(&s.Memory, 32*config.MiB, config.GiB*64)},
+		{Section: "listen", Name: "calls", Set: config.Address(&s.Calls)},
+		{Section: "listen", Name: "mesh", Set: config.Address(&s.Mesh)},
+		{Section: "listen", Name: "admin", Set: config.Address(&s.Admin)},
+		{Section: "mesh", Name: "seeds", Default: "none", Set: config.Addresses(&s.Seeds)},
+		{Section: "mesh", Name: "agent", Set: config.Count(&s.Agent, 1, 65535)},
+		{Section: "addresses", Name: "lifetime", Default: "1s", Set: config.Duration(&s.Lifetime, time.Second, time.Hour)},
+		{Section: "stop", Name: "within", Default: "60s", Set: config.Duration(&s.StopWithin, time.Second, time.Hour)},
+		{Section: "log", Name: "level", Default: "info", Set: config.Choice(&s.Level, logs.LevelDebug, logs.LevelInfo, logs.LevelWarn, logs.LevelError)},
+		{Section: "bounds", Name: "revoke", Default: "5s", Set: config.Duration(&s.Bounds.Revoke, 0, time.Hour)},
+		{Section: "bounds", Name: "apply", Default: "2s", Set: config.Duration(&s.Bounds.Apply, 0, time.Hour)},
+		{Section: "bounds", Name: "version", Default: "0s", Set: config.Duration(&s.Bounds.Version, 0, time.Hour)},
+		{Section: "bounds", Name: "ratio", Default: "0.1", Set: config.Number(&s.Bounds.RetryRatio, 0, 10)},
+		{Section: "bounds", Name: "slack", Default: "10", Set: config.Number(&s.Bounds.RetrySlack, 0, 1e9)},
+		{Section: "bounds", Name: "window", Default: "10s", Set: config.Duration(&s.Bounds.RetryWindow, time.Second, time.Hour)},
+	}
+}
+
+// StopWithin bounds the graceful shutdown.
+func StopWithin(s Settings) time.Duration { return s.StopWithin }
