spread: pass pieces through entries, at the rate of the origin's link

Change: entries, whose links are wide, fetch a released version and pass it on; of the entries of the origin's region one brings each piece, at the time at which the origin's link is free for it; one of each other region takes it across. Agents ask each other last.

--- a/agent/internal/fetch/direct_test.go
+++ b/agent/internal/fetch/direct_test.go
@@ -10,9 +10,9 @@
 	"google.golang.org/protobuf/proto"
 
 	"currantport.example/agent/internal/fetch"
-	"currantport.example/agent/internal/peer"
 	"currantport.example/core/chunks"
 	"currantport.example/core/memnet"
+	"currantport.example/core/peer"
 	"currantport.example/core/swarm"
 )
 
--- a/agent/internal/fetch/fetch.go
+++ b/agent/internal/fetch/fetch.go
@@ -24,7 +24,7 @@
 	"github.com/samber/oops"
 	"go.uber.org/zap"
 
-	"currantport.example/agent/internal/cache"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/hosts"
 	"currantport.example/core/roster"
--- a/agent/internal/fetch/fleet_test.go
+++ b/agent/internal/fetch/fleet_test.go
@@ -16,13 +16,13 @@
 
 	"go.uber.org/zap"
 
-	"currantport.example/agent/internal/cache"
 	"currantport.example/agent/internal/fetch"
-	"currantport.example/agent/internal/peer"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/hosts"
 	"currantport.example/core/links"
 	"currantport.example/core/memnet"
+	"currantport.example/core/peer"
 	"currantport.example/core/roster"
 	"currantport.example/core/swarm"
 	"currantport.example/core/tables"
--- a/agent/internal/fetch/live_test.go
+++ b/agent/internal/fetch/live_test.go
@@ -16,10 +16,10 @@
 
 	"currantport.example/agent/internal/fetch"
 	"currantport.example/agent/internal/gate"
-	"currantport.example/agent/internal/peer"
 	"currantport.example/core/chunks"
 	"currantport.example/core/links"
 	"currantport.example/core/memnet"
+	"currantport.example/core/peer"
 	"currantport.example/core/swarm"
 	"currantport.example/core/tables"
 )
--- a/agent/internal/fetch/manifest.go
+++ b/agent/internal/fetch/manifest.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"currantport.example/agent/internal/cache"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/edges"
 	"currantport.example/core/hosts"
--- a/agent/internal/fetch/remote.go
+++ b/agent/internal/fetch/remote.go
@@ -9,8 +9,8 @@
 
 	"connectrpc.com/connect"
 
-	"currantport.example/agent/internal/peer"
 	"currantport.example/core/chunks"
+	"currantport.example/core/peer"
 	"currantport.example/core/swarm"
 	"currantport.example/core/wire"
 )
--- a/agent/internal/fetch/session.go
+++ b/agent/internal/fetch/session.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/zap"
 
-	"currantport.example/agent/internal/cache"
+	"currantport.example/core/cache"
 	"currantport.example/core/edges"
 	"currantport.example/core/hosts"
 	"currantport.example/core/rings"
--- a/agent/internal/fetch/transfer.go
+++ b/agent/internal/fetch/transfer.go
@@ -6,11 +6,11 @@
 	"io"
 	"time"
 
-	"currantport.example/agent/internal/cache"
-	"currantport.example/agent/internal/peer"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/edges"
 	"currantport.example/core/hosts"
+	"currantport.example/core/peer"
 	"currantport.example/core/swarm"
 )
 
--- a/agent/internal/files/files.go
+++ b/agent/internal/files/files.go
@@ -17,7 +17,7 @@
 
 	"github.com/gorilla/mux"
 
-	"currantport.example/agent/internal/cache"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 )
 
--- a/agent/internal/files/files_test.go
+++ b/agent/internal/files/files_test.go
@@ -9,8 +9,8 @@
 
 	"github.com/gorilla/mux"
 
-	"currantport.example/agent/internal/cache"
 	"currantport.example/agent/internal/files"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 )
 
--- a/agent/internal/loader/job.go
+++ b/agent/internal/loader/job.go
@@ -2,17 +2,15 @@
 
 import (
 	"context"
-	"strconv"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
-	"currantport.example/agent/internal/cache"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/clocks"
 	"currantport.example/core/shell"
-	"currantport.example/core/tables"
 )
 
 // stageInterval is the time between two looks for pieces that don't lie staged any
@@ -24,9 +22,10 @@
 type job struct {
 	options Options
 	goal    goal
-	pool    tables.Pool
-	group   *shell.Group
-	began   time.Time
+	// name is that under which the manifest is kept.
+	name  chunks.Digest
+	group *shell.Group
+	began time.Time
 
 	mutex   sync.Mutex
 	version *cache.Version
@@ -35,12 +34,8 @@
 }
 
 func newJob(o Options, g goal) *job {
-	j := &job{options: o, goal: g, group: shell.NewGroup(), began: clocks.Now()}
-	j.pool = tables.Pool{
-		Name: o.Pool, Kind: tables.PoolModel, Model: g.model, Version: strconv.Itoa(g.version),
-		Manifest: o.Names.Name(g.model, g.version), Favor: tables.FavorTime,
-	}
-	o.Cache.Name(j.pool.Manifest)
+	j := &job{options: o, goal: g, name: o.Names.Name(g.model, g.version), group: shell.NewGroup(), began: clocks.Now()}
+	o.Cache.Name(j.name)
 	return j
 }
 
@@ -50,7 +45,7 @@
 
 // run fetches the version and stages each piece as it comes.
 func (j *job) run(ctx context.Context) {
-	v, err := j.options.Fetcher.Manifest(ctx, j.pool)
+	v, err := j.options.Fetcher.Manifest(ctx, j.name)
 	if err != nil {
 		j.options.Log.Warn("manifest-missing", zap.Int("version", j.goal.version), zap.Error(err))
 		return
@@ -60,13 +55,13 @@
 	j.mutex.Unlock()
 	j.reuse(ctx, v)
 	j.group.Go(j.loop)
-	if _, err := j.options.Fetcher.Fetch(ctx, j.pool); err != nil {
+	if _, err := j.options.Fetcher.Fetch(ctx, j.name); err != nil {
 		if ctx.Err() == nil {
 			j.options.Log.Warn("fetch-failed", zap.Int("version", j.goal.version), zap.Error(err))
 		}
 		return
 	}
-	j.options.Cache.Retain([]chunks.Digest{j.pool.Manifest})
+	j.options.Cache.Retain([]chunks.Digest{j.name})
 	j.options.Log.Info("fetched", zap.String("model", j.goal.model), zap.Int("version", j.goal.version), zap.Duration("took", clocks.Since(j.began)))
 }
 
--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -25,7 +25,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"currantport.example/agent/internal/cache"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/clocks"
 	"currantport.example/core/engine"
@@ -33,7 +33,6 @@
 	"currantport.example/core/hosts"
 	"currantport.example/core/shell"
 	"currantport.example/core/state"
-	"currantport.example/core/tables"
 )
 
 const (
@@ -56,8 +55,8 @@
 
 // Fetcher brings versions into the cache.
 type Fetcher interface {
-	Manifest(ctx context.Context, pool tables.Pool) (*cache.Version, error)
-	Fetch(ctx context.Context, pool tables.Pool) (*cache.Version, error)
+	Manifest(ctx context.Context, name chunks.Digest) (*cache.Version, error)
+	Fetch(ctx context.Context, name chunks.Digest) (*cache.Version, error)
 }
 
 // Options are the parts of a loader.
--- a/agent/internal/loads/loads.go
+++ b/agent/internal/loads/loads.go
@@ -32,9 +32,9 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"currantport.example/agent/internal/cache"
 	"currantport.example/agent/internal/fetch"
 	"currantport.example/core/audit"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/engine"
 	"currantport.example/core/hosts"
--- a/agent/internal/loads/world_test.go
+++ b/agent/internal/loads/world_test.go
@@ -13,10 +13,10 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
-	"currantport.example/agent/internal/cache"
 	"currantport.example/agent/internal/fetch"
 	"currantport.example/agent/internal/loads"
 	"currantport.example/core/audit"
+	"currantport.example/core/cache"
 	"currantport.example/core/calls"
 	"currantport.example/core/chunks"
 	"currantport.example/core/engine"
--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -15,14 +15,13 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
-	"currantport.example/agent/internal/cache"
-	"currantport.example/agent/internal/fetch"
 	"currantport.example/agent/internal/loader"
-	"currantport.example/agent/internal/peer"
 	"currantport.example/agent/internal/teller"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/engine"
 	"currantport.example/core/feed"
+	"currantport.example/core/gather"
 	"currantport.example/core/hosts"
 	"currantport.example/core/links"
 	"currantport.example/core/logs"
@@ -30,6 +29,7 @@
 	"currantport.example/core/mesh"
 	"currantport.example/core/meter"
 	"currantport.example/core/parts"
+	"currantport.example/core/peer"
 	"currantport.example/core/reload"
 	"currantport.example/core/roster"
 	"currantport.example/core/shell"
@@ -45,6 +45,9 @@
 	// waitShare is the part of the time for a key that was taken away for which an
 	// entry may hold a pull.
 	waitShare = 0.4
+	// uploadSlots is the number of pieces that an agent sends at once. Its link is
+	// narrow and carries answers too.
+	uploadSlots = 1
 	// directAfter is the age of the copy from which on an agent reads the platform. It
 	// is long, since agents are many and entries read for them.
 	directAfter = 5 * time.Second
@@ -74,7 +77,7 @@
 		fx.Supply(s, links.Sockets(), fx.Annotate(file, fx.ResultTags(`name:"file"`))),
 		fx.Provide(
 			newLog, newMetrics, newPeers, feed.NewMirror, cache.New, roster.New, teller.New, newMesh, newFollower,
-			newWeights, newLoader,
+			newWeights, newUploads, newGatherer, newLoader,
 		),
 		fx.Invoke(setMemory, startMembers, startTeller, startServer, startReload, startStop),
 	)
@@ -101,14 +104,14 @@
 	return shell.Owned(lc, parts.PeerClient{Client: c}, stop)
 }
 
-func newMesh(lc fx.Lifecycle, s Settings, t *teller.Teller, log *zap.Logger) (*mesh.Node, error) {
+func newMesh(lc fx.Lifecycle, s Settings, log *zap.Logger) (*mesh.Node, error) {
 	socket, err := mesh.Listen(s.Mesh)
 	if err != nil {
 		return nil, err
 	}
 	self := member.Member{Host: hosts.Host{Name: s.Host, Place: s.Place, Role: hosts.RoleAgent, State: hosts.StateLive, Address: s.Mesh}}
 	n, stop := mesh.New(mesh.Options{
-		Self: self, Socket: socket, Seeds: s.Seeds, Seed: rand.Uint64(), Log: log, Interest: t.Hear,
+		Self: self, Socket: socket, Seeds: s.Seeds, Seed: rand.Uint64(), Log: log,
 	})
 	return shell.Owned(lc, n, stop), nil
 }
@@ -147,11 +150,35 @@
 	return nil
 }
 
-func newLoader(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, _ *feed.Follower, c *cache.Cache, w Weights, r *roster.Roster, peers parts.PeerClient, t *teller.Teller, metrics parts.Metrics, log *zap.Logger) *loader.Loader {
+// uploads hands out chunks to other agents. Stop ends calls that are held.
+type uploads struct {
+	server *peer.Server
+	stop   func()
+}
+
+func newUploads(c *cache.Cache) uploads {
+	p, stop := peer.NewWideServer(c, nil, uploadSlots)
+	return uploads{server: p, stop: stop}
+}
+
+func newGatherer(s Settings, m *feed.Mirror, c *cache.Cache, w Weights, u uploads, r *roster.Roster, n *mesh.Node, t *teller.Teller, peers parts.PeerClient, log *zap.Logger) *gather.Gatherer {
 	self := hosts.Host{Name: hosts.Name(s.Mesh.Addr().String()), Place: s.Place, Role: hosts.RoleAgent, State: hosts.StateLive, Address: s.Mesh}
-	f := fetch.New(fetch.Options{
-		Self: self, Cache: c, Source: w, Roster: r, Peers: fetch.NewRemote(peers.Client), Log: log, Seed: rand.Uint64(),
-	})
+	g := gather.New(gather.Options{
+		Self: self, Cache: c, Source: w, Client: peers.Client, Send: n.Send, Seed: rand.Uint64(), Log: log,
+		Members: func() []hosts.Host { return append(n.Entries(), r.Now().All()...) },
+		Origin: func() (hosts.Region, float64) {
+			o := originOf(m.Now())
+			if o == nil {
+				return "", 0
+			}
+			return s.Regions[hosts.Domain(o.Domain)], o.Rate
+		},
+	}, u.server.Queue)
+	n.Handle(mesh.Handlers{Interest: t.Hear, Holds: g.Hear})
+	return g
+}
+
+func newLoader(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, _ *feed.Follower, c *cache.Cache, w Weights, f *gather.Gatherer, t *teller.Teller, metrics parts.Metrics, log *zap.Logger) *loader.Loader {
 	local := o.Engine(func() int {
 		if p := m.Now().Pool(s.Pool); p != nil && p.Engine != nil {
 			return p.Engine.Layers
@@ -206,17 +233,16 @@
 }
 
 // startServer serves what other processes and operators call.
-func startServer(lc fx.Lifecycle, s Settings, network links.Network, c *cache.Cache, metrics parts.Metrics, log *zap.Logger) error {
-	p, stop := peer.NewServer(c, nil)
+func startServer(lc fx.Lifecycle, s Settings, network links.Network, u uploads, metrics parts.Metrics, log *zap.Logger) error {
 	r := mux.NewRouter()
-	path, handler := wire.NewPeerHandler(peer.NewHandler(p), wire.WithoutCompression())
+	path, handler := wire.NewPeerHandler(peer.NewHandler(u.server), wire.WithoutCompression())
 	r.PathPrefix(path).Handler(handler)
 	l, err := network.Listen(context.Background(), s.Mesh)
 	if err != nil {
 		return err
 	}
 	lc.Append(fx.StopHook(links.Serve(l, r, log, closeWithin)))
-	lc.Append(fx.StopHook(stop))
+	lc.Append(fx.StopHook(u.stop))
 	admin := http.NewServeMux()
 	admin.Handle("/metrics", metrics.Handler)
 	l, err = network.Listen(context.Background(), s.Admin)
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -15,6 +15,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,7 +57,14 @@
 	Take(from hosts.Name, marks []*wire.CrashMark)
 }
 
-// Options are the parts of a node. Handlers run one at a time.
+// Handlers take what others tell, one at a time. Each may be nil.
+type Handlers struct {
+	Load     func(from netip.AddrPort, l *wire.LoadDigest)
+	Interest func(from netip.AddrPort, i *wire.Interest)
+	Holds    func(from netip.AddrPort, h *wire.Holds)
+}
+
+// Options are the parts of a node.
 type Options struct {
 	// Self is the own record of an entry. An agent leaves its role at RoleAgent and
 	// isn't told to others.
@@ -67,9 +75,6 @@
 	Seed uint64
 	// Marks may be nil.
 	Marks Marks
-	// Load and Interest take what others tell. They may be nil.
-	Load     func(from netip.AddrPort, l *wire.LoadDigest)
-	Interest func(from netip.AddrPort, i *wire.Interest)
 	// Changed is called when entries come, go or change state. It may be nil.
 	Changed func()
 	Log     *zap.Logger
@@ -77,9 +82,10 @@
 
 // Node is the part of a process in the mesh. Goroutines share it.
 type Node struct {
-	options Options
-	mutex   sync.Mutex
-	table   *member.Table
+	options  Options
+	handlers atomic.Pointer[Handlers]
+	mutex    sync.Mutex
+	table    *member.Table
 	// states is what was logged last of each entry.
 	states map[hosts.Name]string
 	buffer []byte
@@ -88,6 +94,7 @@
 // New joins the mesh. The clean-up function leaves it and closes the socket.
 func New(o Options) (*Node, func()) {
 	n := &Node{options: o, states: make(map[hosts.Name]string), buffer: make([]byte, maxDatagram)}
+	n.handlers.Store(&Handlers{})
 	n.table = member.NewListener(o.Seed)
 	if o.Self.Role == hosts.RoleEntry {
 		n.table = member.NewTable(o.Self, o.Seed)
@@ -102,6 +109,9 @@
 	}
 }
 
+// Handle replaces the handlers.
+func (n *Node) Handle(h Handlers) { n.handlers.Store(&h) }
+
 // SetSeeds replaces the addresses that are asked for entries.
 func (n *Node) SetSeeds(seeds []netip.AddrPort) {
 	n.mutex.Lock()
@@ -223,16 +233,21 @@
 }
 
 func (n *Node) take(from netip.AddrPort, d *wire.Datagram) {
+	h := n.handlers.Load()
 	switch b := d.Body.(type) {
 	case *wire.Datagram_Gossip:
 		n.hear(from, b.Gossip)
 	case *wire.Datagram_Load:
-		if n.options.Load != nil {
-			n.options.Load(from, b.Load)
+		if h.Load != nil {
+			h.Load(from, b.Load)
 		}
 	case *wire.Datagram_Interest:
-		if n.options.Interest != nil {
-			n.options.Interest(from, b.Interest)
+		if h.Interest != nil {
+			h.Interest(from, b.Interest)
+		}
+	case *wire.Datagram_Holds:
+		if h.Holds != nil {
+			h.Holds(from, b.Holds)
 		}
 	}
 }
--- a/agent/internal/peer/server.go
+++ b/core/peer/server.go
@@ -17,7 +17,7 @@
 	"sync/atomic"
 	"time"
 
-	"currantport.example/agent/internal/cache"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/swarm"
 )
@@ -65,13 +65,21 @@
 // clean-up function ends the watches, which would otherwise keep a server from
 // shutting down.
 func NewServer(c *cache.Cache, live func() bool) (*Server, func()) {
+	return NewWideServer(c, live, uploadSlots)
+}
+
+// NewWideServer returns a server that sends the given number of chunks at once.
+func NewWideServer(c *cache.Cache, live func() bool, slots int) (*Server, func()) {
 	s := &Server{
-		cache: c, live: live, slots: make(chan struct{}, uploadSlots), narrow: make(chan struct{}, liveSlots),
+		cache: c, live: live, slots: make(chan struct{}, slots), narrow: make(chan struct{}, liveSlots),
 		stopped: make(chan struct{}),
 	}
 	return s, s.stop
 }
 
+// Queue returns the number of calls that wait or are sent to.
+func (s *Server) Queue() int { return int(s.queue.Load()) }
+
 func (s *Server) stop() { s.once.Do(func() { close(s.stopped) }) }
 
 // Upload is a chunk or manifest that may be sent now.
@@ -123,7 +131,7 @@
 }
 
 func (s *Server) admit(ctx context.Context, data []byte) (*Upload, func(), error) {
-	if s.queue.Add(1) > uploadSlots+uploadQueue {
+	if int(s.queue.Add(1)) > cap(s.slots)+uploadQueue {
 		s.queue.Add(-1)
 		return nil, nil, ErrBusy
 	}
--- a/agent/internal/peer/server_test.go
+++ b/core/peer/server_test.go
@@ -6,9 +6,9 @@
 	"testing/synctest"
 	"time"
 
-	"currantport.example/agent/internal/cache"
-	"currantport.example/agent/internal/peer"
+	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
+	"currantport.example/core/peer"
 )
 
 // TestUploadsYieldToLiveRequests counts the chunks that are sent at once.
--- /dev/null
+++ b/core/spread/spread.go
@@ -0,0 +1,484 @@
+// Package spread decides how the pieces of a version reach all agents of a pool. It
+// does no I/O: events go in, actions come out, and the clock is passed in.
+//
+// # From the origin
+//
+// Entries have wide links and pass pieces on; agents have narrow ones that they share
+// with answers. So the entries of the region at the origin are ranked for each piece
+// by rendezvous hash, and behind them the other entries and the agents. The first
+// brings the piece from the origin. Pieces become due one after the other at the rate
+// of the origin's link, so that each is sent whole and passed on while the next one is
+// on its way. If nobody is known to hold a piece some time after it became due, the
+// next rank brings it.
+//
+// # Between regions
+//
+// In every other region the entries, and behind them the agents, are ranked for each
+// piece too. The first takes it from a far holder, so that it crosses the link between
+// the regions once.
+//
+// # Between peers
+//
+// Each process tells others which pieces it holds, and asks for the piece that the
+// fewest hold from the peer that is expected to send it first. Agents ask each other
+// only where entries don't serve them. Times follow from how long pieces take, so that
+// the same rules serve small and large ones.
+//
+// # Load it answers
+//
+// All agents of a pool want the same pieces at once, while their links carry answers.
+// The origin can send a few copies in that time, an agent's link about one in both
+// directions together. The last agent is done about when its own link has carried one
+// copy, and answers wait for at most two pieces on it.
+package spread
+
+import (
+	"cmp"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"currantport.example/core/hosts"
+)
+
+// Tick is the longest time between two calls of Decide.
+const Tick = 20 * time.Millisecond
+
+const (
+	// agentWindow is the number of pieces that an agent asks of near peers at once. Two
+	// keep its link busy, and more would hold up the answers on it. entryWindow is the
+	// same for an entry.
+	agentWindow = 2
+	entryWindow = 8
+	// farWindow is the same for peers in other regions.
+	farWindow = 2
+	// sourceWindow is the number of pieces brought from the origin at once.
+	sourceWindow = 2
+	// firstTypical stands in for the time of a piece until one has come.
+	firstTypical = 150 * time.Millisecond
+	// takeoverLeast bounds the wait of each rank for the one before it, and
+	// takeoverPieces is the same in times of a piece.
+	takeoverLeast  = 250 * time.Millisecond
+	takeoverPieces = 5
+	// expireLeast and expirePieces bound the time for which a piece is awaited from a
+	// peer, sourceExpire that from the origin.
+	expireLeast  = 500 * time.Millisecond
+	expirePieces = 8
+	sourceExpire = 4 * time.Second
+	// doublePieces is the number of times of a piece after which one of the last
+	// pieces is asked of a second peer.
+	doublePieces = 2
+	lastPieces   = 4
+	// busyPause and failurePause are how long a peer is passed over. The latter
+	// doubles with each failure in a row, up to pauseMost.
+	busyPause    = 40 * time.Millisecond
+	failurePause = 400 * time.Millisecond
+	corruptPause = 3 * time.Second
+	pauseMost    = 4 * time.Second
+	// agentCost is how much longer an agent is expected to take than its times say,
+	// since what it sends holds up its answers.
+	agentCost = 6
+	// groupMost bounds the takeovers for which a group of ranks waits for the one
+	// before it.
+	groupMost = 3
+	// sourcePause is how long the origin is passed over after a failure.
+	sourcePause     = 100 * time.Millisecond
+	sourcePauseMost = 800 * time.Millisecond
+)
+
+// Piece is one piece of the version.
+type Piece struct {
+	// Key is hashed to rank the members.
+	Key  uint64
+	Size int64
+}
+
+// Options describe a fetch.
+type Options struct {
+	Self   hosts.Host
+	Pieces []Piece
+	// Held reports whether the host has a piece at the start.
+	Held func(piece int) bool
+	// Home is the region of the origin, or empty if it isn't known.
+	Home hosts.Region
+	// Rate is that of the origin's link in bytes a second, or zero if it isn't known.
+	Rate float64
+	Seed uint64
+}
+
+// Kind says what an action does.
+type Kind int
+
+// The kinds of action.
+const (
+	// KindAsk asks a peer for a piece, KindBring the origin.
+	KindAsk Kind = iota
+	KindBring
+	// KindCancel gives an ask up.
+	KindCancel
+)
+
+// Action is what the owner must do. Peer is empty for the origin.
+type Action struct {
+	Kind  Kind
+	Peer  hosts.Name
+	Piece int
+}
+
+// Cause says why a piece didn't come.
+type Cause int
+
+// The causes of a failure.
+const (
+	CauseSilent Cause = iota
+	CauseBusy
+	CauseMissing
+	CauseCorrupt
+)
+
+// ask is a piece under way. An empty peer stands for the origin.
+type ask struct {
+	peer  hosts.Name
+	since time.Time
+}
+
+// piece is what is known of one piece.
+type piece struct {
+	held bool
+	asks []ask
+	// count is the number of near peers that hold it.
+	count int
+	// far is when a far peer was first known to hold it.
+	far time.Time
+	// source and cross are the host's ranks to bring the piece from the origin and
+	// over the link between regions. A negative rank means never.
+	source int
+	cross  int
+	tie    uint32
+}
+
+// peer is what is known of another member.
+type peer struct {
+	host hosts.Host
+	near bool
+	held []bool
+	// queue is what the peer has still to send, by its last word.
+	queue int
+	asks  int
+	// took is the smoothed time of a piece from the peer.
+	took     time.Duration
+	until    time.Time
+	failures int
+}
+
+// Spread is the state of one fetch. One goroutine owns it.
+type Spread struct {
+	options Options
+	random  *rand.Rand
+	began   time.Time
+	left    int
+	pieces  []piece
+	members []hosts.Host
+	peers   map[hosts.Name]*peer
+	// near, far and source are the pieces under way from each.
+	near, far, source int
+	sourceUntil       time.Time
+	sourceFailures    int
+	// typical is the smoothed time of a piece.
+	typical time.Duration
+	actions []Action
+}
+
+// New returns the state of a fetch that begins now and has no members yet.
+func New(now time.Time, o Options) *Spread {
+	s := &Spread{
+		options: o, began: now, pieces: make([]piece, len(o.Pieces)), peers: make(map[hosts.Name]*peer),
+		random: rand.New(rand.NewPCG(o.Seed, hosts.Score("spread", o.Self.Name))), left: len(o.Pieces),
+	}
+	for i := range s.pieces {
+		s.pieces[i].tie = s.random.Uint32()
+		if o.Held != nil && o.Held(i) {
+			s.hold(i)
+		}
+	}
+	return s
+}
+
+// Left returns the number of pieces that haven't come.
+func (s *Spread) Left() int { return s.left }
+
+func (s *Spread) hold(i int) bool {
+	if s.pieces[i].held {
+		return false
+	}
+	s.pieces[i].held = true
+	s.left--
+	return true
+}
+
+// SetMembers replaces the agents of the pool, the host itself included.
+func (s *Spread) SetMembers(members []hosts.Host) {
+	if slices.Equal(s.members, members) {
+		return
+	}
+	s.members = slices.Clone(members)
+	present := make(map[hosts.Name]bool, len(members))
+	for _, h := range members {
+		present[h.Name] = true
+		if p := s.peers[h.Name]; p != nil {
+			p.host = h
+		}
+	}
+	for name, p := range s.peers {
+		if !present[name] {
+			s.setHeld(time.Time{}, p, nil)
+			delete(s.peers, name)
+		}
+	}
+	s.rank()
+}
+
+// rank places the host among the members that bring each piece.
+func (s *Spread) rank() {
+	own := s.options.Self.Place.Region
+	source := s.groups(func(h hosts.Host) bool { return h.Place.Region == s.options.Home }, true)
+	cross := s.groups(func(h hosts.Host) bool { return h.Place.Region == own }, false)
+	for i := range s.pieces {
+		key := s.options.Pieces[i].Key
+		s.pieces[i].source = rankIn(key, s.options.Self.Name, source)
+		s.pieces[i].cross = rankIn(key, s.options.Self.Name, cross)
+	}
+}
+
+// groups returns the members in the order in which they bring pieces: the entries for
+// which the condition holds, then, if others is set, the other entries, and the agents
+// in the same way.
+func (s *Spread) groups(first func(h hosts.Host) bool, others bool) [][]hosts.Name {
+	all := make([][]hosts.Name, 4)
+	for _, h := range s.members {
+		at := 0
+		if !first(h) {
+			if !others {
+				continue
+			}
+			at = 1
+		}
+		if h.Role != hosts.RoleEntry {
+			at += 2
+		}
+		all[at] = append(all[at], h.Name)
+	}
+	return all
+}
+
+// rankIn returns the place of a name in the groups, or -1.
+func rankIn(key uint64, self hosts.Name, groups [][]hosts.Name) int {
+	before := 0
+	for _, g := range groups {
+		if r := rankOf(key, self, g); r >= 0 {
+			return before + r
+		}
+		before += min(len(g), groupMost)
+	}
+	return -1
+}
+
+// rankOf returns the place of a name in the rendezvous order for a key, or -1.
+func rankOf(key uint64, self hosts.Name, names []hosts.Name) int {
+	if !slices.Contains(names, self) {
+		return -1
+	}
+	own, rank := mix(key, hosts.Score("rank", self)), 0
+	for _, n := range names {
+		if mix(key, hosts.Score("rank", n)) > own {
+			rank++
+		}
+	}
+	return rank
+}
+
+// mix returns a well spread hash of two hashes.
+func mix(a, b uint64) uint64 {
+	x := a ^ bits.RotateLeft64(b*0x9E3779B97F4A7C15, 31)
+	x = (x ^ (x >> 30)) * 0xBF58476D1CE4E5B9
+	x = (x ^ (x >> 27)) * 0x94D049BB133111EB
+	return x ^ (x >> 31)
+}
+
+func (s *Spread) peerOf(name hosts.Name) *peer {
+	if p := s.peers[name]; p != nil {
+		return p
+	}
+	at := slices.IndexFunc(s.members, func(h hosts.Host) bool { return h.Name == name })
+	if at < 0 || name == s.options.Self.Name {
+		return nil
+	}
+	h := s.members[at]
+	p := &peer{host: h, near: h.Place.Region == s.options.Self.Place.Region}
+	s.peers[name] = p
+	return p
+}
+
+// Heard records what a peer holds and how much it has still to send.
+func (s *Spread) Heard(now time.Time, from hosts.Name, held []bool, queue int) {
+	p := s.peerOf(from)
+	if p == nil || len(held) != len(s.pieces) {
+		return
+	}
+	p.queue = queue
+	s.setHeld(now, p, held)
+}
+
+func (s *Spread) setHeld(now time.Time, p *peer, held []bool) {
+	for i := range s.pieces {
+		had, has := p.held != nil && p.held[i], held != nil && held[i]
+		switch {
+		case had == has:
+		case p.near && has:
+			s.pieces[i].count++
+		case p.near:
+			s.pieces[i].count--
+		case s.pieces[i].far.IsZero():
+			s.pieces[i].far = now
+		}
+	}
+	p.held = held
+}
+
+// Arrived records a checked piece and how long it took. Other asks for it are given
+// up.
+func (s *Spread) Arrived(now time.Time, from hosts.Name, i int, took time.Duration) {
+	s.settle(from, i)
+	if !s.hold(i) {
+		return
+	}
+	for _, a := range slices.Clone(s.pieces[i].asks) {
+		s.settle(a.peer, i)
+		s.act(Action{Kind: KindCancel, Peer: a.peer, Piece: i})
+	}
+	if from == "" {
+		s.sourceFailures, s.sourceUntil = 0, time.Time{}
+		return
+	}
+	s.typical = smooth(s.typical, took)
+	if p := s.peers[from]; p != nil {
+		p.failures = 0
+		p.took = smooth(p.took, took)
+		p.until = now
+	}
+}
+
+// Found records a piece that came by another way.
+func (s *Spread) Found(now time.Time, i int) {
+	if !s.pieces[i].held {
+		s.Arrived(now, elsewhere, i, s.typical)
+	}
+}
+
+// elsewhere is no name of a host.
+const elsewhere = hosts.Name(" ")
+
+// Failed records that a piece didn't come.
+func (s *Spread) Failed(now time.Time, from hosts.Name, i int, c Cause) {
+	if !s.settle(from, i) {
+		return
+	}
+	if from == "" {
+		pause := min(sourcePause<<min(s.sourceFailures, 4), sourcePauseMost)
+		if c == CauseCorrupt {
+			pause = 0
+		}
+		s.sourceFailures++
+		s.sourceUntil = now.Add(pause/2 + time.Duration(s.random.Int64N(int64(pause)+1)))
+		return
+	}
+	p := s.peers[from]
+	if p == nil {
+		return
+	}
+	switch c {
+	case CauseBusy:
+		p.queue++
+		p.until = now.Add(busyPause/2 + time.Duration(s.random.Int64N(int64(busyPause))))
+	case CauseMissing:
+		if p.held != nil && p.held[i] {
+			held := slices.Clone(p.held)
+			held[i] = false
+			s.setHeld(now, p, held)
+		}
+	case CauseCorrupt:
+		p.until = now.Add(corruptPause)
+	case CauseSilent:
+		p.until = now.Add(min(failurePause<<min(p.failures, 4), pauseMost))
+		p.failures++
+	}
+}
+
+// settle removes an ask that has ended and reports whether there was one.
+func (s *Spread) settle(from hosts.Name, i int) bool {
+	at := slices.IndexFunc(s.pieces[i].asks, func(a ask) bool { return a.peer == from })
+	if at < 0 {
+		return false
+	}
+	s.pieces[i].asks = slices.Delete(s.pieces[i].asks, at, at+1)
+	p := s.peers[from]
+	switch {
+	case from == "":
+		s.source--
+	case p == nil:
+	case p.near:
+		s.near--
+		p.asks--
+	default:
+		s.far--
+		p.asks--
+	}
+	return true
+}
+
+func (s *Spread) begin(now time.Time, p *peer, i int) {
+	a := ask{since: now}
+	kind := KindBring
+	switch {
+	case p == nil:
+		s.source++
+	case p.near:
+		s.near++
+	default:
+		s.far++
+	}
+	if p != nil {
+		p.asks++
+		a.peer, kind = p.host.Name, KindAsk
+	}
+	s.pieces[i].asks = append(s.pieces[i].asks, a)
+	s.act(Action{Kind: kind, Peer: a.peer, Piece: i})
+}
+
+func (s *Spread) act(a Action) { s.actions = append(s.actions, a) }
+
+// Decide returns what to do now, in order.
+func (s *Spread) Decide(now time.Time) []Action {
+	if s.left > 0 {
+		s.expire(now)
+		s.bring(now)
+		s.askFar(now)
+		s.askNear(now)
+		s.double(now)
+	}
+	actions := s.actions
+	s.actions = nil
+	return actions
+}
+
+func smooth(past, now time.Duration) time.Duration {
+	if past == 0 {
+		return now
+	}
+	return (past*3 + now) / 4
+}
+
+func (s *Spread) pieceTime() time.Duration { return cmp.Or(s.typical, firstTypical) }
+
+func (s *Spread) takeover() time.Duration { return max(takeoverLeast, takeoverPieces*s.pieceTime()) }
--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -72,9 +72,10 @@
 }
 
 type originDocument struct {
-	Address     string `json:"address"`
-	Domain      string `json:"domain,omitempty"`
-	Connections int    `json:"connections,omitempty"`
+	Address     string  `json:"address"`
+	Domain      string  `json:"domain,omitempty"`
+	Rate        float64 `json:"rate,omitempty"`
+	Connections int     `json:"connections,omitempty"`
 }
 
 type workspaceDocument struct {
@@ -172,7 +173,7 @@
 	}
 	var err error
 	if d.Origin != nil {
-		p.Origin = &Origin{Domain: d.Origin.Domain, Connections: d.Origin.Connections}
+		p.Origin = &Origin{Domain: d.Origin.Domain, Rate: d.Origin.Rate, Connections: d.Origin.Connections}
 		if p.Origin.Address, err = netip.ParseAddrPort(d.Origin.Address); err != nil {
 			return nil, errAddress
 		}
@@ -205,7 +206,7 @@
 func EncodePool(p *Pool) (Row, error) {
 	d := poolDocument{Name: p.Name, Connections: p.Connections}
 	if o := p.Origin; o != nil {
-		d.Origin = &originDocument{Address: o.Address.String(), Domain: o.Domain, Connections: o.Connections}
+		d.Origin = &originDocument{Address: o.Address.String(), Domain: o.Domain, Rate: o.Rate, Connections: o.Connections}
 	}
 	if e := p.Engine; e != nil {
 		us := func(t time.Duration) float64 { return float64(t) / float64(time.Microsecond) }
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -117,6 +117,8 @@
 type Origin struct {
 	Address netip.AddrPort
 	Domain  string
+	// Rate is that of its link in bytes a second, or zero if it isn't known.
+	Rate float64
 	// Connections bounds those of all callers. Zero means no bound.
 	Connections int
 }
--- /dev/null
+++ b/entry/carry/carry.go
@@ -0,0 +1,253 @@
+// Package carry lets an entry pass pieces of weights on to agents. The link of an entry
+// is wide; those of the agents are narrow and carry the answers of engines.
+//
+// A version that was released is fetched at once, any other one when an agent asks for
+// it. Versions that are too large for the memory of an entry are left to the agents.
+package carry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/cache"
+	"currantport.example/core/chunks"
+	"currantport.example/core/feed"
+	"currantport.example/core/gather"
+	"currantport.example/core/hosts"
+	"currantport.example/core/mesh"
+	"currantport.example/core/peer"
+	"currantport.example/core/rings"
+	"currantport.example/core/shell"
+	"currantport.example/core/state"
+	"currantport.example/core/wire"
+)
+
+const (
+	// uploadSlots is the number of pieces that an entry sends at once.
+	uploadSlots = 32
+	// wantedRing bounds the versions that agents have asked for.
+	wantedRing = 8
+	// retryPause is the time before a fetch that failed is tried again.
+	retryPause = 300 * time.Millisecond
+)
+
+// Weights hands out versions of models and names them.
+type Weights interface {
+	chunks.Source
+	Name(model string, version int) chunks.Digest
+}
+
+// Options are the parts of a carrier.
+type Options struct {
+	Self    hosts.Host
+	Regions map[hosts.Domain]hosts.Region
+	Mirror  *feed.Mirror
+	Cache   *cache.Cache
+	Mesh    *mesh.Node
+	Client  *http.Client
+	// Weights returns the origin whose address the function tells.
+	Weights func(origin func() (netip.AddrPort, bool)) Weights
+	// Agent is the port of the agents.
+	Agent int
+	// Most is the size up to which a version is carried.
+	Most int64
+	Log  *zap.Logger
+}
+
+// Carrier passes pieces on.
+type Carrier struct {
+	options  Options
+	weights  Weights
+	server   *peer.Server
+	gatherer *gather.Gatherer
+	wanted   *rings.Ring[chunks.Digest]
+	// released is the newest version of each model that was there when it was first
+	// seen or has been fetched.
+	released map[string]int
+}
+
+// New starts a carrier. The clean-up function ends it.
+func New(o Options) (*Carrier, func()) {
+	c := &Carrier{options: o, wanted: rings.New[chunks.Digest](wantedRing), released: make(map[string]int)}
+	server, stop := peer.NewWideServer(o.Cache, nil, uploadSlots)
+	c.server = server
+	c.weights = o.Weights(func() (netip.AddrPort, bool) {
+		if p := c.origin(); p != nil {
+			return p.Address, true
+		}
+		return netip.AddrPort{}, false
+	})
+	c.gatherer = gather.New(gather.Options{
+		Self: o.Self, Cache: o.Cache, Source: c.weights, Members: c.members, Wanted: func(name chunks.Digest) { c.wanted.Put(name) },
+		Origin: func() (hosts.Region, float64) {
+			p := c.origin()
+			if p == nil {
+				return "", 0
+			}
+			return o.Regions[hosts.Domain(p.Domain)], p.Rate
+		},
+		Client: o.Client, Send: o.Mesh.Send, Seed: rand.Uint64(), Log: o.Log,
+	}, server.Queue)
+	g := shell.NewGroup()
+	g.Go(c.run)
+	return c, func() {
+		stop()
+		g.Stop()
+	}
+}
+
+// Handler returns the path and the handler of agents that ask for pieces.
+func (c *Carrier) Handler() (string, http.Handler) {
+	return wire.NewPeerHandler(peer.NewHandler(c.server), wire.WithoutCompression())
+}
+
+// Hear takes what an agent tells of a version.
+func (c *Carrier) Hear(from netip.AddrPort, h *wire.Holds) { c.gatherer.Hear(from, h) }
+
+func (c *Carrier) origin() *state.Origin {
+	for _, p := range c.options.Mirror.Now().Pools() {
+		if p.Origin != nil {
+			return p.Origin
+		}
+	}
+	return nil
+}
+
+// members returns the live entries and the agents of all engines.
+func (c *Carrier) members() []hosts.Host {
+	all := c.options.Mesh.Entries()
+	s := c.options.Mirror.Now()
+	for _, p := range s.Pools() {
+		if p.Engine == nil {
+			continue
+		}
+		for _, u := range s.Upstreams(p.Name) {
+			domain := hosts.Domain(u.Domain)
+			all = append(all, hosts.Host{
+				Name: hosts.Name(u.Address.Addr().String()), Role: hosts.RoleAgent, State: hosts.StateLive,
+				Place:   hosts.Place{Region: c.options.Regions[domain], Domain: domain},
+				Address: netip.AddrPortFrom(u.Address.Addr(), uint16(c.options.Agent)),
+			})
+		}
+	}
+	return all
+}
+
+// task is a version that is to be fetched.
+type task struct {
+	model   string
+	version int
+	name    chunks.Digest
+}
+
+// run fetches versions one at a time. A newer one of the same model ends the fetch of
+// one before it.
+func (c *Carrier) run(ctx context.Context) {
+	var current task
+	var fetching *shell.Group
+	done := make(chan task, 1)
+	stop := func() {
+		if fetching != nil {
+			fetching.Stop()
+			fetching = nil
+		}
+	}
+	defer stop()
+	for {
+		changed := c.options.Mirror.Changed()
+		if t, ok := c.next(); ok && t != current {
+			stop()
+			current, fetching = t, shell.NewGroup()
+			fetching.Go((&fetch{carrier: c, task: t, done: done}).run)
+		}
+		select {
+		case <-changed:
+		case name := <-c.wanted.Values():
+			c.want(name)
+		case t := <-done:
+			if t == current {
+				c.released[t.model] = t.version
+				current = task{}
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// next returns a released version that isn't there.
+func (c *Carrier) next() (task, bool) {
+	s := c.options.Mirror.Now()
+	for _, p := range s.Pools() {
+		if p.Engine == nil || int64(p.Engine.Pieces)*int64(p.Engine.PieceBytes) > c.options.Most {
+			continue
+		}
+		for _, m := range p.Engine.Models {
+			r := s.Release(m.Name)
+			known, ok := c.released[m.Name]
+			if !ok {
+				// Agents have what was there from the start, or will ask for it.
+				c.released[m.Name] = r.Version
+				continue
+			}
+			if r.Version > known {
+				return task{model: m.Name, version: r.Version, name: c.weights.Name(m.Name, r.Version)}, true
+			}
+		}
+	}
+	return task{}, false
+}
+
+// want has the version with the name fetched, if it is the one to be served.
+func (c *Carrier) want(name chunks.Digest) {
+	if _, ok := c.options.Cache.Version(name); ok {
+		return
+	}
+	s := c.options.Mirror.Now()
+	for model := range c.released {
+		r := s.Release(model)
+		if c.weights.Name(model, r.Version) == name {
+			c.released[model] = r.Version - 1
+		}
+	}
+}
+
+// fetch brings one version.
+type fetch struct {
+	carrier *Carrier
+	task    task
+	done    chan task
+}
+
+func (f *fetch) run(ctx context.Context) {
+	c := f.carrier
+	began := time.Now()
+	c.options.Cache.Name(f.task.name)
+	for ctx.Err() == nil {
+		_, err := c.gatherer.Fetch(ctx, f.task.name)
+		if err == nil {
+			break
+		}
+		c.options.Log.Warn("fetch-failed", zap.Int("version", f.task.version), zap.Error(err))
+		t := time.NewTimer(retryPause)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		t.Stop()
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	c.options.Cache.Retain([]chunks.Digest{f.task.name})
+	c.options.Log.Info("fetched", zap.String("model", f.task.model), zap.Int("version", f.task.version), zap.Duration("took", time.Since(began)))
+	select {
+	case f.done <- f.task:
+	case <-ctx.Done():
+	}
+}
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"currantport.example/core/budget"
+	"currantport.example/core/cache"
 	"currantport.example/core/clocks"
 	"currantport.example/core/conns"
 	"currantport.example/core/crash"
@@ -31,6 +32,7 @@
 	"currantport.example/core/reload"
 	"currantport.example/core/shell"
 	"currantport.example/core/wire"
+	"currantport.example/entry/carry"
 	"currantport.example/entry/internal/caller"
 	"currantport.example/entry/internal/course"
 	"currantport.example/entry/internal/naming"
@@ -69,6 +71,8 @@
 	Upstreams edges.Upstreams
 	// Platform publishes the rows.
 	Platform feed.Source
+	// Weights returns the origin whose address the function tells.
+	Weights func(origin func() (netip.AddrPort, bool)) carry.Weights
 }
 
 // Build returns the parts of an entry with the settings. File is that of the settings,
@@ -78,7 +82,7 @@
 		fx.Supply(s, links.Sockets(), fx.Annotate(file, fx.ResultTags(`name:"file"`))),
 		fx.Provide(
 			newLog, newMetrics, newPeers, feed.NewMirror, crash.NewBook, newConns, newFleet, newMesh, newFollower,
-			newCourses, newFront, newUpkeep, newDirectory,
+			newCourses, newFront, newUpkeep, newDirectory, cache.New, newCarrier,
 		),
 		fx.Invoke(setMemory, startAdmin, startReload, startStop),
 	)
@@ -117,7 +121,7 @@
 	})
 }
 
-func newMesh(lc fx.Lifecycle, s Settings, f *target.Fleet, b *crash.Book, log *zap.Logger) (*mesh.Node, error) {
+func newMesh(lc fx.Lifecycle, s Settings, b *crash.Book, log *zap.Logger) (*mesh.Node, error) {
 	socket, err := mesh.Listen(s.Mesh)
 	if err != nil {
 		return nil, err
@@ -126,11 +130,23 @@
 	self.Host = hosts.Host{Name: s.Host, Place: s.Place, Role: hosts.RoleEntry, State: hosts.StateLive, Address: s.Mesh}
 	n, stop := mesh.New(mesh.Options{
 		Self: self, Socket: socket, Seeds: s.Seeds, Seed: rand.Uint64(), Marks: b, Log: log,
-		Load: func(_ netip.AddrPort, l *wire.LoadDigest) { f.Heard(clocks.Now(), l.Upstream, upkeep.Digest(l)) },
 	})
 	return shell.Owned(lc, n, stop), nil
 }
 
+func newCarrier(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, c *cache.Cache, f *target.Fleet, n *mesh.Node, peers parts.PeerClient, log *zap.Logger) *carry.Carrier {
+	self := hosts.Host{Name: s.Host, Place: s.Place, Role: hosts.RoleEntry, State: hosts.StateLive, Address: s.Mesh}
+	k, stop := carry.New(carry.Options{
+		Self: self, Regions: s.Regions, Mirror: m, Cache: c, Mesh: n, Client: peers.Client, Weights: o.Weights,
+		Agent: s.Agent, Most: int64(s.Carry), Log: log,
+	})
+	n.Handle(mesh.Handlers{
+		Load:  func(_ netip.AddrPort, l *wire.LoadDigest) { f.Heard(clocks.Now(), l.Upstream, upkeep.Digest(l)) },
+		Holds: k.Hear,
+	})
+	return shell.Owned(lc, k, stop)
+}
+
 func newFollower(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, log *zap.Logger) *feed.Follower {
 	wait := min(time.Duration(waitShare*float64(s.Bounds.Revoke)), mostWait)
 	f, stop := feed.NewFollower(feed.FollowOptions{
@@ -202,10 +218,12 @@
 }
 
 // startAdmin serves what other processes and operators call.
-func startAdmin(lc fx.Lifecycle, s Settings, network links.Network, m *feed.Mirror, metrics parts.Metrics, log *zap.Logger) error {
+func startAdmin(lc fx.Lifecycle, s Settings, network links.Network, m *feed.Mirror, c *carry.Carrier, metrics parts.Metrics, log *zap.Logger) error {
 	r := mux.NewRouter()
 	path, handler := feed.NewHandler(m)
 	r.PathPrefix(path).Handler(handler)
+	path, handler = c.Handler()
+	r.PathPrefix(path).Handler(handler)
 	l, err := network.Listen(context.Background(), s.Mesh)
 	if err != nil {
 		return err
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -30,6 +30,8 @@
 	StopWithin time.Duration
 	// Memory is what the process may use.
 	Memory config.Bytes
+	// Carry is the size up to which a version's pieces are passed on to agents.
+	Carry  config.Bytes
 	Level  logs.Level
 	Bounds Bounds
 }
@@ -65,6 +67,7 @@
 		{Section: "host", Name: "domain", Set: config.Text(&s.Place.Domain)},
 		{Section: "host", Name: "domains", Set: config.Pairs(&s.Regions)},
 		{Section: "host", Name: "memory", Default: "256MiB", Set: config.Size(&s.Memory, 32*config.MiB, config.GiB*64)},
+		{Section: "weights", Name: "carry", Default: "16MiB", Set: config.Size(&s.Carry, 0, 64*config.GiB)},
 		{Section: "listen", Name: "calls", Set: config.Address(&s.Calls)},
 		{Section: "listen", Name: "mesh", Set: config.Address(&s.Mesh)},
 		{Section: "listen", Name: "admin", Set: config.Address(&s.Admin)},
