feed: look for another source by contact, not by proof

Each held the pulls of its followers for the whole wait, and a proof is up to twice the wait old in calm times, so that nobody took its age for a loss before 3 s. Change: updates carry when the platform answered last. It grows old only when the way is broken; beyond 1.1 s a source answers at once and is passed over, and a process without contact reads the platform first. A pull is held 0.8 s, not 1.2 s. Ruled out: the age of the proof as the sign (late by design after each change).

--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -42,13 +42,10 @@
 	closeWithin = time.Second
 	// memoryShare is the part of the memory that the collector aims at.
 	memoryShare = 0.7
-	// waitShare is the part of the time for a key that was taken away for which an
-	// entry may hold a pull.
-	waitShare = 0.4
 	// uploadSlots is the number of pieces that an agent sends at once. Its link is
 	// narrow and carries answers too.
 	uploadSlots = 1
-	// directAfter is the age of the copy from which on an agent reads the platform. It
+	// directAfter is the time without contact from which on an agent reads the platform. It
 	// is long, since agents are many and entries read for them.
 	directAfter = 5 * time.Second
 )
@@ -119,7 +116,7 @@
 func newFollower(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, log *zap.Logger) *feed.Follower {
 	f, stop := feed.NewFollower(feed.FollowOptions{
 		Reader: feed.Reader{Self: s.Host, Place: s.Place, Role: hosts.RoleAgent},
-		Mirror: m, Entries: n.Entries, Wait: time.Duration(waitShare * float64(s.Revoke)), DirectAfter: directAfter, Log: log,
+		Mirror: m, Entries: n.Entries, DirectAfter: directAfter, Log: log,
 		Source: func(name hosts.Name) (feed.Source, bool) {
 			if name == feed.Direct {
 				return o.Platform, true
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -8,6 +8,13 @@
 // state was proven to be the newest, so that a process knows how old its copy is at
 // most, over any number of hands.
 //
+// # Proof and contact
+//
+// A copy is proven to be the newest as of the time at which the platform was asked,
+// since a change may follow at once. Contact is when the platform answered last. It says
+// less, but grows old only if the way to the platform is broken, so that a process
+// knows when to look for another one.
+//
 // # Followers
 //
 // A Follower pulls updates from the best source that it can reach. In each failure
@@ -44,6 +51,8 @@
 	// Proven is when the state was the newest for certain, by the clock of package
 	// clocks.
 	Proven time.Time
+	// Contact is when the platform answered last whoever the state comes from.
+	Contact time.Time
 }
 
 // Source hands out updates.
--- a/core/feed/follow.go
+++ b/core/feed/follow.go
@@ -16,12 +16,16 @@
 )
 
 const (
+	// Wait is how long a source may hold a pull. The platform is heard of at least that
+	// often, and the age of a proof stays below about twice this time.
+	Wait = 800 * time.Millisecond
+	// ContactLimit is the time without an answer of the platform from which on a source
+	// lags, and a process looks for another one. It is longer than Wait, so that it
+	// passes only if an answer is missing, and short enough for the rest of the time
+	// in which a configuration must be in force.
+	ContactLimit = 1100 * time.Millisecond
 	// callSlack is how much longer than its wait a pull may take.
 	callSlack = 800 * time.Millisecond
-	// directSlack is the same for the platform, which answers over a longer way.
-	directSlack = 1500 * time.Millisecond
-	// staleWaits is the age of a proof, in waits, beyond which a source lags.
-	staleWaits = 2
 	// batchPause lets changes that come together arrive as one update.
 	batchPause = 40 * time.Millisecond
 	// idlePause is the wait before an empty list of sources is looked at again.
@@ -36,11 +40,8 @@
 	Entries func() []hosts.Host
 	// Source returns how to pull from a process, or from the platform for Direct.
 	Source func(name hosts.Name) (Source, bool)
-	// Wait is how long a source may hold a pull. The age of a proof stays below
-	// about twice this time while sources answer.
-	Wait time.Duration
-	// DirectAfter is the age of the copy from which on a process that doesn't lead
-	// may read the platform.
+	// DirectAfter is the time without contact from which on a process that doesn't
+	// lead reads the platform.
 	DirectAfter time.Duration
 	Log         *zap.Logger
 }
@@ -80,21 +81,28 @@
 	}
 }
 
-// order returns the sources that may be pulled from now.
+// order returns the sources that may be pulled from now. A process that has lost
+// contact turns to the platform itself first, since it can't tell which others have
+// lost it too.
 func (f *Follower) order() []hosts.Name {
 	order := f.options.Reader.Order(f.options.Entries())
-	if order[0] == Direct && f.options.Reader.Role == hosts.RoleEntry || f.mayReadDirectly() {
+	if order[0] == Direct && f.options.Reader.Role == hosts.RoleEntry {
 		return order
 	}
-	return slices.DeleteFunc(order, func(n hosts.Name) bool { return n == Direct })
+	order = slices.DeleteFunc(order, func(n hosts.Name) bool { return n == Direct })
+	if f.contactAge() > f.options.DirectAfter {
+		return append([]hosts.Name{Direct}, order...)
+	}
+	return order
 }
 
-func (f *Follower) mayReadDirectly() bool {
-	age, ok := f.options.Mirror.Age()
-	if !ok {
-		age = clocks.Since(f.began)
+// contactAge returns the time since the platform was last heard of.
+func (f *Follower) contactAge() time.Duration {
+	at := f.options.Mirror.Contact()
+	if at.Before(f.began) {
+		at = f.began
 	}
-	return age > f.options.DirectAfter
+	return clocks.Since(at)
 }
 
 // pull takes one update and reports whether it changed rows.
@@ -104,17 +112,13 @@
 		f.chooser.Failed(clocks.Now(), name, rand.Float64())
 		return false
 	}
-	slack := callSlack
-	if name == Direct {
-		slack = directSlack
-	}
 	after := f.options.Mirror.Head()
 	if f.all {
 		after = 0
 	}
-	pulling, cancel := context.WithTimeout(ctx, f.options.Wait+slack)
+	pulling, cancel := context.WithTimeout(ctx, Wait+callSlack)
 	defer cancel()
-	u, err := source.Pull(pulling, after, f.options.Wait)
+	u, err := source.Pull(pulling, after, Wait)
 	if err != nil {
 		f.fail(ctx, name, err)
 		return false
@@ -145,7 +149,7 @@
 // settle notes how good the source is.
 func (f *Follower) settle(name hosts.Name, u Update) {
 	now := clocks.Now()
-	if now.Sub(u.Proven) > staleWaits*f.options.Wait+callSlack || u.Head < f.options.Mirror.Head() {
+	if now.Sub(u.Contact) > ContactLimit || u.Head < f.options.Mirror.Head() {
 		f.chooser.Lagged(now, name)
 		return
 	}
--- a/core/feed/handler.go
+++ b/core/feed/handler.go
@@ -36,7 +36,7 @@
 	for {
 		changed := h.mirror.Changed()
 		u, ok := h.mirror.Since(state.Revision(r.Msg.After), r.Msg.Scope)
-		if ok && (len(u.Rows) > 0 || r.Msg.After == 0 || r.Msg.Proofs && u.Proven.After(proven)) {
+		if ok && (len(u.Rows) > 0 || r.Msg.After == 0 || r.Msg.Proofs && u.Proven.After(proven) || lags(u)) {
 			return connect.NewResponse(encodeUpdate(u, began)), nil
 		}
 		select {
@@ -52,6 +52,10 @@
 	}
 }
 
+// lags reports whether the process has lost the platform, so that a caller should look
+// for another source at once.
+func lags(u Update) bool { return clocks.Since(u.Contact) > ContactLimit }
+
 func encodeUpdate(u Update, began time.Time) *wire.PullReply {
 	now := clocks.Now()
 	m := &wire.PullReply{
@@ -60,6 +64,7 @@
 	if m.Proven {
 		m.Age = now.Sub(u.Proven).Microseconds()
 	}
+	m.Contact = now.Sub(u.Contact).Microseconds()
 	for _, r := range u.Rows {
 		m.Rows = append(m.Rows, &wire.FeedRow{Key: r.Key, Revision: uint64(r.Revision), Value: r.Value, Gone: r.Value == nil})
 	}
--- a/core/feed/mirror.go
+++ b/core/feed/mirror.go
@@ -34,6 +34,8 @@
 	snapshot atomic.Pointer[state.Snapshot]
 	// proven is when the copy was the newest for certain. It never goes back.
 	proven atomic.Pointer[time.Time]
+	// contact is when the platform answered last. It never goes back.
+	contact atomic.Pointer[time.Time]
 
 	mutex sync.Mutex
 	// rows holds those that are gone with a nil value, at most maxGone of them.
@@ -76,6 +78,15 @@
 	return time.Time{}
 }
 
+// Contact returns when the platform answered last whoever the copy comes from, or
+// zero.
+func (m *Mirror) Contact() time.Time {
+	if c := m.contact.Load(); c != nil {
+		return *c
+	}
+	return time.Time{}
+}
+
 // Head returns the revision of the copy.
 func (m *Mirror) Head() state.Revision {
 	m.mutex.Lock()
@@ -117,6 +128,9 @@
 	if u.Summed && u.Sum != m.sum {
 		return c, ErrDiverged
 	}
+	if u.Contact.After(m.Contact()) {
+		m.contact.Store(&u.Contact)
+	}
 	if !u.Proven.IsZero() && u.Proven.After(m.Proven()) {
 		m.proven.Store(&u.Proven)
 	} else if c.Rows == 0 {
@@ -190,7 +204,7 @@
 	if m.head == 0 || after > m.head {
 		return Update{}, false
 	}
-	u := Update{Head: m.head, Full: after < m.floor || after == 0, Sum: m.sum, Summed: true, Proven: m.Proven()}
+	u := Update{Head: m.head, Full: after < m.floor || after == 0, Sum: m.sum, Summed: true, Proven: m.Proven(), Contact: m.Contact()}
 	if len(scope) > 0 {
 		u.Sum = 0
 	}
--- a/core/feed/remote.go
+++ b/core/feed/remote.go
@@ -52,6 +52,7 @@
 	if m.Proven {
 		u.Proven = asked.Add(time.Duration(m.Held-m.Age) * time.Microsecond)
 	}
+	u.Contact = asked.Add(time.Duration(m.Held-m.Contact) * time.Microsecond)
 	for _, r := range m.Rows {
 		row := state.Row{Key: r.Key, Revision: state.Revision(r.Revision), Value: r.Value}
 		if r.Gone {
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -52,13 +52,6 @@
 	// readyShare is the part of that time beyond which callers are told to go
 	// elsewhere.
 	readyShare = 0.6
-	// waitShare is the part of that time for which a source may hold a pull, and
-	// mostWait bounds it.
-	waitShare = 0.25
-	mostWait  = 1200 * time.Millisecond
-	// directAfter is the age of the copy, in waits, from which on an entry that
-	// doesn't lead reads the platform.
-	directAfter = 1.6
 	// keepShares is the number of lifetimes for which callers may keep an address.
 	keepShares = 3
 	// stopReserve is the part of the time of a stop that is kept for its end.
@@ -148,10 +141,9 @@
 }
 
 func newFollower(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, log *zap.Logger) *feed.Follower {
-	wait := min(time.Duration(waitShare*float64(s.Bounds.Revoke)), mostWait)
 	f, stop := feed.NewFollower(feed.FollowOptions{
 		Reader: feed.Reader{Self: s.Host, Place: s.Place, Role: hosts.RoleEntry},
-		Mirror: m, Entries: n.Entries, Wait: wait, DirectAfter: time.Duration(directAfter * float64(wait)), Log: log,
+		Mirror: m, Entries: n.Entries, DirectAfter: feed.ContactLimit, Log: log,
 		Source: func(name hosts.Name) (feed.Source, bool) {
 			if name == feed.Direct {
 				return o.Platform, true
