--- a/entry/internal/course/answer.go
+++ b/entry/internal/course/answer.go
@@ -202,7 +202,7 @@
 		if e.ID != "" && !t.sink.follows(e.ID) {
 			continue
 		}
-		t.events++
+		t.count()
 		if err := t.sink.put(e, r.Buffered()); err != nil {
 			t.ending = "unwritten"
 			return tries.ResultAnswered, target.OutcomeNeutral, err
@@ -210,6 +210,16 @@
 	}
 }
 
+// count counts an event that is handed on.
+func (t *trip) count() {
+	now := time.Now()
+	if t.events > 0 {
+		t.pause = max(t.pause, now.Sub(t.last))
+	}
+	t.events++
+	t.last = now
+}
+
 // endStream ends a stream that is whole.
 func (t *trip) endStream(a *conns.Answer, reply calls.Reply) (tries.Result, target.Outcome, error) {
 	if !t.sink.began {
--- a/entry/internal/course/report.go
+++ b/entry/internal/course/report.go
@@ -75,9 +75,12 @@
 	if t.refusal != nil {
 		fields = append(fields, zap.String("reason", reason), zap.String("detail", t.refusal.Detail), zap.Duration("wait", t.refusal.Wait))
 	}
+	if t.call.Prompt > 0 {
+		fields = append(fields, zap.Int("prompt", t.call.Prompt), zap.Int("output", t.call.Output), zap.Int("expected", t.call.Expected))
+	}
 	if t.first > 0 {
 		m.first.RecordDuration(t.first)
-		fields = append(fields, zap.Duration("first", t.first), zap.Int("events", t.events))
+		fields = append(fields, zap.Duration("first", t.first), zap.Int("events", t.events), zap.Duration("pause", t.pause))
 	}
 	fields = append(fields, zap.Uint64("revision", uint64(t.view.State.Revision)), zap.Duration("copyage", t.view.Age))
 	fields = append(fields, t.detail...)
--- a/entry/internal/course/trip.go
+++ b/entry/internal/course/trip.go
@@ -62,7 +62,10 @@
 	refusal *calls.Refusal
 	events  int
 	first   time.Duration
-	detail  []zap.Field
+	// pause is the longest time between two events, last when the last one came.
+	pause  time.Duration
+	last   time.Time
+	detail []zap.Field
 }
 
 // run serves an admitted request to its end.
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -16,6 +16,9 @@
 	// farCost is what an engine in another region must be faster to be chosen. It
 	// stands for the bytes between regions.
 	farCost = 15 * time.Millisecond
+	// foreignCost is what an engine that another entry uses first must be faster. What
+	// others have sent there is known late.
+	foreignCost = 60 * time.Millisecond
 	// spread is the share by which predictions are varied, so that entries which know
 	// the same don't all choose the same engine.
 	spread = 0.2
@@ -95,6 +98,9 @@
 		if f.isFar(u) {
 			c.cost += farCost
 		}
+		if !u.home {
+			c.cost += foreignCost
+		}
 		if u.health.Poor(now) {
 			c.cost += poorCost
 		}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -47,6 +47,8 @@
 
 	digest Digest
 	heard  time.Time
+	// home tells that the engine is one of those that this entry uses first.
+	home bool
 	// others and othersUnread are what others had sent at the last digest.
 	others       int
 	othersUnread int
@@ -63,7 +65,10 @@
 
 // Options are the parts of a fleet.
 type Options struct {
+	Self  hosts.Name
 	Place hosts.Place
+	// Entries returns the live entries.
+	Entries func() []hosts.Host
 	// Regions maps failure domains to regions.
 	Regions map[hosts.Domain]hosts.Region
 	// VersionWithin is the time within which engines must serve a released version.
@@ -113,6 +118,7 @@
 			f.release(now, s, p.Engine)
 		}
 	}
+	f.deal()
 	var gone []netip.AddrPort
 	for _, u := range before {
 		if !used[u.row.Address] {
--- a/entry/internal/upkeep/upkeep.go
+++ b/entry/internal/upkeep/upkeep.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -83,6 +84,7 @@
 	t := time.NewTicker(readyInterval)
 	defer t.Stop()
 	var last *state.Snapshot
+	var entries []hosts.Name
 	for {
 		changed := u.options.Mirror.Changed()
 		if s := u.options.Mirror.Now(); s != last {
@@ -90,6 +92,10 @@
 			u.take(s)
 		}
 		u.judge(last)
+		if ids := names(u.options.Mesh.Entries()); !slices.Equal(ids, entries) {
+			entries = ids
+			u.options.Fleet.Deal()
+		}
 		select {
 		case <-changed:
 		case <-t.C:
@@ -99,6 +105,14 @@
 	}
 }
 
+func names(all []hosts.Host) []hosts.Name {
+	names := make([]hosts.Name, len(all))
+	for i, h := range all {
+		names[i] = h.Name
+	}
+	return names
+}
+
 func (u *Upkeep) take(s *state.Snapshot) {
 	u.options.Front.SetLimits(s.Limits)
 	u.findCrashes(s)
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -108,9 +108,9 @@
 	return shell.Owned(lc, p, stop)
 }
 
-func newFleet(s Settings, log *zap.Logger) *target.Fleet {
+func newFleet(s Settings, n *mesh.Node, log *zap.Logger) *target.Fleet {
 	return target.New(target.Options{
-		Place: s.Place, Regions: s.Regions, VersionWithin: s.Bounds.Version, Random: rand.Float64, Log: log,
+		Self: s.Host, Entries: n.Entries, Place: s.Place, Regions: s.Regions, VersionWithin: s.Bounds.Version, Random: rand.Float64, Log: log,
 	})
 }
 
