--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -15,13 +15,13 @@
 	versionGuard = 1300 * time.Millisecond
 	// farCost is what an engine in another region must be faster to be chosen. It
 	// stands for the bytes between regions.
-	farCost = 15 * time.Millisecond
+	farCost = 60 * time.Millisecond
 	// foreignCost is what an engine that another entry uses first must be faster. What
 	// others have sent there is known late.
-	foreignCost = 60 * time.Millisecond
+	foreignCost = 250 * time.Millisecond
 	// spread is the share by which predictions are varied, so that entries which know
 	// the same don't all choose the same engine.
-	spread = 0.2
+	spread = 0.05
 	// poorCost is what an engine that fails requests must be faster.
 	poorCost = 2 * time.Second
 	// queueMost is the number of requests that may wait at an engine.
