loader, spread: load the version before the newest if that doesn't come

Agents dropped version 2 at four fifths and waited for version 3; at the end of the time for version 1 nothing was served until all processes were killed (24.5 s to 37 s). After the origin's return 34 processes asked it for the same pieces at once, since every rank's turn had passed. Later ranks wait from the last piece that came anywhere and from their own last failure.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -7,6 +7,12 @@
 // is the engine's turn, entries are told to send it nothing more, and it is ordered to
 // load. An engine that serves nothing is ordered at once.
 //
+// # Versions in quick succession
+//
+// If a version is released while one before it is on its way, the newer one is loaded
+// and the other one skipped. But if the pieces of the newer one don't come in time, the
+// one before it is loaded, so that the engine doesn't stand still.
+//
 // # What may go wrong
 //
 // Staged pieces may go bad, an engine may start anew and forget what it held, a newer
@@ -87,14 +93,18 @@
 type Loader struct {
 	options Options
 	orders  tally.Counter
-	// job brings the pieces of the current goal.
-	job  *job
-	turn Turn
+	courier *courier
+	stage   *stage
+	// planned is the goal that the turn is for.
+	planned goal
+	turn    Turn
 	// ordered is when the last order was given, or zero.
 	ordered time.Time
 	again   time.Time
 	// learnt holds when the first version was released that the engine lacks.
 	learnt map[goal]time.Time
+	// kept holds the goal for whose sake all others were dropped.
+	kept map[goal]bool
 
 	mutex   sync.Mutex
 	status  engine.Status
@@ -105,9 +115,16 @@
 // New starts to look after the engine. The clean-up function ends that.
 func New(o Options) (*Loader, func()) {
 	l := &Loader{options: o, orders: o.Scope.Counter("orders"), learnt: make(map[goal]time.Time)}
+	var stopCourier, stopStage func()
+	l.courier, stopCourier = newCourier(o)
+	l.stage, stopStage = newStage(o)
 	g := shell.NewGroup()
 	g.Go(l.run)
-	return l, g.Stop
+	return l, func() {
+		g.Stop()
+		stopStage()
+		stopCourier()
+	}
 }
 
 // Report is what the loader knows of the engine.
@@ -145,7 +162,6 @@
 func (l *Loader) run(ctx context.Context) {
 	t := time.NewTicker(roundInterval)
 	defer t.Stop()
-	defer l.drop()
 	for {
 		l.round(ctx)
 		select {
@@ -173,14 +189,39 @@
 		}
 		l.options.Log.Info("release", zap.String("model", g.model), zap.Int("version", g.version))
 	}
-	if l.job == nil || l.job.goal != g {
-		l.begin(ctx, g)
+	if l.planned != g {
+		l.plan(g)
 	}
+	l.courier.want(g)
 	if l.status.Holds(g.model, g.version) {
-		l.open()
+		l.open(g)
+		return
+	}
+	if next, ok := l.next(g); ok {
+		l.stage.aim(next)
+		l.advance(ctx, next)
 		return
 	}
-	l.advance(ctx, g)
+	l.stage.aim(g)
+}
+
+// next returns the version that is to be loaded now, if there is one. Until the newest
+// is there, it is one before it that the engine lacks, but only if the newest won't
+// come before the engine must stop to serve what it has.
+func (l *Loader) next(g goal) (goal, bool) {
+	found, ok := l.courier.newest(g.model)
+	if !ok || l.holdsSince(found) {
+		return goal{}, false
+	}
+	if found == g || len(l.status.Held) == 0 {
+		return found, true
+	}
+	now := clocks.Now()
+	left, moves := l.courier.of(g).Left(now)
+	if moves && !now.Add(left).After(l.turn.Last(l.options.Within)) {
+		return goal{}, false
+	}
+	return found, true
 }
 
 // look reads the status of the engine.
@@ -203,9 +244,7 @@
 	if !s.Started.Equal(l.status.Started) && !l.heard.IsZero() {
 		l.options.Log.Warn("engine-started-anew", zap.Time("started", s.Started), zap.Time("before", l.status.Started))
 		l.ordered = time.Time{}
-		if l.job != nil {
-			l.job.forget()
-		}
+		l.stage.forget()
 	}
 	l.status, l.heard = s, clocks.Now()
 	return true
@@ -223,14 +262,11 @@
 	return goal{model: r.Model, version: r.Version}, true
 }
 
-// begin starts to bring the pieces of a version.
-func (l *Loader) begin(ctx context.Context, g goal) {
-	l.drop()
-	l.ordered = time.Time{}
+// plan places the engine in the order in which those of the pool load a version.
+func (l *Loader) plan(g goal) {
+	l.planned, l.ordered = g, time.Time{}
 	s := l.options.Mirror.Now()
 	l.turn = NewTurn(l.firstLearnt(g), g.model, g.version, l.row(l.status.Started), s.Upstreams(l.options.Pool))
-	l.job = newJob(l.options, g)
-	l.job.start(ctx)
 	l.options.Log.Info("load-planned", zap.String("model", g.model), zap.Int("version", g.version),
 		zap.Int("rank", l.turn.Rank), zap.Int("count", l.turn.Count), zap.Duration("after", l.turn.Start(l.options.Within).Sub(clocks.Now())))
 }
@@ -256,13 +292,6 @@
 	return false
 }
 
-func (l *Loader) drop() {
-	if l.job != nil {
-		l.job.stop()
-		l.job = nil
-	}
-}
-
 // advance takes the next step towards the goal.
 func (l *Loader) advance(ctx context.Context, g goal) {
 	now := clocks.Now()
@@ -273,13 +302,13 @@
 		// The order has ended and the engine doesn't serve the version.
 		l.ordered = time.Time{}
 	}
-	if !l.job.staged() || now.Before(l.again) {
+	if !l.stage.holds(g) || now.Before(l.again) {
 		return
 	}
 	if len(l.status.Held) > 0 && now.Before(l.turn.Start(l.options.Within)) {
 		return
 	}
-	if !l.job.check(ctx) {
+	if !l.stage.check(ctx) {
 		return
 	}
 	l.close()
@@ -306,10 +335,15 @@
 // close tells entries to send nothing more.
 func (l *Loader) close() { l.setClosing(true) }
 
-// open tells entries that the engine serves what it should.
-func (l *Loader) open() {
+// open tells entries that the engine serves what it should, and drops what isn't needed
+// any more.
+func (l *Loader) open(g goal) {
 	l.ordered = time.Time{}
 	l.setClosing(false)
+	if l.courier.of(g).Done() && !l.kept[g] {
+		l.kept = map[goal]bool{g: true}
+		l.courier.keep(g)
+	}
 }
 
 func (l *Loader) setClosing(closing bool) {
--- a/agent/internal/loader/turn.go
+++ b/agent/internal/loader/turn.go
@@ -56,3 +56,14 @@
 	first, last := float64(within)*firstShare, float64(within)*lastShare
 	return t.Learnt.Add(time.Duration(first + (last-first)*float64(t.Rank)/float64(t.Count-1)))
 }
+
+// Last returns the time from which on the engine gets no requests for what it serves.
+func (t Turn) Last(within time.Duration) time.Time {
+	if within <= 0 {
+		return t.Learnt.Add(unbounded)
+	}
+	return t.Learnt.Add(time.Duration(float64(within) * lastShare))
+}
+
+// unbounded stands in for the time of a version that has no bound.
+const unbounded = 24 * time.Hour
--- a/core/spread/asks.go
+++ b/core/spread/asks.go
@@ -31,6 +31,21 @@
 	return s.began.Add(time.Duration(float64(i) * float64(s.options.Pieces[i].Size) / s.options.Rate * float64(time.Second)))
 }
 
+// turn returns when it is for the first rank to bring a piece. Later ranks wait from
+// then, from the last piece that came and from their own last failure.
+func (s *Spread) turn(i int) time.Time {
+	due := s.due(i)
+	if s.pieces[i].source == 0 {
+		return due
+	}
+	for _, t := range []time.Time{s.news, s.sourceUntil} {
+		if t.After(due) {
+			due = t
+		}
+	}
+	return due
+}
+
 // bring takes pieces from the origin whose turn it is.
 func (s *Spread) bring(now time.Time) {
 	if now.Before(s.sourceUntil) {
@@ -44,7 +59,7 @@
 		if p.held || len(p.asks) > 0 || p.source < 0 || p.count > 0 || s.farUsable(now, i) {
 			continue
 		}
-		if !now.Before(s.due(i).Add(time.Duration(p.source) * s.takeover())) {
+		if !now.Before(s.turn(i).Add(time.Duration(p.source) * s.takeover())) {
 			s.begin(now, nil, i)
 		}
 	}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -8,8 +8,9 @@
 // by rendezvous hash, and behind them the other entries and the agents. The first
 // brings the piece from the origin. Pieces become due one after the other at the rate
 // of the origin's link, so that each is sent whole and passed on while the next one is
-// on its way. If nobody is known to hold a piece some time after it became due, the
-// next rank brings it.
+// on its way. If nobody is known to hold a piece some time after it became due, and no
+// other piece has come meanwhile, the next rank brings it: while pieces come, the origin
+// is at work, and while it fails, the ranks don't try all at once.
 //
 // # Between regions
 //
@@ -185,6 +186,9 @@
 	near, far, source int
 	sourceUntil       time.Time
 	sourceFailures    int
+	// news is when a piece was first seen anywhere.
+	news time.Time
+	seen []bool
 	// typical is the smoothed time of a piece.
 	typical time.Duration
 	actions []Action
@@ -195,6 +199,7 @@
 	s := &Spread{
 		options: o, began: now, pieces: make([]piece, len(o.Pieces)), peers: make(map[hosts.Name]*peer),
 		random: rand.New(rand.NewPCG(o.Seed, hosts.Score("spread", o.Self.Name))), left: len(o.Pieces),
+		seen: make([]bool, len(o.Pieces)), news: now,
 	}
 	for i := range s.pieces {
 		s.pieces[i].tie = s.random.Uint32()
@@ -217,6 +222,13 @@
 	return true
 }
 
+// see notes that a piece is held somewhere.
+func (s *Spread) see(now time.Time, i int) {
+	if !s.seen[i] {
+		s.seen[i], s.news = true, now
+	}
+}
+
 // SetMembers replaces the agents of the pool, the host itself included.
 func (s *Spread) SetMembers(members []hosts.Host) {
 	if slices.Equal(s.members, members) {
@@ -333,6 +345,9 @@
 func (s *Spread) setHeld(now time.Time, p *peer, held []bool) {
 	for i := range s.pieces {
 		had, has := p.held != nil && p.held[i], held != nil && held[i]
+		if has {
+			s.see(now, i)
+		}
 		switch {
 		case had == has:
 		case p.near && has:
@@ -353,6 +368,7 @@
 	if !s.hold(i) {
 		return
 	}
+	s.see(now, i)
 	for _, a := range slices.Clone(s.pieces[i].asks) {
 		s.settle(a.peer, i)
 		s.act(Action{Kind: KindCancel, Peer: a.peer, Piece: i})
