--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -202,6 +202,9 @@
 		l.advance(ctx, next)
 		return
 	}
+	// The engine serves the best that there is for now.
+	l.ordered = time.Time{}
+	l.setClosing(false)
 	l.stage.aim(g)
 }
 
