--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -62,6 +62,7 @@
 	Load     func(from netip.AddrPort, l *wire.LoadDigest)
 	Interest func(from netip.AddrPort, i *wire.Interest)
 	Holds    func(from netip.AddrPort, h *wire.Holds)
+	Shares   func(s *wire.Shares)
 }
 
 // Options are the parts of a node.
@@ -245,6 +246,10 @@
 		if h.Interest != nil {
 			h.Interest(from, b.Interest)
 		}
+	case *wire.Datagram_Shares:
+		if h.Shares != nil {
+			h.Shares(b.Shares)
+		}
 	case *wire.Datagram_Holds:
 		if h.Holds != nil {
 			h.Holds(from, b.Holds)
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -49,9 +49,12 @@
 	heard  time.Time
 	// home tells that the engine is one of those that this entry uses first.
 	home bool
-	// others and othersUnread are what others had sent at the last digest.
-	others       int
-	othersUnread int
+	// near and nearUnread are what the other entries of the region say that they have
+	// sent.
+	near       int
+	nearUnread int
+	// others is what all others had sent at the last digest beyond that.
+	others int
 }
 
 // releasesMost is the number of versions of a model that are remembered.
@@ -86,6 +89,8 @@
 	upstreams map[string]*upstream
 	// pools lists the upstreams of each pool, ordered by id.
 	pools map[string][]*upstream
+	// shares holds what other entries of the region have sent.
+	shares map[hosts.Name]told
 	// releases lists the versions of each model that this process has learnt of, the
 	// newest last.
 	releases map[string][]release
@@ -95,7 +100,7 @@
 func New(o Options) *Fleet {
 	return &Fleet{
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
-		releases: make(map[string][]release),
+		releases: make(map[string][]release), shares: make(map[hosts.Name]told),
 	}
 }
 
@@ -119,6 +124,7 @@
 		}
 	}
 	f.deal()
+	f.sum()
 	var gone []netip.AddrPort
 	for _, u := range before {
 		if !used[u.row.Address] {
@@ -164,8 +170,7 @@
 		return
 	}
 	u.digest, u.heard = d, now
-	u.others = max(d.Running-u.running, 0)
-	u.othersUnread = max(d.Unread-u.unread, 0)
+	u.others = max(d.Running-u.running-u.near, 0)
 }
 
 // held returns the version of a model that the upstream serves, or zero.
@@ -188,10 +193,9 @@
 
 // load returns what is at the upstream.
 func (u *upstream) load(now time.Time) place.Load {
-	l := place.Load{Running: u.running, Unread: u.unread, Pace: 1}
+	l := place.Load{Running: u.running + u.near, Unread: u.unread + u.nearUnread, Pace: 1}
 	if u.isHeard(now) {
 		l.Running += u.others
-		l.Unread += u.othersUnread
 		l.Pace = u.digest.Pace
 	}
 	return l
@@ -293,6 +297,6 @@
 // shed notes that the engine has no room, whatever the last digest said.
 func (u *upstream) shed(now time.Time) {
 	if u.row.Slots > 0 && u.isHeard(now) {
-		u.others = max(u.others, u.row.Slots-u.running)
+		u.others = max(u.others, u.row.Slots-u.running-u.near)
 	}
 }
--- a/entry/internal/upkeep/upkeep.go
+++ b/entry/internal/upkeep/upkeep.go
@@ -38,6 +38,7 @@
 // Options are the parts that are kept up.
 type Options struct {
 	Self   hosts.Name
+	Region hosts.Region
 	Mirror *feed.Mirror
 	Fleet  *target.Fleet
 	Front  *caller.Server
@@ -66,6 +67,7 @@
 	g := shell.NewGroup()
 	g.Go(u.run)
 	g.Go(u.loop)
+	g.Go(u.tellShares)
 	return u, g.Stop
 }
 
@@ -160,6 +162,49 @@
 	}
 }
 
+// tellInterval is the time between two messages to the other entries of the region.
+const tellInterval = 40 * time.Millisecond
+
+// tellShares tells the other entries of the region what this one has at engines.
+func (u *Upkeep) tellShares(ctx context.Context) {
+	t := time.NewTicker(tellInterval)
+	defer t.Stop()
+	for idle := false; ; {
+		shares := u.options.Fleet.Shares()
+		if len(shares) > 0 || !idle {
+			u.sendShares(shares)
+		}
+		idle = len(shares) == 0
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (u *Upkeep) sendShares(shares []target.Share) {
+	m := &wire.Shares{Name: string(u.options.Self)}
+	for _, s := range shares {
+		m.Shares = append(m.Shares, &wire.Share{Upstream: s.Upstream, Running: uint32(s.Running), Unread: uint32(s.Unread)})
+	}
+	d := &wire.Datagram{Body: &wire.Datagram_Shares{Shares: m}}
+	for _, h := range u.options.Mesh.Entries() {
+		if h.Name != u.options.Self && h.Place.Region == u.options.Region {
+			u.options.Mesh.Send(h.Address, d)
+		}
+	}
+}
+
+// Told maps what another entry tells and takes it.
+func Told(f *target.Fleet, m *wire.Shares) {
+	shares := make([]target.Share, 0, len(m.Shares))
+	for _, s := range m.Shares {
+		shares = append(shares, target.Share{Upstream: s.Upstream, Running: int(s.Running), Unread: int(s.Unread)})
+	}
+	f.Told(clocks.Now(), hosts.Name(m.Name), shares)
+}
+
 // loop tells agents which loads the entry wants to hear of.
 func (u *Upkeep) loop(ctx context.Context) {
 	t := time.NewTicker(interestInterval)
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -135,7 +135,7 @@
 	})
 	n.Handle(mesh.Handlers{
 		Load:  func(_ netip.AddrPort, l *wire.LoadDigest) { f.Heard(clocks.Now(), l.Upstream, upkeep.Digest(l)) },
-		Holds: k.Hear,
+		Holds: k.Hear, Shares: func(s *wire.Shares) { upkeep.Told(f, s) },
 	})
 	return shell.Owned(lc, k, stop)
 }
@@ -179,7 +179,7 @@
 
 func newUpkeep(lc fx.Lifecycle, s Settings, m *feed.Mirror, _ *feed.Follower, f *target.Fleet, front *caller.Server, n *mesh.Node, p *conns.Pool, b *crash.Book, log *zap.Logger) *upkeep.Upkeep {
 	u, stop := upkeep.New(upkeep.Options{
-		Self: s.Host, Mirror: m, Fleet: f, Front: front, Mesh: n, Conns: p, Crash: b,
+		Self: s.Host, Region: s.Place.Region, Mirror: m, Fleet: f, Front: front, Mesh: n, Conns: p, Crash: b,
 		ReadyAge: time.Duration(readyShare * float64(s.Bounds.Revoke)), Agent: s.Agent, Log: log,
 	})
 	return shell.Owned(lc, u, stop)
