--- a/agent/internal/teller/teller.go
+++ b/agent/internal/teller/teller.go
@@ -14,8 +14,10 @@
 )
 
 const (
-	// interval is the time between two digests.
-	interval = 120 * time.Millisecond
+	// interval is the time between two digests to an entry that uses the engine.
+	interval = 200 * time.Millisecond
+	// farIntervals is the number of these between two digests to any other entry.
+	farIntervals = 6
 	// idleIntervals is the number of these between two digests of an engine that has
 	// nothing to do and hasn't changed.
 	idleIntervals = 5
@@ -39,8 +41,7 @@
 type interest struct {
 	address netip.AddrPort
 	at      time.Time
-	unread  int
-	running int
+	often   bool
 }
 
 // Teller tells the entries that want to hear.
@@ -78,7 +79,7 @@
 		return
 	}
 	_, known := t.interests[i.Name]
-	t.interests[i.Name] = interest{address: from, at: clocks.Now(), unread: int(i.Unread), running: int(i.Running)}
+	t.interests[i.Name] = interest{address: from, at: clocks.Now(), often: i.Often}
 	if !known {
 		t.Notify()
 	}
@@ -95,17 +96,19 @@
 func (t *Teller) run(ctx context.Context) {
 	tick := time.NewTicker(interval)
 	defer tick.Stop()
-	for idle := 0; ; {
+	idle := 0
+	for round := 0; ; round++ {
+		all := round%farIntervals == 0
 		select {
 		case <-tick.C:
 		case <-t.wake:
-			idle = idleIntervals
+			idle, all = idleIntervals, true
 		case <-ctx.Done():
 			return
 		}
-		d, to, busy := t.digest()
+		d, to, busy := t.digest(all)
 		idle++
-		if d == nil || !busy && idle < idleIntervals {
+		if d == nil || !busy && idle < idleIntervals && !all {
 			continue
 		}
 		idle = 0
@@ -115,8 +118,9 @@
 	}
 }
 
-// digest builds what is told and to whom, and reports whether the engine is at work.
-func (t *Teller) digest() (*wire.Datagram, []netip.AddrPort, bool) {
+// digest builds what is told and to whom, to all or to those that hear of the engine
+// often, and reports whether the engine is at work.
+func (t *Teller) digest(all bool) (*wire.Datagram, []netip.AddrPort, bool) {
 	r, ok := t.source.Report()
 	if !ok {
 		return nil, nil, false
@@ -125,20 +129,20 @@
 	defer t.mutex.Unlock()
 	now := clocks.Now()
 	var to []netip.AddrPort
-	unread := 0
 	for name, i := range t.interests {
 		if now.Sub(i.at) > interestLife {
 			delete(t.interests, name)
 			continue
 		}
-		unread += i.unread
-		to = append(to, i.address)
+		if all || i.often {
+			to = append(to, i.address)
+		}
 	}
 	t.serial++
 	s := r.Status
 	l := &wire.LoadDigest{
 		Upstream: r.Row.ID, Serial: t.serial, Queued: uint32(s.Queued), Active: uint32(s.Active), Used: uint64(s.Used),
-		Total: uint64(s.Total), Pace: float32(s.Pace), Busy: s.Busy, Closing: r.Closing, Unread: uint32(unread),
+		Total: uint64(s.Total), Pace: float32(s.Pace), Busy: s.Busy, Closing: r.Closing,
 	}
 	if !s.Started.IsZero() {
 		l.Started = s.Started.UnixMicro()
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -33,8 +33,18 @@
 	silentAfter = 1500 * time.Millisecond
 	// dropAfter is when its record is forgotten.
 	dropAfter = 20 * time.Second
-	// fanout is the number of processes told in a round.
-	fanout = 6
+	// fanout is the number of processes told in a round. A record reaches all within a
+	// few rounds.
+	fanout = 3
+	// listenRounds is the number of rounds between two questions of a process that is no
+	// entry.
+	listenRounds = 3
+	// seedRounds is the number of rounds between two messages to a seed while other
+	// entries are known.
+	seedRounds = 7
+	// announceMost bounds the processes that are told at once that the own state has
+	// changed.
+	announceMost = 64
 	// recordsMost bounds the records in a message, so that it fits in a datagram.
 	recordsMost = 16
 )
@@ -70,6 +80,7 @@
 	seeds  []netip.AddrPort
 	random *rand.Rand
 	others map[hosts.Name]known
+	rounds int
 }
 
 // NewTable returns the table of an entry.
@@ -127,9 +138,28 @@
 	}
 }
 
-// Round counts a beat and returns whom to tell.
+// Round counts a beat and returns whom to tell. A process that is no entry asks one
+// entry now and then.
 func (t *Table) Round(now time.Time) []netip.AddrPort {
 	t.self.Beat++
+	t.rounds++
+	if !t.own && t.rounds%listenRounds != 1 && len(t.others) > 0 {
+		return nil
+	}
+	most := fanout
+	if !t.own {
+		most = 1
+	}
+	told := t.shuffled(now, most)
+	return append(told, t.strangers(told)...)
+}
+
+// Announce returns whom to tell at once that the own state has changed.
+func (t *Table) Announce(now time.Time) []netip.AddrPort { return t.shuffled(now, announceMost) }
+
+// shuffled returns the addresses of some entries and forgets those that have been
+// silent for long.
+func (t *Table) shuffled(now time.Time, most int) []netip.AddrPort {
 	var near []netip.AddrPort
 	for _, name := range slices.Sorted(maps.Keys(t.others)) {
 		k := t.others[name]
@@ -140,14 +170,13 @@
 		near = append(near, k.member.Address)
 	}
 	t.random.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
-	near = near[:min(len(near), fanout)]
-	return append(near, t.strangers(near)...)
+	return near[:min(len(near), most)]
 }
 
 // strangers returns a seed that isn't told already. Seeds are asked for ever, so that
 // two parts of a fleet which lost each other for long meet again.
 func (t *Table) strangers(told []netip.AddrPort) []netip.AddrPort {
-	if len(t.seeds) == 0 {
+	if len(t.seeds) == 0 || len(told) > 0 && t.rounds%seedRounds != 0 {
 		return nil
 	}
 	s := t.seeds[t.random.IntN(len(t.seeds))]
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -154,7 +154,11 @@
 	changed := n.table.SetState(s, ready)
 	n.mutex.Unlock()
 	if changed {
-		n.tell()
+		n.mutex.Lock()
+		to := n.table.Announce(clocks.Now())
+		d := n.gossip(true)
+		n.mutex.Unlock()
+		n.sendAll(to, d)
 		n.notice()
 	}
 }
@@ -191,6 +195,10 @@
 	to := n.table.Round(clocks.Now())
 	d := n.gossip(true)
 	n.mutex.Unlock()
+	n.sendAll(to, d)
+}
+
+func (n *Node) sendAll(to []netip.AddrPort, d *wire.Datagram) {
 	for _, a := range to {
 		n.Send(a, d)
 	}
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -183,11 +183,11 @@
 	return c
 }
 
-// Interest is what the entry has at an engine.
+// Interest is an engine of which the entry wants to hear.
 type Interest struct {
-	Row     *state.Upstream
-	Running int
-	Unread  int
+	Row *state.Upstream
+	// Often tells that the entry uses the engine.
+	Often bool
 }
 
 // Interests returns the engines whose load the entry wants to hear of.
@@ -200,7 +200,7 @@
 			continue
 		}
 		for _, u := range f.pools[p.Name] {
-			all = append(all, Interest{Row: u.row, Running: u.running, Unread: u.unread})
+			all = append(all, Interest{Row: u.row, Often: u.running > 0 || !f.isFar(u)})
 		}
 	}
 	return all
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -27,10 +27,8 @@
 	Started time.Time
 	// Serial grows with each digest of one start of the agent.
 	Serial uint64
-	// Running counts the requests that run or wait, Unread the prompt tokens that
-	// wait to be read.
+	// Running counts the requests that run or wait.
 	Running int
-	Unread  int
 	Pace    float64
 	// Closed tells that the engine takes no requests for now.
 	Closed bool
--- a/entry/internal/upkeep/upkeep.go
+++ b/entry/internal/upkeep/upkeep.go
@@ -25,12 +25,12 @@
 )
 
 const (
-	// interestInterval is the time between two messages to an agent whose engine the
-	// entry uses.
-	interestInterval = 200 * time.Millisecond
-	// idleInterests is the number of these intervals between two messages to an agent
-	// whose engine has no requests of the entry.
-	idleInterests = 5
+	// interestInterval is the time between two messages to an agent of the own region,
+	// or one whose engine the entry uses.
+	interestInterval = time.Second
+	// farInterests is the number of these intervals between two messages to any other
+	// agent.
+	farInterests = 2
 	// readyInterval is the time between two looks at the age of the copy.
 	readyInterval = 100 * time.Millisecond
 )
@@ -211,7 +211,7 @@
 	defer t.Stop()
 	for round := 0; ; round++ {
 		for i, n := range u.options.Fleet.Interests(u.options.Mirror.Now()) {
-			if n.Running > 0 || (round+i)%idleInterests == 0 {
+			if n.Often || (round+i)%farInterests == 0 {
 				u.tell(n)
 			}
 		}
@@ -226,14 +226,14 @@
 func (u *Upkeep) tell(n target.Interest) {
 	to := netip.AddrPortFrom(n.Row.Address.Addr(), uint16(u.options.Agent))
 	u.options.Mesh.Send(to, &wire.Datagram{Body: &wire.Datagram_Interest{Interest: &wire.Interest{
-		Name: string(u.options.Self), Unread: uint32(max(n.Unread, 0)), Running: uint32(max(n.Running, 0)),
+		Name: string(u.options.Self), Often: n.Often,
 	}}})
 }
 
 // Digest maps what an agent tells.
 func Digest(l *wire.LoadDigest) target.Digest {
 	d := target.Digest{
-		Serial: l.Serial, Running: int(l.Queued + l.Active), Unread: int(l.Unread), Pace: float64(l.Pace),
+		Serial: l.Serial, Running: int(l.Queued + l.Active), Pace: float64(l.Pace),
 		Closed: l.Busy || l.Closing,
 	}
 	if l.Started > 0 {
