--- a/core/conns/conns_test.go
+++ b/core/conns/conns_test.go
@@ -291,6 +291,7 @@
 		ended <- time.Now()
 	}, func(p *conns.Pool, _ *server) {
 		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
 		c, err := p.Get(ctx, upstream, false)
 		if err != nil {
 			t.Error(err)
--- a/core/gather/session.go
+++ b/core/gather/session.go
@@ -227,10 +227,10 @@
 }
 
 // tell tells others what the host holds. An entry does so at once after something has
-// come, an agent now and then, since others ask it last.
+// come, an agent now and then, since others ask it last, unless there are no entries.
 func (s *session) tell(now time.Time) {
 	since := now.Sub(s.told)
-	news := s.news && s.gatherer.options.Self.Role == hosts.RoleEntry
+	news := s.news && (s.gatherer.options.Self.Role == hosts.RoleEntry || !s.hasEntries())
 	if since < tellInterval || !news && since < askInterval {
 		return
 	}
@@ -245,12 +245,18 @@
 	}
 }
 
+func (s *session) hasEntries() bool {
+	return slices.ContainsFunc(s.gatherer.options.Members(), func(h hosts.Host) bool { return h.Role == hosts.RoleEntry })
+}
+
 // sample returns those that are told: the entries and the agents of the own region, or
-// a part of them if they are many.
+// a part of them if they are many. Without entries, agents tell those of all regions.
 func (s *session) sample() []hosts.Host {
 	self := s.gatherer.options.Self
-	others := slices.DeleteFunc(slices.Clone(s.gatherer.options.Members()), func(h hosts.Host) bool {
-		return h.Name == self.Name || h.Role != hosts.RoleEntry && h.Place.Region != self.Place.Region
+	members := s.gatherer.options.Members()
+	entries := s.hasEntries()
+	others := slices.DeleteFunc(slices.Clone(members), func(h hosts.Host) bool {
+		return h.Name == self.Name || entries && h.Role != hosts.RoleEntry && h.Place.Region != self.Place.Region
 	})
 	if len(others) <= tellMost {
 		return others
--- a/core/spread/asks.go
+++ b/core/spread/asks.go
@@ -31,19 +31,28 @@
 	return s.began.Add(time.Duration(float64(i) * float64(s.options.Pieces[i].Size) / s.options.Rate * float64(time.Second)))
 }
 
-// turn returns when it is for the first rank to bring a piece. Later ranks wait from
-// then, from the last piece that came and from their own last failure.
+// turn returns when it is for the first rank to bring a piece. The second one waits from
+// the last piece that the first one got, later ones from the last piece that was first
+// seen anywhere; all wait from their own last failure.
 func (s *Spread) turn(i int) time.Time {
-	due := s.due(i)
-	if s.pieces[i].source == 0 {
+	due := later(s.due(i), s.sourceUntil)
+	switch s.pieces[i].source {
+	case 0:
 		return due
-	}
-	for _, t := range []time.Time{s.news, s.sourceUntil} {
-		if t.After(due) {
-			due = t
+	case 1:
+		if p := s.peers[s.pieces[i].before]; p != nil {
+			due = later(due, p.progress)
 		}
+		return due
+	}
+	return later(due, s.news)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
 	}
-	return due
+	return b
 }
 
 // bring takes pieces from the origin whose turn it is.
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -8,9 +8,10 @@
 // by rendezvous hash, and behind them the other entries and the agents. The first
 // brings the piece from the origin. Pieces become due one after the other at the rate
 // of the origin's link, so that each is sent whole and passed on while the next one is
-// on its way. If nobody is known to hold a piece some time after it became due, and no
-// other piece has come meanwhile, the next rank brings it: while pieces come, the origin
-// is at work, and while it fails, the ranks don't try all at once.
+// on its way. If nobody is known to hold a piece some time after it became due, and the
+// first rank hasn't got any other piece meanwhile, the second rank brings it. Later ranks
+// wait until nobody gets any piece, and a rank whose own try fails waits anew: when the
+// origin comes back after it was away, few should ask it.
 //
 // # Between regions
 //
@@ -76,10 +77,12 @@
 	busyPause    = 40 * time.Millisecond
 	failurePause = 400 * time.Millisecond
 	corruptPause = 3 * time.Second
+	// failuresMost is the number of failures in a row after which a peer counts as gone.
+	failuresMost = 2
 	pauseMost    = 4 * time.Second
 	// agentCost is how much longer an agent is expected to take than its times say,
 	// since what it sends holds up its answers.
-	agentCost = 6
+	agentCost = 30
 	// groupMost bounds the takeovers for which a group of ranks waits for the one
 	// before it.
 	groupMost = 3
@@ -156,6 +159,9 @@
 	// over the link between regions. A negative rank means never.
 	source int
 	cross  int
+	// before is the member whose rank to bring it from the origin comes before the
+	// own one.
+	before hosts.Name
 	tie    uint32
 }
 
@@ -171,6 +177,8 @@
 	took     time.Duration
 	until    time.Time
 	failures int
+	// progress is when the peer got a piece last.
+	progress time.Time
 }
 
 // Spread is the state of one fetch. One goroutine owns it.
@@ -258,8 +266,8 @@
 	cross := s.groups(func(h hosts.Host) bool { return h.Place.Region == own }, false)
 	for i := range s.pieces {
 		key := s.options.Pieces[i].Key
-		s.pieces[i].source = rankIn(key, s.options.Self.Name, source)
-		s.pieces[i].cross = rankIn(key, s.options.Self.Name, cross)
+		s.pieces[i].source, s.pieces[i].before = rankIn(key, s.options.Self.Name, source)
+		s.pieces[i].cross, _ = rankIn(key, s.options.Self.Name, cross)
 	}
 }
 
@@ -284,32 +292,28 @@
 	return all
 }
 
-// rankIn returns the place of a name in the groups, or -1.
-func rankIn(key uint64, self hosts.Name, groups [][]hosts.Name) int {
-	before := 0
+// rankIn returns the place of a name in the groups and the name before it, or -1.
+func rankIn(key uint64, self hosts.Name, groups [][]hosts.Name) (int, hosts.Name) {
+	rank, before := 0, hosts.Name("")
 	for _, g := range groups {
-		if r := rankOf(key, self, g); r >= 0 {
-			return before + r
+		if len(g) == 0 {
+			continue
 		}
-		before += min(len(g), groupMost)
-	}
-	return -1
-}
-
-// rankOf returns the place of a name in the rendezvous order for a key, or -1.
-func rankOf(key uint64, self hosts.Name, names []hosts.Name) int {
-	if !slices.Contains(names, self) {
-		return -1
-	}
-	own, rank := mix(key, hosts.Score("rank", self)), 0
-	for _, n := range names {
-		if mix(key, hosts.Score("rank", n)) > own {
-			rank++
+		order := slices.Clone(g)
+		slices.SortFunc(order, func(a, b hosts.Name) int { return cmp.Compare(scoreOf(key, b), scoreOf(key, a)) })
+		if r := slices.Index(order, self); r > 0 {
+			return rank + r, order[r-1]
+		} else if r == 0 {
+			return rank, before
 		}
+		rank += min(len(g), groupMost)
+		before = order[0]
 	}
-	return rank
+	return -1, ""
 }
 
+func scoreOf(key uint64, name hosts.Name) uint64 { return mix(key, hosts.Score("rank", name)) }
+
 // mix returns a well spread hash of two hashes.
 func mix(a, b uint64) uint64 {
 	x := a ^ bits.RotateLeft64(b*0x9E3779B97F4A7C15, 31)
@@ -345,7 +349,8 @@
 func (s *Spread) setHeld(now time.Time, p *peer, held []bool) {
 	for i := range s.pieces {
 		had, has := p.held != nil && p.held[i], held != nil && held[i]
-		if has {
+		if has && !had {
+			p.progress = now
 			s.see(now, i)
 		}
 		switch {
@@ -427,7 +432,11 @@
 		p.until = now.Add(corruptPause)
 	case CauseSilent:
 		p.until = now.Add(min(failurePause<<min(p.failures, 4), pauseMost))
-		p.failures++
+		if p.failures++; p.failures >= failuresMost {
+			// What it holds doesn't keep others from bringing pieces until it is
+			// heard again.
+			s.setHeld(now, p, nil)
+		}
 	}
 }
 
