--- /dev/null
+++ b/entry/internal/target/target_test.go
@@ -0,0 +1,286 @@
+package target_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/hosts"
+	"currantport.example/core/state"
+	"currantport.example/entry/internal/target"
+)
+
+const within = 8 * time.Second
+
+var (
+	start   = time.Unix(1e9, 0)
+	regions = map[hosts.Domain]hosts.Region{"d0": "r0", "d1": "r1"}
+	entries = []hosts.Host{{Name: "e0", Place: hosts.Place{Region: "r0"}}, {Name: "e1", Place: hosts.Place{Region: "r0"}}, {Name: "f0", Place: hosts.Place{Region: "r1"}}}
+)
+
+// world is what the platform publishes to one entry.
+type world struct {
+	t        *testing.T
+	fleet    *target.Fleet
+	builder  state.Builder
+	revision state.Revision
+	snapshot *state.Snapshot
+	serial   uint64
+}
+
+func newWorld(t *testing.T, self hosts.Name) *world {
+	w := &world{t: t, fleet: target.New(target.Options{
+		Self: self, Place: hosts.Place{Region: "r0", Domain: "d0"}, Entries: func() []hosts.Host { return entries }, Regions: regions,
+		VersionWithin: within, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
+	})}
+	w.publish(start, w.row(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{
+		Slots: 4, Stride: 5, Step: 9 * time.Millisecond, Read: 19100, Prompt: 1000, Answer: 90, Models: []state.Model{{Name: "m"}}, Layers: 2,
+	}})), w.row(state.EncodePool(&state.Pool{Name: "s"})))
+	return w
+}
+
+func (w *world) row(r state.Row, err error) state.Row {
+	w.t.Helper()
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return r
+}
+
+func (w *world) publish(now time.Time, rows ...state.Row) {
+	w.revision++
+	snapshot, faults := w.builder.Apply(w.revision, rows)
+	if len(faults) > 0 {
+		w.t.Fatal(faults)
+	}
+	w.snapshot = snapshot
+	w.fleet.Take(now, snapshot)
+}
+
+func (w *world) upstream(u state.Upstream) state.Row { return w.row(state.EncodeUpstream(&u)) }
+
+func engine(i int, domain string, version int) state.Upstream {
+	return state.Upstream{
+		ID: fmt.Sprintf("u%d", i), Pool: "p", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80), Domain: domain,
+		Slots: 4, Held: []state.Held{{Model: "m", Version: version, Whole: version > 0}},
+	}
+}
+
+func (w *world) need() target.Need {
+	return target.Need{Pool: w.snapshot.Pool("p"), Model: "m", Prompt: 1000, Gap: 400 * time.Millisecond}
+}
+
+// place gives a request to an engine and returns its id, or why there is none.
+func (w *world) place(now time.Time, n target.Need) (string, *target.Flight) {
+	f, wait := w.fleet.Engine(now, n)
+	if f == nil {
+		return fmt.Sprintf("none, wait %t", wait > 0), nil
+	}
+	return f.Row.ID, f
+}
+
+func TestOnlyEnginesWithTheVersionServe(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(0, "d0", 0)))
+	if id, _ := w.place(start, w.need()); id != "none, wait false" {
+		t.Errorf("an empty engine: %s", id)
+	}
+	draining := engine(1, "d0", 1)
+	draining.Draining = true
+	partial := engine(2, "d0", 1)
+	partial.Held[0].Whole = false
+	w.publish(start, w.upstream(draining), w.upstream(partial))
+	if id, _ := w.place(start, w.need()); id != "none, wait false" {
+		t.Errorf("an engine that drains or holds a part: %s", id)
+	}
+	w.publish(start, w.upstream(engine(3, "d1", 1)))
+	if id, f := w.place(start, w.need()); id != "u3" || f.Version != 1 {
+		t.Errorf("%s", id)
+	}
+}
+
+// TestOldVersionServesUntilItsTimeIsNearlyOver walks through the time of a release and
+// of one that follows before the first is everywhere.
+func TestOldVersionServesUntilItsTimeIsNearlyOver(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(1, "d0", 1)), w.upstream(engine(2, "d0", 2)))
+	at := func(d time.Duration, version int) string {
+		n := w.need()
+		n.Version = version
+		id, f := w.place(start.Add(d), n)
+		if f != nil {
+			f.End(start.Add(d), target.OutcomeGood)
+		}
+		return id
+	}
+	w.publish(start, w.row(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
+	w.publish(start.Add(2*time.Second), w.row(state.EncodeRelease(state.Release{Model: "m", Version: 3})))
+	for _, c := range []struct {
+		after   time.Duration
+		version int
+		want    string
+	}{
+		{3 * time.Second, 1, "u1"}, {6 * time.Second, 1, "u1"}, {6800 * time.Millisecond, 1, "none, wait false"},
+		{6800 * time.Millisecond, 2, "u2"}, {8 * time.Second, 2, "u2"}, {8800 * time.Millisecond, 2, "none, wait false"},
+	} {
+		if got := at(c.after, c.version); got != c.want {
+			t.Errorf("version %d after %v: %s, want %s", c.version, c.after, got, c.want)
+		}
+	}
+}
+
+func TestReleaseFromBeforeTheStartLeavesNoTime(t *testing.T) {
+	w := &world{t: t, fleet: target.New(target.Options{
+		Entries: func() []hosts.Host { return entries }, Regions: regions, VersionWithin: within, Random: func() float64 { return 0 }, Log: zap.NewNop(),
+	})}
+	w.publish(start, w.row(state.EncodeRelease(state.Release{Model: "m", Version: 2})), w.upstream(engine(1, "d0", 1)),
+		w.row(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{Slots: 4, Read: 1000, Models: []state.Model{{Name: "m"}}}})))
+	if id, _ := w.place(start, w.need()); id != "none, wait false" {
+		t.Errorf("a version that was replaced before the start: %s", id)
+	}
+}
+
+func TestDigestGoesBeforeTheRow(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(1, "d0", 1)))
+	w.fleet.Heard(start, "u1", target.Digest{Serial: 1, Pace: 1, Closed: true, Held: []state.Held{{Model: "m", Version: 1, Whole: true}}})
+	if id, _ := w.place(start, w.need()); id != "none, wait false" {
+		t.Errorf("a closed engine: %s", id)
+	}
+	w.fleet.Heard(start, "u1", target.Digest{Serial: 2, Pace: 1, Held: []state.Held{{Model: "m", Version: 1, Whole: true}}})
+	w.fleet.Heard(start, "u1", target.Digest{Serial: 1, Pace: 1, Closed: true})
+	if id, _ := w.place(start, w.need()); id != "u1" {
+		t.Errorf("an older digest counts: %s", id)
+	}
+}
+
+func TestFullEnginesMakeRequestsWait(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(1, "d0", 1)), w.upstream(engine(2, "d0", 1)))
+	var last *target.Flight
+	placed := 0
+	for {
+		id, f := w.place(start, w.need())
+		if f == nil {
+			if id != "none, wait true" {
+				t.Errorf("%s", id)
+			}
+			break
+		}
+		last = f
+		placed++
+	}
+	if placed < 8 || placed > 12 {
+		t.Errorf("%d requests at two engines with four places", placed)
+	}
+	last.End(start, target.OutcomeGood)
+	if _, f := w.place(start, w.need()); f == nil {
+		t.Error("an ended request still takes a place")
+	}
+}
+
+// TestLoadOfOtherEntriesCounts has another entry fill an engine.
+func TestLoadOfOtherEntriesCounts(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(1, "d0", 1)), w.upstream(engine(2, "d0", 1)))
+	w.fleet.Told(start, "e1", []target.Share{{Upstream: target.HashOf("u1"), Running: 9, Unread: 9000}})
+	if id, f := w.place(start, w.need()); id != "u2" || f.Running != 0 {
+		t.Errorf("%s is chosen", id)
+	}
+	w.fleet.Told(start.Add(time.Second), "other", nil)
+	seen := make(map[string]bool)
+	for range 4 {
+		id, _ := w.place(start.Add(time.Second), w.need())
+		seen[id] = true
+	}
+	if !seen["u1"] {
+		t.Error("what a silent entry told counts for ever")
+	}
+}
+
+// TestEnginesAreDealtAmongTheEntriesOfTheRegion proves that two entries use different
+// engines first, and all of them.
+func TestEnginesAreDealtAmongTheEntriesOfTheRegion(t *testing.T) {
+	used := make(map[string]int)
+	for _, self := range []hosts.Name{"e0", "e1"} {
+		w := newWorld(t, self)
+		for i := range 6 {
+			w.publish(start, w.upstream(engine(i, "d0", 1)))
+		}
+		first := make(map[string]bool)
+		for range 3 {
+			id, _ := w.place(start, w.need())
+			first[id] = true
+		}
+		if len(first) != 3 {
+			t.Errorf("%s uses %v first", self, first)
+		}
+		for id := range first {
+			used[id]++
+		}
+	}
+	if len(used) != 6 {
+		t.Errorf("engines used first: %v", used)
+	}
+}
+
+func TestRestartedUpstreamIsAnotherOne(t *testing.T) {
+	w := newWorld(t, "e0")
+	u := state.Upstream{ID: "x", Pool: "s", Address: netip.MustParseAddrPort("10.0.1.1:80"), Domain: "d0", Started: start}
+	w.publish(start, w.upstream(u))
+	for range 3 {
+		w.fleet.Plain(start, "s", nil).End(start, target.OutcomeRefused)
+	}
+	other := u
+	other.ID, other.Address = "y", netip.MustParseAddrPort("10.0.1.2:80")
+	w.publish(start, w.upstream(other))
+	if f := w.fleet.Plain(start, "s", nil); f.Row.ID != "y" {
+		t.Errorf("%s is chosen though it is down", f.Row.ID)
+	}
+	u.Started = start.Add(time.Second)
+	w.publish(start, w.upstream(u))
+	if f := w.fleet.Plain(start, "s", []string{"y"}); f.Row.ID != "x" || f.Running != 0 {
+		t.Error("what was known of an earlier start counts")
+	}
+}
+
+func TestSlowAndFailingServicesAreLeftAlone(t *testing.T) {
+	w := newWorld(t, "e0")
+	for i := range 3 {
+		u := state.Upstream{ID: fmt.Sprintf("s%d", i), Pool: "s", Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80), Domain: "d0"}
+		w.publish(start, w.upstream(u))
+	}
+	now := start
+	counts := make(map[string]int)
+	for range 300 {
+		now = now.Add(20 * time.Millisecond)
+		f := w.fleet.Plain(now, "s", nil)
+		counts[f.Row.ID]++
+		switch f.Row.ID {
+		case "s0":
+			f.End(now, target.OutcomeFailed)
+		case "s1":
+			f.First(now.Add(400 * time.Millisecond))
+			f.End(now.Add(400*time.Millisecond), target.OutcomeGood)
+		default:
+			f.First(now.Add(30 * time.Millisecond))
+			f.End(now.Add(30*time.Millisecond), target.OutcomeGood)
+		}
+	}
+	if counts["s2"] < 250 || counts["s0"] == 0 {
+		t.Errorf("requests by service: %v; the good one should get most, the failing one a try now and then", counts)
+	}
+}
+
+func TestUpstreamsThatGoAreTold(t *testing.T) {
+	w := newWorld(t, "e0")
+	u := engine(1, "d0", 1)
+	w.publish(start, w.upstream(u))
+	snapshot, _ := w.builder.Apply(9, []state.Row{{Key: "upstream/p/u1"}})
+	if gone := w.fleet.Take(start, snapshot); len(gone) != 1 || gone[0] != u.Address {
+		t.Errorf("gone: %v", gone)
+	}
+}
