--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -123,8 +123,12 @@
 		version int
 		want    string
 	}{
-		{3 * time.Second, 1, "u1"}, {6 * time.Second, 1, "u1"}, {6800 * time.Millisecond, 1, "none, wait false"},
-		{6800 * time.Millisecond, 2, "u2"}, {8 * time.Second, 2, "u2"}, {8800 * time.Millisecond, 2, "none, wait false"},
+		{3 * time.Second, 1, "u1"},
+		{6 * time.Second, 1, "u1"},
+		{6800 * time.Millisecond, 1, "none, wait false"},
+		{6800 * time.Millisecond, 2, "u2"},
+		{8 * time.Second, 2, "u2"},
+		{8800 * time.Millisecond, 2, "none, wait false"},
 	} {
 		if got := at(c.after, c.version); got != c.want {
 			t.Errorf("version %d after %v: %s, want %s", c.version, c.after, got, c.want)
