target: part the cost of an engine from the choice

The conditions under which an upstream takes requests and the sum of its cost are functions of their own now. No change of behaviour.

--- a/core/conns/conns_test.go
+++ b/core/conns/conns_test.go
@@ -120,7 +120,7 @@
 		for id, ok := read(r); ok; id, ok = read(r) {
 			answer(c, id, fmt.Sprintf("%s over %d", id, number))
 		}
-	}, func(p *conns.Pool, s *server) {
+	}, func(p *conns.Pool, _ *server) {
 		for i := range 3 {
 			id := fmt.Sprintf("r%d", i)
 			if got, err := do(p, request(id, "b"), false); err != nil || got != id+" over 1" {
@@ -211,7 +211,7 @@
 			n, _ := io.Copy(io.Discard, q.Body)
 			smuggled <- fmt.Sprint(id, " ", n)
 		}
-	}, func(p *conns.Pool, s *server) {
+	}, func(p *conns.Pool, _ *server) {
 		long := strings.Repeat("GET /evil HTTP/1.1\r\nHost: h\r\n\r\n", 8000)
 		if got, err := do(p, request("long", long), false); err != nil || got != "early" {
 			t.Errorf("%q, %v", got, err)
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -82,7 +82,7 @@
 func (f *Fleet) candidates(now time.Time, n Need) []candidate {
 	var all []candidate
 	for _, u := range f.pools[n.Pool.Name] {
-		if u.row.Draining || u.health.Down(now) || slices.Contains(n.Not, u.row.ID) || u.isHeard(now) && u.digest.Closed {
+		if !u.takes(now) || slices.Contains(n.Not, u.row.ID) {
 			continue
 		}
 		v := u.held(now, n.Model)
@@ -91,24 +91,36 @@
 		}
 		c := candidate{upstream: u, version: v, load: u.load(now)}
 		c.first = place.First(n.Pool.Engine, c.load, n.Prompt)
-		c.cost = time.Duration(float64(c.first) * (1 + spread*f.options.Random()))
-		if n.Gap > 0 && place.Pause(n.Pool.Engine, c.load, n.Prompt) > n.Gap {
-			c.cost += n.Gap
-		}
-		if f.isFar(u) {
-			c.cost += farCost
-		}
-		if !u.home {
-			c.cost += foreignCost
-		}
-		if u.health.Poor(now) {
-			c.cost += poorCost
-		}
+		c.cost = f.cost(now, n, &c)
 		all = append(all, c)
 	}
 	return all
 }
 
+// takes reports whether the upstream accepts requests, as far as is known.
+func (u *upstream) takes(now time.Time) bool {
+	return !u.row.Draining && !u.health.Down(now) && (!u.isHeard(now) || !u.digest.Closed)
+}
+
+// cost returns the predicted time to the first event and what speaks against the
+// engine beyond that.
+func (f *Fleet) cost(now time.Time, n Need, c *candidate) time.Duration {
+	cost := time.Duration(float64(c.first) * (1 + spread*f.options.Random()))
+	if n.Gap > 0 && place.Pause(n.Pool.Engine, c.load, n.Prompt) > n.Gap {
+		cost += n.Gap
+	}
+	if f.isFar(c.upstream) {
+		cost += farCost
+	}
+	if !c.upstream.home {
+		cost += foreignCost
+	}
+	if c.upstream.health.Poor(now) {
+		cost += poorCost
+	}
+	return cost
+}
+
 // mayServe reports whether requests may still begin on the version: until shortly
 // before the end of the time for the first version after it.
 func (f *Fleet) mayServe(now time.Time, model string, version int) bool {
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -28,7 +28,6 @@
 	builder  state.Builder
 	revision state.Revision
 	snapshot *state.Snapshot
-	serial   uint64
 }
 
 func newWorld(t *testing.T, self hosts.Name) *world {
