member, target: share the budget with entries that are out of reach; follow an engine by its answers

Entries that were cut off at a version bump heard no agent, took engines for the old version, and three engines declined each request (421). Each of them counted itself as the only entry left and so spent the slack of the whole fleet. Ruled out: repeats that escape the budget; all of these were taken from it. Change: the slack is shared among all entries heard of within the last minute. An engine that declined a version gets no requests for a second; after that it is asked without a version, and the versions of its answers count. A resumed stream goes on by the version of its answer, not by that for which it was placed. Tests: TestEntryThatIsCutOffCountsTheOthers, TestEntryThatIsCutOffFollowsItsEngines (the first engine stayed the only candidate for ever before).

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -277,6 +277,16 @@
 	return all
 }
 
+// Known returns the number of entries that were heard of within the last minute, the own
+// one included. A process that is cut off counts the others on, since they still spend
+// from what all entries share.
+func (t *Table) Known() int {
+	if t.own {
+		return len(t.others) + 1
+	}
+	return len(t.others)
+}
+
 // Live returns the entries that aren't silent, the own one included, ordered by
 // name.
 func (t *Table) Live(now time.Time) []Member {
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -126,6 +126,32 @@
 }
 
 // TestLeavingIsHeardAtOnce holds in the own region, whose entries are named to callers.
+// TestEntryThatIsCutOffCountsTheOthers keeps parts of a fleet that don't hear each other
+// from spending the whole budget of the fleet each.
+func TestEntryThatIsCutOffCountsTheOthers(t *testing.T) {
+	f := newFleet(20, 0)
+	for range 20 {
+		f.round()
+	}
+	cut := f.tables[address(4)]
+	if known := cut.Known(); known != 20 {
+		t.Fatalf("%d of 20 entries are known", known)
+	}
+	f.loss = 1
+	for range 100 {
+		f.round()
+	}
+	if live, known := len(cut.Live(f.now)), cut.Known(); live != 1 || known != 20 {
+		t.Errorf("after 30 s alone %d live, %d known; want 1 and 20", live, known)
+	}
+	for range 150 {
+		f.round()
+	}
+	if known := cut.Known(); known != 1 {
+		t.Errorf("after 75 s alone %d are known", known)
+	}
+}
+
 func TestLeavingIsHeardAtOnce(t *testing.T) {
 	f := newFleet(7, 0)
 	for range 20 {
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -127,6 +127,13 @@
 	return n.table.Live(clocks.Now())
 }
 
+// Known returns the number of entries among which a budget of the fleet is shared.
+func (n *Node) Known() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.table.Known()
+}
+
 // Entries returns the hosts of the entries that serve.
 func (n *Node) Entries() []hosts.Host {
 	var all []hosts.Host
--- a/entry/internal/course/answer.go
+++ b/entry/internal/course/answer.go
@@ -1,6 +1,7 @@
 package course
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -195,7 +196,7 @@
 			w.First(time.Now())
 			t.first = time.Since(t.arrived)
 			t.status = a.Status
-			t.sink.begin(a.Status, t.courses.options.Upstreams.Pass(a.Header), w.Version)
+			t.sink.begin(a.Status, t.courses.options.Upstreams.Pass(a.Header), cmp.Or(reply.Version, w.Version))
 		}
 		w.First(time.Now())
 		g.reset(t.gapLimit())
--- a/entry/internal/course/course.go
+++ b/entry/internal/course/course.go
@@ -58,7 +58,7 @@
 	Bounds    Bounds
 	// Repeats bound the repeats to each pool.
 	Repeats budget.Limits
-	// Entries returns the number of live entries.
+	// Entries returns the number of entries that share the budget of repeats.
 	Entries func() int
 	// Random returns a number from 0 to 1.
 	Random func() float64
--- a/entry/internal/course/trip.go
+++ b/entry/internal/course/trip.go
@@ -264,6 +264,7 @@
 	case calls.VerdictForeign:
 		return tries.ResultLost, target.OutcomeFailed, errForeign
 	}
+	w.Served(reply.Version)
 	if t.admission.Route.Stream && reply.Good {
 		return t.stream(ctx, w, g, answer, reply)
 	}
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -63,7 +63,7 @@
 	if best.load.Running >= n.Pool.Engine.Slots+queueMost {
 		return nil, f.wait(n.Pool.Engine, all)
 	}
-	w := f.begin(now, best.upstream, n.Prompt)
+	w := f.begin(now, best.upstream, n.Model, n.Prompt)
 	w.Version, w.Predicted, w.Running = best.version, best.first, best.load.Running
 	w.Strict = n.Version != 0 || best.version == f.newest(n.Model)
 	return w, 0
@@ -86,7 +86,14 @@
 			continue
 		}
 		v := u.held(now, n.Model)
-		if v == 0 || n.Version != 0 && v != n.Version || !f.mayServe(now, n.Model, v) {
+		if v == 0 || n.Version != 0 && v != n.Version {
+			continue
+		}
+		known := v
+		if v == unknownVersion {
+			v, known = 0, u.answers[n.Model].missed+1
+		}
+		if !f.mayServe(now, n.Model, known) {
 			continue
 		}
 		c := candidate{upstream: u, version: v, load: u.load(now)}
@@ -166,7 +173,7 @@
 	if best == nil {
 		return nil
 	}
-	w := f.begin(now, best, 0)
+	w := f.begin(now, best, "", 0)
 	w.Running = best.running - 1
 	return w
 }
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -19,6 +19,12 @@
 const (
 	// digestLife is how long a load digest counts. Agents send several in that time.
 	digestLife = 1500 * time.Millisecond
+	// movedPause is how long an engine that serves another version than it was thought to
+	// gets no requests. It is busy with a load, or its next digest tells its version.
+	movedPause = time.Second
+	// unknownVersion stands for a version later than those that the entry knows of. Its
+	// engines are used by an entry that hears neither the platform nor the agents.
+	unknownVersion = -1
 )
 
 // Digest is what the agent beside an engine says of it.
@@ -53,6 +59,20 @@
 	nearUnread int
 	// others is what all others had sent at the last digest beyond that.
 	others int
+
+	// answers is what the engine's own answers say, by model.
+	answers map[string]versions
+}
+
+// versions are those of one model by which an engine has answered or not. One start of
+// an engine never goes back to an older one.
+type versions struct {
+	// seen is the newest by which it has answered.
+	seen int
+	// missed is the newest that it has declined because it serves another one, at
+	// declined the last time.
+	missed   int
+	declined time.Time
 }
 
 // releasesMost is the number of versions of a model that are remembered.
@@ -135,7 +155,7 @@
 // renew keeps what is known of an upstream unless its process has started anew.
 func (f *Fleet) renew(known *upstream, row *state.Upstream) *upstream {
 	if known == nil || !known.row.Same(row) {
-		return &upstream{row: row}
+		return &upstream{row: row, answers: make(map[string]versions)}
 	}
 	if known.row.Draining != row.Draining {
 		f.options.Log.Info("upstream-drains", zap.String("upstream", row.ID), zap.Bool("draining", row.Draining))
@@ -171,16 +191,25 @@
 	u.others = max(d.Running-u.running-u.near, 0)
 }
 
-// held returns the version of a model that the upstream serves, or zero.
+// held returns the version of a model that the upstream serves, or zero. It is
+// unknownVersion if the upstream serves a later one than it was thought to.
 func (u *upstream) held(now time.Time, model string) int {
 	all := u.row.Held
 	if u.isHeard(now) {
 		all = u.digest.Held
 	}
+	answers := u.answers[model]
 	for _, h := range all {
-		if h.Model == model && h.Whole {
-			return h.Version
+		if h.Model != model || !h.Whole {
+			continue
+		}
+		if v := max(h.Version, answers.seen); v > answers.missed {
+			return v
+		}
+		if now.Sub(answers.declined) < movedPause {
+			return 0
 		}
+		return unknownVersion
 	}
 	return 0
 }
@@ -205,7 +234,7 @@
 	upstream *upstream
 	// Row is the upstream as it was chosen.
 	Row *state.Upstream
-	// Version is the version that the engine serves, or zero.
+	// Version is the version that the engine serves, or zero if it isn't known.
 	Version int
 	// Strict tells that no other version may answer.
 	Strict bool
@@ -215,6 +244,7 @@
 	// of what others say of it.
 	Running int
 	Age     time.Duration
+	model   string
 	prompt  int
 	began   time.Time
 	first   bool
@@ -222,16 +252,26 @@
 }
 
 // begin counts a request that is about to be sent. The mutex is held.
-func (f *Fleet) begin(now time.Time, u *upstream, prompt int) *Flight {
+func (f *Fleet) begin(now time.Time, u *upstream, model string, prompt int) *Flight {
 	u.running++
 	u.unread += prompt
-	w := &Flight{fleet: f, upstream: u, Row: u.row, prompt: prompt, began: now}
+	w := &Flight{fleet: f, upstream: u, Row: u.row, model: model, prompt: prompt, began: now}
 	if u.isHeard(now) {
 		w.Age = now.Sub(u.heard)
 	}
 	return w
 }
 
+// Served records the version by which the upstream answers. Zero means that it isn't
+// known.
+func (w *Flight) Served(version int) {
+	w.fleet.mutex.Lock()
+	defer w.fleet.mutex.Unlock()
+	v := w.upstream.answers[w.model]
+	v.seen = max(v.seen, version)
+	w.upstream.answers[w.model] = v
+}
+
 // First records that the first byte of the answer has come.
 func (w *Flight) First(now time.Time) {
 	w.fleet.mutex.Lock()
@@ -287,8 +327,12 @@
 		u.health.Failed(now)
 	case OutcomeSlow:
 		u.health.Slow(now, now.Sub(w.began))
-	case OutcomeShed, OutcomeMoved:
+	case OutcomeShed:
 		u.shed(now)
+	case OutcomeMoved:
+		v := u.answers[w.model]
+		v.missed, v.declined = max(v.missed, w.Version), now
+		u.answers[w.model] = v
 	}
 }
 
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -160,6 +160,37 @@
 	}
 }
 
+// TestEntryThatIsCutOffFollowsItsEngines has an engine go on to a version of which the
+// entry hears nothing but what the engine itself answers.
+func TestEntryThatIsCutOffFollowsItsEngines(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(1, "d0", 1)))
+	now := start.Add(3 * time.Second)
+	id, f := w.place(now, w.need())
+	if id != "u1" || !f.Strict || f.Version != 1 {
+		t.Fatalf("%s, version %d, strict %t", id, f.Version, f.Strict)
+	}
+	f.End(now, target.OutcomeMoved)
+	if id, _ := w.place(now.Add(500*time.Millisecond), w.need()); id != "none, wait false" {
+		t.Errorf("right after it declined: %s", id)
+	}
+	now = now.Add(1100 * time.Millisecond)
+	n := w.need()
+	n.Version = 1
+	if id, _ := w.place(now, n); id != "none, wait false" {
+		t.Errorf("a stream of the version that is gone: %s", id)
+	}
+	id, f = w.place(now, w.need())
+	if id != "u1" || f.Strict || f.Version != 0 {
+		t.Fatalf("later: %s, version %d, strict %t", id, f.Version, f.Strict)
+	}
+	f.Served(2)
+	f.End(now, target.OutcomeGood)
+	if id, f = w.place(now, w.need()); id != "u1" || f.Version != 2 {
+		t.Errorf("after an answer: %s, version %d", id, f.Version)
+	}
+}
+
 func TestFullEnginesMakeRequestsWait(t *testing.T) {
 	w := newWorld(t, "e0")
 	w.publish(start, w.upstream(engine(1, "d0", 1)), w.upstream(engine(2, "d0", 1)))
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -161,7 +161,7 @@
 		Mirror: m, Fleet: f, Conns: p, Callers: o.Callers, Upstreams: o.Upstreams, Crashes: b,
 		Bounds:  course.Bounds{Revoke: revoke, Settled: s.Bounds.Apply},
 		Repeats: budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
-		Entries: func() int { return len(n.Members()) }, Random: rand.Float64, Scope: metrics.Scope, Log: log,
+		Entries: n.Known, Random: rand.Float64, Scope: metrics.Scope, Log: log,
 	})
 }
 
