weights: finish a version that is nearly there when a newer one is released

Change: a version of which half is there is finished if the newest is the next one, for 8 s at most; one decision for entries and agents. The origin is asked again after 0.3 s, not 0.8.

--- a/agent/internal/loader/courier.go
+++ b/agent/internal/loader/courier.go
@@ -11,14 +11,12 @@
 	"currantport.example/core/chunks"
 	"currantport.example/core/clocks"
 	"currantport.example/core/shell"
+	"currantport.example/core/weights"
 )
 
 const (
 	// courierInterval is the time between two looks at how far a fetch has come.
 	courierInterval = 40 * time.Millisecond
-	// finishShare is the part of a version from which on its fetch is brought to an end
-	// though a newer one was released. It may be needed if the origin fails.
-	finishShare = 0.5
 	// standstill is the time without a piece after which a fetch counts as stuck.
 	standstill = 600 * time.Millisecond
 	// fetchPause is the time before a fetch that failed is tried again.
@@ -56,8 +54,10 @@
 	group   *shell.Group
 	wake    chan struct{}
 
-	mutex    sync.Mutex
+	mutex sync.Mutex
+	// wanted is the newest version, asked for at since.
 	wanted   goal
+	since    time.Time
 	progress map[goal]Progress
 }
 
@@ -75,17 +75,17 @@
 	if c.wanted == g {
 		return
 	}
-	c.wanted = g
+	c.wanted, c.since = g, clocks.Now()
 	select {
 	case c.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (c *courier) target() goal {
+func (c *courier) target() (goal, time.Time) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return c.wanted
+	return c.wanted, c.since
 }
 
 // of returns how far the fetch of a version has come.
@@ -122,7 +122,7 @@
 
 func (c *courier) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		g := c.target()
+		g, _ := c.target()
 		if g.version == 0 || c.of(g).Done() {
 			select {
 			case <-c.wake:
@@ -207,12 +207,10 @@
 	defer t.Stop()
 	for {
 		p := f.look()
-		other := f.courier.target() != f.goal
-		if other && float64(p.Held) < finishShare*float64(max(p.Total, 1)) {
-			f.cancel()
-			return
-		}
-		if _, moves := p.Left(clocks.Now()); other && !moves {
+		newest, since := f.courier.target()
+		if newest != f.goal && !weights.Finish(weights.Rest{
+			Held: p.Held, Total: p.Total, Version: f.goal.version, Newest: newest.version, Since: clocks.Since(since),
+		}) {
 			f.cancel()
 			return
 		}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -88,7 +88,7 @@
 	groupMost = 3
 	// sourcePause is how long the origin is passed over after a failure.
 	sourcePause     = 100 * time.Millisecond
-	sourcePauseMost = 800 * time.Millisecond
+	sourcePauseMost = 300 * time.Millisecond
 )
 
 // Piece is one piece of the version.
--- a/entry/carry/carry.go
+++ b/entry/carry/carry.go
@@ -16,6 +16,7 @@
 
 	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
+	"currantport.example/core/clocks"
 	"currantport.example/core/feed"
 	"currantport.example/core/gather"
 	"currantport.example/core/hosts"
@@ -24,6 +25,7 @@
 	"currantport.example/core/rings"
 	"currantport.example/core/shell"
 	"currantport.example/core/state"
+	"currantport.example/core/weights"
 	"currantport.example/core/wire"
 )
 
@@ -34,6 +36,8 @@
 	wantedRing = 8
 	// retryPause is the time before a fetch that failed is tried again.
 	retryPause = 300 * time.Millisecond
+	// lookInterval is the time between two looks at a fetch that may be given up.
+	lookInterval = time.Second
 )
 
 // Weights hands out versions of models and names them.
@@ -146,9 +150,10 @@
 }
 
 // run fetches versions one at a time. A newer one of the same model ends the fetch of
-// one before it.
+// one before it, unless that is nearly there.
 func (c *Carrier) run(ctx context.Context) {
-	var current task
+	var current, newest task
+	var since time.Time
 	var fetching *shell.Group
 	done := make(chan task, 1)
 	stop := func() {
@@ -158,15 +163,22 @@
 		}
 	}
 	defer stop()
+	look := time.NewTicker(lookInterval)
+	defer look.Stop()
 	for {
 		changed := c.options.Mirror.Changed()
-		if t, ok := c.next(); ok && t != current {
+		t, ok := c.next()
+		if t != newest {
+			newest, since = t, clocks.Now()
+		}
+		if ok && t != current && !c.finishes(current, t, clocks.Since(since)) {
 			stop()
 			current, fetching = t, shell.NewGroup()
 			fetching.Go((&fetch{carrier: c, task: t, done: done}).run)
 		}
 		select {
 		case <-changed:
+		case <-look.C:
 		case name := <-c.wanted.Values():
 			c.want(name)
 		case t := <-done:
@@ -180,6 +192,23 @@
 	}
 }
 
+// finishes reports whether the current fetch goes on though a newer version was released.
+func (c *Carrier) finishes(current, newest task, since time.Duration) bool {
+	if current.model != newest.model {
+		return false
+	}
+	r := weights.Rest{Version: current.version, Newest: newest.version, Since: since}
+	if v, ok := c.options.Cache.Version(current.name); ok {
+		for _, held := range c.options.Cache.Held(v) {
+			r.Total++
+			if held {
+				r.Held++
+			}
+		}
+	}
+	return weights.Finish(r)
+}
+
 // next returns a released version that isn't there.
 func (c *Carrier) next() (task, bool) {
 	s := c.options.Mirror.Now()
