--- /dev/null
+++ b/entry/internal/caller/caller_test.go
@@ -0,0 +1,131 @@
+package caller_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"currantport.example/core/memnet"
+	"currantport.example/core/state"
+	"currantport.example/entry/internal/caller"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var front = netip.MustParseAddrPort("10.0.0.1:80")
+
+// slow answers after a second.
+func slow(w http.ResponseWriter, _ *http.Request) {
+	time.Sleep(time.Second)
+	_, _ = w.Write([]byte("done"))
+}
+
+func refuse(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) }
+
+// client sends requests over one connection.
+type client struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (c *client) ask() (int, bool, error) {
+	if _, err := fmt.Fprint(c.conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+		return 0, false, err
+	}
+	r, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0, false, err
+	}
+	defer r.Body.Close()
+	return r.StatusCode, r.Close, nil
+}
+
+// play runs a test against a server in virtual time.
+func play(t *testing.T, test func(s *caller.Server, connect func() *client)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
+		l, err := n.Listen(front)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s, stop := caller.New(caller.Options{
+			Listener: l, Handler: http.HandlerFunc(slow), Refuse: http.HandlerFunc(refuse), Serve: 3 * time.Second, Within: 7 * time.Second, Log: zap.NewNop(),
+		})
+		dial := n.Dialer(netip.MustParseAddr("10.0.0.2"))
+		test(s, func() *client {
+			c, err := dial(context.Background(), "tcp", front.String())
+			if err != nil {
+				return nil
+			}
+			return &client{conn: c, reader: bufio.NewReader(c)}
+		})
+		stop()
+		n.Kill(front.Addr())
+		n.Kill(netip.MustParseAddr("10.0.0.2"))
+		synctest.Wait()
+	})
+}
+
+// TestPlannedStopCutsNothing has callers that kept the address come all the while.
+func TestPlannedStopCutsNothing(t *testing.T) {
+	play(t, func(s *caller.Server, connect func() *client) {
+		kept := connect()
+		if status, closes, err := kept.ask(); err != nil || status != http.StatusOK || closes {
+			t.Fatalf("%d, closes %t, %v", status, closes, err)
+		}
+		cut := make(chan int, 1)
+		began := time.Now()
+		go func() { cut <- s.Stop(context.Background()) }()
+		time.Sleep(100 * time.Millisecond)
+		if status, closes, err := kept.ask(); err != nil || status != http.StatusOK || !closes {
+			t.Errorf("a kept connection: %d, closes %t, %v", status, closes, err)
+		}
+		if status, _, err := connect().ask(); err != nil || status != http.StatusOK {
+			t.Errorf("a new connection within the time that callers keep addresses: %d, %v", status, err)
+		}
+		if n := <-cut; n != 0 {
+			t.Errorf("%d requests were cut", n)
+		}
+		if took := time.Since(began); took > 7*time.Second {
+			t.Errorf("the stop took %v", took)
+		}
+		if c := connect(); c != nil {
+			t.Error("a stopped server takes connections")
+		}
+	})
+}
+
+// TestChangedLimitsKeepConnections changes the limits while a request runs.
+func TestChangedLimitsKeepConnections(t *testing.T) {
+	play(t, func(s *caller.Server, connect func() *client) {
+		kept := connect()
+		time.AfterFunc(500*time.Millisecond, func() { s.SetLimits(state.Limits{HeaderBytes: 4096, IdleTimeout: 2 * time.Second}) })
+		for range 3 {
+			if status, _, err := kept.ask(); err != nil || status != http.StatusOK {
+				t.Errorf("%d, %v", status, err)
+			}
+		}
+		fresh := connect()
+		if status, _, err := fresh.ask(); err != nil || status != http.StatusOK {
+			t.Errorf("%d, %v", status, err)
+		}
+		time.Sleep(1900 * time.Millisecond)
+		if status, _, err := fresh.ask(); err != nil || status != http.StatusOK {
+			t.Errorf("idle for less than the limit: %d, %v", status, err)
+		}
+		time.Sleep(3 * time.Second)
+		if _, _, err := fresh.ask(); err == nil {
+			t.Error("a connection that was idle for longer than the limit is served")
+		}
+	})
+}
--- a/entry/internal/course/course.go
+++ b/entry/internal/course/course.go
@@ -71,7 +71,7 @@
 	options Options
 	metrics *metrics
 
-	waits waits
+	waits Waits
 
 	mutex   sync.Mutex
 	budgets map[string]*budget.Budget
--- a/entry/internal/course/course_test.go
+++ b/entry/internal/course/course_test.go
@@ -501,3 +501,22 @@
 		}
 	})
 }
+
+// TestReturningCallersAreKnown lets callers of a route state times that differ a little.
+func TestReturningCallersAreKnown(t *testing.T) {
+	var w course.Waits
+	ask := func(patience time.Duration, after string) bool {
+		return w.Returned("r", &calls.Call{Patience: patience, After: after})
+	}
+	for _, patience := range []time.Duration{6 * time.Second, 5200 * time.Millisecond, 5900 * time.Millisecond} {
+		if ask(patience, "") {
+			t.Errorf("a caller that waits for %v comes for the first time", patience)
+		}
+	}
+	if !ask(4900*time.Millisecond, "") {
+		t.Error("a caller that comes back after a second isn't known")
+	}
+	if ask(3*time.Second, "12") || ask(0, "") {
+		t.Error("a stream that goes on, or a caller that states nothing, counts as one that comes back")
+	}
+}
--- a/entry/internal/course/trip.go
+++ b/entry/internal/course/trip.go
@@ -129,7 +129,7 @@
 		Pool: t.pool, Model: t.call.Model, Prompt: t.call.Prompt, Version: t.sink.version, Not: t.tried,
 		Gap: t.admission.Route.Gap,
 	}
-	t.returned = t.courses.waits.returned(t.admission.Route.Name, &t.call)
+	t.returned = t.courses.waits.Returned(t.admission.Route.Name, &t.call)
 	until := t.arrived.Add(t.objective() / holdShare)
 	for {
 		if !t.returned {
--- a/entry/internal/course/waits.go
+++ b/entry/internal/course/waits.go
@@ -23,17 +23,17 @@
 	seen    time.Time
 }
 
-// waits finds out which callers have waited before. A caller that comes back after a
+// Waits finds out which callers have waited before. A caller that comes back after a
 // refusal states what is left of its time, which is less than what the callers of the
 // route state at first. The zero value knows of no route. Goroutines share it.
-type waits struct {
+type Waits struct {
 	mutex  sync.Mutex
 	routes map[string]patience
 }
 
-// returned reports whether the caller has waited before for the same answer. One that goes
+// Returned reports whether the caller has waited before for the same answer. One that goes
 // on with a stream hasn't: it has got its first event.
-func (w *waits) returned(route string, c *calls.Call) bool {
+func (w *Waits) Returned(route string, c *calls.Call) bool {
 	if c.Patience <= 0 {
 		return false
 	}
