spread: pace the first rank's pieces from the release, not from the start of the fetch

Change: the first rank of a piece is due by the time since the release; other ranks wait as before, so that not all ask at once. Test: TestFetchThatBeganLateKeepsThePaceOfTheRelease.

--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -53,7 +53,9 @@
 	// Origin returns the region of the origin and the rate of its link in bytes a
 	// second, or zero values if they aren't known.
 	Origin func() (hosts.Region, float64)
-	Client *http.Client
+	// Released returns when a version was released, or zero. It may be nil.
+	Released func(name chunks.Digest) time.Time
+	Client   *http.Client
 	// Send tells another agent something.
 	Send func(to netip.AddrPort, d *wire.Datagram)
 	Seed uint64
--- a/core/gather/session.go
+++ b/core/gather/session.go
@@ -135,8 +135,12 @@
 	}
 	held := o.Cache.Held(v)
 	home, rate := o.Origin()
+	var released time.Time
+	if o.Released != nil {
+		released = o.Released(s.name)
+	}
 	s.spread = spread.New(time.Now(), spread.Options{
-		Self: o.Self, Pieces: pieces, Held: func(i int) bool { return held[i] }, Home: home, Rate: rate, Seed: o.Seed,
+		Self: o.Self, Pieces: pieces, Held: func(i int) bool { return held[i] }, Home: home, Rate: rate, Released: released, Seed: o.Seed,
 	})
 	s.members, s.told = nil, time.Time{}
 }
--- a/core/spread/asks.go
+++ b/core/spread/asks.go
@@ -23,21 +23,26 @@
 	}
 }
 
-// due returns when a piece is to be brought from the origin.
-func (s *Spread) due(i int) time.Time {
+// due returns when a piece is to be brought from the origin whose link is free from a time
+// on.
+func (s *Spread) due(i int, from time.Time) time.Time {
 	if s.options.Rate <= 0 {
-		return s.began
+		return from
 	}
-	return s.began.Add(time.Duration(float64(i) * float64(s.options.Pieces[i].Size) / s.options.Rate * float64(time.Second)))
+	return from.Add(time.Duration(float64(i) * float64(s.options.Pieces[i].Size) / s.options.Rate * float64(time.Second)))
 }
 
-// turn returns when it is for the first rank to bring a piece. The second one waits from
-// the last piece that the first one got, later ones from the last piece that was first
+// turn returns when it is for the first rank to bring a piece: at the time that the piece
+// has had since the release, so that a fetch that began late doesn't lag behind. The second
+// one waits from the last piece that the first one got, later ones from the last piece that was first
 // seen anywhere; all wait from their own last failure.
 func (s *Spread) turn(i int) time.Time {
-	due := later(s.due(i), s.sourceUntil)
+	due := later(s.due(i, s.began), s.sourceUntil)
 	switch s.pieces[i].source {
 	case 0:
+		if r := s.options.Released; !r.IsZero() {
+			return later(s.due(i, r), s.sourceUntil)
+		}
 		return due
 	case 1:
 		if p := s.peers[s.pieces[i].before]; p != nil {
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -108,7 +108,9 @@
 	Home hosts.Region
 	// Rate is that of the origin's link in bytes a second, or zero if it isn't known.
 	Rate float64
-	Seed uint64
+	// Released is when the version was released, or zero if it isn't known.
+	Released time.Time
+	Seed     uint64
 }
 
 // Kind says what an action does.
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -369,3 +369,32 @@
 		}
 	}
 }
+
+// TestFetchThatBeganLateKeepsThePaceOfTheRelease compares a fetch that begins with the
+// release with one that begins when all pieces could have passed the origin's link.
+func TestFetchThatBeganLateKeepsThePaceOfTheRelease(t *testing.T) {
+	now := time.Unix(1e9, 0)
+	self := hosts.Host{Name: "e0", Role: hosts.RoleEntry, Place: hosts.Place{Region: "r0", Domain: "d0"}}
+	for late, want := range map[time.Duration]int{0: 1, 10 * time.Second: 8} {
+		pieces := make([]spread.Piece, 8)
+		for i := range pieces {
+			pieces[i] = spread.Piece{Key: uint64(i + 1), Size: 4 << 10}
+		}
+		s := spread.New(now, spread.Options{
+			Self: self, Pieces: pieces, Held: func(int) bool { return false }, Home: "r0", Rate: 8 << 10, Released: now.Add(-late),
+		})
+		s.SetMembers([]hosts.Host{self})
+		brought := 0
+		for range 8 {
+			for _, a := range s.Decide(now) {
+				if a.Peer == "" {
+					brought++
+					s.Arrived(now, "", a.Piece, time.Millisecond)
+				}
+			}
+		}
+		if brought != want {
+			t.Errorf("a fetch that began %v late brings %d pieces at once, want %d", late, brought, want)
+		}
+	}
+}
--- a/entry/carry/carry.go
+++ b/entry/carry/carry.go
@@ -10,13 +10,13 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
-	"currantport.example/core/clocks"
 	"currantport.example/core/feed"
 	"currantport.example/core/gather"
 	"currantport.example/core/hosts"
@@ -73,6 +73,10 @@
 	// released is the newest version of each model that was there when it was first
 	// seen or has been fetched.
 	released map[string]int
+	// newest is the version that is to be fetched, released at since.
+	mutex  sync.Mutex
+	newest task
+	since  time.Time
 }
 
 // New starts a carrier. The clean-up function ends it.
@@ -95,7 +99,7 @@
 			}
 			return o.Regions[hosts.Domain(p.Domain)], p.Rate
 		},
-		Client: o.Client, Send: o.Mesh.Send, Seed: rand.Uint64(), Log: o.Log,
+		Released: c.releasedAt, Client: o.Client, Send: o.Mesh.Send, Seed: rand.Uint64(), Log: o.Log,
 	}, server.Queue)
 	g := shell.NewGroup()
 	g.Go(c.run)
@@ -152,8 +156,7 @@
 // run fetches versions one at a time. A newer one of the same model ends the fetch of
 // one before it, unless that is nearly there.
 func (c *Carrier) run(ctx context.Context) {
-	var current, newest task
-	var since time.Time
+	var current task
 	var fetching *shell.Group
 	done := make(chan task, 1)
 	stop := func() {
@@ -168,10 +171,7 @@
 	for {
 		changed := c.options.Mirror.Changed()
 		t, ok := c.next()
-		if t != newest {
-			newest, since = t, clocks.Now()
-		}
-		if ok && t != current && !c.finishes(current, t, clocks.Since(since)) {
+		if ok && t != current && !c.finishes(current, t, c.age(t)) {
 			stop()
 			current, fetching = t, shell.NewGroup()
 			fetching.Go((&fetch{carrier: c, task: t, done: done}).run)
@@ -192,6 +192,26 @@
 	}
 }
 
+// age returns the time since the version became the one that is to be fetched.
+func (c *Carrier) age(t task) time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if t != c.newest {
+		c.newest, c.since = t, time.Now()
+	}
+	return time.Since(c.since)
+}
+
+// releasedAt returns since when a version is the one that is to be fetched, or zero.
+func (c *Carrier) releasedAt(name chunks.Digest) time.Time {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	if c.newest.name != name {
+		return time.Time{}
+	}
+	return c.since
+}
+
 // finishes reports whether the current fetch goes on though a newer version was released.
 func (c *Carrier) finishes(current, newest task, since time.Duration) bool {
 	if current.model != newest.model {
