--- a/core/feed/mirror.go
+++ b/core/feed/mirror.go
@@ -111,6 +111,16 @@
 		return c, nil
 	}
 	rows := m.differing(u)
+	if u.Full {
+		// Whoever pulls from here may have any copy from before, so that the rows
+		// count as changed now.
+		for i := range rows {
+			rows[i].Revision = u.Head
+		}
+	}
+	if m.head == 0 {
+		m.floor = u.Head
+	}
 	var snapshot *state.Snapshot
 	if len(rows) > 0 || u.Head > m.head {
 		for _, r := range rows {
@@ -120,9 +130,6 @@
 		snapshot, c.Faults = m.builder.Apply(u.Head, rows)
 		m.snapshot.Store(snapshot)
 	}
-	if u.Full {
-		m.floor = u.Head
-	}
 	m.prune()
 	c.To, c.Rows = m.head, len(rows)
 	if u.Summed && u.Sum != m.sum {
