parts, platform: take changed settings; one copy of pauses, logs, metrics and reloads

Found while reading: a changed settings file was refused on the platform at each reload, since the program read it again without its section [platform] ("unknown section"). The seeds never changed while a process ran. Change: whoever reads the file at the start reads it again. What entry and agent had twice (log, metrics, memory limit, reload) is in core/parts, the pause that stood in six packages in core/clocks. Tests: TestChangedSeedsAreTakenAndFaultyOnesRefused; TestTemplatesGiveSettingsThatArePassed runs check of the program on what the platform makes of both templates.

--- a/agent/internal/fetch/fetch.go
+++ b/agent/internal/fetch/fetch.go
@@ -19,7 +19,6 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/samber/oops"
 	"go.uber.org/zap"
@@ -145,14 +144,3 @@
 	change(&p)
 	f.progress[manifest] = p
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/agent/internal/fetch/manifest.go
+++ b/agent/internal/fetch/manifest.go
@@ -10,6 +10,7 @@
 
 	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
+	"currantport.example/core/clocks"
 	"currantport.example/core/edges"
 	"currantport.example/core/hosts"
 	"currantport.example/core/tables"
@@ -47,7 +48,7 @@
 			return v, nil
 		}
 		f.record(pool.Manifest, func(p *Progress) { p.Fault = err.Error() })
-		if !pause(ctx, f.backOff(err, retry)) {
+		if !clocks.Pause(ctx, f.backOff(err, retry)) {
 			return nil, errors.Join(ctx.Err(), err)
 		}
 	}
--- a/agent/internal/loader/courier.go
+++ b/agent/internal/loader/courier.go
@@ -153,7 +153,7 @@
 	if err != nil {
 		if ctx.Err() == nil {
 			c.options.Log.Warn("fetch-failed", zap.Int("version", g.version), zap.Error(err))
-			pause(ctx, fetchPause)
+			clocks.Pause(ctx, fetchPause)
 		}
 		return
 	}
--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -315,7 +315,7 @@
 		return
 	}
 	l.close()
-	if len(l.status.Held) > 0 && !pause(ctx, closeLead) {
+	if len(l.status.Held) > 0 && !clocks.Pause(ctx, closeLead) {
 		return
 	}
 	l.order(ctx, g)
@@ -369,16 +369,5 @@
 	return strings.Join(text, ",")
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // AgentName returns the name of the host on which an upstream and its agent run.
 func AgentName(u *state.Upstream) hosts.Name { return hosts.Name(u.Address.Addr().String()) }
--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -5,10 +5,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -24,13 +22,10 @@
 	"currantport.example/core/gather"
 	"currantport.example/core/hosts"
 	"currantport.example/core/links"
-	"currantport.example/core/logs"
 	"currantport.example/core/member"
 	"currantport.example/core/mesh"
-	"currantport.example/core/meter"
 	"currantport.example/core/parts"
 	"currantport.example/core/peer"
-	"currantport.example/core/reload"
 	"currantport.example/core/roster"
 	"currantport.example/core/shell"
 	"currantport.example/core/state"
@@ -40,8 +35,6 @@
 const (
 	// closeWithin bounds the end of calls of others at a stop.
 	closeWithin = time.Second
-	// memoryShare is the part of the memory that the collector aims at.
-	memoryShare = 0.7
 	// uploadSlots is the number of pieces that an agent sends at once. Its link is
 	// narrow and carries answers too.
 	uploadSlots = 1
@@ -67,40 +60,26 @@
 	Weights func(origin func() (netip.AddrPort, bool)) Weights
 }
 
-// Build returns the parts of an agent with the settings. File is that of the settings,
-// which is looked at for changes. An Outside must be provided beside them.
-func Build(s Settings, file string) fx.Option {
+// File is a settings file and what reads it again.
+type File struct {
+	Name string
+	Read func() (Settings, error)
+}
+
+// Build returns the parts of an agent with the settings. The file
+// of the settings is looked at for changes. An Outside must be provided beside them.
+func Build(s Settings, file File) fx.Option {
 	return fx.Options(
-		fx.Supply(s, links.Sockets(), fx.Annotate(file, fx.ResultTags(`name:"file"`))),
+		fx.Supply(s, file),
+		parts.ServerOptions(parts.Server{Host: s.Host, Role: hosts.RoleAgent, Level: s.Level, Admin: s.Admin, Memory: s.Memory}),
 		fx.Provide(
-			newLog, newMetrics, newPeers, feed.NewMirror, cache.New, roster.New, teller.New, newMesh, newFollower,
+			feed.NewMirror, cache.New, roster.New, teller.New, newMesh, newFollower,
 			newWeights, newUploads, newGatherer, newLoader,
 		),
-		fx.Invoke(setMemory, startMembers, startTeller, startServer, startReload, startStop),
+		fx.Invoke(startMembers, startTeller, startServer, startReload, startStop),
 	)
 }
 
-func setMemory(s Settings) { debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare)) }
-
-func newLog(lc fx.Lifecycle, s Settings) (*zap.Logger, error) {
-	l, stop, err := logs.New(os.Stdout, s.Level)
-	if err != nil {
-		return nil, err
-	}
-	lc.Append(fx.StopHook(stop))
-	return l.With(zap.String("host", string(s.Host))), nil
-}
-
-func newMetrics(lc fx.Lifecycle) parts.Metrics {
-	scope, handler, stop := meter.New(string(hosts.RoleAgent))
-	return shell.Owned(lc, parts.Metrics{Scope: scope, Handler: handler}, stop)
-}
-
-func newPeers(lc fx.Lifecycle, n links.Network) parts.PeerClient {
-	c, stop := links.NewPeerClient(n.Dial)
-	return shell.Owned(lc, parts.PeerClient{Client: c}, stop)
-}
-
 func newMesh(lc fx.Lifecycle, s Settings, log *zap.Logger) (*mesh.Node, error) {
 	socket, err := mesh.Listen(s.Mesh)
 	if err != nil {
@@ -230,7 +209,7 @@
 }
 
 // startServer serves what other processes and operators call.
-func startServer(lc fx.Lifecycle, s Settings, network links.Network, u uploads, metrics parts.Metrics, log *zap.Logger) error {
+func startServer(lc fx.Lifecycle, s Settings, network links.Network, u uploads, log *zap.Logger) error {
 	r := mux.NewRouter()
 	path, handler := wire.NewPeerHandler(peer.NewHandler(u.server), wire.WithoutCompression())
 	r.PathPrefix(path).Handler(handler)
@@ -240,34 +219,18 @@
 	}
 	lc.Append(fx.StopHook(links.Serve(l, r, log, closeWithin)))
 	lc.Append(fx.StopHook(u.stop))
-	admin := http.NewServeMux()
-	admin.Handle("/metrics", metrics.Handler)
-	l, err = network.Listen(context.Background(), s.Admin)
-	if err != nil {
-		return err
-	}
-	lc.Append(fx.StopHook(links.Serve(l, admin, log, closeWithin)))
 	return nil
 }
 
-// startReload follows changes of the settings file. Only the seeds can change while a
-// process runs.
-func startReload(lc fx.Lifecycle, p struct {
-	fx.In
-	File string `name:"file"`
-	Mesh *mesh.Node
-	Log  *zap.Logger
-},
-) {
-	lc.Append(fx.StopHook(reload.Watch(p.File, p.Log, func() {
-		next, err := Read(p.File)
-		if err != nil {
-			p.Log.Error("settings-refused", zap.Error(err))
-			return
-		}
-		p.Mesh.SetSeeds(next.Seeds)
-		p.Log.Info("settings-in-force", zap.String("file", p.File), zap.Int("seeds", len(next.Seeds)))
-	})))
+// startReload follows changes of the settings file.
+func startReload(lc fx.Lifecycle, f File, n *mesh.Node, log *zap.Logger) {
+	lc.Append(fx.StopHook(parts.Seeds{
+		File: f.Name, Set: n.SetSeeds, Log: log,
+		Read: func() ([]netip.AddrPort, error) {
+			s, err := f.Read()
+			return s.Seeds, err
+		},
+	}.Watch()))
 }
 
 func startStop(lc fx.Lifecycle, s Settings, log *zap.Logger) {
--- a/core/clocks/clocks.go
+++ b/core/clocks/clocks.go
@@ -7,6 +7,7 @@
 package clocks
 
 import (
+	"context"
 	"sync"
 	"time"
 
@@ -44,3 +45,15 @@
 	}
 	return time.Duration(boot.Nano() - steady.Nano())
 }
+
+// Pause waits for a time. It returns false if the context ends before.
+func Pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/core/feed/follow.go
+++ b/core/feed/follow.go
@@ -72,11 +72,11 @@
 			wait = idlePause
 		}
 		if wait > 0 {
-			sleep(ctx, min(wait, idlePause))
+			clocks.Pause(ctx, min(wait, idlePause))
 			continue
 		}
 		if f.pull(ctx, name) {
-			sleep(ctx, batchPause)
+			clocks.Pause(ctx, batchPause)
 		}
 	}
 }
@@ -184,12 +184,3 @@
 	}
 	return keys
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -177,14 +177,3 @@
 	}
 	return held
 }
-
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/core/gather/manifest.go
+++ b/core/gather/manifest.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"currantport.example/core/cache"
+	"currantport.example/core/clocks"
 	"currantport.example/core/hosts"
 )
 
@@ -38,7 +39,7 @@
 			failures++
 			o.Log.Info("manifest-failed", zap.Error(err), zap.Int("failures", failures))
 		}
-		if !pause(ctx, manifestStep) {
+		if !clocks.Pause(ctx, manifestStep) {
 			return nil, ctx.Err()
 		}
 	}
@@ -112,7 +113,7 @@
 	encoded, err := s.gatherer.options.Source.Manifest(ctx, s.name)
 	if err != nil {
 		s.gatherer.options.Log.Info("manifest-failed", zap.Error(err))
-		pause(ctx, manifestTakeover)
+		clocks.Pause(ctx, manifestTakeover)
 		return
 	}
 	s.gatherer.options.Cache.Forget(s.name)
--- a/entry/internal/caller/caller.go
+++ b/entry/internal/caller/caller.go
@@ -23,6 +23,7 @@
 
 	"go.uber.org/zap"
 
+	"currantport.example/core/clocks"
 	"currantport.example/core/shell"
 	"currantport.example/core/state"
 )
@@ -167,16 +168,16 @@
 func (s *Server) Stop(ctx context.Context) int {
 	began := time.Now()
 	s.leaving.Store(true)
-	sleep(ctx, s.options.Serve)
+	clocks.Pause(ctx, s.options.Serve)
 	s.closed.Store(true)
 	// Callers that still hold the address are told to go elsewhere until then.
 	for s.Running() > 0 && ctx.Err() == nil && time.Since(began) < s.options.Within {
-		sleep(ctx, drainStep)
+		clocks.Pause(ctx, drainStep)
 	}
-	sleep(ctx, min(refuseTime, s.options.Within-time.Since(began)))
+	clocks.Pause(ctx, min(refuseTime, s.options.Within-time.Since(began)))
 	_ = s.options.Listener.Close()
 	for s.Running() > 0 && ctx.Err() == nil && time.Since(began) < s.options.Within {
-		sleep(ctx, drainStep)
+		clocks.Pause(ctx, drainStep)
 	}
 	return s.Running()
 }
@@ -200,15 +201,6 @@
 	s.group.Stop()
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // acceptor runs one HTTP server.
 type acceptor struct {
 	server *http.Server
--- a/entry/internal/course/trip.go
+++ b/entry/internal/course/trip.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"currantport.example/core/calls"
+	"currantport.example/core/clocks"
 	"currantport.example/core/conns"
 	"currantport.example/core/crash"
 	"currantport.example/core/state"
@@ -142,7 +143,7 @@
 		if wait == 0 {
 			return nil, calls.NotRun(calls.ReasonNoUpstream, noneWait, "no engine serves the version")
 		}
-		if time.Now().Add(holdStep).After(until) || !pause(ctx, holdStep) {
+		if time.Now().Add(holdStep).After(until) || !clocks.Pause(ctx, holdStep) {
 			return nil, calls.NotRun(calls.ReasonOverload, t.comeBack(wait), "the engines are full")
 		}
 	}
@@ -365,17 +366,6 @@
 	engineSlack    = 400 * time.Millisecond
 )
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // drainBytes bounds what is read of an answer that isn't handed on.
 const drainBytes = 16 << 10
 
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -5,10 +5,8 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net/http"
 	"net/netip"
 	"os"
-	"runtime/debug"
 	"time"
 
 	"github.com/gorilla/mux"
@@ -24,12 +22,9 @@
 	"currantport.example/core/feed"
 	"currantport.example/core/hosts"
 	"currantport.example/core/links"
-	"currantport.example/core/logs"
 	"currantport.example/core/member"
 	"currantport.example/core/mesh"
-	"currantport.example/core/meter"
 	"currantport.example/core/parts"
-	"currantport.example/core/reload"
 	"currantport.example/core/shell"
 	"currantport.example/core/wire"
 	"currantport.example/entry/carry"
@@ -43,9 +38,6 @@
 const (
 	// closeWithin bounds the end of calls other than requests at a stop.
 	closeWithin = 300 * time.Millisecond
-	// memoryShare is the part of the memory that the collector aims at. The rest is
-	// for what it doesn't see.
-	memoryShare = 0.7
 	// revokeMargin is the part of the time for a key that was taken away that is kept
 	// for the way of a request to its upstream.
 	revokeMargin = 0.15
@@ -68,40 +60,26 @@
 	Weights func(origin func() (netip.AddrPort, bool)) carry.Weights
 }
 
-// Build returns the parts of an entry with the settings. File is that of the settings,
-// which is looked at for changes. An Outside must be provided beside them.
-func Build(s Settings, file string) fx.Option {
+// File is a settings file and what reads it again.
+type File struct {
+	Name string
+	Read func() (Settings, error)
+}
+
+// Build returns the parts of an entry with the settings. The file
+// of the settings is looked at for changes. An Outside must be provided beside them.
+func Build(s Settings, file File) fx.Option {
 	return fx.Options(
-		fx.Supply(s, links.Sockets(), fx.Annotate(file, fx.ResultTags(`name:"file"`))),
+		fx.Supply(s, file),
+		parts.ServerOptions(parts.Server{Host: s.Host, Role: hosts.RoleEntry, Level: s.Level, Admin: s.Admin, Memory: s.Memory}),
 		fx.Provide(
-			newLog, newMetrics, newPeers, feed.NewMirror, crash.NewBook, newConns, newFleet, newMesh, newFollower,
+			feed.NewMirror, crash.NewBook, newConns, newFleet, newMesh, newFollower,
 			newCourses, newFront, newUpkeep, newDirectory, cache.New, newCarrier,
 		),
-		fx.Invoke(setMemory, startAdmin, startReload, startStop),
+		fx.Invoke(startAdmin, startReload, startStop),
 	)
 }
 
-func setMemory(s Settings) { debug.SetMemoryLimit(int64(float64(s.Memory) * memoryShare)) }
-
-func newLog(lc fx.Lifecycle, s Settings) (*zap.Logger, error) {
-	l, stop, err := logs.New(os.Stdout, s.Level)
-	if err != nil {
-		return nil, err
-	}
-	lc.Append(fx.StopHook(stop))
-	return l.With(zap.String("host", string(s.Host))), nil
-}
-
-func newMetrics(lc fx.Lifecycle) parts.Metrics {
-	scope, handler, stop := meter.New(string(hosts.RoleEntry))
-	return shell.Owned(lc, parts.Metrics{Scope: scope, Handler: handler}, stop)
-}
-
-func newPeers(lc fx.Lifecycle, n links.Network) parts.PeerClient {
-	c, stop := links.NewPeerClient(n.Dial)
-	return shell.Owned(lc, parts.PeerClient{Client: c}, stop)
-}
-
 func newConns(lc fx.Lifecycle, n links.Network, m parts.Metrics) *conns.Pool {
 	opened := m.Scope.Counter("upstream_connections")
 	p, stop := conns.New(links.OutsideDialer(n.Dial), func() { opened.Inc(1) })
@@ -210,7 +188,7 @@
 }
 
 // startAdmin serves what other processes and operators call.
-func startAdmin(lc fx.Lifecycle, s Settings, network links.Network, m *feed.Mirror, c *carry.Carrier, metrics parts.Metrics, log *zap.Logger) error {
+func startAdmin(lc fx.Lifecycle, s Settings, network links.Network, m *feed.Mirror, c *carry.Carrier, log *zap.Logger) error {
 	r := mux.NewRouter()
 	path, handler := feed.NewHandler(m)
 	r.PathPrefix(path).Handler(handler)
@@ -221,35 +199,18 @@
 		return err
 	}
 	lc.Append(fx.StopHook(links.Serve(l, r, log, closeWithin)))
-	admin := http.NewServeMux()
-	admin.Handle("/metrics", metrics.Handler)
-	l, err = network.Listen(context.Background(), s.Admin)
-	if err != nil {
-		return err
-	}
-	lc.Append(fx.StopHook(links.Serve(l, admin, log, closeWithin)))
 	return nil
 }
 
-// startReload follows changes of the settings file. Only the seeds can change while a
-// process runs.
-func startReload(lc fx.Lifecycle, p struct {
-	fx.In
-	File     string `name:"file"`
-	Settings Settings
-	Mesh     *mesh.Node
-	Log      *zap.Logger
-},
-) {
-	lc.Append(fx.StopHook(reload.Watch(p.File, p.Log, func() {
-		next, err := Read(p.File)
-		if err != nil {
-			p.Log.Error("settings-refused", zap.Error(err))
-			return
-		}
-		p.Mesh.SetSeeds(next.Seeds)
-		p.Log.Info("settings-in-force", zap.String("file", p.File), zap.Int("seeds", len(next.Seeds)))
-	})))
+// startReload follows changes of the settings file.
+func startReload(lc fx.Lifecycle, f File, n *mesh.Node, log *zap.Logger) {
+	lc.Append(fx.StopHook(parts.Seeds{
+		File: f.Name, Set: n.SetSeeds, Log: log,
+		Read: func() ([]netip.AddrPort, error) {
+			s, err := f.Read()
+			return s.Seeds, err
+		},
+	}.Watch()))
 }
 
 // startStop logs the start and stops the entry gracefully before its parts end.
