target: names of the dealing; tests of guests

The bound of four entries of other regions had no test of its own. Counted over 40 entries in two regions; a guest sends less between two digests than an entry that is alone. Renamed: invite and deals to dealGuests and dealHomes, strange to others. No change of behaviour.

--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -99,7 +99,7 @@
 // candidates returns the engines that serve the request's model: those of the own region
 // and those whose guest the entry is, or else all others.
 func (f *Fleet) candidates(now time.Time, n Need) []candidate {
-	var all, strange []candidate
+	var all, others []candidate
 	for _, u := range f.pools[n.Pool.Name] {
 		if !u.takes(now) || slices.Contains(n.Not, u.row.ID) {
 			continue
@@ -117,13 +117,13 @@
 		}
 		c := candidate{upstream: u, version: v, known: known, load: u.load(now)}
 		if f.isFar(u) && !u.guest {
-			strange = append(strange, c)
+			others = append(others, c)
 			continue
 		}
 		all = append(all, c)
 	}
 	if len(all) == 0 {
-		all = strange
+		all = others
 	}
 	for i := range all {
 		c := &all[i]
--- a/entry/internal/target/deal.go
+++ b/entry/internal/target/deal.go
@@ -15,9 +15,8 @@
 	f.deal()
 }
 
-// deal gives each engine to one entry of its region, which uses it first and so knows
-// most of what is at it. All entries deal alike, in turns, so that none gets more than
-// one engine more than another. The mutex is held.
+// deal decides which engines this entry uses first and whose guest it is. All entries
+// compute the same without messages. The mutex is held.
 func (f *Fleet) deal() {
 	var entries []hosts.Name
 	for _, h := range f.options.Entries() {
@@ -25,12 +24,14 @@
 			entries = append(entries, h.Name)
 		}
 	}
-	f.deals(entries)
-	f.invite()
+	f.dealHomes(entries)
+	f.dealGuests()
 }
 
-// deals divides the engines of the own region among its entries.
-func (f *Fleet) deals(entries []hosts.Name) {
+// dealHomes gives each engine of the own region to one entry, which uses it first and so
+// knows most of what is at it. The entries take turns, so that none gets more than one
+// engine more than another.
+func (f *Fleet) dealHomes(entries []hosts.Name) {
 	slices.Sort(entries)
 	own := slices.Index(entries, f.options.Self)
 	for _, all := range f.pools {
@@ -54,21 +55,21 @@
 // send to it on news that is old by the time it arrives.
 const guestsMost = 4
 
-// invite chooses the entries of other regions that use each engine, by rendezvous ranks.
-func (f *Fleet) invite() {
+// dealGuests chooses the entries of other regions that use each engine, by rendezvous ranks.
+func (f *Fleet) dealGuests() {
 	entries := f.options.Entries()
 	for _, all := range f.pools {
 		for _, u := range all {
 			u.guest, u.guests = false, 0
 			if f.isFar(u) {
-				f.rank(u, entries)
+				f.dealGuest(u, entries)
 			}
 		}
 	}
 }
 
-// rank decides whether this entry is a guest of an engine of another region.
-func (f *Fleet) rank(u *upstream, entries []hosts.Host) {
+// dealGuest decides whether this entry is a guest of an engine of another region.
+func (f *Fleet) dealGuest(u *upstream, entries []hosts.Host) {
 	at := f.options.Regions[hosts.Domain(u.row.Domain)]
 	ahead, others := 0, 0
 	own := hosts.Score("guest "+u.row.ID, f.options.Self)
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -31,8 +31,13 @@
 }
 
 func newWorld(t *testing.T, self hosts.Name) *world {
+	return newWorldOf(t, self, func() []hosts.Host { return entries })
+}
+
+// newWorldOf returns the world of an entry of the first region among others.
+func newWorldOf(t *testing.T, self hosts.Name, entries func() []hosts.Host) *world {
 	w := &world{t: t, fleet: target.New(target.Options{
-		Self: self, Place: hosts.Place{Region: "r0", Domain: "d0"}, Entries: func() []hosts.Host { return entries }, Regions: regions,
+		Self: self, Place: hosts.Place{Region: "r0", Domain: "d0"}, Entries: entries, Regions: regions,
 		VersionWithin: within, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
 	})}
 	w.publish(start, w.row(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{
@@ -261,6 +266,66 @@
 	}
 }
 
+// many returns entries of two regions.
+func many(count int) []hosts.Host {
+	var all []hosts.Host
+	for i := range count {
+		all = append(all, hosts.Host{Name: hosts.Name(fmt.Sprintf("x%02d", i)), Place: hosts.Place{Region: hosts.Region(fmt.Sprintf("r%d", i%2))}})
+	}
+	return all
+}
+
+// TestFewEntriesOfOtherRegionsUseAnEngine counts them, and has those that don't use it find
+// no other engine.
+func TestFewEntriesOfOtherRegionsUseAnEngine(t *testing.T) {
+	all := many(40)
+	guests := 0
+	for _, e := range all {
+		if e.Place.Region != "r0" {
+			continue
+		}
+		w := newWorldOf(t, e.Name, func() []hosts.Host { return all })
+		w.publish(start, w.upstream(engine(1, "d1", 1)), w.upstream(engine(2, "d0", 1)))
+		for _, i := range w.fleet.Interests(w.snapshot) {
+			if i.Row.ID == "u1" {
+				guests++
+			}
+		}
+		gone, _ := w.builder.Apply(9, []state.Row{{Key: "upstream/p/u2"}})
+		w.fleet.Take(start, gone)
+		if id, _ := w.place(start, w.need()); id != "u1" {
+			t.Errorf("%s has only an engine of another region and uses %s", e.Name, id)
+		}
+	}
+	if guests != 4 {
+		t.Errorf("%d of 20 entries of the other region use an engine", guests)
+	}
+}
+
+// TestGuestsExpectTheOthersToSendAsMuch sends to an engine of another region between two
+// digests until it is taken for full.
+func TestGuestsExpectTheOthersToSendAsMuch(t *testing.T) {
+	sent := func(entries []hosts.Host) int {
+		for _, e := range entries {
+			w := newWorldOf(t, e.Name, func() []hosts.Host { return entries })
+			w.publish(start, w.upstream(engine(1, "d1", 1)))
+			if e.Place.Region != "r0" || len(w.fleet.Interests(w.snapshot)) == 0 {
+				continue
+			}
+			n := 0
+			for _, f := w.place(start, w.need()); f != nil; _, f = w.place(start, w.need()) {
+				n++
+			}
+			return n
+		}
+		return 0
+	}
+	alone, shared := sent(many(2)), sent(many(40))
+	if shared >= alone || shared == 0 {
+		t.Errorf("one of four guests sends %d requests at once, the only one %d", shared, alone)
+	}
+}
+
 func TestRestartedUpstreamIsAnotherOne(t *testing.T) {
 	w := newWorld(t, "e0")
 	u := state.Upstream{ID: "x", Pool: "s", Address: netip.MustParseAddrPort("10.0.1.1:80"), Domain: "d0", Started: start}
