--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -117,7 +117,7 @@
 	rival bool
 }
 
-func newBurst(t *testing.T, seed uint64, entries, engines int) *burst {
+func newBurst(t testing.TB, seed uint64, entries, engines int) *burst {
 	t.Helper()
 	b := &burst{random: rand.New(rand.NewPCG(seed, 1)), pool: &state.Pool{Name: "p", Engine: sheet}}
 	for i := range entries {
@@ -146,7 +146,7 @@
 	return b
 }
 
-func encode(t *testing.T) func(state.Row, error) state.Row {
+func encode(t testing.TB) func(state.Row, error) state.Row {
 	return func(r state.Row, err error) state.Row {
 		t.Helper()
 		if err != nil {
@@ -282,13 +282,37 @@
 				t.Errorf("seed %d: %.3f of those admitted at once got their first token within 520 ms", seed, part)
 			}
 		}
-		t.Logf("bench=model seed=%d policy=%.3f norefusal=%.3f", seed, share[false], share[true])
 		if share[false] <= share[true] {
 			t.Errorf("seed %d: %.3f of all callers in time, %.3f without refusals", seed, share[false], share[true])
 		}
 	}
 }
 
+// BenchmarkModel prints what callers get under 1.3 times the capacity of eight engines, by
+// policy: the share within the objective, later and refused, and the mean time to the first
+// token of those that were served.
+func BenchmarkModel(b *testing.B) {
+	for range b.N {
+		for _, policy := range []string{"admission", "norefusal"} {
+			for seed := range uint64(3) {
+				w := newBurst(b, seed, 4, 8)
+				w.rival = policy == "norefusal"
+				w.play(1.3*8*place.Rate(sheet, 1), 30*time.Second)
+				o := w.outcome(func(*ask) bool { return true })
+				sum := time.Duration(0)
+				for _, a := range w.all {
+					if a.served {
+						sum += a.first
+					}
+				}
+				asked := float64(o.asked)
+				fmt.Printf("bench=model policy=%s seed=%d intime=%.3f late=%.3f refused=%.3f first=%s\n", policy, seed,
+					float64(o.inTime)/asked, float64(o.late)/asked, float64(o.refused)/asked, (sum / time.Duration(max(o.inTime+o.late, 1))).Round(time.Millisecond))
+			}
+		}
+	}
+}
+
 // TestOverloadStarvesNoSize compares long prompts with all. The users' gate asks that the
 // largest tenth is served half as often as all.
 func TestOverloadStarvesNoSize(t *testing.T) {
