member: assume many entries in the first rounds of a process

Cause, by the trace: 38 entries started together and knew few others in their first seconds, so that each took a large part of the slack; engines that the store still listed with their weights declined (421), which used it up. Change: in the first 12 rounds (3.6 s) an entry assumes 64 entries. Test: TestEntriesThatStartTogetherAssumeMany, red before.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -46,6 +46,9 @@
 	fanout      = 2
 	startFanout = 6
 	startRounds = 12
+	// startEntries is the number of entries that a process assumes in these rounds, above
+	// that of the users' deployments as grown.
+	startEntries = 64
 	// listenRounds is the number of rounds between two questions of a process that is no
 	// entry.
 	listenRounds = 3
@@ -279,12 +282,17 @@
 
 // Known returns the number of entries that were heard of within the last minute, the own
 // one included. A process that is cut off counts the others on, since they still spend
-// from what all entries share.
+// from what all entries share. One that has just started doesn't know how many there are
+// and assumes startEntries: after a loss of all they start together.
 func (t *Table) Known() int {
+	known := len(t.others)
 	if t.own {
-		return len(t.others) + 1
+		known++
 	}
-	return len(t.others)
+	if t.rounds <= startRounds {
+		return max(known, startEntries)
+	}
+	return known
 }
 
 // Live returns the entries that aren't silent, the own one included, ordered by
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -152,6 +152,23 @@
 	}
 }
 
+// TestEntriesThatStartTogetherAssumeMany keeps entries that don't know each other yet from
+// spending the whole budget of the fleet each.
+func TestEntriesThatStartTogetherAssumeMany(t *testing.T) {
+	f := newFleet(38, 0)
+	for i := range 30 {
+		for _, e := range f.tables {
+			if known := e.Known(); known < 38 {
+				t.Fatalf("in round %d an entry assumes %d of 38 entries", i, known)
+			}
+		}
+		f.round()
+	}
+	if known := f.tables[address(4)].Known(); known != 38 {
+		t.Errorf("after 30 rounds %d entries are known", known)
+	}
+}
+
 func TestLeavingIsHeardAtOnce(t *testing.T) {
 	f := newFleet(7, 0)
 	for range 20 {
