soak: run the real programs under random faults and judge what callers and upstreams see

Stand-ins of the platform (platform/standin) keep a ledger of what upstreams ran; stand soak starts the platform's program as separate processes, harms them by signals, by proxies and by stand-ins that misbehave, and compares each answer with the ledger.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 SHELL := /bin/bash
 MODULES := core entry agent platform admin stand tools
-PROGRAMS := entry agent admin stand
+PROGRAMS := entry agent admin stand platform
 BIN := bin
 RUN := run
 TOOLS ?= $(HOME)/.cache/currantport/bin
--- /dev/null
+++ b/stand/internal/soak/command.go
@@ -0,0 +1,117 @@
+package soak
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"currantport.example/core/shell"
+)
+
+const (
+	// firstNetwork and lastNetwork bound the second byte of the loopback addresses of a run.
+	// Runs at the same time have different ones.
+	firstNetwork = 20
+	lastNetwork  = 250
+)
+
+// Command plays runs.
+type Command struct {
+	options Options
+	seed    uint64
+	seeds   int
+	jobs    int
+}
+
+// Name implements subcommands.Command.
+func (c *Command) Name() string { return "soak" }
+
+// Synopsis implements subcommands.Command.
+func (c *Command) Synopsis() string {
+	return "run the real programs under random faults and check what callers and upstreams see"
+}
+
+// Usage implements subcommands.Command.
+func (c *Command) Usage() string {
+	return "stand soak [-seed N] [-seeds N] [-jobs N] [-length DURATION] [-only KIND]\n  example: stand soak -seed 7 -seeds 4 -jobs 2\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.options.Program, "program", "bin/platform", "program under test")
+	f.StringVar(&c.options.Templates, "templates", "platform", "folder of its settings templates")
+	f.StringVar(&c.options.Dir, "dir", "run/soak", "folder for settings and logs")
+	f.Uint64Var(&c.seed, "seed", 0, "seed of the first run; 0 takes a fresh one")
+	f.IntVar(&c.seeds, "seeds", 1, "number of runs")
+	f.IntVar(&c.jobs, "jobs", 1, "number of runs at the same time")
+	f.DurationVar(&c.options.Length, "length", 25*time.Second, "time in which faults strike")
+	f.IntVar(&c.options.Size.Entries, "entries", 4, "number of entries")
+	f.IntVar(&c.options.Size.Engines, "engines", 6, "number of engines, each with an agent")
+	f.IntVar(&c.options.Size.Services, "services", 3, "number of services of each plain pool")
+	f.IntVar(&c.options.Size.Callers, "callers", 24, "number of callers")
+	f.StringVar(&c.options.Only, "only", "", "kind of fault to play alone")
+}
+
+// Execute implements subcommands.Command. The exit code tells whether a promise was
+// broken.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.seed == 0 {
+		c.seed = uint64(time.Now().UnixNano() % 1e9)
+	}
+	status := shell.ExitOK
+	var mutex sync.Mutex
+	var group sync.WaitGroup
+	for job := range max(c.jobs, 1) {
+		group.Go(func() {
+			for i := job; i < c.seeds; i += max(c.jobs, 1) {
+				ok := c.play(ctx, c.seed+uint64(i))
+				mutex.Lock()
+				if !ok {
+					status = shell.ExitFailure
+				}
+				mutex.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	return status
+}
+
+// play plays one seed and reports whether all promises were kept.
+func (c *Command) play(ctx context.Context, seed uint64) bool {
+	o := c.options
+	o.Seed, o.Dir = seed, filepath.Join(o.Dir, fmt.Sprint(seed))
+	if err := os.RemoveAll(o.Dir); err != nil {
+		fmt.Fprintf(os.Stderr, "soak=failed seed=%d cause=%q\n", seed, err.Error())
+		return false
+	}
+	r, err := runAnywhere(ctx, o)
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "soak=failed seed=%d cause=%q\n", seed, err.Error())
+		return false
+	}
+	r.Print()
+	return len(r.Broken) == 0
+}
+
+// runAnywhere plays a run at addresses that no other run uses.
+func runAnywhere(ctx context.Context, o Options) (Result, error) {
+	first := rand.IntN(lastNetwork - firstNetwork)
+	for i := range lastNetwork - firstNetwork {
+		o.Network = byte(firstNetwork + (first+i)%(lastNetwork-firstNetwork))
+		r, err := Run(ctx, o)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return r, err
+		}
+	}
+	return Result{}, syscall.EADDRINUSE
+}
--- a/stand/main.go
+++ b/stand/main.go
@@ -12,6 +12,7 @@
 	"currantport.example/stand/internal/gauge"
 	"currantport.example/stand/internal/plan"
 	"currantport.example/stand/internal/scale"
+	"currantport.example/stand/internal/soak"
 )
 
 func main() {
@@ -21,6 +22,6 @@
 		Read:       read,
 		Build:      build,
 		StopWithin: stopWithin,
-		Others:     []subcommands.Command{&drive.Command{}, gauge.NewCommand(), &plan.Command{}, scale.NewCommand()},
+		Others:     []subcommands.Command{&drive.Command{}, gauge.NewCommand(), &plan.Command{}, scale.NewCommand(), &soak.Command{}},
 	}, os.Args[1:]))
 }
