--- a/stand/internal/soak/command.go
+++ b/stand/internal/soak/command.go
@@ -58,7 +58,7 @@
 	f.IntVar(&c.options.Size.Engines, "engines", 6, "number of engines, each with an agent")
 	f.IntVar(&c.options.Size.Services, "services", 3, "number of services of each plain pool")
 	f.IntVar(&c.options.Size.Callers, "callers", 24, "number of callers")
-	f.StringVar(&c.options.Only, "only", "", "kind of fault to play alone")
+	f.StringVar(&c.options.Only, "only", "", "kinds of faults that may come, joined by commas; empty stands for all")
 }
 
 // Execute implements subcommands.Command. The exit code tells whether a promise was
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -88,9 +89,26 @@
 	// mutex guards random and spare.
 	mutex sync.Mutex
 	spare int
+	// kinds are those that may come.
+	kinds []fault
 }
 
-func newDirector(w *world, r *rand.Rand) *director { return &director{world: w, random: r} }
+// newDirector returns a director of the kinds that the options name.
+func newDirector(w *world, r *rand.Rand) (*director, error) {
+	d := &director{world: w, random: r, kinds: faults}
+	if w.options.Only == "" {
+		return d, nil
+	}
+	d.kinds = nil
+	for name := range strings.SplitSeq(w.options.Only, ",") {
+		i := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
+		if i < 0 {
+			return nil, fmt.Errorf("no kind of fault is called %q", name)
+		}
+		d.kinds = append(d.kinds, faults[i])
+	}
+	return d, nil
+}
 
 // play starts faults until the time is over. They end in the group.
 func (d *director) play(ctx context.Context, group *sync.WaitGroup) {
@@ -103,10 +121,7 @@
 }
 
 func (d *director) next() (fault, time.Duration) {
-	f := faults[d.draw(int64(len(faults)))]
-	if only := d.world.options.Only; only != "" {
-		f = faults[slices.IndexFunc(faults, func(f fault) bool { return f.name == only })]
-	}
+	f := d.kinds[d.draw(int64(len(d.kinds)))]
 	part := float64(d.draw(spanSteps)) / spanSteps
 	return f, leastFault + time.Duration(part*part*float64(mostFault-leastFault))
 }
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -54,7 +54,7 @@
 	// Network is the second byte of the loopback addresses of the run.
 	Network byte
 	Size    Size
-	// Only bounds the faults to one kind, if it is set.
+	// Only names the kinds of faults that may come, joined by commas. Empty stands for all.
 	Only string
 }
 
@@ -94,6 +94,10 @@
 		return Result{}, err
 	}
 	defer stop()
+	d, err := newDirector(w, rand.New(rand.NewPCG(o.Seed, o.Seed)))
+	if err != nil {
+		return Result{}, err
+	}
 	load := newLoad(w)
 	stopLoad := load.start()
 	defer stopLoad()
@@ -101,7 +105,6 @@
 	judging.Go(w.judge.run)
 	defer judging.Stop()
 	sleep(ctx, startTime)
-	d := newDirector(w, rand.New(rand.NewPCG(o.Seed, o.Seed)))
 	var group sync.WaitGroup
 	d.play(ctx, &group)
 	group.Wait()
