--- a/stand/internal/soak/command.go
+++ b/stand/internal/soak/command.go
@@ -54,6 +54,8 @@
 	f.IntVar(&c.seeds, "seeds", 1, "number of runs")
 	f.IntVar(&c.jobs, "jobs", 1, "number of runs at the same time")
 	f.DurationVar(&c.options.Length, "length", 25*time.Second, "time in which faults strike")
+	f.DurationVar(&c.options.Gap, "gap", 1200*time.Millisecond, "mean time between two faults")
+	f.DurationVar(&c.options.Span, "span", 9*time.Second, "longest fault; long ones are rare")
 	f.IntVar(&c.options.Size.Entries, "entries", 4, "number of entries")
 	f.IntVar(&c.options.Size.Engines, "engines", 6, "number of engines, each with an agent")
 	f.IntVar(&c.options.Size.Services, "services", 3, "number of services of each plain pool")
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -7,6 +7,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -14,12 +15,8 @@
 )
 
 const (
-	// faultGap is the mean time between the starts of two faults.
-	faultGap = 1200 * time.Millisecond
-	// leastFault and mostFault bound how long a fault lasts. Long ones are rare, and longer
-	// than any time for which a copy of the store may be trusted.
+	// leastFault is how long a fault lasts at least.
 	leastFault = 300 * time.Millisecond
-	mostFault  = 9 * time.Second
 	// spanSteps is the number of different lengths of a fault.
 	spanSteps = 1000
 	// burstGap is the time between faults that come in series.
@@ -91,6 +88,9 @@
 	spare int
 	// kinds are those that may come.
 	kinds []fault
+	// store and origin count the faults of each that are on.
+	store  atomic.Int32
+	origin atomic.Int32
 }
 
 // newDirector returns a director of the kinds that the options name.
@@ -116,14 +116,14 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f, span := d.next()
 		group.Go(func() { f.run(d, span) })
-		sleep(ctx, time.Duration(d.draw(int64(2*faultGap))))
+		sleep(ctx, time.Duration(d.draw(int64(2*d.world.options.Gap))))
 	}
 }
 
 func (d *director) next() (fault, time.Duration) {
 	f := d.kinds[d.draw(int64(len(d.kinds)))]
 	part := float64(d.draw(spanSteps)) / spanSteps
-	return f, leastFault + time.Duration(part*part*float64(mostFault-leastFault))
+	return f, leastFault + time.Duration(part*part*float64(d.world.options.Span-leastFault))
 }
 
 func (d *director) draw(n int64) int64 {
@@ -212,9 +212,7 @@
 	f := all[d.draw(int64(len(all)))]
 	over := d.harm("store-"+string(f), p.name)
 	l := d.world.linkOf(p.name)
-	l.strike(f)
-	time.Sleep(span)
-	l.strike(linkSound)
+	hold(&l.struck, span, func() { l.strike(f) }, func() { l.strike(linkSound) })
 	over()
 }
 
@@ -232,19 +230,26 @@
 	}
 }
 
+// hold keeps something broken for a while. If another fault strikes it meanwhile, that one
+// goes on, and the last to end mends it.
+func hold(struck *atomic.Int32, span time.Duration, harm, mend func()) {
+	struck.Add(1)
+	harm()
+	time.Sleep(span)
+	if struck.Add(-1) == 0 {
+		mend()
+	}
+}
+
 func (d *director) breakStore(f standin.StoreFault, span time.Duration) {
 	over := d.harm(string(f), subjectStore)
-	d.world.store.Break(f)
-	time.Sleep(span)
-	d.world.store.Break(standin.StoreSound)
+	hold(&d.store, span, func() { d.world.store.Break(f) }, func() { d.world.store.Break(standin.StoreSound) })
 	over()
 }
 
 func (d *director) breakOrigin(f standin.OriginFault, span time.Duration) {
 	over := d.harm("origin "+string(f), "origin")
-	d.world.origin.Break(f)
-	time.Sleep(span)
-	d.world.origin.Break(standin.OriginSound)
+	hold(&d.origin, span, func() { d.world.origin.Break(f) }, func() { d.world.origin.Break(standin.OriginSound) })
 	over()
 }
 
@@ -291,18 +296,14 @@
 func (d *director) breakUpstream(f standin.UpstreamFault, span time.Duration) {
 	m := d.upstream()
 	over := d.harm(string(f), m.name)
-	m.Break(f)
-	time.Sleep(span)
-	m.Break(standin.UpstreamSound)
+	hold(&m.ill, span, func() { m.Break(f) }, func() { m.Break(standin.UpstreamSound) })
 	over()
 }
 
 func (d *director) breakLink(f linkFault, span time.Duration) {
 	m := d.upstream()
 	over := d.harm("link "+string(f), m.name)
-	m.proxy.strike(f)
-	time.Sleep(span)
-	m.proxy.strike(linkSound)
+	hold(&m.proxy.struck, span, func() { m.proxy.strike(f) }, func() { m.proxy.strike(linkSound) })
 	over()
 }
 
--- a/stand/internal/soak/proxy.go
+++ b/stand/internal/soak/proxy.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"currantport.example/core/shell"
@@ -38,6 +39,8 @@
 type proxy struct {
 	listener net.Listener
 	target   netip.AddrPort
+	// struck counts the faults that are on.
+	struck atomic.Int32
 
 	mutex sync.Mutex
 	fault linkFault
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -51,6 +51,9 @@
 	Seed uint64
 	// Length is the time in which faults strike.
 	Length time.Duration
+	// Gap is the mean time between the starts of two faults, Span the longest fault.
+	Gap  time.Duration
+	Span time.Duration
 	// Network is the second byte of the loopback addresses of the run.
 	Network byte
 	Size    Size
--- a/stand/internal/soak/world.go
+++ b/stand/internal/soak/world.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"currantport.example/core/hosts"
@@ -48,7 +49,7 @@
 	engineSlots  = 8
 	serviceSlots = 6
 	eventGap     = 20 * time.Millisecond
-	eventCount   = 12
+	eventCount   = 40
 	serviceWork  = 30 * time.Millisecond
 	upstreamConn = 400
 	// routeTimeout bounds the time for which a request is kept waiting.
@@ -72,6 +73,8 @@
 	name  Subject
 	proxy *proxy
 	agent *process
+	// ill counts the faults of the upstream that are on.
+	ill atomic.Int32
 
 	mutex sync.Mutex
 	// started tells that the upstream is in use; spare engines aren't at first.
