--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -52,6 +52,10 @@
 	closeLead = 30 * time.Millisecond
 	// retryPause is the time before an order that didn't fit is given again.
 	retryPause = 200 * time.Millisecond
+	// leastLoad and loadSteps give buckets from 0.1 s to 25 s, within which a release is
+	// served.
+	leastLoad = 100 * time.Millisecond
+	loadSteps = 9
 )
 
 // Names gives versions the names under which their manifests are kept.
@@ -93,6 +97,8 @@
 type Loader struct {
 	options Options
 	orders  tally.Counter
+	// served is the time from a release until the engine serves it.
+	served  tally.Histogram
 	courier *courier
 	stage   *stage
 	// planned is the goal that the turn is for.
@@ -114,7 +120,10 @@
 
 // New starts to look after the engine. The clean-up function ends that.
 func New(o Options) (*Loader, func()) {
-	l := &Loader{options: o, orders: o.Scope.Counter("orders"), learnt: make(map[goal]time.Time)}
+	buckets := tally.MustMakeExponentialDurationBuckets(leastLoad, 2, loadSteps)
+	l := &Loader{
+		options: o, orders: o.Scope.Counter("orders"), served: o.Scope.Histogram("release_seconds", buckets), learnt: make(map[goal]time.Time),
+	}
 	var stopCourier, stopStage func()
 	l.courier, stopCourier = newCourier(o)
 	l.stage, stopStage = newStage(o)
@@ -341,6 +350,11 @@
 // open tells entries that the engine serves what it should, and drops what isn't needed
 // any more.
 func (l *Loader) open(g goal) {
+	if !l.ordered.IsZero() {
+		since := clocks.Since(l.learnt[g])
+		l.served.RecordDuration(since)
+		l.options.Log.Info("version-served", zap.String("model", g.model), zap.Int("version", g.version), zap.Duration("since", since))
+	}
 	l.ordered = time.Time{}
 	l.setClosing(false)
 	if l.courier.of(g).Done() && !l.kept[g] {
--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -137,10 +137,10 @@
 	return uploads{server: p, stop: stop}
 }
 
-func newGatherer(s Settings, m *feed.Mirror, c *cache.Cache, w Weights, u uploads, r *roster.Roster, n *mesh.Node, t *teller.Teller, peers parts.PeerClient, log *zap.Logger) *gather.Gatherer {
+func newGatherer(s Settings, m *feed.Mirror, c *cache.Cache, w Weights, u uploads, r *roster.Roster, n *mesh.Node, t *teller.Teller, peers parts.PeerClient, metrics parts.Metrics, log *zap.Logger) *gather.Gatherer {
 	self := hosts.Host{Name: hosts.Name(s.Mesh.Addr().String()), Place: s.Place, Role: hosts.RoleAgent, State: hosts.StateLive, Address: s.Mesh}
 	g := gather.New(gather.Options{
-		Self: self, Cache: c, Source: w, Client: peers.Client, Send: n.Send, Seed: rand.Uint64(), Log: log,
+		Self: self, Cache: c, Source: w, Client: peers.Client, Send: n.Send, Seed: rand.Uint64(), Scope: metrics.Scope, Log: log,
 		Members: func() []hosts.Host { return append(n.Entries(), r.Now().All()...) },
 		Origin: func() (hosts.Region, float64) {
 			o := originOf(m.Now())
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -23,6 +23,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"currantport.example/core/cache"
@@ -59,13 +60,20 @@
 	// Send tells another agent something.
 	Send func(to netip.AddrPort, d *wire.Datagram)
 	Seed uint64
-	Log  *zap.Logger
+	// Scope gets the counters of pieces.
+	Scope tally.Scope
+	Log   *zap.Logger
 }
 
 // Gatherer fetches versions and tells what it holds of them. Goroutines share it.
 type Gatherer struct {
 	options Options
 	remote  *remote
+	// origin and peers count the pieces that came from each, failed those that didn't
+	// come or were corrupt.
+	origin tally.Counter
+	peers  tally.Counter
+	failed tally.Counter
 	// queue returns the number of pieces that the agent has still to send.
 	queue func() int
 
@@ -77,7 +85,12 @@
 // New returns a gatherer. Queue returns the number of pieces that the agent has still
 // to send.
 func New(o Options, queue func() int) *Gatherer {
-	return &Gatherer{options: o, remote: &remote{client: o.Client}, queue: queue}
+	of := func(source string) tally.Counter {
+		return o.Scope.Tagged(map[string]string{"source": source}).Counter("pieces")
+	}
+	return &Gatherer{
+		options: o, remote: &remote{client: o.Client}, queue: queue, origin: of("origin"), peers: of("process"), failed: o.Scope.Counter("pieces_failed"),
+	}
 }
 
 // Manifest brings the manifest of a version into the cache.
--- a/core/gather/session.go
+++ b/core/gather/session.go
@@ -304,9 +304,22 @@
 	if err == nil {
 		err = t.session.gatherer.options.Cache.Add(t.piece.Digest, data)
 	}
+	t.count(err)
 	t.session.events.Send(session, event{transfer: t, took: time.Since(start), err: err})
 }
 
+func (t *transfer) count(err error) {
+	g := t.session.gatherer
+	switch {
+	case err != nil:
+		g.failed.Inc(1)
+	case t.key.peer == "":
+		g.origin.Inc(1)
+	default:
+		g.peers.Inc(1)
+	}
+}
+
 func (t *transfer) bytes(ctx context.Context) ([]byte, error) {
 	g := t.session.gatherer
 	if t.key.peer != "" {
--- a/entry/carry/carry.go
+++ b/entry/carry/carry.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"currantport.example/core/cache"
@@ -59,8 +60,9 @@
 	// Agent is the port of the agents.
 	Agent int
 	// Most is the size up to which a version is carried.
-	Most int64
-	Log  *zap.Logger
+	Most  int64
+	Scope tally.Scope
+	Log   *zap.Logger
 }
 
 // Carrier passes pieces on.
@@ -99,7 +101,7 @@
 			}
 			return o.Regions[hosts.Domain(p.Domain)], p.Rate
 		},
-		Released: c.releasedAt, Client: o.Client, Send: o.Mesh.Send, Seed: rand.Uint64(), Log: o.Log,
+		Released: c.releasedAt, Client: o.Client, Send: o.Mesh.Send, Seed: rand.Uint64(), Scope: o.Scope, Log: o.Log,
 	}, server.Queue)
 	g := shell.NewGroup()
 	g.Go(c.run)
--- a/entry/internal/course/report.go
+++ b/entry/internal/course/report.go
@@ -11,20 +11,42 @@
 	"currantport.example/entry/internal/target"
 )
 
-// metrics count what becomes of requests.
+// metrics count what becomes of requests. Times are histograms in seconds.
 type metrics struct {
-	scope   tally.Scope
+	scope tally.Scope
+	// again counts further tries, resumed those of them that go on with a stream.
 	again   tally.Counter
+	resumed tally.Counter
+	// suspects counts the losses of upstreams that a request may have caused.
+	suspects tally.Counter
+	attempts map[tries.Result]tally.Counter
+	// seconds is the whole time of a request, first that to its first byte, held that for
+	// which it waited for room.
 	seconds tally.Histogram
 	first   tally.Histogram
+	held    tally.Histogram
+	// copyage is the age of the rows by which requests were served, loadage that of what
+	// was known of their engine.
+	copyage tally.Histogram
+	loadage tally.Histogram
 }
 
 func newMetrics(s tally.Scope) *metrics {
 	buckets := tally.MustMakeExponentialDurationBuckets(leastDuration, 2, durationSteps)
-	return &metrics{scope: s, again: s.Counter("repeats"), seconds: s.Histogram("seconds", buckets), first: s.Histogram("first_seconds", buckets)}
+	m := &metrics{
+		scope: s, again: s.Counter("repeats"), resumed: s.Counter("resumed"), suspects: s.Counter("suspects"),
+		attempts: make(map[tries.Result]tally.Counter), seconds: s.Histogram("seconds", buckets), first: s.Histogram("first_seconds", buckets),
+		held: s.Histogram("held_seconds", buckets), copyage: s.Histogram("copyage_seconds", buckets), loadage: s.Histogram("loadage_seconds", buckets),
+	}
+	for r, name := range resultNames {
+		m.attempts[r] = s.Tagged(map[string]string{"result": name}).Counter("attempts")
+	}
+	return m
 }
 
 const (
+	// leastDuration and durationSteps give buckets from 4 ms to 8 s, which span the hops
+	// between hosts and the longest timeouts.
 	leastDuration = 4 * time.Millisecond
 	durationSteps = 12
 )
@@ -41,6 +63,11 @@
 		zap.Duration("age", w.Age), zap.Duration("predicted", w.Predicted),
 	}
 	t.detail = fields
+	m := t.courses.metrics
+	m.attempts[result].Inc(1)
+	if t.pool.Engine != nil {
+		m.loadage.RecordDuration(w.Age)
+	}
 	if result == tries.ResultAnswered && err == nil {
 		return
 	}
@@ -62,6 +89,7 @@
 	m := t.courses.metrics
 	m.scope.Tagged(map[string]string{"ending": t.ending, "reason": reason}).Counter("requests").Inc(1)
 	m.seconds.RecordDuration(took)
+	m.copyage.RecordDuration(t.view.Age)
 	fields := []zap.Field{
 		zap.String("id", string(t.call.ID)), zap.String("ending", t.ending), zap.Int("status", t.status),
 		zap.Duration("took", took),
--- a/entry/internal/course/trip.go
+++ b/entry/internal/course/trip.go
@@ -105,6 +105,9 @@
 			return
 		}
 		t.courses.metrics.again.Inc(1)
+		if t.sink.began {
+			t.courses.metrics.resumed.Inc(1)
+		}
 		if t.courses.options.Crashes.Refuses(t.fingerprint) {
 			t.finish(t.tries.Unplaced(), calls.NotRun(calls.ReasonQuarantined, comeBackMost, "the request has crashed upstreams"))
 			return
@@ -239,6 +242,7 @@
 	t.tried = append(t.tried, w.Row.ID)
 	if !t.began {
 		t.began = true
+		t.courses.metrics.held.RecordDuration(time.Since(t.arrived))
 		t.courses.first(t.pool.Name)
 	}
 	outer := ctx
@@ -332,6 +336,7 @@
 	if w.Row.Draining {
 		return
 	}
+	t.courses.metrics.suspects.Inc(1)
 	t.courses.options.Crashes.Lost(t.fingerprint, w.Row.ID)
 	p := &probe{courses: t.courses, row: w.Row}
 	go p.run()
--- /dev/null
+++ b/entry/internal/course/world_test.go
@@ -0,0 +1,282 @@
+package course_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"currantport.example/core/budget"
+	"currantport.example/core/calls"
+	"currantport.example/core/clocks"
+	"currantport.example/core/conns"
+	"currantport.example/core/crash"
+	"currantport.example/core/feed"
+	"currantport.example/core/hosts"
+	"currantport.example/core/memnet"
+	"currantport.example/core/state"
+	"currantport.example/entry/internal/course"
+	"currantport.example/entry/internal/target"
+)
+
+// dialect spells requests and answers in the simplest way.
+type dialect struct{}
+
+func (dialect) Call(r *http.Request) (calls.Call, *calls.Refusal) {
+	c := calls.Call{
+		ID: calls.ID(r.Header.Get("Id")), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI,
+		Credential: r.Header.Get("Key"), After: r.Header.Get("After"), Header: http.Header{"Id": r.Header["Id"]},
+	}
+	if ms, err := strconv.Atoi(r.Header.Get("Patience")); err == nil {
+		c.Patience = time.Duration(ms) * time.Millisecond
+	}
+	return c, nil
+}
+
+func (dialect) Refuse(w http.ResponseWriter, _ *calls.Call, r *calls.Refusal) {
+	w.Header().Set("Outcome", string(r.Outcome))
+	w.Header().Set("Wait", r.Wait.String())
+	w.WriteHeader(calls.StatusOf(r))
+}
+
+func (dialect) Request(c *calls.Call, a calls.Attempt) *conns.Request {
+	h := http.Header{"Id": {string(c.ID)}, "After": {a.After}, "Workspace": {a.Workspace}, "Left": {a.Left.String()}}
+	return &conns.Request{
+		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body,
+		Mine: func(_ int, h http.Header) bool { return h.Get("Id") == string(c.ID) },
+	}
+}
+
+func (dialect) Reply(_ *calls.Call, status int, h http.Header) calls.Reply {
+	switch {
+	case h.Get("Not-Run") != "":
+		return calls.Reply{Verdict: calls.VerdictDeclined}
+	case status < 300 && h.Get("Signature") == "":
+		return calls.Reply{Verdict: calls.VerdictForeign}
+	}
+	return calls.Reply{Verdict: calls.VerdictAnswer, Good: status < 300}
+}
+
+func (dialect) Pass(h http.Header) http.Header { return h.Clone() }
+
+// visit is a request that an upstream got.
+type visit struct {
+	upstream, number int
+	id, after        string
+	workspace        string
+	body             string
+	ended            chan struct{}
+}
+
+// world is an entry before upstreams that follow a script.
+type world struct {
+	t       *testing.T
+	courses *course.Courses
+	mirror  *feed.Mirror
+	script  func(w io.Writer, v visit)
+	scope   tally.TestScope
+
+	mutex  sync.Mutex
+	visits []visit
+}
+
+func address(i int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80)
+}
+
+var routes = []*state.Route{
+	{Name: "once", Prefix: "/once/", Attempts: 3, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
+	{Name: "any", Prefix: "/any/", Idempotent: true, Attempts: 2, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
+	{Name: "flow", Prefix: "/flow/", Stream: true, Resumable: true, Attempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, Gap: 400 * time.Millisecond},
+	{Name: "rush", Prefix: "/rush/", Stream: true, Attempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond},
+	{Name: "open", Prefix: "/open/", Idempotent: true, Anonymous: true, Attempts: 1, Timeout: time.Second},
+}
+
+// play runs a test with a number of upstreams in virtual time.
+func play(t *testing.T, upstreams int, script func(w io.Writer, v visit), test func(w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{t: t, mirror: feed.NewMirror(), script: script, scope: tally.NewTestScope("", nil)}
+		n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
+		var stops []func()
+		for i := range upstreams {
+			l, err := n.Listen(address(i))
+			if err != nil {
+				t.Fatal(err)
+			}
+			u := &upstream{world: w, number: i, listener: l}
+			go u.run()
+			stops = append(stops, func() { _ = l.Close() })
+		}
+		p, stop := conns.New(n.Dialer(netip.MustParseAddr("10.0.0.1")), nil)
+		regions := map[hosts.Domain]hosts.Region{"d": "r"}
+		fleet := target.New(target.Options{
+			Entries: func() []hosts.Host { return nil }, Regions: regions, Place: hosts.Place{Region: "r"}, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
+		})
+		w.courses = course.New(course.Options{
+			Mirror: w.mirror, Fleet: fleet, Conns: p, Callers: dialect{}, Upstreams: dialect{}, Crashes: crash.NewBook(zap.NewNop()),
+			Bounds:  course.Bounds{Revoke: 4 * time.Second, Settled: 2 * time.Second},
+			Repeats: budget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Entries: func() int { return 1 },
+			Random: func() float64 { return 0.5 }, Scope: w.scope, Log: zap.NewNop(),
+		})
+		w.publish(upstreams)
+		fleet.Take(clocks.Now(), w.mirror.Now())
+		test(w)
+		stop()
+		for _, s := range stops {
+			s()
+		}
+		for i := range upstreams {
+			n.Kill(address(i).Addr())
+		}
+		synctest.Wait()
+	})
+}
+
+func (w *world) publish(upstreams int) {
+	w.t.Helper()
+	var rows []state.Row
+	add := func(r state.Row, err error) {
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		r.Revision = 1
+		rows = append(rows, r)
+	}
+	add(state.EncodeLimits(state.Limits{}))
+	add(state.EncodePool(&state.Pool{Name: "p"}))
+	add(state.EncodeWorkspace(&state.Workspace{Name: "harbour", Keys: []string{"secret"}}))
+	for _, r := range routes {
+		r.Host, r.Targets = "h", []state.Target{{Pool: "p", Weight: 1}}
+		add(state.EncodeRoute(r))
+	}
+	for i := range upstreams {
+		add(state.EncodeUpstream(&state.Upstream{ID: fmt.Sprintf("u%d", i), Pool: "p", Address: address(i), Domain: "d"}))
+	}
+	if _, err := w.mirror.Offer(feed.Update{Head: 1, Rows: rows, Full: true, Proven: clocks.Now(), Contact: clocks.Now()}); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// answer is what a caller got. Broken tells that the connection was broken off.
+type answer struct {
+	*httptest.ResponseRecorder
+	broken bool
+}
+
+func (w *world) ask(ctx context.Context, path string, headers ...string) (a answer) {
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body")).WithContext(ctx)
+	r.RequestURI = path
+	r.Header = http.Header{"Id": {"q"}, "Key": {"secret"}}
+	for i := 0; i+1 < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	a.ResponseRecorder = httptest.NewRecorder()
+	defer func() {
+		if p := recover(); p != nil {
+			err, ok := p.(error)
+			if a.broken = ok && errors.Is(err, http.ErrAbortHandler); !a.broken {
+				panic(p)
+			}
+		}
+	}()
+	w.courses.ServeHTTP(a, r)
+	return a
+}
+
+func (w *world) seen() []visit {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return append([]visit(nil), w.visits...)
+}
+
+// upstream serves connections by the script of its world.
+type upstream struct {
+	world    *world
+	number   int
+	listener net.Listener
+}
+
+func (u *upstream) run() {
+	for {
+		c, err := u.listener.Accept()
+		if err != nil {
+			return
+		}
+		go (&link{upstream: u, conn: c}).run()
+	}
+}
+
+type link struct {
+	upstream *upstream
+	conn     net.Conn
+}
+
+func (l *link) run() {
+	defer func() { _ = l.conn.Close() }()
+	r := bufio.NewReader(l.conn)
+	q, err := http.ReadRequest(r)
+	if err != nil {
+		return
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return
+	}
+	w := l.upstream.world
+	v := visit{
+		upstream: l.upstream.number, id: q.Header.Get("Id"), after: q.Header.Get("After"), workspace: q.Header.Get("Workspace"), body: string(body),
+		ended: make(chan struct{}),
+	}
+	w.mutex.Lock()
+	v.number = len(w.visits)
+	w.visits = append(w.visits, v)
+	w.mutex.Unlock()
+	watch := &watch{source: r, ended: v.ended}
+	go watch.run()
+	w.script(l.conn, v)
+}
+
+// watch tells when the caller closes the connection.
+type watch struct {
+	source *bufio.Reader
+	ended  chan struct{}
+}
+
+func (w *watch) run() {
+	_, _ = w.source.ReadByte()
+	close(w.ended)
+}
+
+func good(w io.Writer, id, body string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func declined(w io.Writer, id string) {
+	fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
+}
+
+// begin writes the head of a stream that is cut into chunks, event one event of it.
+func begin(w io.Writer, id string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
+}
+
+func event(w io.Writer, text string) { fmt.Fprintf(w, "%x\r\n%s\r\n", len(text), text) }
+
+func end(w io.Writer) { fmt.Fprint(w, "0\r\n\r\n") }
+
+func numbered(n int) string { return fmt.Sprintf("id: %d\ndata: x%d\n\n", n, n) }
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -105,11 +105,11 @@
 	return shell.Owned(lc, n, stop), nil
 }
 
-func newCarrier(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, c *cache.Cache, f *target.Fleet, n *mesh.Node, peers parts.PeerClient, log *zap.Logger) *carry.Carrier {
+func newCarrier(lc fx.Lifecycle, s Settings, o Outside, m *feed.Mirror, c *cache.Cache, f *target.Fleet, n *mesh.Node, peers parts.PeerClient, metrics parts.Metrics, log *zap.Logger) *carry.Carrier {
 	self := hosts.Host{Name: s.Host, Place: s.Place, Role: hosts.RoleEntry, State: hosts.StateLive, Address: s.Mesh}
 	k, stop := carry.New(carry.Options{
 		Self: self, Regions: s.Regions, Mirror: m, Cache: c, Mesh: n, Client: peers.Client, Weights: o.Weights,
-		Agent: s.Agent, Most: int64(s.Carry), Log: log,
+		Agent: s.Agent, Most: int64(s.Carry), Scope: metrics.Scope, Log: log,
 	})
 	n.Handle(mesh.Handlers{
 		Load:  func(_ netip.AddrPort, l *wire.LoadDigest) { f.Heard(clocks.Now(), l.Upstream, upkeep.Digest(l)) },
