--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -1,19 +1,19 @@
 #!/usr/bin/env bash
 # Switches off one mechanism after the other in a scratch copy and plays the soak, which
 # must go red by the check named. Usage: mutants.sh DIR [NAME...]
-# JOBS is the number of mutants at the same time; LENGTH, GAP and SPAN are those of a run.
+# JOBS is the number of mutants at the same time; LENGTH and SPAN are those of a run.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 dir=$1
 shift
 mkdir -p "$dir"
 dir=$(cd "$dir" && pwd)
-# name~check~file~expression of perl~kinds of faults, joined by commas
+# name~check~file~expression of perl~kinds of faults, joined by commas~mean time between faults
 mutants=$(cat <<'END'
 once~once~core/tries/tries.go~s/again := t\.route\.Repeatable\(\) && /again := /~upstream-lossy
 refused~refused~core/tries/tries.go~s/return StepUnknown\n}\n\n/return StepRefuse\n}\n\n/~upstream-lossy
 partial~answer~entry/internal/course/answer.go~s/return t\.brokeOff\(ctx, w, err\)/return t.endStream(a, reply)/~upstream-lossy
-resume~answer~entry/internal/course~s/After: t\.sink\.after\}/After: t.call.After}/; s/return err != nil \|\| next > last/return true/~upstream-lossy
+resume~answer~entry/internal/course~s/After: t\.sink\.after\}/After: t.call.After}/; s/return err != nil \|\| next > last/return true || err != nil || next > last/~upstream-lossy
 foreign~answer~platform/internal/bridge/upstream.go~s/return echoed == id \|\| /return true || echoed == id || /~upstream-doubled
 target~unchanged~platform/internal/bridge/upstream.go~s/Target: c\.Target,/Target: c.Path,/~config
 workspace~workspace~entry/internal/course/trip.go~s/a\.Workspace = t\.admission\.Workspace\.Name/a.Workspace = "workspace-0"/~config
@@ -21,11 +21,11 @@
 revoked~revoked~entry/internal/course/admit.go~s/if v\.Age > b\.Revoke \{/if false {/~store-hung,config-revoke
 drain~drain~entry/internal/target/choose.go~s/!u\.row\.Draining && //; s/if u\.row\.Draining \|\| /if /~upstream-drain
 routes~route~core/state/build.go~s/into\[name\] = row/if _, ok := into[name]; !ok { into[name] = row }/~config
-late~apply~core/feed/mirror.go~s/(rows := m\.differing\(u\)\n)/$1\tif len(rows) > 1 { time.Sleep(3 * time.Second) }\n/~config
+late~apply~core/feed/mirror.go~s/(rows := m\.differing\(u\)\n)/$1\tif len(rows) > 1 { time.Sleep(3 * time.Second) }\n/~config~2s
 forward~forward~core/feed/mirror.go~s/return m\.snapshot\.Load\(\) \}/if s := older.Load(); s != nil \&\& time.Now().UnixNano()%5 == 0 { return s }; return m.snapshot.Load() }\n\nvar older atomic.Pointer[state.Snapshot]/; s/(\t\tm\.snapshot\.Store\(snapshot\))/\t\tolder.Store(m.snapshot.Load())\n$1/~config
-denied~denied~entry/internal/course/admit.go~s/if !v\.State\.Configured \|\| !v\.Proven \{/if false {/~entries-kill
+denied~denied~entry/internal/course/admit.go~s/if !v\.State\.Configured \|\| !v\.Proven \{/if false {/~entries-kill,store-hung
 version~version~entry/internal/target/choose.go~s/return end\.IsZero\(\) \|\| /return true || /~release,origin-down
-weights~weights~agent/internal/loader/stage.go~s/(func \(s \*stage\) check\(ctx context\.Context\) bool \{\n)/$1\tif true { return true }\n/~release,upstream-spoilt
+weights~weights~agent/internal/loader/stage.go~s/(func \(s \*stage\) check\(ctx context\.Context\) bool \{\n)/$1\tif true { return true }\n/~release,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt~250ms
 budget~budget~entry/internal/course/course.go~s/return c\.budgetOf\(pool\)\.Spend\(clocks\.Now\(\), c\.options\.Entries\(\)\)/return true/~upstream-grey,link-reset
 left~left~entry/internal/course/course.go~s/t\.run\(r\.Context\(\)\)/t.run(context.WithoutCancel(r.Context()))/~config
 held~held~entry/internal/course/course.go~s/t\.deadline = t\.arrived\.Add\(timeoutOf\(&t\.call, t\.admission\.Route\)\)/t.deadline = t.arrived.Add(timeoutOf(\&t.call, t.admission.Route) + 1500*time.Millisecond)/~link-dark
@@ -36,7 +36,7 @@
 END
 )
 play() {
-	local name=$1 check=$2 file=$3 expression=$4 kinds=$5 copy=$dir/$1
+	local name=$1 check=$2 file=$3 expression=$4 kinds=$5 gap=$6 copy=$dir/$1
 	rm -rf "$copy"
 	git clone -q . "$copy"
 	find "$copy/$file" -name '*.go' ! -name '*_test.go' -exec perl -0pi -e "$expression" {} +
@@ -48,7 +48,7 @@
 		echo "mutant=$name check=$check outcome=unbuilt"
 		return
 	}
-	(cd "$copy" && bin/stand soak -seed "${SEED:-1}" -length "${LENGTH:-20s}" -gap "${GAP:-300ms}" -span "${SPAN:-20s}" -only "$kinds" >soak.log 2>&1) || true
+	(cd "$copy" && bin/stand soak -seed "${SEED:-1}" -length "${LENGTH:-20s}" -gap "$gap" -span "${SPAN:-20s}" -only "$kinds" >soak.log 2>&1) || true
 	local seen
 	seen=$(sed -n 's/^soak=broken .*check=\([a-z]*\) count=\([0-9]*\).*/\1:\2/p' "$copy/soak.log" | paste -sd,)
 	if grep -q "check=$check " "$copy/soak.log"; then
@@ -58,9 +58,9 @@
 	fi
 }
 running=0
-while IFS='~' read -r name check file expression kinds; do
+while IFS='~' read -r name check file expression kinds gap; do
 	if [ $# -gt 0 ] && [[ " $* " != *" $name "* ]]; then continue; fi
-	play "$name" "$check" "$file" "$expression" "$kinds" &
+	play "$name" "$check" "$file" "$expression" "$kinds" "${gap:-300ms}" &
 	running=$((running + 1))
 	if [ "$running" -ge "${JOBS:-4}" ]; then
 		wait -n
