soak: keys of the first configuration are allowed by all

The mutant denied stayed green: the check took these keys for later ones and left out what entries out of touch denied. Shown red by the mutant after this.

--- a/stand/internal/soak/fleet.go
+++ b/stand/internal/soak/fleet.go
@@ -255,7 +255,8 @@
 	if !k.revoked.IsZero() {
 		return false
 	}
-	first := k.given.Before(j.world.timeline.begun)
+	// What the first configuration holds is allowed by all.
+	first := k.given.Before(j.world.timeline.begun.Add(startTime))
 	return first || s.at.Sub(k.given) > applyTime && j.world.timeline.calm(k.given, s.done, s.entry.name, subjectStore)
 }
 
