--- a/stand/internal/soak/world.go
+++ b/stand/internal/soak/world.go
@@ -26,8 +26,8 @@
 	versionTime = 8 * time.Second
 	drainTime   = 2 * time.Second
 	graceTime   = 8 * time.Second
-	retryRatio  = 0.2
-	retrySlack  = 40
+	retryRatio  = 0.05
+	retrySlack  = 20
 	retryWindow = 10 * time.Second
 )
 
