--- a/stand/internal/soak/fleet.go
+++ b/stand/internal/soak/fleet.go
@@ -119,6 +119,7 @@
 		}
 		if first[r.ID] {
 			repeats[pool] = append(repeats[pool], r.Arrived)
+			j.repeats++
 		}
 		first[r.ID] = true
 	}
--- a/stand/internal/soak/judge.go
+++ b/stand/internal/soak/judge.go
@@ -51,6 +51,8 @@
 	// requests and good count what has ended.
 	requests int
 	good     int
+	// repeats is set by finish.
+	repeats int
 }
 
 // start is one start of a process.
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -75,6 +75,8 @@
 	Seed     uint64
 	Requests int
 	Good     int
+	// Repeats is the number of arrivals at upstreams beyond the first of each request.
+	Repeats int
 	Faults   []string
 	// Broken are the promises that were broken, each with what was seen first.
 	Broken []Broken
@@ -120,6 +122,7 @@
 	w.judge.finish(calm)
 	r := Result{Seed: o.Seed, Faults: w.timeline.moments(), Broken: w.judge.broken()}
 	r.Requests, r.Good = w.judge.totals()
+	r.Repeats = w.judge.repeats
 	return r, w.timeline.write(filepath.Join(o.Dir, "timeline"))
 }
 
@@ -135,5 +138,5 @@
 	for _, b := range r.Broken {
 		fmt.Printf("soak=broken seed=%d check=%s count=%d first=%q\n", r.Seed, b.Check, b.Count, b.First)
 	}
-	fmt.Printf("soak=run seed=%d requests=%d good=%d faults=%d broken=%d\n", r.Seed, r.Requests, r.Good, len(r.Faults), len(r.Broken))
+	fmt.Printf("soak=run seed=%d requests=%d good=%d repeats=%d faults=%d broken=%d\n", r.Seed, r.Requests, r.Good, r.Repeats, len(r.Faults), len(r.Broken))
 }
