--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -26,7 +26,7 @@
 denied~denied~entry/internal/course/admit.go~s/if !v\.State\.Configured \|\| !v\.Proven \{/if false {/~entries-kill,store-hung
 version~version~entry/internal/target/choose.go~s/return end\.IsZero\(\) \|\| /return true || /~release,origin-down
 weights~weights~agent/internal/loader/stage.go~s/(func \(s \*stage\) check\(ctx context\.Context\) bool \{\n)/$1\tif true { return true }\n/~release,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt~250ms
-budget~budget~entry/internal/course/course.go~s/return c\.budgetOf\(pool\)\.Spend\(clocks\.Now\(\), c\.options\.Entries\(\)\)/return true/~upstream-grey,link-reset~100ms
+budget~budget~entry/internal/course/course.go~s/return c\.budgetOf\(pool\)\.Spend\(clocks\.Now\(\), c\.options\.Entries\(\)\)/return true/~upstream-grey~100ms
 left~left~entry/internal/course~s/t\.run\(r\.Context\(\)\)/t.run(context.WithoutCancel(r.Context()))/; s/(if err := t\.sink\.put\(e, r\.Buffered\(\)\); err != nil) \{/$1 \&\& false {/~config
 held~held~entry/internal/course/course.go~s/t\.deadline = t\.arrived\.Add\(timeoutOf\(&t\.call, t\.admission\.Route\)\)/t.deadline = t.arrived.Add(timeoutOf(\&t.call, t.admission.Route) + 1500*time.Millisecond)/~link-dark
 stop~stop~entry/internal/caller/caller.go~s/(began := time\.Now\(\)\n\ts\.leaving)/return 0\n\t$1/~entry-stop
