soak: a connection that lost bytes brings nothing more

The proxy dropped answers while a link was cut one way and went on with later bytes of the same connection, which no link does.

--- a/stand/internal/soak/proxy.go
+++ b/stand/internal/soak/proxy.go
@@ -22,7 +22,7 @@
 	linkDelay linkFault = "delay"
 	// linkReset resets open and new connections.
 	linkReset linkFault = "reset"
-	// linkOneway takes bytes and passes on none of those that come back.
+	// linkOneway passes on no more bytes that come back on connections which get any.
 	linkOneway linkFault = "oneway"
 	// linkSilence passes on nothing on connections that are open, for good; new ones work.
 	linkSilence linkFault = "silence"
@@ -127,8 +127,10 @@
 
 	mutex sync.Mutex
 	far   net.Conn
-	// silent tells that the link passes on nothing any more.
+	// silent tells that the link passes on nothing any more, muted that it passes on nothing
+	// that comes back.
 	silent bool
+	muted  bool
 }
 
 func (l *link) run() {
@@ -152,7 +154,11 @@
 	buffer := make([]byte, proxyBytes)
 	for {
 		n, err := from.Read(buffer)
-		if n > 0 && !l.isSilent() && (!back || l.proxy.now() != linkOneway) {
+		if n > 0 && back && l.proxy.now() == linkOneway {
+			// What is lost of a connection is lost for good: nothing may follow it.
+			l.mute()
+		}
+		if n > 0 && !l.isSilent() && (!back || !l.isMuted()) {
 			if l.proxy.now() == linkDelay {
 				time.Sleep(delayTime)
 			}
@@ -189,6 +195,18 @@
 	return l.silent
 }
 
+func (l *link) isMuted() bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.muted
+}
+
+func (l *link) mute() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.muted = true
+}
+
 func (l *link) silence() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
