loader: give no order to an engine that carries one out

Cause: when a newer version is released while an older one loads, and the older one is finished first, the plan forgot the order in progress and gave it again every round until the engine had loaded. Ruled out: a lost acknowledgement (the engine reports busy, which the agent reads fresh from its own host). Orders are priced, and each closes the engine to entries anew.

Change: nothing is ordered while the engine reports busy.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -307,13 +307,11 @@
 // advance takes the next step towards the goal.
 func (l *Loader) advance(ctx context.Context, g goal) {
 	now := clocks.Now()
-	if !l.ordered.IsZero() {
-		if l.status.Busy || now.Sub(l.ordered) < retryPause {
-			return
-		}
-		// The order has ended and the engine doesn't serve the version.
-		l.ordered = time.Time{}
+	if l.status.Busy || !l.ordered.IsZero() && now.Sub(l.ordered) < retryPause {
+		return
 	}
+	// An order that was given before has ended, and the engine doesn't serve the version.
+	l.ordered = time.Time{}
 	if !l.stage.holds(g) || now.Before(l.again) {
 		return
 	}
