--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 WEIGHTS ?=
 LINT_VERSION := v2.15.0
 
-.PHONY: all build demo test race bench fleet samples docs generate lint format vet tools tidy
+.PHONY: all build demo test race bench fleet samples docs generate lint soak soak-kept format vet tools tidy
 
 all: build
 
@@ -31,6 +31,13 @@
 fleet: build
 	@scripts/fleet.sh $(BIN) $(RUN)/fleet
 
+# soak plays one short run of the fault soak, soak-kept the seeds that once failed.
+soak: build
+	@$(BIN)/stand soak -seed 1 -length 10s -entries 3 -engines 4 -callers 12 -dir $(RUN)/soak
+
+soak-kept: build
+	@scripts/soak-kept $(BIN)
+
 # generate writes the code of core/wire anew. It needs buf, protoc-gen-go and
 # protoc-gen-connect-go in the folder of the tools.
 generate:
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -77,7 +77,7 @@
 	Good     int
 	// Repeats is the number of arrivals at upstreams beyond the first of each request.
 	Repeats int
-	Faults   []string
+	Faults  []string
 	// Broken are the promises that were broken, each with what was seen first.
 	Broken []Broken
 }
--- a/stand/internal/soak/timeline.go
+++ b/stand/internal/soak/timeline.go
@@ -51,18 +51,18 @@
 // calm reports whether nothing harmed any of the subjects from a while before the first
 // time until the second.
 func (t *timeline) calm(from, until time.Time, subjects ...Subject) bool {
+	return t.calmBut("", from, until, subjects...)
+}
+
+// calmBut reports whether nothing but the named event harmed any of the subjects.
+func (t *timeline) calmBut(name string, from, until time.Time, subjects ...Subject) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	from = from.Add(-stableTime)
-	for _, m := range t.all {
-		if m.Subject == "" || !slices.Contains(subjects, m.Subject) {
-			continue
-		}
-		if m.At.Before(until) && (m.Until.IsZero() || m.Until.After(from)) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(t.all, func(m *Moment) bool {
+		return m.Subject != "" && slices.Contains(subjects, m.Subject) && m.Name != name &&
+			m.At.Before(until) && (m.Until.IsZero() || m.Until.After(from))
+	})
 }
 
 func (t *timeline) moments() []string {
@@ -99,13 +99,3 @@
 		return m.Subject == subject && m.Name == eventStop && m.At.After(from) && m.At.Before(until)
 	})
 }
-
-// calmBut reports whether nothing else than the named harmed the subject.
-func (t *timeline) calmBut(name string, from, until time.Time, subject Subject) bool {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	from = from.Add(-stableTime)
-	return !slices.ContainsFunc(t.all, func(m *Moment) bool {
-		return m.Subject == subject && m.Name != name && m.At.Before(until) && (m.Until.IsZero() || m.Until.After(from))
-	})
-}
