spread: a peer that leaves frees the window of what was asked of it

Cause: what is asked of a peer counts against the number of pieces that may be asked for at once. When the peer was taken off the members before its asks had ended, the count was never taken back. After the loss of one entry in the middle of a version an agent asked no near peer any more for the rest of that fetch, and the other entry of a region none in the far one.

Found by gather.TestLostHolderDoesNotHoldUp/silence, written for the untested gather package: four agents of the region had not ended after 19 s (bound 12 s). Ruled out: connections that hang (pings end them after 2.5 s; the transfers had been given up), the upload slot of other agents (idle).

Change: an ask remembers whether it is near, and the asks of a peer that leaves are given up at once. spread.TestMembersThatLeaveFreeTheWindow was red (0 pieces asked of the peer that is left, of 8 near and 2 far), green now; the fetch with a silent entry ends within its bound.

--- /dev/null
+++ b/core/gather/gather_test.go
@@ -0,0 +1,351 @@
+package gather_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/netip"
+	"strconv"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gorilla/mux"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"currantport.example/core/cache"
+	"currantport.example/core/chunks"
+	"currantport.example/core/gather"
+	"currantport.example/core/hosts"
+	"currantport.example/core/links"
+	"currantport.example/core/memnet"
+	"currantport.example/core/peer"
+	"currantport.example/core/wire"
+)
+
+const (
+	pieceCount = 64
+	pieceBytes = 32 << 10
+	// originRate and agentRate are those of the users' sheet, in bytes a second.
+	originRate = 9.9e6 / 8
+	agentRate  = 7.6e6 / 8
+	port       = 7000
+	// datagramTime is the way of a datagram.
+	datagramTime = time.Millisecond
+)
+
+func pieceOf(i int) []byte {
+	return bytes.Repeat([]byte{byte(i), byte(i >> 8), 7}, pieceBytes)[:pieceBytes]
+}
+
+var name = chunks.Sum([]byte("version 2"))
+
+// origin hands out the version over one link.
+type origin struct {
+	mutex sync.Mutex
+	free  time.Time
+	bytes int
+	// rotten is the number of answers that are spoilt from now on, until when nothing is
+	// answered.
+	rotten int
+	until  time.Time
+}
+
+func (o *origin) Manifest(context.Context, chunks.Digest) ([]byte, error) {
+	if time.Now().Before(o.until) {
+		return nil, errors.New("the origin is down")
+	}
+	m := &chunks.Manifest{Chunk: pieceBytes}
+	for i := range pieceCount {
+		m.Files = append(m.Files, chunks.File{Path: strconv.Itoa(i), Size: pieceBytes, Chunks: []chunks.Digest{chunks.Sum(pieceOf(i))}})
+	}
+	return m.Encode()
+}
+
+func (o *origin) Open(_ context.Context, part chunks.Range) (io.ReadCloser, error) {
+	i, err := strconv.Atoi(part.Path)
+	if err != nil {
+		return nil, err
+	}
+	o.mutex.Lock()
+	now := time.Now()
+	if now.Before(o.until) {
+		o.mutex.Unlock()
+		return nil, errors.New("the origin is down")
+	}
+	o.bytes += pieceBytes
+	if o.free.Before(now) {
+		o.free = now
+	}
+	o.free = o.free.Add(onLink(pieceBytes, originRate))
+	wait := o.free.Sub(now)
+	data := pieceOf(i)
+	if o.rotten > 0 {
+		o.rotten--
+		data[5]++
+	}
+	o.mutex.Unlock()
+	time.Sleep(wait)
+	return io.NopCloser(bytes.NewReader(data)), nil
+}
+
+// onLink returns the time that bytes take on a link of the rate.
+func onLink(size int, rate float64) time.Duration {
+	return time.Duration(float64(size) / rate * float64(time.Second))
+}
+
+// node is one process.
+type node struct {
+	host     hosts.Host
+	cache    *cache.Cache
+	gatherer *gather.Gatherer
+	err      error
+	took     time.Duration
+	dead     bool
+}
+
+// world is a fleet that fetches one version: an entry in each of two regions, and agents
+// behind narrow links.
+type world struct {
+	t       testing.TB
+	network *memnet.Network
+	origin  *origin
+	nodes   []*node
+	// across is the link between the regions.
+	across *memnet.Link
+}
+
+func regionOf(a netip.Addr) byte { return a.As4()[1] }
+
+// newWorld returns a fleet that runs until the clean-up function is called.
+func newWorld(t testing.TB, agents int) (*world, func()) {
+	w := &world{t: t, origin: &origin{}, across: &memnet.Link{Rate: 22e6 / 8}}
+	own := make(map[netip.Addr]*memnet.Link)
+	var mutex sync.Mutex
+	w.network = memnet.New(func(from, to netip.Addr) memnet.Path {
+		mutex.Lock()
+		defer mutex.Unlock()
+		p := memnet.Path{Delay: time.Millisecond, Window: 64 << 10}
+		for _, a := range []netip.Addr{from, to} {
+			// Agents have the last byte from 100 on; entries aren't bounded.
+			if a.As4()[3] < 100 {
+				continue
+			}
+			if own[a] == nil {
+				own[a] = &memnet.Link{Rate: agentRate}
+			}
+			p.Links = append(p.Links, own[a])
+		}
+		if regionOf(from) != regionOf(to) {
+			p.Links = append(p.Links, w.across)
+		}
+		return p
+	})
+	var stops []func()
+	for i := range agents + 2 {
+		region, last, role := byte(i%2), byte(i), hosts.RoleEntry
+		if i >= 2 {
+			last, role = byte(98+i), hosts.RoleAgent
+		}
+		at := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, region, 0, last}), port)
+		n := &node{cache: cache.New(), host: hosts.Host{
+			Name: hosts.Name(at.Addr().String()), Role: role, State: hosts.StateLive, Address: at,
+			Place: hosts.Place{Region: hosts.Region(fmt.Sprint("r", region)), Domain: hosts.Domain(fmt.Sprint("d", region))},
+		}}
+		w.nodes = append(w.nodes, n)
+		stops = append(stops, w.open(n, uint64(i)))
+	}
+	return w, func() {
+		for _, stop := range stops {
+			stop()
+		}
+	}
+}
+
+func (w *world) open(n *node, seed uint64) func() {
+	n.cache.Name(name)
+	server, stopServer := peer.NewWideServer(n.cache, nil, 1)
+	client, closeIdle := links.NewPeerClient(w.network.Dialer(n.host.Address.Addr()))
+	n.gatherer = gather.New(gather.Options{
+		Self: n.host, Cache: n.cache, Source: w.origin, Client: client, Seed: seed, Scope: tally.NoopScope, Log: zap.NewNop(),
+		Members: w.members, Origin: func() (hosts.Region, float64) { return "r0", originRate },
+		Send: func(to netip.AddrPort, d *wire.Datagram) {
+			time.AfterFunc(datagramTime, func() { w.deliver(n.host.Address, to, d) })
+		},
+	}, server.Queue)
+	l, err := w.network.Listen(n.host.Address)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	r := mux.NewRouter()
+	path, handler := wire.NewPeerHandler(peer.NewHandler(server), wire.WithoutCompression())
+	r.PathPrefix(path).Handler(handler)
+	stop := links.Serve(l, r, zap.NewNop(), time.Second)
+	return func() {
+		stopServer()
+		closeIdle()
+		stop()
+	}
+}
+
+func (w *world) members() []hosts.Host {
+	var all []hosts.Host
+	for _, n := range w.nodes {
+		if !n.dead {
+			all = append(all, n.host)
+		}
+	}
+	return all
+}
+
+func (w *world) deliver(from, to netip.AddrPort, d *wire.Datagram) {
+	for _, n := range w.nodes {
+		if n.host.Address == to && !n.dead {
+			n.gatherer.Hear(from, d.GetHolds())
+		}
+	}
+}
+
+// fetch lets all processes fetch the version and returns when the last has it.
+func (w *world) fetch(ctx context.Context) time.Duration {
+	start := time.Now()
+	var group sync.WaitGroup
+	for _, n := range w.nodes {
+		group.Go(func() {
+			_, n.err = n.gatherer.Fetch(ctx, name)
+			n.took = time.Since(start)
+		})
+	}
+	group.Wait()
+	return time.Since(start)
+}
+
+// check checks that each living process has each piece.
+func (w *world) check() {
+	for _, n := range w.nodes {
+		if n.dead {
+			continue
+		}
+		if n.err != nil {
+			w.t.Errorf("%s: %v", n.host.Name, n.err)
+			continue
+		}
+		for i := range pieceCount {
+			if data, ok := n.cache.Chunk(chunks.Sum(pieceOf(i))); !ok || !bytes.Equal(data, pieceOf(i)) {
+				w.t.Errorf("%s lacks piece %d", n.host.Name, i)
+			}
+		}
+	}
+}
+
+const versionBytes = pieceCount * pieceBytes
+
+// play runs a test of a fleet in virtual time. Each fetch must end within a minute.
+func play(t *testing.T, agents int, test func(ctx context.Context, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w, stop := newWorld(t, agents)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		test(ctx, w)
+		cancel()
+		stop()
+	})
+}
+
+// TestOneCopyLeavesTheOrigin proves that a fleet gets a version for about one copy of the
+// origin's bytes and one across each pair of regions, in about the time of the narrowest
+// link.
+func TestOneCopyLeavesTheOrigin(t *testing.T) {
+	for _, agents := range []int{2, 8, 16} {
+		play(t, agents, func(ctx context.Context, w *world) {
+			took := w.fetch(ctx)
+			w.check()
+			if copies := float64(w.origin.bytes) / versionBytes; copies > 1.5 {
+				t.Errorf("%d agents: %.2f copies of the origin", agents, copies)
+			}
+			if copies := float64(w.across.Bytes()) / versionBytes; copies > 1.5 {
+				t.Errorf("%d agents: %.2f copies between the regions", agents, copies)
+			}
+			// Twice the time in which the version passes the link of an agent.
+			if most := 2 * onLink(versionBytes, agentRate); took > most {
+				t.Errorf("%d agents: %s, at most %s", agents, took, most)
+			}
+		})
+	}
+}
+
+func TestSpoiltPiecesReachNobody(t *testing.T) {
+	play(t, 6, func(ctx context.Context, w *world) {
+		w.origin.rotten = 20
+		w.fetch(ctx)
+		w.check()
+	})
+}
+
+func TestFetchOutlivesAnOriginThatIsAway(t *testing.T) {
+	play(t, 6, func(ctx context.Context, w *world) {
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			w.origin.mutex.Lock()
+			w.origin.until = time.Now().Add(5 * time.Second)
+			w.origin.mutex.Unlock()
+		}()
+		if took := w.fetch(ctx); took > 12*time.Second {
+			t.Errorf("took %s, of which the origin was away for 5 s", took)
+		}
+		w.check()
+	})
+}
+
+// TestLostHolderDoesNotHoldUp kills the entry of a region in the middle of the fetch, cuts
+// its connections, or silences them.
+func TestLostHolderDoesNotHoldUp(t *testing.T) {
+	for _, fault := range []string{"kill", "silence"} {
+		t.Run(fault, func(t *testing.T) {
+			play(t, 8, func(ctx context.Context, w *world) {
+				lost := w.nodes[1]
+				ctx, cancel := context.WithCancel(ctx)
+				go func() {
+					time.Sleep(time.Second)
+					lost.dead = true
+					if fault == "kill" {
+						w.network.Kill(lost.host.Address.Addr())
+						return
+					}
+					for _, n := range w.nodes {
+						w.network.Silence(lost.host.Address.Addr(), n.host.Address.Addr())
+						w.network.Silence(n.host.Address.Addr(), lost.host.Address.Addr())
+					}
+				}()
+				go func() {
+					time.Sleep(20 * time.Second)
+					cancel()
+				}()
+				w.fetch(ctx)
+				w.check()
+				for _, n := range w.nodes {
+					if !n.dead && n.took > 12*time.Second {
+						t.Errorf("%s took %s", n.host.Name, n.took)
+					}
+				}
+			})
+		})
+	}
+}
+
+// BenchmarkFetch prints how soon a fleet has a version, in virtual time.
+func BenchmarkFetch(b *testing.B) {
+	for _, agents := range []int{8, 16, 40} {
+		synctest.Test(&testing.T{}, func(t *testing.T) {
+			w, stop := newWorld(t, agents)
+			took := w.fetch(context.Background())
+			stop()
+			fmt.Printf("bench=weights hosts=%d time=%.2fs origin=%.2f across=%.2f\n", agents, took.Seconds(),
+				float64(w.origin.bytes)/versionBytes, float64(w.across.Bytes())/versionBytes)
+		})
+	}
+}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -145,7 +145,9 @@
 
 // ask is a piece under way. An empty peer stands for the origin.
 type ask struct {
-	peer  hosts.Name
+	peer hosts.Name
+	// near tells that the peer is in the own region. The peer itself may have left since.
+	near  bool
 	since time.Time
 }
 
@@ -254,8 +256,7 @@
 	}
 	for name, p := range s.peers {
 		if !present[name] {
-			s.setHeld(time.Time{}, p, nil)
-			delete(s.peers, name)
+			s.leave(p)
 		}
 	}
 	s.rank()
@@ -448,22 +449,34 @@
 	if at < 0 {
 		return false
 	}
+	near := s.pieces[i].asks[at].near
 	s.pieces[i].asks = slices.Delete(s.pieces[i].asks, at, at+1)
-	p := s.peers[from]
 	switch {
 	case from == "":
 		s.source--
-	case p == nil:
-	case p.near:
+	case near:
 		s.near--
-		p.asks--
 	default:
 		s.far--
+	}
+	if p := s.peers[from]; p != nil {
 		p.asks--
 	}
 	return true
 }
 
+// leave forgets a peer and gives up what is asked of it.
+func (s *Spread) leave(p *peer) {
+	name := p.host.Name
+	for i := range s.pieces {
+		if s.settle(name, i) {
+			s.act(Action{Kind: KindCancel, Peer: name, Piece: i})
+		}
+	}
+	s.setHeld(time.Time{}, p, nil)
+	delete(s.peers, name)
+}
+
 func (s *Spread) begin(now time.Time, p *peer, i int) {
 	a := ask{since: now}
 	kind := KindBring
@@ -477,7 +490,7 @@
 	}
 	if p != nil {
 		p.asks++
-		a.peer, kind = p.host.Name, KindAsk
+		a.peer, a.near, kind = p.host.Name, p.near, KindAsk
 	}
 	s.pieces[i].asks = append(s.pieces[i].asks, a)
 	s.act(Action{Kind: kind, Peer: a.peer, Piece: i})
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -398,3 +398,44 @@
 		}
 	}
 }
+
+// TestMembersThatLeaveFreeTheWindow lets a peer leave that is asked for as many pieces as may
+// be asked for at once. Others are asked in its place, at once and for as many.
+func TestMembersThatLeaveFreeTheWindow(t *testing.T) {
+	for _, region := range []hosts.Region{"home", "far"} {
+		place := func(name string, r hosts.Region) hosts.Host {
+			return hosts.Host{Name: hosts.Name(name), Role: hosts.RoleEntry, State: hosts.StateLive, Place: hosts.Place{Region: r}}
+		}
+		self, gone, left := place("self", "home"), place("gone", region), place("left", region)
+		var all []spread.Piece
+		held := make([]bool, 8)
+		for i := range held {
+			all = append(all, spread.Piece{Key: uint64(i), Size: pieceBytes})
+			held[i] = true
+		}
+		now := time.Unix(1e9, 0)
+		s := spread.New(now, spread.Options{Self: self, Pieces: all, Held: func(int) bool { return false }, Home: "elsewhere", Rate: originRate, Seed: 1})
+		asked := func(from hosts.Host) int {
+			count := 0
+			for _, a := range s.Decide(now) {
+				if a.Kind == spread.KindAsk && a.Peer == from.Name {
+					count++
+				}
+			}
+			return count
+		}
+		s.SetMembers([]hosts.Host{self, gone, left})
+		s.Heard(now, gone.Name, held, 0)
+		now = now.Add(10 * time.Second)
+		before := asked(gone)
+		if before == 0 {
+			t.Fatalf("%s: nothing is asked", region)
+		}
+		s.SetMembers([]hosts.Host{self, left})
+		s.Heard(now, left.Name, held, 0)
+		now = now.Add(20 * time.Millisecond)
+		if n := asked(left); n != before {
+			t.Errorf("%s: %d pieces are asked of the peer that is left, %d were asked of the one that has gone", region, n, before)
+		}
+	}
+}
