--- a/core/gather/gather_test.go
+++ b/core/gather/gather_test.go
@@ -338,7 +338,7 @@
 }
 
 // BenchmarkFetch prints how soon a fleet has a version, in virtual time.
-func BenchmarkFetch(b *testing.B) {
+func BenchmarkFetch(*testing.B) {
 	for _, agents := range []int{8, 16, 40} {
 		synctest.Test(&testing.T{}, func(t *testing.T) {
 			w, stop := newWorld(t, agents)
