--- /dev/null
+++ b/entry/internal/course/bounds_test.go
@@ -0,0 +1,44 @@
+package course_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"currantport.example/core/budget"
+	"currantport.example/core/calls"
+	"currantport.example/core/state"
+	"currantport.example/entry/internal/course"
+)
+
+// TestProcessWithoutRowsDeniesNobody proves that a process which has no configuration yet, or
+// none that was proven, refuses as not run and tells when to come back.
+func TestProcessWithoutRowsDeniesNobody(t *testing.T) {
+	for _, v := range []course.View{{State: &state.Snapshot{}}, {State: &state.Snapshot{}, Proven: true}, {State: &state.Snapshot{Configured: true}}} {
+		_, r := course.Bounds{Revoke: time.Second, Settled: time.Second}.Admit(v, &calls.Call{Host: "h", Path: "/any/x"})
+		if r == nil || r.Reason != calls.ReasonStarting || r.Outcome != calls.OutcomeNotRun || r.Wait <= 0 {
+			t.Errorf("configured %t, proven %t: %v", v.State.Configured, v.Proven, r)
+		}
+	}
+}
+
+// TestRepeatsStayWithinTheBudget sends requests to upstreams of which all fail.
+func TestRepeatsStayWithinTheBudget(t *testing.T) {
+	limits := budget.Limits{Ratio: 0.1, Slack: 5, Window: 10 * time.Second}
+	failed := func(w io.Writer, v visit) {
+		fmt.Fprintf(w, "HTTP/1.1 500 Failed\r\nId: %s\r\nSignature: s\r\nContent-Length: 0\r\n\r\n", v.id)
+	}
+	playWith(t, 4, limits, failed, func(w *world) {
+		const requests = 50
+		for i := range requests {
+			w.ask(context.Background(), "/any/x", "Id", fmt.Sprint(i))
+			time.Sleep(10 * time.Millisecond)
+		}
+		repeats := len(w.seen()) - requests
+		if most := int(limits.Ratio*requests + limits.Slack); repeats <= 0 || repeats > most {
+			t.Errorf("%d repeats of %d requests, at most %d", repeats, requests, most)
+		}
+	})
+}
--- a/entry/internal/course/world_test.go
+++ b/entry/internal/course/world_test.go
@@ -106,8 +106,16 @@
 	{Name: "open", Prefix: "/open/", Idempotent: true, Anonymous: true, Attempts: 1, Timeout: time.Second},
 }
 
+// plenty is a budget of repeats that no test spends.
+var plenty = budget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}
+
 // play runs a test with a number of upstreams in virtual time.
 func play(t *testing.T, upstreams int, script func(w io.Writer, v visit), test func(w *world)) {
+	t.Helper()
+	playWith(t, upstreams, plenty, script, test)
+}
+
+func playWith(t *testing.T, upstreams int, repeats budget.Limits, script func(w io.Writer, v visit), test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{t: t, mirror: feed.NewMirror(), script: script, scope: tally.NewTestScope("", nil)}
@@ -130,7 +138,7 @@
 		w.courses = course.New(course.Options{
 			Mirror: w.mirror, Fleet: fleet, Conns: p, Callers: dialect{}, Upstreams: dialect{}, Crashes: crash.NewBook(zap.NewNop()),
 			Bounds:  course.Bounds{Revoke: 4 * time.Second, Settled: 2 * time.Second},
-			Repeats: budget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second}, Entries: func() int { return 1 },
+			Repeats: repeats, Entries: func() int { return 1 },
 			Random: func() float64 { return 0.5 }, Scope: w.scope, Log: zap.NewNop(),
 		})
 		w.publish(upstreams)
