--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"currantport.example/core/clocks"
 	"currantport.example/platform/standin"
 )
 
@@ -116,7 +117,7 @@
 	for time.Now().Before(end) && ctx.Err() == nil {
 		f, span := d.next()
 		group.Go(func() { f.run(d, span) })
-		sleep(ctx, time.Duration(d.draw(int64(2*d.world.options.Gap))))
+		clocks.Pause(ctx, time.Duration(d.draw(int64(2*d.world.options.Gap))))
 	}
 }
 
--- a/stand/internal/soak/fleet.go
+++ b/stand/internal/soak/fleet.go
@@ -169,7 +169,7 @@
 			}
 		}
 	}
-	if late > fewEvents || left > fewEvents && float64(working) > ownShare*float64(left) {
+	if late > fewEvents || left > fewEvents && float64(working) > workShare*float64(left) {
 		j.report("left", "%d requests came and %d of %d were at work %s after their callers had left, such as %s", late, working, left, leaveTime, first)
 	}
 }
--- a/stand/internal/soak/judge.go
+++ b/stand/internal/soak/judge.go
@@ -1,12 +1,14 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"currantport.example/core/clocks"
 	"currantport.example/platform/standin"
 )
 
@@ -25,15 +27,17 @@
 	heldTime = 500 * time.Millisecond
 	// lossTime is the time after which a request that was sent counts as read.
 	lossTime = 200 * time.Millisecond
-	// fewEvents is how many events of some kinds are allowed, as the pages say "a few".
+	// fewEvents is how often a promise may be missed that the users give a few events.
 	fewEvents = 3
-	// denied is how many proper requests may be denied: a number and one in so many.
+	// deniedCount and deniedShare are how many proper requests may be denied: a number and
+	// one in so many.
 	deniedCount = 5
 	deniedShare = 500
 	// servedShare is the share of requests that are served after a recovery at least.
 	servedShare = 0.25
-	// ownShare is the largest share of requests that miss a bound which allows a part.
-	ownShare = 0.25
+	// workShare is the largest share of requests whose work may go on after the caller has
+	// left.
+	workShare = 0.25
 )
 
 // judge checks what callers and upstreams saw. Goroutines share it.
@@ -91,12 +95,7 @@
 	for c, n := range j.counts {
 		all = append(all, Broken{Check: c, Count: n, First: j.firsts[c]})
 	}
-	slices.SortFunc(all, func(a, b Broken) int {
-		if a.Check < b.Check {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b Broken) int { return cmp.Compare(a.Check, b.Check) })
 	return all
 }
 
@@ -126,7 +125,7 @@
 // run checks requests once they have settled.
 func (j *judge) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, judgeGap)
+		clocks.Pause(ctx, judgeGap)
 		for _, s := range j.settled(time.Now().Add(-settleTime)) {
 			j.check(s)
 		}
@@ -149,8 +148,8 @@
 // check judges one request by itself.
 func (j *judge) check(s *sent) {
 	runs := j.world.ledger.Of(s.ID)
-	for _, text := range checkRequest(s, runs) {
-		j.report(text.check, "%s %s at %s through %s: %s", s.kind.name, s.ID, j.world.timeline.since(s.at), s.entry.name, text.text)
+	for _, f := range checkRequest(s, runs) {
+		j.report(f.check, "%s %s at %s through %s: %s", s.kind.name, s.ID, j.world.timeline.since(s.at), s.entry.name, f.text)
 	}
 	j.checkConfig(s, runs)
 	for i := range runs {
--- a/stand/internal/soak/load.go
+++ b/stand/internal/soak/load.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"time"
 
+	"currantport.example/core/clocks"
 	"currantport.example/core/shell"
 	"currantport.example/platform/standin"
 )
@@ -99,7 +100,7 @@
 		if c.resolve(ctx) {
 			c.send(ctx)
 		}
-		sleep(ctx, callGap/2+time.Duration(c.random.Int64N(int64(callGap))))
+		clocks.Pause(ctx, callGap/2+time.Duration(c.random.Int64N(int64(callGap))))
 	}
 }
 
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -29,6 +29,7 @@
 	"sync"
 	"time"
 
+	"currantport.example/core/clocks"
 	"currantport.example/core/shell"
 )
 
@@ -109,14 +110,14 @@
 	judging := shell.NewGroup()
 	judging.Go(w.judge.run)
 	defer judging.Stop()
-	sleep(ctx, startTime)
+	clocks.Pause(ctx, startTime)
 	var group sync.WaitGroup
 	d.play(ctx, &group)
 	group.Wait()
 	w.timeline.add(Moment{Name: "end of the faults"})
-	sleep(ctx, recoverTime)
+	clocks.Pause(ctx, recoverTime)
 	calm := time.Now()
-	sleep(ctx, calmTime)
+	clocks.Pause(ctx, calmTime)
 	stopLoad()
 	judging.Stop()
 	w.judge.finish(calm)
@@ -126,13 +127,6 @@
 	return r, w.timeline.write(filepath.Join(o.Dir, "timeline"))
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 // Print writes the result as lines of key=value pairs.
 func (r *Result) Print() {
 	for _, b := range r.Broken {
