upkeep, mesh: bound the messages between the entries of a region

Cause: each entry told each other one of its region every 40 ms what it has at engines, so that messages grow with the square of the entries: with 17 in a region 400 a second sent and as many taken by each. Ruled out: starts of processes (10 ms each), hot spots in the request path (system calls lead the profile).

Change: an entry sends at most 200 of these messages a second, at 200 ms between two at most, half of the time for which one counts. Up to 8 entries in a region nothing changes.

--- a/agent/internal/teller/teller.go
+++ b/agent/internal/teller/teller.go
@@ -37,7 +37,7 @@
 
 // Mesh carries the digests.
 type Mesh interface {
-	Send(to netip.AddrPort, d *wire.Datagram)
+	Send(d *wire.Datagram, to ...netip.AddrPort)
 }
 
 // interest is what an entry has at the engine.
@@ -124,9 +124,7 @@
 			continue
 		}
 		since, last = 0, running
-		for _, a := range to {
-			t.mesh.Send(a, d)
-		}
+		t.mesh.Send(d, to...)
 	}
 }
 
--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -57,8 +57,8 @@
 	// Released returns when a version was released, or zero. It may be nil.
 	Released func(name chunks.Digest) time.Time
 	Client   *http.Client
-	// Send tells another agent something.
-	Send func(to netip.AddrPort, d *wire.Datagram)
+	// Send tells other processes something.
+	Send func(d *wire.Datagram, to ...netip.AddrPort)
 	Seed uint64
 	// Scope gets the counters of pieces.
 	Scope tally.Scope
@@ -138,7 +138,7 @@
 	}
 	if h.Ask {
 		if d, ok := g.holds(name, false); ok {
-			g.options.Send(from, d)
+			g.options.Send(d, from)
 		} else if g.options.Wanted != nil {
 			g.options.Wanted(name)
 		}
--- a/core/gather/gather_test.go
+++ b/core/gather/gather_test.go
@@ -189,8 +189,10 @@
 	n.gatherer = gather.New(gather.Options{
 		Self: n.host, Cache: n.cache, Source: w.origin, Client: client, Seed: seed, Scope: tally.NoopScope, Log: zap.NewNop(),
 		Members: w.members, Origin: func() (hosts.Region, float64) { return "r0", originRate },
-		Send: func(to netip.AddrPort, d *wire.Datagram) {
-			time.AfterFunc(datagramTime, func() { w.deliver(n.host.Address, to, d) })
+		Send: func(d *wire.Datagram, to ...netip.AddrPort) {
+			for _, a := range to {
+				time.AfterFunc(datagramTime, func() { w.deliver(n.host.Address, a, d) })
+			}
 		},
 	}, server.Queue)
 	l, err := w.network.Listen(n.host.Address)
--- a/core/gather/session.go
+++ b/core/gather/session.go
@@ -245,7 +245,7 @@
 	s.told, s.news = time.Now(), false
 	d, _ := s.gatherer.holds(s.name, ask)
 	for _, h := range s.sample() {
-		s.gatherer.options.Send(h.Address, d)
+		s.gatherer.options.Send(d, h.Address)
 	}
 }
 
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -169,15 +169,17 @@
 	}
 }
 
-// Send tells one process something.
-func (n *Node) Send(to netip.AddrPort, d *wire.Datagram) {
+// Send tells processes something.
+func (n *Node) Send(d *wire.Datagram, to ...netip.AddrPort) {
 	data, err := proto.Marshal(d)
 	if err != nil {
 		n.options.Log.Error("datagram-unwritten", zap.Error(err))
 		return
 	}
-	if _, err := n.options.Socket.WriteToUDPAddrPort(data, to); err != nil && !errors.Is(err, net.ErrClosed) {
-		n.options.Log.Debug("datagram-unsent", zap.String("to", to.String()), zap.Error(err))
+	for _, a := range to {
+		if _, err := n.options.Socket.WriteToUDPAddrPort(data, a); err != nil && !errors.Is(err, net.ErrClosed) {
+			n.options.Log.Debug("datagram-unsent", zap.String("to", a.String()), zap.Error(err))
+		}
 	}
 }
 
@@ -207,13 +209,16 @@
 	n.mutex.Lock()
 	beat, gossip := n.gossip(false, true), n.gossip(true, true)
 	n.mutex.Unlock()
+	var toBeat, toGossip []netip.AddrPort
 	for _, t := range tells {
-		d := beat
 		if t.Others {
-			d = gossip
+			toGossip = append(toGossip, t.To)
+			continue
 		}
-		n.Send(t.To, d)
+		toBeat = append(toBeat, t.To)
 	}
+	n.Send(beat, toBeat...)
+	n.Send(gossip, toGossip...)
 }
 
 // gossip builds a message, with the records of others if asked for. The mutex is held.
@@ -297,7 +302,7 @@
 	}
 	n.mutex.Unlock()
 	if answer != nil && n.options.Self.Role == hosts.RoleEntry {
-		n.Send(from, answer)
+		n.Send(answer, from)
 	}
 	if n.options.Marks != nil && len(g.Marks) > 0 {
 		n.options.Marks.Take(name, g.Marks)
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -261,8 +261,8 @@
 				t.Fatal(err)
 			}
 		}
-		f.entries[0].Send(addressOf(1), &wire.Datagram{Body: &wire.Datagram_Gossip{Gossip: &wire.Gossip{Self: &wire.MemberRecord{Name: "x", State: "live"}}}})
-		f.entries[0].Send(addressOf(1), &wire.Datagram{Body: &wire.Datagram_Load{Load: &wire.LoadDigest{Upstream: "u"}}})
+		f.entries[0].Send(&wire.Datagram{Body: &wire.Datagram_Gossip{Gossip: &wire.Gossip{Self: &wire.MemberRecord{Name: "x", State: "live"}}}}, addressOf(1))
+		f.entries[0].Send(&wire.Datagram{Body: &wire.Datagram_Load{Load: &wire.LoadDigest{Upstream: "u"}}}, addressOf(1))
 		time.Sleep(time.Second)
 		f.see(t, "foreign", 3, f.entries...)
 		if n := heard.Load(); n != 1 {
--- a/entry/internal/upkeep/upkeep.go
+++ b/entry/internal/upkeep/upkeep.go
@@ -162,38 +162,54 @@
 	}
 }
 
-// tellInterval is the time between two messages to the other entries of the region.
-const tellInterval = 40 * time.Millisecond
+const (
+	// tellLeast is the least time between two messages to the other entries of the region.
+	tellLeast = 40 * time.Millisecond
+	// tellMost is the same at most. It is half of the time for which a message counts.
+	tellMost = 200 * time.Millisecond
+	// tellRate is the number of these messages that an entry sends in a second, as long as
+	// tellMost allows it. Sending and taking them costs more than the requests do if there
+	// are many entries.
+	tellRate = 200
+)
+
+// TellInterval returns the time between two messages to each of a number of entries.
+func TellInterval(entries int) time.Duration {
+	return min(max(time.Duration(entries)*time.Second/tellRate, tellLeast), tellMost)
+}
 
 // tellShares tells the other entries of the region what this one has at engines.
 func (u *Upkeep) tellShares(ctx context.Context) {
-	t := time.NewTicker(tellInterval)
-	defer t.Stop()
 	for idle := false; ; {
+		to := u.near()
 		shares := u.options.Fleet.Shares()
 		if len(shares) > 0 || !idle {
-			u.sendShares(shares)
+			u.sendShares(to, shares)
 		}
 		idle = len(shares) == 0
-		select {
-		case <-t.C:
-		case <-ctx.Done():
+		if !clocks.Pause(ctx, TellInterval(len(to))) {
 			return
 		}
 	}
 }
 
-func (u *Upkeep) sendShares(shares []target.Share) {
-	m := &wire.Shares{Name: string(u.options.Self)}
-	for _, s := range shares {
-		m.Shares = append(m.Shares, &wire.Share{Upstream: s.Upstream, Running: uint32(s.Running), Unread: uint32(s.Unread)})
-	}
-	d := &wire.Datagram{Body: &wire.Datagram_Shares{Shares: m}}
+// near returns where the other entries of the region are.
+func (u *Upkeep) near() []netip.AddrPort {
+	var all []netip.AddrPort
 	for _, h := range u.options.Mesh.Entries() {
 		if h.Name != u.options.Self && h.Place.Region == u.options.Region {
-			u.options.Mesh.Send(h.Address, d)
+			all = append(all, h.Address)
 		}
 	}
+	return all
+}
+
+func (u *Upkeep) sendShares(to []netip.AddrPort, shares []target.Share) {
+	m := &wire.Shares{Name: string(u.options.Self)}
+	for _, s := range shares {
+		m.Shares = append(m.Shares, &wire.Share{Upstream: s.Upstream, Running: uint32(s.Running), Unread: uint32(s.Unread)})
+	}
+	u.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Shares{Shares: m}}, to...)
 }
 
 // Told maps what another entry tells and takes it.
@@ -225,9 +241,9 @@
 
 func (u *Upkeep) tell(n target.Interest) {
 	to := netip.AddrPortFrom(n.Row.Address.Addr(), uint16(u.options.Agent))
-	u.options.Mesh.Send(to, &wire.Datagram{Body: &wire.Datagram_Interest{Interest: &wire.Interest{
+	u.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Interest{Interest: &wire.Interest{
 		Name: string(u.options.Self), Often: n.Often,
-	}}})
+	}}}, to)
 }
 
 // Digest maps what an agent tells.
