--- a/stand/internal/soak/world.go
+++ b/stand/internal/soak/world.go
@@ -199,12 +199,20 @@
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}
-	w.stops = append(w.stops, func() { _ = s.Close() })
-	go func() { _ = s.Serve(l) }()
+	s := &outside{listener: l, server: &http.Server{Handler: h, ReadHeaderTimeout: time.Minute}}
+	w.stops = append(w.stops, func() { _ = s.server.Close() })
+	go s.run()
 	return nil
 }
 
+// outside answers for the store or the origin.
+type outside struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+func (s *outside) run() { _ = s.server.Serve(s.listener) }
+
 func domainOf(i int) hosts.Domain { return domains[i%len(domains)] }
 
 func (w *world) addEngine(i int) error {
