--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -16,6 +16,8 @@
 resume~answer~entry/internal/course~s/After: t\.sink\.after\}/After: t.call.After}/; s/return err != nil \|\| next > last/return true || err != nil || next > last/~upstream-lossy
 foreign~answer~platform/internal/bridge/upstream.go~s/return echoed == id \|\| /return true || echoed == id || /~upstream-doubled
 target~unchanged~platform/internal/bridge/upstream.go~s/Target: c\.Target,/Target: c.Path,/~config
+unasked~unasked~platform/internal/bridge/upstream.go~s/(\th\.Set\(forms\.HeaderDeadline)/\th.Set(forms.HeaderID, string(c.ID)+"x")\n$1/~config
+address~address~entry/server/build.go~s/Front: s\.Calls/Front: s.Mesh/~config
 workspace~workspace~entry/internal/course/trip.go~s/a\.Workspace = t\.admission\.Workspace\.Name/a.Workspace = "workspace-0"/~config
 secret~workspace~platform/internal/bridge/callers.go~s/forms\.HeaderKey: true, //~config
 revoked~revoked~entry/internal/course/admit.go~s/if v\.Age > b\.Revoke \{/if false {/~store-hung,config-revoke
