member: let an observer query another entry after one that did not respond

Cause: an observer queries one random entry of its region every three rounds.

Change: a query that brought no newer record is followed in the next round by one to another entry of the region, or of any region if none responds.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -84,8 +84,14 @@
 type record struct {
 	member    Member
 	updatedAt time.Time
+	// queriedAt is when an observer last queried the entry. The query is unanswered while this
+	// is later than updatedAt.
+	queriedAt time.Time
 }
 
+// isUnanswered reports whether the last query of an observer has brought no newer record.
+func (r record) isUnanswered() bool { return r.queriedAt.After(r.updatedAt) }
+
 // Table is a process's view of the entries. It isn't safe for concurrent use. Use NewTable or
 // NewObserver.
 type Table struct {
@@ -96,6 +102,8 @@
 	random  *rand.Rand
 	others  map[hosts.Name]record
 	rounds  int
+	// lastQueried is the entry that an observer queried last.
+	lastQueried hosts.Name
 }
 
 // NewTable returns the table of an entry. Seed initializes the choice of recipients.
@@ -143,7 +151,7 @@
 		}
 		changed = changed || !ok || known.member.State != m.State || known.member.Ready != m.Ready || known.member.Address != m.Address ||
 			t.isSilent(now, known)
-		t.others[m.Name] = record{member: m, updatedAt: now}
+		t.others[m.Name] = record{member: m, updatedAt: now, queriedAt: known.queriedAt}
 	}
 	return changed
 }
@@ -210,30 +218,38 @@
 
 // observerMessages returns the queries of an observer: to an entry that isn't silent, of its own
 // region if there is one. Querying silent entries would delay the records of the others until
-// they seem silent too.
+// they seem silent too. For the same reason a query without a response is followed in the next
+// round by one to another entry.
 func (t *Table) observerMessages(now time.Time) []Message {
-	if t.rounds%observerRounds != 1 && len(t.others) > 0 {
+	if t.rounds%observerRounds != 1 && len(t.others) > 0 && !t.others[t.lastQueried].isUnanswered() {
 		return nil
 	}
 	live := func(m Member) bool { return !t.isSilent(now, t.others[m.Name]) }
-	var targets []netip.AddrPort
+	responsive := func(m Member) bool { return live(m) && !t.others[m.Name].isUnanswered() }
+	var all []Message
 	for _, matches := range []func(Member) bool{
-		func(m Member) bool { return live(m) && t.isSameRegion(m) }, live, func(Member) bool { return true },
+		func(m Member) bool { return responsive(m) && t.isSameRegion(m) }, responsive, live, func(Member) bool { return true },
 	} {
-		if targets = t.sample(1, matches); len(targets) > 0 {
+		if targets := t.sampleMembers(1, matches); len(targets) > 0 {
+			all = append(all, t.query(now, targets[0]))
 			break
 		}
 	}
-	if s, ok := t.pickSeed(); ok && (len(targets) == 0 || t.rounds%seedRounds == 0) {
-		targets = append(targets, s)
-	}
-	var all []Message
-	for _, a := range targets {
-		all = append(all, Message{To: a})
+	if s, ok := t.pickSeed(); ok && (len(all) == 0 || t.rounds%seedRounds == 0) {
+		all = append(all, Message{To: s})
 	}
 	return all
 }
 
+// query records a query of an observer and returns its message.
+func (t *Table) query(now time.Time, m Member) Message {
+	r := t.others[m.Name]
+	r.queriedAt = now
+	t.others[m.Name] = r
+	t.lastQueried = m.Name
+	return Message{To: m.Address}
+}
+
 // dropExpired drops the records whose TTL has passed.
 func (t *Table) dropExpired(now time.Time) {
 	maps.DeleteFunc(t.others, func(_ hosts.Name, r record) bool { return now.Sub(r.updatedAt) > recordTTL })
@@ -242,9 +258,18 @@
 // sample returns the addresses of up to limit matching entries in random order.
 func (t *Table) sample(limit int, matches func(Member) bool) []netip.AddrPort {
 	var all []netip.AddrPort
+	for _, m := range t.sampleMembers(limit, matches) {
+		all = append(all, m.Address)
+	}
+	return all
+}
+
+// sampleMembers returns up to limit matching entries in random order.
+func (t *Table) sampleMembers(limit int, matches func(Member) bool) []Member {
+	var all []Member
 	for _, name := range slices.Sorted(maps.Keys(t.others)) {
 		if m := t.others[name].member; matches(m) {
-			all = append(all, m.Address)
+			all = append(all, m)
 		}
 	}
 	t.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -224,3 +225,26 @@
 		t.Errorf("an observer queries %v and sends %v", to, observer.Records(now, true))
 	}
 }
+
+// TestObserverKeepsTheRemainingEntry isolates one of the two entries of an observer's region. The
+// other must never seem silent, whichever of them the observer queries when.
+func TestObserverKeepsTheRemainingEntry(t *testing.T) {
+	for seed := range uint64(500) {
+		isolated, remaining := entry(0, 1), entry(3, 1)
+		observer := member.NewObserver(isolated.Place, seed)
+		now := time.Unix(1e9, 0)
+		observer.Merge(now, []member.Member{isolated, remaining, entry(1, 1)})
+		for range 40 {
+			now = now.Add(member.GossipInterval)
+			remaining.Heartbeat++
+			for _, m := range observer.NextMessages(now) {
+				if m.To == remaining.Address {
+					observer.Merge(now, []member.Member{remaining})
+				}
+			}
+			if !slices.ContainsFunc(observer.Live(now), func(m member.Member) bool { return m.Name == remaining.Name }) {
+				t.Fatalf("seed %d: the remaining entry seems silent", seed)
+			}
+		}
+	}
+}
