retry: keep the attempts of a request that upstreams declined

Cause: an upstream that declines for its version, or because it leaves or starts, has run nothing, but used up one of the three attempts.

Ruled out: the choice of upstreams. Entries learn a change of version within one report, and none can learn of three changes before they happen.

Change: declines are counted by themselves, at most eight a request; they are charged neither to the attempts nor to the budget. An attempt whose outcome is unknown is no decline, whatever its reason, so it is charged and settled.

Before: retry.TestDeclinesKeepTheAttempts gets 2 retries, TestAttemptsAreLimited ends after two, TestUnknownOutcomeIsNoDecline retries without charge. After: green.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -21,7 +21,10 @@
 )
 
 const (
-	maxAttempts   = 3
+	maxAttempts = 3
+	// maxDeclines bounds the attempts that were declined for what the upstreams serve, such as
+	// a version that several replace at once. Each costs a round trip and runs nothing.
+	maxDeclines   = 8
 	maxHops       = 2
 	maxReconnects = 3
 	retryAfter    = time.Second
@@ -86,6 +89,7 @@
 	// one.
 	trySpend   func() bool
 	count      int
+	declines   int
 	hops       int
 	reconnects int
 	// unsettled is the number of attempts that may have run. It is kept only for requests
@@ -127,7 +131,11 @@
 
 // Next returns the decision after an attempt.
 func (a *Attempts) Next(now time.Time, r Result) Decision {
-	a.count++
+	if isDecline(r.Refusal) {
+		a.declines++
+	} else {
+		a.count++
+	}
 	a.started = a.started || r.Started
 	switch {
 	case r.Refusal == nil && !r.Lost:
@@ -167,7 +175,12 @@
 		a.unsettled++
 	}
 	a.lastRefusal = refusal
-	if a.started || isFinal(refusal.Reason) || a.count >= maxAttempts || a.isLate(now) || !skipsBudget(refusal.Reason) && !a.trySpend() {
+	switch {
+	case a.started || isFinal(refusal.Reason) || a.isLate(now):
+		return a.finish(refusal)
+	case isDecline(refusal) && a.declines < maxDeclines:
+		return Decision{Step: StepRetry}
+	case isDecline(refusal) || a.count >= maxAttempts || !a.trySpend():
 		return a.finish(refusal)
 	}
 	return Decision{Step: StepRetry}
@@ -181,10 +194,14 @@
 	return reason == calls.ReasonQuarantined || reason == calls.ReasonTooLarge || reason == calls.ReasonCanceled
 }
 
-// skipsBudget reports whether a retry isn't charged to the budget: the upstream's host
-// refused because of what it serves, not because of its load.
-func skipsBudget(reason calls.Reason) bool {
-	switch reason {
+// isDecline reports whether the upstream's host didn't run the request because of what it serves,
+// not because of its load. Another attempt is then charged neither to the attempts of the request
+// nor to the budget.
+func isDecline(r *calls.Refusal) bool {
+	if r == nil || r.Outcome != calls.OutcomeNotRun {
+		return false
+	}
+	switch r.Reason {
 	case calls.ReasonVersion, calls.ReasonLeaving, calls.ReasonStarting, calls.ReasonNoPool:
 		return true
 	}
