sender: delay a crash suspect until marks of other entries have arrived

Cause: marks reach entries by broadcast, but an upstream gets them only with an attempt. Where the other entry had no retry left, the upstream of the suspect waited its 100 ms without the second mark and ran the request a third time (trace: losses at 10.130 s at two upstreams, one entry made no further attempt, third run at 10.350 s).

Ruled out: a round trip before each first run isn't needed for this case; the second mark is known to the sending entry 10 ms after the loss.

Change: the entry, too, waits 100 ms before the first attempt of a suspect.

--- a/agent/internal/gate/runs.go
+++ b/agent/internal/gate/runs.go
@@ -16,10 +16,6 @@
 	"currantport.example/core/wire"
 )
 
-// suspectDelay is how long a suspect waits before it runs. Meanwhile the marks of
-// other attempts that were lost at the same moment arrive.
-const suspectDelay = 100 * time.Millisecond
-
 // run is one attempt at the gate.
 type run struct {
 	gate    *Gate
@@ -161,7 +157,7 @@
 		}
 		alone = status == poison.StatusSuspect
 		if alone && first {
-			sleep(ctx, suspectDelay)
+			sleep(ctx, poison.MarkDelay)
 			continue
 		}
 		if !isolator.acquire(ctx, alone) {
--- a/core/poison/poison.go
+++ b/core/poison/poison.go
@@ -32,6 +32,11 @@
 // CrashLimit is the number of lost runs after which a request is refused.
 const CrashLimit = 2
 
+// MarkDelay is how long a suspect waits before it is sent and again before it runs. Meanwhile the
+// marks of other attempts that were lost at the same moment arrive: a few round trips between
+// regions.
+const MarkDelay = 100 * time.Millisecond
+
 const (
 	markTTL  = 10 * time.Minute
 	maxMarks = 4096
--- a/entry/internal/sender/attempts.go
+++ b/entry/internal/sender/attempts.go
@@ -35,6 +35,8 @@
 	pinned bool
 	// candidates holds the remaining upstreams for a crash suspect by rendezvous rank.
 	candidates []hosts.Name
+	// delayed is set once the request has waited for the crash marks of other entries.
+	delayed bool
 	// version is the one that the chosen upstream serves. The attempt requires it.
 	version string
 	// unsettled holds the attempts whose send state is unknown.
@@ -62,6 +64,7 @@
 		case retry.StepDone:
 			return next.Refusal
 		case retry.StepRetry:
+			a.awaitMarks(ctx)
 			host, ok = a.chooseHost()
 		case retry.StepFollow:
 			host, ok = a.findHost(next.Owner)
@@ -82,6 +85,20 @@
 	}
 }
 
+// awaitMarks delays the first attempt of a crash suspect until the marks of attempts
+// that other entries lost at the same moment have arrived. Those entries may have no
+// retry left that would carry their marks to the upstream of the suspect.
+func (a *attempts) awaitMarks(ctx context.Context) {
+	if status, _ := a.sender.options.Registry.Evaluate(a.fingerprint); status != poison.StatusSuspect || a.delayed {
+		return
+	}
+	a.delayed = true
+	select {
+	case <-time.After(poison.MarkDelay):
+	case <-ctx.Done():
+	}
+}
+
 // chooseHost returns the upstream of the next attempt. A process that isn't current
 // chooses none.
 func (a *attempts) chooseHost() (hosts.Host, bool) {
--- a/entry/internal/sender/sender_test.go
+++ b/entry/internal/sender/sender_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"currantport.example/core/calls"
+	"currantport.example/core/poison"
 	"currantport.example/core/trial"
 )
 
@@ -170,3 +171,18 @@
 }
 
 const maxSettleTime = 100 * time.Millisecond
+
+// TestSuspectWaitsForMarksOfOtherEntries covers a crash suspect whose second mark arrives
+// from another entry that has no retry left. The request must not run a third time.
+func TestSuspectWaitsForMarksOfOtherEntries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, trial.NewScript(nil))
+		fingerprint := poison.FingerprintOf(calls.Request{Route: idempotentRoute})
+		w.registry.RecordLoss(fingerprint, "first")
+		time.AfterFunc(poison.MarkDelay/2, func() { w.registry.RecordLoss(fingerprint, "second") })
+		r := w.sender.Send(t.Context(), calls.Request{Route: idempotentRoute, Deadline: time.Now().Add(time.Second)}, &sink{})
+		if r == nil || r.Reason != calls.ReasonQuarantined || w.runCount() != 0 {
+			t.Errorf("refused with %v, ran %d times", r, w.runCount())
+		}
+	})
+}
--- a/entry/internal/sender/world_test.go
+++ b/entry/internal/sender/world_test.go
@@ -68,6 +68,8 @@
 	hosts   []*host
 	sender  *sender.Sender
 	scope   tally.TestScope
+	// registry holds the crash marks of the sender.
+	registry *poison.SharedRegistry
 	// isBehind is true while the entry has not caught up after a pause.
 	isBehind atomic.Bool
 	// onFault is called at each fault, or nil.
@@ -144,9 +146,9 @@
 		w.hosts = append(w.hosts, h)
 	}
 	client, closeIdle := links.NewPeerClient(w.network.Dialer(entryAddress))
-	registry := poison.NewSharedRegistry(audit.NewTrail(zap.NewNop()))
+	w.registry = poison.NewSharedRegistry(audit.NewTrail(zap.NewNop()))
 	w.sender = sender.New(sender.Options{
-		Tables: newTables(t), IsCurrent: w.current, Fleet: w, Client: client, Registry: registry, Broadcast: func(...poison.Mark) {},
+		Tables: newTables(t), IsCurrent: w.current, Fleet: w, Client: client, Registry: w.registry, Broadcast: func(...poison.Mark) {},
 		NewClient: func() (*http.Client, func()) { return links.NewPeerClient(w.network.Dialer(entryAddress)) },
 		Metrics:   w.scope, Log: zap.NewNop(),
 	})
