gate: order the results of innocent requests before the test reads them

The test read what its goroutines wrote with no more than a sleep between them, which orders nothing for the race detector. synctest.Wait does; no check changed.

--- a/agent/internal/gate/gate_test.go
+++ b/agent/internal/gate/gate_test.go
@@ -382,6 +382,8 @@
 			t.Errorf("%d upstreams were lost, then %v", crashes(), last)
 		}
 		time.Sleep(runTime)
+		// Orders the results of the innocent requests before the reads below.
+		synctest.Wait()
 		lost := 0
 		for _, r := range innocent {
 			if r.refusal == nil {
