dedup: count only new keys when a hand-over is adopted

Cause: Adopt added all keys that were handed over to all that it holds and compared the sum with MaxKeys, which bounds started and fenced keys each by themselves. Keys that it holds already counted again, so that an owner with more than half of its keys refused each repeated claim and stayed unknown.

Change: new started keys and new fenced keys are counted and bounded apart; a fenced key that has started elsewhere moves from one to the other.

Before: TestAdoptCountsOnlyNewKeys fails in five of its steps. After: green.

--- a/core/dedup/memory.go
+++ b/core/dedup/memory.go
@@ -327,10 +327,11 @@
 }
 
 // Adopt records the keys of an earlier owner. It reports false, and records none,
-// if they exceed MaxKeys.
+// if the keys that it has no such record of yet exceed MaxKeys.
 func (m *Memory) Adopt(now time.Time, all []HeldKey) bool {
 	m.expire(now)
-	if len(m.keys)+len(all) > m.options.MaxKeys {
+	started, fenced := m.countNew(all)
+	if len(m.keys)-m.fencedCount+started > m.options.MaxKeys || m.fencedCount+fenced > m.options.MaxKeys {
 		return false
 	}
 	for _, h := range all {
@@ -348,6 +349,25 @@
 	return true
 }
 
+// countNew returns by how many the keys would raise the numbers of started and of
+// fenced keys. A fenced key that has started elsewhere moves from one to the other.
+func (m *Memory) countNew(all []HeldKey) (started, fenced int) {
+	for _, h := range all {
+		r := m.keys[h.Key]
+		switch {
+		case r != nil && r.state != StateFenced:
+		case h.Owner != Owner{}:
+			started++
+			if r != nil {
+				fenced--
+			}
+		case r == nil:
+			fenced++
+		}
+	}
+	return started, fenced
+}
+
 func (m *Memory) adoptStarted(now time.Time, h HeldKey, r *record) {
 	if r == nil {
 		r = &record{}
--- a/core/dedup/memory_test.go
+++ b/core/dedup/memory_test.go
@@ -200,3 +200,34 @@
 		t.Error("the old row reclaims the keys")
 	}
 }
+
+// TestAdoptCountsOnlyNewKeys hands keys over twice, and one key as started that is fenced here,
+// to a memory that is full with them.
+func TestAdoptCountsOnlyNewKeys(t *testing.T) {
+	other := dedup.Owner{Host: "b", Incarnation: "two"}
+	held := func(owner dedup.Owner, keys ...calls.Key) (all []dedup.HeldKey) {
+		for _, k := range keys {
+			all = append(all, dedup.HeldKey{Key: attemptOf(k, "").Key, Owner: owner})
+		}
+		return all
+	}
+	m := newMemory(2)
+	for _, c := range []struct {
+		name string
+		held []dedup.HeldKey
+		want bool
+	}{
+		{"two started and two fenced", append(held(other, "a", "b"), held(dedup.Owner{}, "c", "d")...), true},
+		{"the same again", append(held(other, "a", "b"), held(dedup.Owner{}, "c", "d")...), true},
+		{"a third started", held(other, "e"), false},
+		{"a third fenced", held(dedup.Owner{}, "e"), false},
+		{"a fenced one as started, of two", held(other, "c"), false},
+	} {
+		if got := m.Adopt(epoch, c.held); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+	if m.Len() != 4 {
+		t.Errorf("%d keys, want 4", m.Len())
+	}
+}
