swarm: pause requests below a window of one, forget ranks with the members

Cause: the end of the pause of a pacer was written and never read, so that a congested link got requests one after the other; with an empty list of members the ranks of the last list stayed, and a host that was no member fetched by them. probeInterval and updatedAt had no reader.

Change: MayRequest takes the time and keeps the pause; an empty list clears the ranks.

Before: TestWindowBelowOnePauses gets a request at once, TestNoMembersNoRanks two fetches after 8 intervals. After: green.

--- a/core/swarm/pacer.go
+++ b/core/swarm/pacer.go
@@ -28,7 +28,6 @@
 	baseDelayAt time.Time
 	// idleUntil is the end of the pause that a window below one stands for.
 	idleUntil time.Time
-	updatedAt time.Time
 	// lastArrival is the time at which a piece last arrived over the link.
 	lastArrival time.Time
 }
@@ -59,18 +58,19 @@
 
 func (p *Pacer) clampWindow(now time.Time) {
 	p.window = min(max(p.window, minWindow), maxWindow)
-	p.updatedAt = now
+	p.idleUntil = time.Time{}
 	if p.window < 1 {
 		p.idleUntil = now.Add(time.Duration(float64(targetDelay) / p.window))
 	}
 }
 
-// MayRequest reports whether one more request may be outstanding.
-func (p *Pacer) MayRequest() bool {
+// MayRequest reports whether one more request may be outstanding. With a window below one, a
+// request follows the last piece or loss after a pause.
+func (p *Pacer) MayRequest(now time.Time) bool {
 	if p.inFlight > 0 {
 		return float64(p.inFlight+1) <= p.window
 	}
-	return true
+	return !now.Before(p.idleUntil)
 }
 
 // isFlowing reports whether a piece arrived over the link within the given time.
--- a/core/swarm/peer.go
+++ b/core/swarm/peer.go
@@ -36,7 +36,6 @@
 	// is skipped in the ranks at first. It doubles at most maxSkipDoublings times.
 	skipFactor       = 2
 	maxSkipDoublings = 2
-	probeInterval    = 2 * time.Second
 
 	// maxPeerWindow is the maximum number of outstanding requests to one peer.
 	maxPeerWindow = 8
--- a/core/swarm/query.go
+++ b/core/swarm/query.go
@@ -26,7 +26,7 @@
 		if now.Before(pc.nextQuery) {
 			continue
 		}
-		if p := s.remoteFetcher(now, i); p != nil && s.pacerOf(p).MayRequest() {
+		if p := s.remoteFetcher(now, i); p != nil && s.pacerOf(p).MayRequest(now) {
 			s.startRequest(now, p.host.Name, i, true)
 		}
 	}
--- a/core/swarm/rank.go
+++ b/core/swarm/rank.go
@@ -85,6 +85,7 @@
 func (s *Scheduler) computeRanks() {
 	groups := s.groupByRegion()
 	if len(groups) == 0 {
+		s.clearRanks()
 		return
 	}
 	own := slices.IndexFunc(groups, func(g group) bool { return g.region == s.options.Self.Place.Region })
@@ -110,6 +111,15 @@
 	}
 }
 
+// clearRanks removes the ranks when no member is left, this host included.
+func (s *Scheduler) clearRanks() {
+	s.groups, s.local = nil, nil
+	for i := range s.pieces {
+		pc := &s.pieces[i]
+		pc.ranking, pc.fromSource, pc.relayRegion = ranking{self: -1}, false, ""
+	}
+}
+
 // updateRanks ranks the due pieces again if the set of skipped members has changed.
 func (s *Scheduler) updateRanks(now time.Time) {
 	if s.local == nil || !s.ranksStale && (s.skipsEnd.IsZero() || now.Before(s.skipsEnd)) {
--- a/core/swarm/requests.go
+++ b/core/swarm/requests.go
@@ -140,7 +140,7 @@
 		}
 		for w := range p.held {
 			wanted := p.held[w] &^ s.held[w] &^ s.requested[w]
-			for ; wanted != 0 && s.pacerOf(p).MayRequest(); wanted &= wanted - 1 {
+			for ; wanted != 0 && s.pacerOf(p).MayRequest(now); wanted &= wanted - 1 {
 				i := w*64 + bits.TrailingZeros64(wanted)
 				if s.mayFetchRemote(now, i, p) {
 					s.startRequest(now, p.host.Name, i, false)
