front, queue: end held replies with the list of hosts, count withdrawn requests

Cause: a held Leave ended by a drain only, so that peers learned up to 3 s late that the list of hosts says that this host leaves or stays. Requests that were withdrawn from the queue were refused without being counted. The doc of Sink.Reset said that it isn't called before the first attempt; it is, and that is harmless, so the doc was wrong.

Before: TestHeldLeaveEndsWithTheState gets replies after 3 s, TestWithdrawnRequestsAreCounted 0 refusals. After: both green.

--- a/entry/internal/front/drain_test.go
+++ b/entry/internal/front/drain_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	"github.com/gorilla/mux"
 	"go.uber.org/zap"
 
@@ -289,3 +290,27 @@
 		}
 	})
 }
+
+// TestHeldLeaveEndsWithTheState checks that a held reply ends as soon as the list of hosts says
+// that the host leaves or stays, or a drain begins.
+func TestHeldLeaveEndsWithTheState(t *testing.T) {
+	trial.Run(t, []trial.Case{{}}, func(t *testing.T, _ *trial.Script) {
+		c := newCluster(t)
+		f := c.fronts[0]
+		for _, step := range []struct {
+			known  bool
+			change func()
+		}{
+			{false, func() { f.SetListedLeaving(true) }},
+			{true, func() { f.SetListedLeaving(false) }},
+			{false, func() { f.Drain("test") }},
+		} {
+			started := time.Now()
+			time.AfterFunc(100*time.Millisecond, step.change)
+			r, err := f.Leave(t.Context(), connect.NewRequest(&wire.LeaveRequest{Leaving: step.known, Wait: 3000}))
+			if err != nil || r.Msg.Leaving == step.known || time.Since(started) > 200*time.Millisecond {
+				t.Errorf("known %v: reply %v, %v after %s", step.known, r, err, time.Since(started))
+			}
+		}
+	})
+}
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -94,12 +94,14 @@
 	drain admit.Drain
 	// draining is closed once the drain has begun.
 	draining chan struct{}
+	// stateChanged is closed and replaced whenever Leaving may have changed. The mutex guards it.
+	stateChanged chan struct{}
 }
 
 // New returns a front that isn't draining.
 func New(o Options) *Front {
 	return &Front{
-		Options: o, draining: make(chan struct{}),
+		Options: o, draining: make(chan struct{}), stateChanged: make(chan struct{}),
 		drain: admit.Drain{AcceptTime: o.AddressTTL + lookup.ProbeTimeout, FinishTimeout: o.DrainTimeout},
 	}
 }
@@ -120,6 +122,7 @@
 	defer f.mutex.Unlock()
 	if f.drain.Start(time.Now()) {
 		close(f.draining)
+		f.releaseHeld()
 		f.Trail.Add(audit.EventDrain, "entry", cause)
 	}
 }
@@ -131,6 +134,7 @@
 // entry isn't named to clients but continues to serve requests.
 func (f *Front) SetListedLeaving(leaving bool) {
 	f.listedLeaving.Store(leaving)
+	f.notifyHeld()
 	f.Trail.Add(audit.EventHosts, string(f.Self.Name), "the list of hosts", audit.Field{Name: "leaving", Value: strconv.FormatBool(leaving)})
 }
 
@@ -157,26 +161,46 @@
 }
 
 // Leave implements wire.FrontHandler. It is a long poll: if the peer already knows the state,
-// the reply is held until a drain begins, for at most the requested time.
+// the reply is held until the state changes, for at most the requested time.
 func (f *Front) Leave(ctx context.Context, r *connect.Request[wire.LeaveRequest]) (*connect.Response[wire.LeaveReply], error) {
-	if r.Msg.Wait > 0 && f.Leaving() == r.Msg.Leaving {
-		f.awaitLeaving(ctx, min(time.Duration(r.Msg.Wait)*time.Millisecond, maxHoldTimeout))
+	if r.Msg.Wait > 0 {
+		f.awaitLeaving(ctx, r.Msg.Leaving, min(time.Duration(r.Msg.Wait)*time.Millisecond, maxHoldTimeout))
 	}
 	return connect.NewResponse(&wire.LeaveReply{Leaving: f.Leaving()}), nil
 }
 
-func (f *Front) awaitLeaving(ctx context.Context, wait time.Duration) {
-	draining := f.draining
-	if f.Leaving() {
-		draining = nil
-	}
-	select {
-	case <-draining:
-	case <-time.After(wait):
-	case <-ctx.Done():
+// awaitLeaving waits until the state differs from the one that the peer knows.
+func (f *Front) awaitLeaving(ctx context.Context, known bool, wait time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	for {
+		f.mutex.Lock()
+		changed := f.stateChanged
+		f.mutex.Unlock()
+		if f.Leaving() != known {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
+// notifyHeld ends the wait of held replies.
+func (f *Front) notifyHeld() {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.releaseHeld()
+}
+
+// releaseHeld is notifyHeld for a caller that holds the mutex.
+func (f *Front) releaseHeld() {
+	close(f.stateChanged)
+	f.stateChanged = make(chan struct{})
+}
+
 type addressesDocument struct {
 	Addresses []string `json:"addresses"`
 	Lifetime  string   `json:"lifetime"`
--- a/entry/internal/queue/queue.go
+++ b/entry/internal/queue/queue.go
@@ -107,12 +107,16 @@
 
 func (q *Queues) result(p *poolQueue, t *admit.Ticket, refusal *calls.Refusal) (func(bool), *calls.Refusal) {
 	if refusal != nil {
-		q.scope.Tagged(map[string]string{"reason": string(refusal.Reason)}).Counter("refused").Inc(1)
-		return nil, refusal
+		return nil, q.countRefusal(refusal)
 	}
 	return func(answered bool) { q.done(p, t, answered) }, nil
 }
 
+func (q *Queues) countRefusal(r *calls.Refusal) *calls.Refusal {
+	q.scope.Tagged(map[string]string{"reason": string(r.Reason)}).Counter("refused").Inc(1)
+	return r
+}
+
 func (q *Queues) enqueue(t *admit.Ticket, pool tables.Pool, decision chan *calls.Refusal) *poolQueue {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -141,14 +145,14 @@
 	q.mutex.Unlock()
 	if !wasWaiting {
 		if refusal := <-decision; refusal != nil {
-			return nil, refusal
+			return nil, q.countRefusal(refusal)
 		}
 		q.done(p, t, false)
 	}
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return nil, calls.NotRun(calls.ReasonDeadline, time.Second, "the deadline passed in the queue")
+		return nil, q.countRefusal(calls.NotRun(calls.ReasonDeadline, time.Second, "the deadline passed in the queue"))
 	}
-	return nil, calls.NotRun(calls.ReasonCanceled, 0, "the caller has gone")
+	return nil, q.countRefusal(calls.NotRun(calls.ReasonCanceled, 0, "the caller has gone"))
 }
 
 func (q *Queues) done(p *poolQueue, t *admit.Ticket, answered bool) {
--- a/entry/internal/queue/queue_test.go
+++ b/entry/internal/queue/queue_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -34,6 +35,7 @@
 	capacity *fixedCapacity
 	// results receives a line for each request when it ends: workspace, outcome, duration.
 	results chan string
+	scope   tally.TestScope
 }
 
 func newWorld(t *testing.T, size int) *world {
@@ -46,9 +48,9 @@
 		}
 	}
 	entries := hosts.NewList([]hosts.Host{{Name: "entry-1", Role: hosts.RoleEntry, State: hosts.StateLive}, {Name: "entry-2", Role: hosts.RoleEntry, State: hosts.StateLive}})
-	w := &world{t: t, capacity: &fixedCapacity{}, results: make(chan string, 256)}
+	w := &world{t: t, capacity: &fixedCapacity{}, results: make(chan string, 256), scope: tally.NewTestScope("", nil)}
 	w.capacity.size.Store(int64(size))
-	q, stop := queue.New("entry-1", active, w.capacity, roster{entries}, tally.NoopScope)
+	q, stop := queue.New("entry-1", active, w.capacity, roster{entries}, w.scope)
 	w.queues = q
 	t.Cleanup(stop)
 	return w
@@ -152,3 +154,25 @@
 		w.tally(time.Minute)
 	})
 }
+
+// TestWithdrawnRequestsAreCounted checks that requests whose deadline passes or whose client
+// leaves while they wait count as refused.
+func TestWithdrawnRequestsAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1)
+		ctx, cancel := context.WithCancel(t.Context())
+		w.send(t.Context(), "meadow", 10*time.Second, 1)
+		w.send(ctx, "meadow", 10*time.Second, 1)
+		cancel()
+		time.Sleep(2 * serviceTime)
+		total := int64(0)
+		for name, c := range w.scope.Snapshot().Counters() {
+			if strings.HasPrefix(name, "queue.refused") {
+				total += c.Value()
+			}
+		}
+		if total != 1 {
+			t.Errorf("%d refusals counted, want 1", total)
+		}
+	})
+}
--- a/entry/internal/sender/sender.go
+++ b/entry/internal/sender/sender.go
@@ -51,8 +51,8 @@
 	Data(data []byte) error
 	// Started reports whether the client has received part of the response.
 	Started() bool
-	// Reset discards what was received, before another attempt. It is called only
-	// while Started is false.
+	// Reset discards what was received. It is called before each attempt, the first one
+	// included, and only while Started is false.
 	Reset()
 }
 
