assess: fail a package that ended before its last test

Cause: a package with a known red test was passed over as a package if no other test had failed, also when it panicked afterwards and left tests out.

Change: such a package must have printed the line that follows its last test.

Before: the case "panic after known" of TestEvaluate passes over the panic. After: green. The case "known failure" has the line now, as go test prints it.

--- a/tools/internal/assess/assess.go
+++ b/tools/internal/assess/assess.go
@@ -128,9 +128,16 @@
 	return KnownFailure{}, false
 }
 
-// failedOnlyAsKnown reports whether all failed tests of a package are known
-// failures.
+// endLine is what a test binary prints after its last test, unless all passed. One
+// that panics or times out prints it not, and may have left tests out.
+const endLine = "FAIL\n"
+
+// failedOnlyAsKnown reports whether a package ran all of its tests and those that
+// failed are known failures.
 func (ev *evaluation) failedOnlyAsKnown(pkg string) bool {
+	if !slices.Contains(ev.outputs[pkg], endLine) {
+		return false
+	}
 	hasKnown := slices.ContainsFunc(ev.knownFailed, func(k KnownFailure) bool { return strings.HasPrefix(k.Test, pkg+".") })
 	hasOther := slices.ContainsFunc(ev.failed, func(n string) bool { return strings.HasPrefix(n, pkg+".") })
 	return hasKnown && !hasOther
--- a/tools/internal/assess/assess_test.go
+++ b/tools/internal/assess/assess_test.go
@@ -15,6 +15,8 @@
 	passLine    = `{"Action":"pass","Package":"a/links","Test":"TestGood"}`
 	failLine    = `{"Action":"fail","Package":"a/links","Test":"TestBad"}`
 	failPackage = `{"Action":"fail","Package":"a/links"}`
+	endLine     = `{"Action":"output","Package":"a/links","Output":"FAIL\n"}`
+	panicLine   = `{"Action":"output","Package":"a/links","Output":"panic: lost\n"}`
 	buildLine   = `{"ImportPath":"a/swarm","Action":"build-fail"}`
 	knownEntry  = "test: a/links.TestBad\nseen: lost a byte\n"
 )
@@ -29,7 +31,8 @@
 		"all pass":            {input: passLine, wantOutput: "1 passed, 0 failed"},
 		"no test":             {input: "", want: assess.ErrFailed, wantOutput: "0 passed, 0 failed"},
 		"one fails":           {input: passLine + "\n" + failLine + "\n" + failPackage, want: assess.ErrFailed, wantOutput: "name=a/links.TestBad"},
-		"known failure":       {input: passLine + "\n" + failLine + "\n" + failPackage, red: knownEntry, wantOutput: `known-red name=a/links.TestBad seen="lost a byte"`},
+		"panic after known":   {input: passLine + "\n" + failLine + "\n" + panicLine + "\n" + failPackage, red: knownEntry, want: assess.ErrFailed, wantOutput: "name=a/links\npanic: lost"},
+		"known failure":       {input: passLine + "\n" + failLine + "\n" + endLine + "\n" + failPackage, red: knownEntry, wantOutput: `known-red name=a/links.TestBad seen="lost a byte"`},
 		"other known failure": {input: passLine + "\n" + failLine, red: "test: a/links.TestOther\n", want: assess.ErrFailed, wantOutput: "name=a/links.TestBad"},
 		"does not build":      {input: passLine + "\n" + buildLine, want: assess.ErrFailed, wantOutput: "name=a/swarm"},
 	}
