--- a/stand/internal/gauge/command.go
+++ b/stand/internal/gauge/command.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 
 	"currantport.example/core/links"
@@ -18,7 +19,15 @@
 func run(ctx context.Context, p plan.Plan) error {
 	client, stop := links.NewClient(nil)
 	defer stop()
-	g := gauge{client: client, entry: findTarget(p, "entry"), agent: findTarget(p, "agent")}
+	entry, err := findTarget(p, "entry")
+	if err != nil {
+		return err
+	}
+	agent, err := findTarget(p, "agent")
+	if err != nil {
+		return err
+	}
+	g := gauge{client: client, entry: entry, agent: agent}
 	return g.run(ctx)
 }
 
@@ -28,12 +37,12 @@
 	upstream netip.AddrPort
 }
 
-// findTarget returns the first host of a role that isn't plain, or the zero value.
-func findTarget(p plan.Plan, role string) target {
+// findTarget returns the first host of a role that isn't plain.
+func findTarget(p plan.Plan, role string) (target, error) {
 	for _, h := range p.Hosts {
 		if h.Role == role && h.Kind != "plain" {
-			return target{address: h.Address, upstream: h.Upstream}
+			return target{address: h.Address, upstream: h.Upstream}, nil
 		}
 	}
-	return target{}
+	return target{}, fmt.Errorf("the plan has no host of role %s with an engine", role)
 }
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -286,6 +286,8 @@
 	end := i.beginFault("drain", m.name)
 	at, wait, err := m.Drain()
 	if err != nil {
+		i.world.checker.recordViolation("bench", "%s can't drain: %v", m.name, err)
+		end()
 		return
 	}
 	i.world.operator.recordDrain(id, at)
--- a/stand/internal/store/store.go
+++ b/stand/internal/store/store.go
@@ -45,7 +45,6 @@
 // Service serves the versions that were added.
 type Service struct {
 	bytesSent   atomic.Int64
-	refused     atomic.Int64
 	byteLimiter *rate.Limiter
 	callLimiter *rate.Limiter
 
@@ -203,7 +202,6 @@
 
 func (s *Service) findVersion(w http.ResponseWriter, r *http.Request) (version, bool) {
 	if !s.callLimiter.Allow() {
-		s.refused.Add(1)
 		w.Header().Set("Retry-After", retryAfterSeconds)
 		w.WriteHeader(http.StatusTooManyRequests)
 		return version{}, false
--- a/stand/internal/values/values.go
+++ b/stand/internal/values/values.go
@@ -112,7 +112,13 @@
 		}
 		return
 	case FaultSlow:
-		time.Sleep(slowDelay)
+		select {
+		case <-time.After(slowDelay):
+		case <-s.stopped:
+			return
+		case <-r.Context().Done():
+			return
+		}
 	}
 	w.Header().Set("Revision", strconv.FormatUint(v.revision, 10))
 	body := pack.EncodeBody(w.Header(), r, v.data)
