feed, state, bridge: follow a store that is restored from a copy

Cause: after a drill the store's revisions go back and are given out again. A replica took the lower ones for old, kept its rows for good and grew stale; a reader whose watch still fitted would have mixed the rows of two eras.

Weighed: a struct of era and number wherever revisions go (each comparison, message and log to be changed, and old processes can't read it); a restart of all processes (forgets keys that were taken away); the restored rows in force at once (serves by revoked keys). Chosen: one number with the era in its upper bits, so that each comparison holds as it is and the messages of old and new processes fit together; an era is entered by all rows only, and unconfirmed until then.

Reads: an outage was answered by every process, and the return by lists of most of them. Now the entries of a domain stand in for their leader one after the other, and an agent reads only if no entry responds.

--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -93,16 +93,16 @@
 	return shell.WithCleanup(lc, n, stop), nil
 }
 
-func newFollower(lc fx.Lifecycle, s Settings, a Adapters, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, log *zap.Logger) *feed.Follower {
+func newFollower(lc fx.Lifecycle, s Settings, a Adapters, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, metrics parts.Metrics, log *zap.Logger) *feed.Follower {
 	f, stop := feed.NewFollower(feed.FollowOptions{
 		Identity: feed.Identity{Self: s.Host, Place: s.Place, Role: hosts.RoleAgent},
-		Mirror:   m, Entries: n.Entries, FallbackTimeout: fallbackTimeout, Log: log,
+		Mirror:   m, Entries: n.Entries, FallbackTimeout: fallbackTimeout, Scope: metrics.Scope, Log: log,
 		Source: func(name hosts.Name) (feed.Source, bool) {
 			if name == feed.PlatformSource {
 				return a.Platform, true
 			}
 			e, ok := n.Find(name)
-			return feed.NewRemoteSource(peers.Client, e.Address, feed.AgentScope(s.Pool), false), ok
+			return feed.NewRemoteSource(peers.Client, e.Address, feed.AgentScope(s.Pool), false, m), ok
 		},
 	})
 	return shell.WithCleanup(lc, f, stop)
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -16,6 +16,13 @@
 // the path to the platform is broken, so it tells a process when to switch to another
 // source.
 //
+// # Eras
+//
+// A store that is restored from a copy begins an era: it has lost its latest changes and gives
+// their revisions out again. A replica enters an era with all rows, and is unconfirmed until
+// it has them. Rows that the store lost stay active beside the platform's rows until they are
+// published again, and are passed on to processes that never had them.
+//
 // # Followers
 //
 // A Follower pulls updates from the best source that it can reach. In each failure
@@ -51,6 +58,9 @@
 	// set.
 	Checksum    uint64
 	HasChecksum bool
+	// Retained are the rows of earlier eras that the source keeps active. They are no part of
+	// Rows and Checksum.
+	Retained []RetainedRow
 	// ConfirmedAt is when the state was confirmed to be current, by the clock of
 	// package clocks.
 	ConfirmedAt time.Time
@@ -81,7 +91,7 @@
 
 // AgentScope returns the scope of the agent of an upstream of the pool.
 func AgentScope(pool string) Scope {
-	return Scope{state.KindPool + "/", state.KindRelease + "/", state.KindUpstream + "/" + pool + "/"}
+	return Scope{state.KindConfig + "/", state.KindPool + "/", state.KindRelease + "/", state.KindUpstream + "/" + pool + "/"}
 }
 
 // rowChecksum returns the contribution of a row to the checksum of all rows. Deleted
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 	"go.uber.org/zap"
 
@@ -161,6 +162,28 @@
 	version int
 	changed chan struct{}
 	reads   int
+	// lists counts the pulls of all rows, readers the processes that made one.
+	lists   int
+	readers map[hosts.Name]int
+}
+
+// restore begins an era with an earlier version.
+func (p *platform) restore(t interface{ Fatal(...any) }, era uint64, version int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.head, p.version = revision(t, era, 1), version
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
+
+// resetCounts returns the number of pulls, of those of all rows, and of the processes that made
+// any since the last call.
+func (p *platform) resetCounts() (reads, lists, readers int) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	reads, lists, readers = p.reads, p.lists, len(p.readers)
+	p.reads, p.lists, p.readers = 0, 0, make(map[hosts.Name]int)
+	return reads, lists, readers
 }
 
 // readCount returns the number of pulls.
@@ -180,8 +203,8 @@
 }
 
 func (p *platform) update(after state.Revision) feed.Update {
-	u := feed.Update{Head: p.head, Full: after == 0}
-	if after < p.head {
+	u := feed.Update{Head: p.head, Full: after == 0 || after.Era() != p.head.Era()}
+	if after != p.head {
 		u.Rows = []state.Row{at(p.head, release(p.version))}
 	}
 	return u
@@ -198,6 +221,10 @@
 	p := &s.world.platform
 	p.mutex.Lock()
 	p.reads++
+	p.readers[s.self]++
+	if after == 0 || after.Era() != p.head.Era() {
+		p.lists++
+	}
 	changed, u := p.changed, p.update(after)
 	p.mutex.Unlock()
 	if err := s.world.reach(ctx, s.self, feed.PlatformSource); err != nil {
@@ -269,11 +296,14 @@
 	return ctx.Err()
 }
 
-func newWorld(count int) *world {
+func newWorld(count int) *world { return newWorldIn(count, 3) }
+
+// newWorldIn returns a fleet of entries spread over failure domains.
+func newWorldIn(count, domains int) *world {
 	w := &world{mirrors: make(map[hosts.Name]*feed.Mirror), cut: make(map[hosts.Name]bool)}
-	w.platform = platform{head: 1, version: 1, changed: make(chan struct{})}
+	w.platform = platform{head: 1, version: 1, changed: make(chan struct{}), readers: make(map[hosts.Name]int)}
 	for i := range count {
-		domain := hosts.Domain(fmt.Sprintf("d%d", i%3))
+		domain := hosts.Domain(fmt.Sprintf("d%d", i%domains))
 		h := hosts.Host{Name: hosts.Name(fmt.Sprintf("e%d", i)), Role: hosts.RoleEntry, Place: hosts.Place{Region: hosts.Region(domain), Domain: domain}}
 		w.entries = append(w.entries, h)
 		w.mirrors[h.Name] = feed.NewMirror()
@@ -281,12 +311,45 @@
 	return w
 }
 
-func (w *world) start() func() {
+func (w *world) start() func() { return w.startAll(w.entries) }
+
+// addAgents adds agents spread over the failure domains of the entries.
+func (w *world) addAgents(count, domains int) []hosts.Host {
+	var all []hosts.Host
+	for i := range count {
+		domain := hosts.Domain(fmt.Sprintf("d%d", i%domains))
+		h := hosts.Host{Name: hosts.Name(fmt.Sprintf("a%d", i)), Role: hosts.RoleAgent, Place: hosts.Place{Region: hosts.Region(domain), Domain: domain}}
+		all = append(all, h)
+		w.mirrors[h.Name] = feed.NewMirror()
+	}
+	return all
+}
+
+// setCut cuts processes off from the platform, with refusals, or ends all cuts.
+func (w *world) setCut(all []hosts.Host, cut bool) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	clear(w.cut)
+	for _, h := range all {
+		if cut {
+			w.cut[h.Name] = true
+		}
+	}
+}
+
+// agentFallbackTimeout is that of the agents of a fleet.
+const agentFallbackTimeout = 5 * time.Second
+
+func (w *world) startAll(all []hosts.Host) func() {
 	var stops []func()
-	for _, h := range w.entries {
+	for _, h := range all {
+		fallback := feed.ContactTimeout
+		if h.Role == hosts.RoleAgent {
+			fallback = agentFallbackTimeout
+		}
 		_, stop := feed.NewFollower(feed.FollowOptions{
-			Identity: feed.Identity{Self: h.Name, Place: h.Place, Role: hosts.RoleEntry}, Mirror: w.mirrors[h.Name],
-			Entries: func() []hosts.Host { return w.entries }, FallbackTimeout: feed.ContactTimeout, Log: zap.NewNop(),
+			Identity: feed.Identity{Self: h.Name, Place: h.Place, Role: h.Role}, Mirror: w.mirrors[h.Name],
+			Entries: func() []hosts.Host { return w.entries }, FallbackTimeout: fallback, Scope: tally.NoopScope, Log: zap.NewNop(),
 			Source: func(name hosts.Name) (feed.Source, bool) {
 				if name == feed.PlatformSource {
 					return &platformSource{world: w, self: h.Name}, true
@@ -415,3 +478,42 @@
 		}
 	})
 }
+
+// TestRestoreCausesNoStampede takes the platform away from a fleet of 100 entries and 156 agents
+// in five failure domains and restores it from a copy.
+func TestRestoreCausesNoStampede(t *testing.T) {
+	const domains, outage = 5, 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldIn(100, domains)
+		all := append(slices.Clone(w.entries), w.addAgents(156, domains)...)
+		stop := w.startAll(all)
+		defer stop()
+		time.Sleep(5 * time.Second)
+		w.platform.publish(7)
+		time.Sleep(5 * time.Second)
+		w.platform.resetCounts()
+		w.setCut(all, true)
+		time.Sleep(outage)
+		reads, lists, readers := w.platform.resetCounts()
+		t.Logf("outage: pulls=%d lists=%d processes=%d", reads, lists, readers)
+		// The leader of each domain, and one more entry for each second.
+		maxReaders := domains * (1 + int(outage/time.Second))
+		if readers > maxReaders || lists > 0 {
+			t.Errorf("%d processes read during the outage, want at most %d", readers, maxReaders)
+		}
+		w.platform.restore(t, 2, 3)
+		w.setCut(all, false)
+		time.Sleep(5 * time.Second)
+		reads, lists, readers = w.platform.resetCounts()
+		t.Logf("return: pulls=%d lists=%d processes=%d", reads, lists, readers)
+		if lists > maxReaders || readers > maxReaders {
+			t.Errorf("%d processes read after the return, %d of them all rows, want at most %d", readers, lists, maxReaders)
+		}
+		for _, h := range all {
+			m := w.mirrors[h.Name]
+			if staleness, ok := m.Staleness(); m.Head().Era() != 2 || !ok || staleness > 3*time.Second || m.Snapshot().Release("m").Version != 7 {
+				t.Errorf("%s: era %d, staleness %s, version %d", h.Name, m.Head().Era(), staleness, m.Snapshot().Release("m").Version)
+			}
+		}
+	})
+}
--- a/core/feed/follow.go
+++ b/core/feed/follow.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"currantport.example/core/clocks"
@@ -29,6 +30,11 @@
 	pullGrace = 800 * time.Millisecond
 	// batchInterval lets changes that are published together arrive as one update.
 	batchInterval = 40 * time.Millisecond
+	// introductionTimeout bounds the call in which a leader asks for rows of earlier eras.
+	introductionTimeout = 300 * time.Millisecond
+	// substituteTime is how long a process that has read the platform in place of a leader does
+	// so again as soon as no other source is in contact.
+	substituteTime = 10 * time.Second
 	// idleInterval is the time until the sources are checked again if none is usable.
 	idleInterval = 100 * time.Millisecond
 )
@@ -45,6 +51,7 @@
 	// FallbackTimeout is the time since the last contact after which a process that
 	// isn't a leader reads the platform directly.
 	FallbackTimeout time.Duration
+	Scope           tally.Scope
 	Log             *zap.Logger
 }
 
@@ -55,13 +62,22 @@
 	// current is the source of the last good update, or empty.
 	current hosts.Name
 	// resync makes the next pull request all rows.
-	resync    bool
+	resync bool
+	// introduced is set once a leader has asked another process for the rows of earlier eras.
+	introduced bool
+	// leads is set while this process is the leader of its failure domain.
+	leads     bool
 	startedAt time.Time
+	// respondedAt is when another process last responded, or the time of the start.
+	respondedAt time.Time
+	// substitutedAt is when this process last read the platform without being a leader.
+	substitutedAt time.Time
 }
 
 // NewFollower starts to follow. The clean-up function stops it.
 func NewFollower(o FollowOptions) (*Follower, func()) {
-	f := &Follower{options: o, startedAt: clocks.Now()}
+	now := clocks.Now()
+	f := &Follower{options: o, startedAt: now, respondedAt: now}
 	g := shell.NewGroup()
 	g.Go(f.run)
 	return f, g.Stop
@@ -83,17 +99,29 @@
 	}
 }
 
-// sources returns the usable sources, best first. A process that has lost contact tries
-// the platform itself first, because it can't tell which other processes have lost
-// contact too.
+// sources returns the usable sources, best first. An entry that has lost contact tries the
+// platform itself first, because it can't tell which other processes have lost contact too;
+// the entries of a failure domain do so one after the other, so that an outage of the
+// platform isn't answered by all of them. An agent does so only if no entry responds.
 func (f *Follower) sources() []hosts.Name {
-	order := f.options.Identity.SourceOrder(f.options.Entries())
-	if order[0] == PlatformSource && f.options.Identity.Role == hosts.RoleEntry {
+	entries := f.options.Entries()
+	order := f.options.Identity.SourceOrder(entries)
+	isEntry := f.options.Identity.Role == hosts.RoleEntry
+	if f.leads = isEntry && order[0] == PlatformSource; f.leads {
 		return order
 	}
 	order = slices.DeleteFunc(order, func(n hosts.Name) bool { return n == PlatformSource })
-	if f.sinceLastContact() > f.options.FallbackTimeout {
+	silence, limit := f.sinceLastContact(), f.options.FallbackTimeout
+	if isEntry {
+		limit += f.options.Identity.FallbackDelay(entries)
+	} else {
+		silence = clocks.Since(f.respondedAt)
+	}
+	switch {
+	case silence > limit:
 		return append([]hosts.Name{PlatformSource}, order...)
+	case clocks.Since(f.substitutedAt) < substituteTime:
+		return append(order, PlatformSource)
 	}
 	return order
 }
@@ -112,7 +140,7 @@
 func (f *Follower) pull(ctx context.Context, name hosts.Name) bool {
 	source, ok := f.options.Source(name)
 	if !ok {
-		f.selector.RecordFailure(clocks.Now(), name, rand.Float64())
+		f.recordBackoff(name)
 		return false
 	}
 	after := f.options.Mirror.Head()
@@ -126,22 +154,54 @@
 		f.recordFailure(ctx, name, err)
 		return false
 	}
+	switch {
+	case name != PlatformSource:
+		f.respondedAt = clocks.Now()
+	case !f.leads:
+		f.substitutedAt = clocks.Now()
+	}
 	change, err := f.options.Mirror.Apply(u)
 	f.logChange(name, u, change)
 	f.resync = errors.Is(err, ErrDiverged)
 	if f.resync {
-		f.options.Log.Warn("feed-diverged", zap.String("source", string(name)), zap.Uint64("head", uint64(u.Head)))
+		f.options.Log.Warn("feed-diverged", zap.String("source", string(name)), zap.Uint64("era", u.Head.Era()), zap.Uint64("head", u.Head.Number()))
 		return false
 	}
 	f.updateHealth(name, u)
+	if name == PlatformSource && !f.introduced {
+		f.introduced = true
+		f.pullRetained(ctx)
+	}
 	return change.Rows > 0
 }
 
+// pullRetained asks one process for the rows of earlier eras. A leader that has just started
+// lacks them: it never had them, and pulls from the platform only.
+func (f *Follower) pullRetained(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, introductionTimeout)
+	defer cancel()
+	for _, name := range f.options.Identity.SourceOrder(f.options.Entries()) {
+		source, ok := f.options.Source(name)
+		if name == PlatformSource || !ok {
+			continue
+		}
+		u, err := source.Pull(ctx, f.options.Mirror.Head(), 0)
+		if err != nil {
+			f.options.Log.Debug("retained-pull-failed", zap.String("source", string(name)), zap.Error(err))
+			return
+		}
+		change, err := f.options.Mirror.Apply(u)
+		f.logChange(name, u, change)
+		f.resync = f.resync || errors.Is(err, ErrDiverged)
+		return
+	}
+}
+
 func (f *Follower) recordFailure(ctx context.Context, name hosts.Name, err error) {
 	if ctx.Err() != nil {
 		return
 	}
-	f.selector.RecordFailure(clocks.Now(), name, rand.Float64())
+	f.recordBackoff(name)
 	if f.current == name {
 		f.current = ""
 		staleness, _ := f.options.Mirror.Staleness()
@@ -149,6 +209,15 @@
 	}
 }
 
+// recordBackoff records that a source can't be used for a while.
+func (f *Follower) recordBackoff(name hosts.Name) {
+	longest := maxFailureBackoff
+	if name == PlatformSource && f.leads {
+		longest = maxPlatformBackoff
+	}
+	f.selector.RecordFailure(clocks.Now(), name, longest, rand.Float64())
+}
+
 // updateHealth records whether the source of an update is stale.
 func (f *Follower) updateHealth(name hosts.Name, u Update) {
 	now := clocks.Now()
@@ -159,22 +228,24 @@
 	f.selector.RecordSuccess(name)
 	if f.current != name {
 		f.current = name
-		f.options.Log.Info("feed-selected", zap.String("source", string(name)), zap.Uint64("head", uint64(u.Head)),
+		f.options.Log.Info("feed-selected", zap.String("source", string(name)), zap.Uint64("era", u.Head.Era()), zap.Uint64("head", u.Head.Number()),
 			zap.Duration("age", now.Sub(u.ConfirmedAt)))
 	}
 }
 
 func (f *Follower) logChange(name hosts.Name, u Update, c Change) {
 	for _, invalid := range c.RowErrors {
-		f.options.Log.Warn("row-refused", zap.String("row", invalid.Key), zap.Uint64("revision", uint64(invalid.Revision)),
+		f.options.Log.Warn("row-refused", zap.String("row", invalid.Key), zap.Uint64("era", invalid.Revision.Era()), zap.Uint64("revision", invalid.Revision.Number()),
 			zap.String("fault", invalid.Reason))
 	}
 	if c.Rows == 0 {
 		return
 	}
-	f.options.Log.Info("rows-applied", zap.String("source", string(name)), zap.Uint64("from", uint64(c.From)),
-		zap.Uint64("to", uint64(c.To)), zap.Int("rows", c.Rows), zap.Strings("keys", sampleKeys(u.Rows)),
+	f.options.Log.Info("rows-applied", zap.String("source", string(name)), zap.Uint64("era", c.To.Era()), zap.Uint64("from", c.From.Number()),
+		zap.Uint64("to", c.To.Number()), zap.Int("rows", c.Rows), zap.Int("retained", c.Retained), zap.Strings("keys", sampleKeys(u.Rows)),
 		zap.Duration("age", clocks.Since(u.ConfirmedAt)))
+	f.options.Scope.Gauge("era").Update(float64(c.To.Era()))
+	f.options.Scope.Gauge("retained_rows").Update(float64(c.Retained))
 }
 
 // maxLoggedKeys bounds the row keys in one log line.
--- a/core/feed/handler.go
+++ b/core/feed/handler.go
@@ -41,25 +41,39 @@
 		changed := h.mirror.Changed()
 		u, ok := h.mirror.UpdateSince(state.Revision(r.Msg.After), r.Msg.Scope)
 		if ok && (len(u.Rows) > 0 || r.Msg.After == 0 || r.Msg.Proofs && u.ConfirmedAt.After(lastConfirmed) || isStale(u)) {
-			return connect.NewResponse(encodeUpdate(u, startedAt)), nil
+			return h.reply(u, r.Msg, startedAt), nil
 		}
 		select {
 		case <-changed:
+		case <-time.After(timeToStale(u)):
 		case <-timer.C:
 			if !ok {
 				return nil, connect.NewError(connect.CodeUnavailable, errNoNewerReplica)
 			}
-			return connect.NewResponse(encodeUpdate(u, startedAt)), nil
+			return h.reply(u, r.Msg, startedAt), nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// reply encodes an update, without retained rows that the caller keeps as well.
+func (h *Handler) reply(u Update, m *wire.PullRequest, startedAt time.Time) *connect.Response[wire.PullReply] {
+	if len(u.Retained) > 0 && h.mirror.RetainedChecksum(m.Scope) == m.Retained {
+		u.Retained = nil
+	}
+	return connect.NewResponse(encodeUpdate(u, startedAt))
+}
+
 // isStale reports whether this process has lost contact with the platform, so that the
 // requesting process should switch to another source at once.
 func isStale(u Update) bool { return clocks.Since(u.LastContact) > ContactTimeout }
 
+// timeToStale returns the time until an update without news becomes stale.
+func timeToStale(u Update) time.Duration {
+	return max(ContactTimeout-clocks.Since(u.LastContact), 0) + time.Millisecond
+}
+
 func encodeUpdate(u Update, startedAt time.Time) *wire.PullReply {
 	now := clocks.Now()
 	m := &wire.PullReply{
@@ -70,7 +84,14 @@
 	}
 	m.Contact = now.Sub(u.LastContact).Microseconds()
 	for _, r := range u.Rows {
-		m.Rows = append(m.Rows, &wire.FeedRow{Key: r.Key, Revision: uint64(r.Revision), Value: r.Value, Gone: r.Value == nil})
+		m.Rows = append(m.Rows, encodeRow(r))
+	}
+	for _, k := range u.Retained {
+		m.Retained = append(m.Retained, &wire.RetainedRow{Row: encodeRow(k.Row), Remaining: k.Remaining.Microseconds()})
 	}
 	return m
 }
+
+func encodeRow(r state.Row) *wire.FeedRow {
+	return &wire.FeedRow{Key: r.Key, Revision: uint64(r.Revision), Value: r.Value, Gone: r.Value == nil}
+}
--- a/core/feed/mirror.go
+++ b/core/feed/mirror.go
@@ -1,7 +1,6 @@
 package feed
 
 import (
-	"bytes"
 	"cmp"
 	"errors"
 	"slices"
@@ -24,6 +23,8 @@
 	From, To state.Revision
 	// Rows is the number of changed rows.
 	Rows int
+	// Retained is the number of rows of earlier eras that are active.
+	Retained int
 	// RowErrors are the rows that were invalid.
 	RowErrors []state.RowError
 }
@@ -45,7 +46,10 @@
 	historyStart state.Revision
 	head         state.Revision
 	checksum     uint64
-	builder      state.Builder
+	// retention holds rows of earlier eras. The others count as the platform's rows: rows and
+	// checksum don't include them.
+	retention retention
+	builder   state.Builder
 	// changed is closed and replaced when rows or the confirmation change.
 	changed chan struct{}
 }
@@ -102,7 +106,7 @@
 }
 
 // Apply applies an update unless the replica is newer. The error is ErrDiverged if the
-// replica differs from its source afterwards.
+// replica differs from its source afterwards, or if the update begins an era without all rows.
 func (m *Mirror) Apply(u Update) (Change, error) {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
@@ -110,6 +114,11 @@
 	if u.Head < m.head {
 		return c, nil
 	}
+	beginsEra := m.head != 0 && u.Head.Era() > m.head.Era()
+	if beginsEra && !u.Full {
+		return c, ErrDiverged
+	}
+	now := clocks.Now()
 	rows := m.changedRows(u)
 	if u.Full {
 		// Processes that pull from this mirror may have any older replica, so the rows
@@ -121,31 +130,93 @@
 	if m.head == 0 {
 		m.historyStart = u.Head
 	}
-	var snapshot *state.Snapshot
-	if len(rows) > 0 || u.Head > m.head {
-		for _, r := range rows {
-			m.putRow(r)
-		}
+	var touched []string
+	if beginsEra {
+		touched = m.beginEra(now, u)
+	}
+	touched = append(touched, m.putRows(now, rows, u.Retained)...)
+	if len(touched) > 0 || u.Head > m.head {
 		m.head = u.Head
-		snapshot, c.RowErrors = m.builder.Apply(u.Head, rows)
-		m.snapshot.Store(snapshot)
+		c.RowErrors = m.publish(touched)
 	}
 	m.pruneTombstones()
-	c.To, c.Rows = m.head, len(rows)
+	c.To, c.Rows, c.Retained = m.head, len(touched), len(m.retention.rows)
 	if u.HasChecksum && u.Checksum != m.checksum {
 		return c, ErrDiverged
 	}
+	m.confirm(u, c.Rows > 0)
+	return c, nil
+}
+
+// confirm records how current the replica is, and notifies waiting pulls of that and of changes.
+func (m *Mirror) confirm(u Update, changed bool) {
 	if u.LastContact.After(m.LastContact()) {
 		m.lastContact.Store(&u.LastContact)
 	}
 	if !u.ConfirmedAt.IsZero() && u.ConfirmedAt.After(m.ConfirmedAt()) {
 		m.confirmedAt.Store(&u.ConfirmedAt)
-	} else if c.Rows == 0 {
-		return c, nil
+	} else if !changed {
+		return
 	}
 	close(m.changed)
 	m.changed = make(chan struct{})
-	return c, nil
+}
+
+// putRows changes rows of the platform, adopts rows that the source retains, and releases those
+// that the platform's rows supersede. It returns the keys of the rows that may have changed.
+func (m *Mirror) putRows(now time.Time, rows []state.Row, retained []RetainedRow) []string {
+	touched := make([]string, 0, len(rows))
+	for _, r := range rows {
+		if known := m.rows[r.Key]; r.Value == nil && known.Value != nil {
+			m.retention.recordDeparture(known)
+		}
+		m.putRow(r)
+		touched = append(touched, r.Key)
+	}
+	touched = append(touched, m.retention.adopt(now, retained, m.rows)...)
+	return append(touched, m.retention.release(now, m.rows)...)
+}
+
+// beginEra decides which rows of the last era stay active, and returns their keys. The replica
+// isn't confirmed to be current in the new era until the update is applied whole.
+func (m *Mirror) beginEra(now time.Time, u Update) []string {
+	active := make(map[string]state.Row, len(m.rows))
+	for key := range m.rows {
+		if r := m.retention.active(key, m.rows); r.Value != nil {
+			active[key] = r
+		}
+	}
+	touched := make([]string, 0, len(m.retention.rows))
+	for key, k := range m.retention.rows {
+		touched = append(touched, key)
+		if k.row.Value != nil {
+			active[key] = k.row
+		}
+	}
+	platform := make(map[string]state.Row, len(u.Rows))
+	for _, r := range u.Rows {
+		platform[r.Key] = r
+	}
+	m.retention.beginEra(now, active, platform)
+	for key := range m.retention.rows {
+		touched = append(touched, key)
+	}
+	m.historyStart = u.Head
+	m.confirmedAt.Store(nil)
+	return touched
+}
+
+// publish builds the snapshot with the active rows of the given keys.
+func (m *Mirror) publish(keys []string) []state.RowError {
+	rows := make([]state.Row, 0, len(keys))
+	for _, key := range keys {
+		r := m.retention.active(key, m.rows)
+		r.Key = key
+		rows = append(rows, r)
+	}
+	snapshot, invalid := m.builder.Apply(m.head, rows)
+	m.snapshot.Store(snapshot)
+	return invalid
 }
 
 // changedRows returns the rows of an update that differ from the replica. For a full
@@ -155,7 +226,7 @@
 	listed := make(map[string]bool, len(u.Rows))
 	for _, r := range u.Rows {
 		listed[r.Key] = true
-		if known, ok := m.rows[r.Key]; ok && (known.Value == nil) == (r.Value == nil) && bytes.Equal(known.Value, r.Value) {
+		if known, ok := m.rows[r.Key]; ok && equalRows(known, r) {
 			continue
 		}
 		rows = append(rows, r)
@@ -203,6 +274,13 @@
 	}
 }
 
+// RetainedChecksum identifies the rows of earlier eras that are active within the scope.
+func (m *Mirror) RetainedChecksum(scope Scope) uint64 {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.retention.checksum(scope)
+}
+
 // UpdateSince returns the update for a process whose replica is at the given revision,
 // restricted to its scope. The second result is false if this mirror is empty or older.
 func (m *Mirror) UpdateSince(after state.Revision, scope Scope) (Update, bool) {
@@ -211,7 +289,10 @@
 	if m.head == 0 || after > m.head {
 		return Update{}, false
 	}
-	u := Update{Head: m.head, Full: after < m.historyStart || after == 0, Checksum: m.checksum, HasChecksum: true, ConfirmedAt: m.ConfirmedAt(), LastContact: m.LastContact()}
+	u := Update{
+		Head: m.head, Full: after < m.historyStart || after == 0, Checksum: m.checksum, HasChecksum: true,
+		ConfirmedAt: m.ConfirmedAt(), LastContact: m.LastContact(), Retained: m.retention.list(clocks.Now(), scope),
+	}
 	if len(scope) > 0 {
 		u.Checksum = 0
 	}
--- a/core/feed/remote.go
+++ b/core/feed/remote.go
@@ -22,15 +22,16 @@
 	client        wire.FeedClient
 	scope         Scope
 	confirmations bool
+	mirror        *Mirror
 }
 
 // NewRemoteSource returns the mirror of the process at the address as a source. With
 // confirmations set, a pull also returns when the replica is confirmed to be current
-// again.
-func NewRemoteSource(client *http.Client, at netip.AddrPort, scope Scope, confirmations bool) *RemoteSource {
+// again. The mirror is the replica that the updates are for.
+func NewRemoteSource(client *http.Client, at netip.AddrPort, scope Scope, confirmations bool, m *Mirror) *RemoteSource {
 	return &RemoteSource{
 		client: wire.NewFeedClient(client, "http://"+at.String(), connect.WithReadMaxBytes(maxPullBytes)),
-		scope:  scope, confirmations: confirmations,
+		scope:  scope, confirmations: confirmations, mirror: m,
 	}
 }
 
@@ -38,7 +39,7 @@
 func (r *RemoteSource) Pull(ctx context.Context, after state.Revision, wait time.Duration) (Update, error) {
 	requestedAt := clocks.Now()
 	reply, err := r.client.Pull(ctx, connect.NewRequest(&wire.PullRequest{
-		After: uint64(after), Wait: wait.Milliseconds(), Scope: r.scope, Proofs: r.confirmations,
+		After: uint64(after), Wait: wait.Milliseconds(), Scope: r.scope, Proofs: r.confirmations, Retained: r.mirror.RetainedChecksum(r.scope),
 	}))
 	if err != nil {
 		return Update{}, oops.In("feed").Wrap(err)
@@ -56,13 +57,22 @@
 	}
 	u.LastContact = requestedAt.Add(time.Duration(m.Held-m.Contact) * time.Microsecond)
 	for _, r := range m.Rows {
-		row := state.Row{Key: r.Key, Revision: state.Revision(r.Revision), Value: r.Value}
-		if r.Gone {
-			row.Value = nil
-		} else if row.Value == nil {
-			row.Value = []byte{}
+		u.Rows = append(u.Rows, decodeRow(r))
+	}
+	for _, k := range m.Retained {
+		if k.Row != nil {
+			u.Retained = append(u.Retained, RetainedRow{Row: decodeRow(k.Row), Remaining: time.Duration(k.Remaining) * time.Microsecond})
 		}
-		u.Rows = append(u.Rows, row)
 	}
 	return u
 }
+
+func decodeRow(r *wire.FeedRow) state.Row {
+	row := state.Row{Key: r.Key, Revision: state.Revision(r.Revision), Value: r.Value}
+	if r.Gone {
+		row.Value = nil
+	} else if row.Value == nil {
+		row.Value = []byte{}
+	}
+	return row
+}
--- a/core/feed/sources.go
+++ b/core/feed/sources.go
@@ -14,8 +14,18 @@
 	failureBackoff    = 400 * time.Millisecond
 	maxFailureBackoff = 3 * time.Second
 	// staleBackoff is how long a source without recent contact with the platform is
-	// skipped.
-	staleBackoff = time.Second
+	// skipped. It is short enough for an entry to find the one that reads the platform in
+	// place of its leader before it does so itself.
+	staleBackoff = 500 * time.Millisecond
+	// maxPlatformBackoff bounds the backoff of a leader that can't reach the platform. The
+	// other processes wait for it.
+	maxPlatformBackoff = time.Second
+	// backupDelay is the time between the entries of a failure domain, in the order of their
+	// ranks, to read the platform in place of the leader.
+	backupDelay = time.Second
+	// maxBackups is the number of entries behind the leader of each failure domain from which
+	// other entries may pull.
+	maxBackups = 1
 )
 
 // Identity describes the process that reads a feed.
@@ -33,33 +43,45 @@
 //
 // In each failure domain the entry with the highest rendezvous rank is the leader: it
 // reads the platform. The other entries pull from the leaders, first from that of their
-// own domain, then from those of their region. Agents pull from the entries of their
-// domain, then from others. Each agent ranks them differently, which spreads the load.
+// own domain, then from those of their region, and then from the entries that read the
+// platform first in place of a leader. Agents pull from the entries of their domain, then
+// from others. Each agent ranks them differently, which spreads the load.
 func (id Identity) SourceOrder(entries []hosts.Host) []hosts.Name {
-	leaders := leadersOf(entries)
-	if id.Role == hosts.RoleEntry && (len(entries) == 0 || leaders[id.Place.Domain] == id.Self) {
-		return append([]hosts.Name{PlatformSource}, id.peers(entries, leaders)...)
+	ranks := ranksOf(entries)
+	if id.Role == hosts.RoleEntry && ranks[id.Self] == 0 {
+		return append([]hosts.Name{PlatformSource}, id.peers(entries, ranks)...)
 	}
-	return append(id.peers(entries, leaders), PlatformSource)
+	return append(id.peers(entries, ranks), PlatformSource)
+}
+
+// FallbackDelay returns how much longer than the first one the process waits until it reads the
+// platform in place of the leader of its failure domain.
+func (id Identity) FallbackDelay(entries []hosts.Host) time.Duration {
+	return time.Duration(max(ranksOf(entries)[id.Self]-1, 0)) * backupDelay
 }
 
 // peers returns the other processes from which this one may pull, best first.
-func (id Identity) peers(entries []hosts.Host, leaders map[hosts.Domain]hosts.Name) []hosts.Name {
+func (id Identity) peers(entries []hosts.Host, ranks map[hosts.Name]int) []hosts.Name {
 	type candidate struct {
 		name     hosts.Name
+		rank     int
 		distance int
 		score    uint64
 	}
 	var all []candidate
 	for _, h := range entries {
-		leads := leaders[h.Place.Domain] == h.Name
-		if h.Name == id.Self || id.Role == hosts.RoleEntry && !leads {
+		c := candidate{name: h.Name, distance: id.distance(h.Place)}
+		if id.Role == hosts.RoleEntry {
+			c.rank = ranks[h.Name]
+		}
+		if h.Name == id.Self || c.rank > maxBackups {
 			continue
 		}
-		all = append(all, candidate{name: h.Name, distance: id.distance(h.Place), score: hosts.Score("feed "+string(id.Self), h.Name)})
+		c.score = hosts.Score("feed "+string(id.Self), h.Name)
+		all = append(all, c)
 	}
 	slices.SortFunc(all, func(a, b candidate) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(b.score, a.score))
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.distance, b.distance), cmp.Compare(b.score, a.score))
 	})
 	names := make([]hosts.Name, len(all))
 	for i, c := range all {
@@ -78,16 +100,25 @@
 	return 2
 }
 
-// leadersOf returns the entry that reads the platform in each failure domain.
-func leadersOf(entries []hosts.Host) map[hosts.Domain]hosts.Name {
-	leaders := make(map[hosts.Domain]hosts.Name)
+// ranksOf returns the rank of each entry in its failure domain. The leader has rank zero.
+func ranksOf(entries []hosts.Host) map[hosts.Name]int {
+	type scored struct {
+		name  hosts.Name
+		score uint64
+	}
+	domains := make(map[hosts.Domain][]scored)
 	for _, h := range entries {
-		known, ok := leaders[h.Place.Domain]
-		if !ok || hosts.Score("lead", h.Name) > hosts.Score("lead", known) {
-			leaders[h.Place.Domain] = h.Name
+		d := h.Place.Domain
+		domains[d] = append(domains[d], scored{name: h.Name, score: hosts.Score("lead", h.Name)})
+	}
+	ranks := make(map[hosts.Name]int, len(entries))
+	for _, all := range domains {
+		slices.SortFunc(all, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+		for i, e := range all {
+			ranks[e.name] = i
 		}
 	}
-	return leaders
+	return ranks
 }
 
 // SourceSelector skips sources that failed or are stale. The zero value skips none. It
@@ -122,11 +153,11 @@
 // RecordSuccess records an update from a source and resets its backoff.
 func (s *SourceSelector) RecordSuccess(name hosts.Name) { delete(s.sources, name) }
 
-// RecordFailure records that a pull failed. The jitter is from 0 to 1 and keeps
-// processes that fail together from retrying together.
-func (s *SourceSelector) RecordFailure(now time.Time, name hosts.Name, jitter float64) {
+// RecordFailure records that a pull failed. Longest bounds the backoff. The jitter is from
+// 0 to 1 and keeps processes that fail together from retrying together.
+func (s *SourceSelector) RecordFailure(now time.Time, name hosts.Name, longest time.Duration, jitter float64) {
 	h := s.healthOf(name)
-	backoff := min(failureBackoff<<min(h.failures, 4), maxFailureBackoff)
+	backoff := min(failureBackoff<<min(h.failures, 4), longest)
 	h.failures++
 	h.retryAt = now.Add(backoff/2 + time.Duration(jitter*float64(backoff)))
 }
--- a/core/state/build.go
+++ b/core/state/build.go
@@ -20,6 +20,7 @@
 	KindPool      = "pool"
 	KindWorkspace = "workspace"
 	KindLimits    = "limits"
+	KindConfig    = "config"
 	KindRelease   = "release"
 	KindUpstream  = "upstream"
 )
@@ -33,6 +34,7 @@
 	releases   map[string]Release
 	upstreams  map[string]*Upstream
 	limits     Limits
+	config     int64
 	configured bool
 	last       Snapshot
 }
@@ -77,6 +79,16 @@
 		return putRow(b.releases, name, value, decodeRelease)
 	case KindUpstream:
 		return putRow(b.upstreams, name, value, decodeUpstream)
+	case KindConfig:
+		if value == nil {
+			b.config = 0
+			return nil
+		}
+		v, err := decodeConfig(value)
+		if err == nil {
+			b.config = v
+		}
+		return err
 	case KindLimits:
 		l, err := decodeLimits(value)
 		if err == nil {
@@ -103,7 +115,7 @@
 // previous snapshot.
 func (b *Builder) snapshot(revision Revision, changed map[string]bool) *Snapshot {
 	s := b.last
-	s.Revision, s.Limits, s.Configured = revision, b.limits, b.configured
+	s.Revision, s.Limits, s.Config, s.Configured = revision, b.limits, b.config, b.configured
 	if changed[KindRoute] {
 		s.routes, s.objectives = indexRoutes(b.routes), objectivesOf(b.routes)
 	}
--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -15,6 +15,8 @@
 	errTimes   = errors.New("times must not be negative")
 	errCounts  = errors.New("numbers must not be negative")
 	errAddress = errors.New("the address is invalid")
+	// errRevision is returned by NewRevision.
+	errRevision = errors.New("the era or the number of the revision is out of range")
 )
 
 // The documents are the JSON values of rows as sent between processes. Times are in
@@ -268,6 +270,26 @@
 	})
 }
 
+type configDocument struct {
+	Version int64 `json:"version"`
+}
+
+func decodeConfig(value []byte) (int64, error) {
+	var d configDocument
+	if err := json.Unmarshal(value, &d); err != nil {
+		return 0, err
+	}
+	if d.Version < 0 {
+		return 0, errCounts
+	}
+	return d.Version, nil
+}
+
+// EncodeConfig returns the row that states the version of the configuration.
+func EncodeConfig(version int64) (Row, error) {
+	return encode(KindConfig, "all", configDocument{Version: version})
+}
+
 func decodeRelease(value []byte) (Release, error) {
 	var d releaseDocument
 	if err := json.Unmarshal(value, &d); err != nil {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -13,7 +13,9 @@
 	Revision Revision
 	// Configured means that a configuration has been read.
 	Configured bool
-	Limits     Limits
+	// Config is the version of the configuration, or zero if its operator states none.
+	Config int64
+	Limits Limits
 
 	routes     map[string]hostRoutes
 	pools      map[string]*Pool
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -19,9 +19,30 @@
 	"time"
 )
 
-// Revision orders the published changes. Zero means none.
+// Revision orders the published changes. Zero means none. It holds the era of the platform's
+// store in its upper bits and the store's own number below: a store that is restored from a copy
+// begins an era and gives numbers out again.
 type Revision uint64
 
+// numberBits is the size of a store's own numbers in a Revision. It leaves room for 65,535
+// eras and, at 35,000 changes a day, for more than any store's life.
+const numberBits = 48
+
+// NewRevision returns the revision with the store's number in the era. Numbers and eras that
+// don't fit are an error, since they would no longer be in order.
+func NewRevision(era, number uint64) (Revision, error) {
+	if number >= 1<<numberBits || era >= 1<<(64-numberBits) {
+		return 0, errRevision
+	}
+	return Revision(era<<numberBits | number), nil
+}
+
+// Era returns the era. Zero is that of a store which states none.
+func (r Revision) Era() uint64 { return uint64(r) >> numberBits }
+
+// Number returns the store's own number.
+func (r Revision) Number() uint64 { return uint64(r) & (1<<numberBits - 1) }
+
 // Route maps the requests for a host name and a path prefix to pools.
 type Route struct {
 	Name string
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -122,16 +122,16 @@
 	return shell.WithCleanup(lc, p, stop)
 }
 
-func newFollower(lc fx.Lifecycle, s Settings, o Adapters, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, log *zap.Logger) *feed.Follower {
+func newFollower(lc fx.Lifecycle, s Settings, o Adapters, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, metrics parts.Metrics, log *zap.Logger) *feed.Follower {
 	f, stop := feed.NewFollower(feed.FollowOptions{
 		Identity: feed.Identity{Self: s.Host, Place: s.Place, Role: hosts.RoleEntry},
-		Mirror:   m, Entries: n.Entries, FallbackTimeout: feed.ContactTimeout, Log: log,
+		Mirror:   m, Entries: n.Entries, FallbackTimeout: feed.ContactTimeout, Scope: metrics.Scope, Log: log,
 		Source: func(name hosts.Name) (feed.Source, bool) {
 			if name == feed.PlatformSource {
 				return o.Platform, true
 			}
 			e, ok := n.Find(name)
-			return feed.NewRemoteSource(peers.Client, e.Address, nil, true), ok
+			return feed.NewRemoteSource(peers.Client, e.Address, nil, true, m), ok
 		},
 	})
 	return shell.WithCleanup(lc, f, stop)
