target, proxy, report: heed upstreams that leave or ask to be left alone

Cause: Server-Leaving in a response, and Retry-After of a 503, were not read: requests went on to an upstream until its row said so, or until its next refusal.

Weighed for leaving: the row alone (late, and missing while the store is away); health (it heals with the next success). Chosen: a mark on the process of the upstream that ends with it, kept while its row has lapsed; agents and the entries of the region are told at once. Weighed for holds: the health backoff (300 ms to 2 s, ends with a success elsewhere); a fleet-wide hold (one busy moment at one entry would idle the upstream). Chosen: a hold of the asked time at the entry that was asked; for others it is a cost. If all upstreams of a pool are held, a request is refused at once with the time of the soonest hold, spread over a second. Absent, negative, unreadable values and dates are no hold and a log line; hours are cut to ten minutes.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -262,6 +262,10 @@
 		l.orderedAt = time.Time{}
 		l.stager.reset()
 	}
+	if s.Leaving && !l.status.Leaving {
+		l.options.Log.Info("engine-leaving", zap.Time("started", s.Started), zap.Int("active", s.Active))
+		l.options.Notify()
+	}
 	l.status, l.statusAt = s, clocks.Now()
 	return true
 }
--- a/agent/internal/report/report.go
+++ b/agent/internal/report/report.go
@@ -154,7 +154,7 @@
 	s := e.Status
 	l := &wire.LoadDigest{
 		Upstream: e.Row.ID, Serial: r.serial, Queued: uint32(s.Queued), Active: uint32(s.Active), Used: uint64(s.UsedTokens),
-		Total: uint64(s.TotalTokens), Pace: float32(s.Pace), Busy: s.Busy, Closing: e.Closing,
+		Total: uint64(s.TotalTokens), Pace: float32(s.Pace), Busy: s.Busy, Closing: e.Closing, Leaving: s.Leaving,
 	}
 	if !s.Started.IsZero() {
 		l.Started = s.Started.UnixMicro()
--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -85,6 +85,10 @@
 	Success bool
 	// Version is the version of the weights, or zero.
 	Version int
-	// RetryAfter is the time until the upstream accepts a retry, or zero.
-	RetryAfter time.Duration
+	// RetryAfter is how long the upstream wants no further requests from this process, or
+	// zero. RetryAfterInvalid is the text of a value that states no such time, or empty.
+	RetryAfter        time.Duration
+	RetryAfterInvalid string
+	// Leaving is true if the upstream is shutting down.
+	Leaving bool
 }
--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -48,6 +48,7 @@
 	ReasonKeyMissing  Reason = "key-missing"
 	ReasonKeyReused   Reason = "key-reused"
 	ReasonOverload    Reason = "overload"
+	ReasonHeld        Reason = "held"
 	ReasonDeadline    Reason = "deadline"
 	ReasonLeaving     Reason = "leaving"
 	ReasonStarting    Reason = "starting"
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -135,7 +135,9 @@
 	TotalTokens int
 	// Pace is the ratio of actual to modeled time: above one for a slow engine.
 	Pace float64
-	Held []state.HeldVersion
+	// Leaving is set while the engine is shutting down.
+	Leaving bool
+	Held    []state.HeldVersion
 }
 
 // Holds reports whether the engine has all layers of the version of the model loaded.
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -37,6 +37,8 @@
 	// retriesPerTimeout is the minimum number of such waits that fit into a client's
 	// timeout.
 	retriesPerTimeout = 3
+	// holdSpread is the time over which clients return that were refused because of holds.
+	holdSpread = time.Second
 	// noUpstreamRetryAfter is when to retry if no upstream is available.
 	noUpstreamRetryAfter = time.Second
 )
@@ -129,7 +131,7 @@
 		if f := l.handler.options.Fleet.ChoosePlain(time.Now(), l.pool.Name, l.attempted); f != nil {
 			return f, nil
 		}
-		return nil, calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, "no upstream takes requests")
+		return nil, l.refusalOfNone("no upstream takes requests")
 	}
 	reqs := target.Requirements{
 		Pool: l.pool, Model: l.call.Model, PromptTokens: l.call.Prompt, Version: l.stream.version, Exclude: l.attempted,
@@ -146,7 +148,7 @@
 			return f, nil
 		}
 		if wait == 0 {
-			return nil, calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, "no engine serves the version")
+			return nil, l.refusalOfNone("no engine serves the version")
 		}
 		if time.Now().Add(capacityPollInterval).After(until) || !clocks.Sleep(ctx, capacityPollInterval) {
 			return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(wait), "the engines are full")
@@ -154,6 +156,18 @@
 	}
 }
 
+// refusalOfNone returns the refusal of a request for which there is no upstream. If the upstreams
+// have asked to be left alone, the client may return when the first of them takes requests again.
+// The times are spread, so that it isn't met by all of them at once.
+func (l *lifecycle) refusalOfNone(detail string) *calls.Refusal {
+	hold := l.handler.options.Fleet.SoonestHold(time.Now(), l.pool.Name)
+	if hold == 0 {
+		return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, detail)
+	}
+	spread := time.Duration(l.handler.options.Random() * float64(holdSpread))
+	return calls.NotRun(calls.ReasonHeld, hold+spread, "the upstreams want no requests for a while")
+}
+
 func (l *lifecycle) objective() time.Duration {
 	if o := l.admission.Route.Objective; o > 0 {
 		return o
@@ -286,6 +300,7 @@
 	}
 	defer response.Close()
 	reply := l.handler.options.UpstreamCodec.ClassifyResponse(&l.call, response.Status, response.Header)
+	l.recordDemands(f, reply)
 	switch reply.Kind {
 	case calls.ReplyDeclined, calls.ReplyMoved:
 		discard(response)
@@ -303,6 +318,27 @@
 	return l.forwardUnary(ctx, f, response, reply)
 }
 
+// recordDemands records what a response says about further requests to its upstream.
+func (l *lifecycle) recordDemands(f *target.InFlight, reply calls.Reply) {
+	if reply.Kind == calls.ReplyMismatched {
+		return
+	}
+	if reply.Leaving && f.RecordLeaving(time.Now()) {
+		l.handler.metrics.countDemand("leaving", f.Row.ID)
+	}
+	if reply.RetryAfterInvalid != "" {
+		l.handler.options.Log.Warn("retry-after-invalid", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID),
+			zap.String("value", reply.RetryAfterInvalid[:min(len(reply.RetryAfterInvalid), maxLoggedValue)]))
+	}
+	if reply.RetryAfter > 0 {
+		l.handler.metrics.countDemand("held", f.Row.ID)
+		f.Hold(time.Now(), reply.RetryAfter)
+	}
+}
+
+// maxLoggedValue bounds the part of an invalid header that is logged, in bytes.
+const maxLoggedValue = 64
+
 func (l *lifecycle) connect(ctx context.Context, f *target.InFlight) (*conns.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -337,7 +373,7 @@
 // recordSuspect records that the request may have crashed the upstream, and probes the
 // upstream for evidence.
 func (l *lifecycle) recordSuspect(f *target.InFlight) {
-	if f.Row.Draining {
+	if f.Row.Draining || l.handler.options.Fleet.IsLeaving(f.Row.ID) {
 		return
 	}
 	l.handler.metrics.suspects.Inc(1)
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -44,6 +44,12 @@
 	return m
 }
 
+// countDemand counts a demand of an upstream. Few upstreams make any, so that they may be told
+// apart.
+func (m *metrics) countDemand(kind, upstream string) {
+	m.scope.Tagged(map[string]string{"kind": kind, "upstream": upstream}).Counter("upstream_demands").Inc(1)
+}
+
 const (
 	// minDuration and durationBuckets give buckets from 4 ms to 8 s, which cover the hops
 	// between hosts and the longest timeouts.
@@ -112,7 +118,7 @@
 		m.firstByte.RecordDuration(l.firstByte)
 		fields = append(fields, zap.Duration("first", l.firstByte), zap.Int("events", l.events), zap.Duration("pause", l.maxGap))
 	}
-	fields = append(fields, zap.Uint64("revision", uint64(l.view.State.Revision)), zap.Duration("copyage", l.view.Staleness))
+	fields = append(fields, zap.Uint64("era", l.view.State.Revision.Era()), zap.Uint64("revision", l.view.State.Revision.Number()), zap.Duration("copyage", l.view.Staleness))
 	fields = append(fields, l.logFields...)
 	if l.status >= http.StatusInternalServerError || l.ending == "broken" {
 		l.handler.options.Log.Warn("request", fields...)
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -62,13 +62,20 @@
 }
 
 func (codec) ClassifyResponse(_ *calls.Call, status int, h http.Header) calls.Reply {
+	r := calls.Reply{Kind: calls.ReplyAnswered, Success: status < 300, Leaving: h.Get("Leaving") != ""}
 	switch {
 	case h.Get("Not-Run") != "":
-		return calls.Reply{Kind: calls.ReplyDeclined}
+		r.Kind, r.Success = calls.ReplyDeclined, false
 	case status < 300 && h.Get("Signature") == "":
-		return calls.Reply{Kind: calls.ReplyMismatched}
+		r.Kind, r.Success = calls.ReplyMismatched, false
 	}
-	return calls.Reply{Kind: calls.ReplyAnswered, Success: status < 300}
+	if text := h.Get("Hold"); text != "" {
+		d, err := time.ParseDuration(text)
+		if r.RetryAfter = d; err != nil {
+			r.RetryAfterInvalid = text
+		}
+	}
+	return r
 }
 
 func (codec) ResponseHeader(h http.Header) http.Header { return h.Clone() }
@@ -278,6 +285,16 @@
 	fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
 }
 
+// answered writes a response with an additional header.
+func answered(w io.Writer, id, header string) {
+	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\n%s\r\nContent-Length: 2\r\n\r\nok", id, header)
+}
+
+// heldBack declines a request and asks for no more of them for the given time.
+func heldBack(w io.Writer, id, hold string) {
+	fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\nHold: %s\r\nContent-Length: 0\r\n\r\n", id, hold)
+}
+
 // begin writes the head of a chunked stream, event one event of it.
 func begin(w io.Writer, id string) {
 	fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s%s\r\nTransfer-Encoding: chunked\r\n\r\n", id, id)
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -145,7 +145,7 @@
 		}
 	}
 	for id, row := range sy.known {
-		if row.Draining {
+		if row.Draining || sy.options.Fleet.IsLeaving(id) {
 			continue
 		}
 		if n := now[id]; n == nil {
@@ -192,11 +192,12 @@
 func (sy *Syncer) broadcastEntryLoads(ctx context.Context) {
 	for idle := false; ; {
 		to := sy.regionEntries()
-		loads := sy.options.Fleet.EntryLoads()
-		if len(loads) > 0 || !idle {
-			sy.sendEntryLoads(to, loads)
+		now := clocks.Now()
+		loads, leaving := sy.options.Fleet.EntryLoads(now), sy.options.Fleet.AnnouncedLeaving(now)
+		if len(loads)+len(leaving) > 0 || !idle {
+			sy.sendEntryLoads(to, loads, leaving)
 		}
-		idle = len(loads) == 0
+		idle = len(loads)+len(leaving) == 0
 		if !clocks.Sleep(ctx, EntryLoadInterval(len(to))) {
 			return
 		}
@@ -214,10 +215,15 @@
 	return all
 }
 
-func (sy *Syncer) sendEntryLoads(to []netip.AddrPort, loads []target.EntryLoad) {
+func (sy *Syncer) sendEntryLoads(to []netip.AddrPort, loads []target.EntryLoad, leaving []target.LeavingUpstream) {
 	m := &wire.Shares{Name: string(sy.options.Self)}
 	for _, l := range loads {
-		m.Shares = append(m.Shares, &wire.Share{Upstream: l.Upstream, Running: uint32(l.Running), Unread: uint32(l.Unread)})
+		m.Shares = append(m.Shares, &wire.Share{
+			Upstream: l.Upstream, Running: uint32(l.Running), Unread: uint32(l.Unread), Held: uint32(l.Held.Milliseconds()),
+		})
+	}
+	for _, l := range leaving {
+		m.Leaving = append(m.Leaving, &wire.LeavingUpstream{Upstream: l.ID, Started: startMicros(l.Started)})
 	}
 	sy.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Shares{Shares: m}}, to...)
 }
@@ -226,9 +232,36 @@
 func ReceiveEntryLoads(f *target.Fleet, m *wire.Shares) {
 	loads := make([]target.EntryLoad, 0, len(m.Shares))
 	for _, s := range m.Shares {
-		loads = append(loads, target.EntryLoad{Upstream: s.Upstream, Running: int(s.Running), Unread: int(s.Unread)})
+		loads = append(loads, target.EntryLoad{
+			Upstream: s.Upstream, Running: int(s.Running), Unread: int(s.Unread), Held: time.Duration(s.Held) * time.Millisecond,
+		})
+	}
+	now := clocks.Now()
+	f.ReceiveEntryLoads(now, hosts.Name(m.Name), loads)
+	if len(m.Leaving) == 0 {
+		return
+	}
+	leaving := make([]target.LeavingUpstream, 0, len(m.Leaving))
+	for _, l := range m.Leaving {
+		leaving = append(leaving, target.LeavingUpstream{ID: l.Upstream, Started: startTime(l.Started)})
+	}
+	f.ReceiveLeaving(now, hosts.Name(m.Name), leaving)
+}
+
+// startMicros returns the wire form of a start time, and zero for none.
+func startMicros(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
 	}
-	f.ReceiveEntryLoads(clocks.Now(), hosts.Name(m.Name), loads)
+	return t.UnixMicro()
+}
+
+// startTime returns the start time of a wire form, and the zero time for none.
+func startTime(micros int64) time.Time {
+	if micros <= 0 {
+		return time.Time{}
+	}
+	return time.UnixMicro(micros)
 }
 
 // loop renews the subscriptions to load reports.
@@ -260,10 +293,7 @@
 func DecodeLoadReport(l *wire.LoadDigest) target.LoadReport {
 	r := target.LoadReport{
 		Serial: l.Serial, Running: int(l.Queued + l.Active), Pace: float64(l.Pace),
-		Closed: l.Busy || l.Closing,
-	}
-	if l.Started > 0 {
-		r.Started = time.UnixMicro(l.Started)
+		Closed: l.Busy || l.Closing, Leaving: l.Leaving, Started: startTime(l.Started),
 	}
 	for _, h := range l.Held {
 		r.Held = append(r.Held, state.HeldVersion{Model: h.Model, Version: int(h.Version), Whole: h.Whole})
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -139,7 +139,13 @@
 // acceptsRequests reports whether the upstream accepts requests, according to its row, its
 // health and its last load report.
 func (u *upstream) acceptsRequests(now time.Time) bool {
-	return !u.row.Draining && !u.health.IsDown(now) && (!u.hasReport(now) || !u.report.Closed)
+	return u.isOffered(now) && !u.health.IsDown(now) && (!u.hasReport(now) || !u.report.Closed)
+}
+
+// isOffered reports whether the upstream wants requests from this entry: it doesn't leave, and
+// hasn't asked to be left alone.
+func (u *upstream) isOffered(now time.Time) bool {
+	return !u.row.Draining && !u.demands.leaving && !u.demands.isHeld(now)
 }
 
 // cost returns the predicted time to the first event plus penalties.
@@ -157,6 +163,9 @@
 	if c.upstream.health.IsDegraded(now) {
 		cost += degradedCost
 	}
+	if now.Before(c.upstream.heldElsewhereUntil) {
+		cost += heldElsewhereCost
+	}
 	return cost
 }
 
@@ -203,7 +212,7 @@
 	var best *upstream
 	lowest := 0.0
 	for _, u := range f.pools[pool] {
-		if u.row.Draining || slices.Contains(exclude, u.row.ID) {
+		if !u.isOffered(now) || slices.Contains(exclude, u.row.ID) {
 			continue
 		}
 		c := f.plainCost(now, u)
@@ -240,6 +249,9 @@
 	if u.health.IsDown(now) {
 		c += plainDownCost
 	}
+	if now.Before(u.heldElsewhereUntil) {
+		c += plainHeldElsewhereCost
+	}
 	return c
 }
 
--- /dev/null
+++ b/entry/internal/target/demands.go
@@ -0,0 +1,174 @@
+package target
+
+import (
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/hosts"
+	"currantport.example/core/state"
+)
+
+const (
+	// maxHold bounds how long an upstream may keep this entry away, so that a wrong value
+	// doesn't take it out of use for good.
+	maxHold = 10 * time.Minute
+	// announceTime is how long an entry repeats that an upstream is leaving. Messages may be
+	// lost.
+	announceTime = 2 * time.Second
+	// demandsTTL is how long the demands of an upstream are kept that is listed no more,
+	// maxDeparted bounds how many of them.
+	demandsTTL  = 10 * time.Minute
+	maxDeparted = 1024
+	// heldElsewhereCost is how much earlier an engine must be expected to respond to be chosen
+	// that wants no requests from another entry. It is probably overloaded.
+	heldElsewhereCost = 250 * time.Millisecond
+	// plainHeldElsewhereCost is the same for a plain service, in requests in progress.
+	plainHeldElsewhereCost = 5
+)
+
+// demands is what one process of an upstream has asked of this entry. They end with the process.
+type demands struct {
+	// leaving is set once the upstream has said that it is shutting down.
+	leaving   bool
+	leavingAt time.Time
+	// heldUntil is the time until which the upstream wants no requests.
+	heldUntil time.Time
+}
+
+// isHeld reports whether the upstream wants no requests from this entry now.
+func (d demands) isHeld(now time.Time) bool { return now.Before(d.heldUntil) }
+
+// processKey identifies one start of an upstream's process.
+type processKey struct {
+	id      string
+	address netip.AddrPort
+	started int64
+}
+
+func processOf(u *state.Upstream) processKey {
+	return processKey{id: u.ID, address: u.Address, started: u.Started.UnixMicro()}
+}
+
+// departedDemands holds the demands of upstreams that are listed no more. The zero value is empty.
+type departedDemands struct {
+	all map[processKey]departure
+}
+
+type departure struct {
+	demands demands
+	at      time.Time
+}
+
+// keep keeps the demands of an upstream that was removed.
+func (p *departedDemands) keep(now time.Time, u *upstream) {
+	if !u.demands.leaving && !u.demands.isHeld(now) {
+		return
+	}
+	for k, d := range p.all {
+		if now.Sub(d.at) > demandsTTL {
+			delete(p.all, k)
+		}
+	}
+	if p.all == nil {
+		p.all = make(map[processKey]departure)
+	}
+	if len(p.all) < maxDeparted {
+		p.all[processOf(u.row)] = departure{demands: u.demands, at: now}
+	}
+}
+
+// take returns and forgets the demands of an upstream that is listed again.
+func (p *departedDemands) take(row *state.Upstream) demands {
+	k := processOf(row)
+	d := p.all[k]
+	delete(p.all, k)
+	return d.demands
+}
+
+// RecordLeaving records that the upstream has said in a response that it is shutting down. It
+// gets no new requests; those in progress run on. It reports whether this wasn't known.
+func (r *InFlight) RecordLeaving(now time.Time) bool {
+	r.fleet.mutex.Lock()
+	defer r.fleet.mutex.Unlock()
+	return r.fleet.recordLeaving(now, r.upstream, "response")
+}
+
+// IsLeaving reports whether an upstream has said that it is shutting down.
+func (f *Fleet) IsLeaving(id string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	u := f.upstreams[id]
+	return u != nil && u.demands.leaving
+}
+
+// recordLeaving marks the upstream. Source says who told, for the log. The caller holds the mutex.
+func (f *Fleet) recordLeaving(now time.Time, u *upstream, source string) bool {
+	if u.demands.leaving {
+		return false
+	}
+	u.demands.leaving, u.demands.leavingAt = true, now
+	f.options.Log.Info("upstream-leaving", zap.String("upstream", u.row.ID), zap.Time("started", u.row.Started),
+		zap.String("told", source), zap.Int("running", u.running))
+	return true
+}
+
+// Hold records that the upstream wants no requests from this entry for the given time.
+func (r *InFlight) Hold(now time.Time, d time.Duration) {
+	r.fleet.mutex.Lock()
+	defer r.fleet.mutex.Unlock()
+	u := r.upstream
+	bounded := min(d, maxHold)
+	if until := now.Add(bounded); until.After(u.demands.heldUntil) {
+		u.demands.heldUntil = until
+	}
+	r.fleet.options.Log.Info("upstream-held", zap.String("upstream", u.row.ID), zap.Duration("asked", d), zap.Duration("held", bounded))
+}
+
+// SoonestHold returns the time until an upstream of the pool that is kept back by a hold takes
+// requests again, or zero if there is none. Upstreams that are leaving never do.
+func (f *Fleet) SoonestHold(now time.Time, pool string) time.Duration {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	soonest := time.Duration(0)
+	for _, u := range f.pools[pool] {
+		if u.row.Draining || u.demands.leaving || !u.demands.isHeld(now) {
+			continue
+		}
+		if left := u.demands.heldUntil.Sub(now); soonest == 0 || left < soonest {
+			soonest = left
+		}
+	}
+	return soonest
+}
+
+// LeavingUpstream is one process of an upstream that is shutting down.
+type LeavingUpstream struct {
+	ID      string
+	Started time.Time
+}
+
+// AnnouncedLeaving returns the upstreams that have lately said that they are shutting down.
+func (f *Fleet) AnnouncedLeaving(now time.Time) []LeavingUpstream {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var all []LeavingUpstream
+	for _, u := range f.upstreams {
+		if u.demands.leaving && now.Sub(u.demands.leavingAt) < announceTime {
+			all = append(all, LeavingUpstream{ID: u.row.ID, Started: u.row.Started})
+		}
+	}
+	return all
+}
+
+// ReceiveLeaving records what another entry has learned.
+func (f *Fleet) ReceiveLeaving(now time.Time, from hosts.Name, all []LeavingUpstream) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for _, l := range all {
+		if u := f.upstreams[l.ID]; u != nil && u.row.Started.Equal(l.Started) {
+			f.recordLeaving(now, u, string(from))
+		}
+	}
+}
--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -236,7 +236,7 @@
 	for k, f := range b.fleets {
 		for j, o := range b.fleets {
 			if j != k && b.entries[j].Place == b.entries[k].Place {
-				o.ReceiveEntryLoads(now, b.entries[k].Name, f.EntryLoads())
+				o.ReceiveEntryLoads(now, b.entries[k].Name, f.EntryLoads(now))
 			}
 		}
 	}
--- a/entry/internal/target/loads.go
+++ b/entry/internal/target/loads.go
@@ -20,6 +20,9 @@
 	// without a first event.
 	Running int
 	Unread  int
+	// Held is how much longer the engine wants no requests from the entry. It isn't asked of
+	// other entries.
+	Held time.Duration
 }
 
 // entryLoadReport is the last report of another entry.
@@ -31,14 +34,17 @@
 // HashOf returns the hash that identifies an engine in an EntryLoad.
 func HashOf(id string) uint64 { return xxhash.Sum64String(id) }
 
-// EntryLoads returns the load of this entry at all engines where it has requests in progress.
-func (f *Fleet) EntryLoads() []EntryLoad {
+// EntryLoads returns the load of this entry at all upstreams where it has requests in progress or
+// is kept back.
+func (f *Fleet) EntryLoads(now time.Time) []EntryLoad {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var all []EntryLoad
 	for id, u := range f.upstreams {
-		if u.running > 0 {
-			all = append(all, EntryLoad{Upstream: HashOf(id), Running: u.running, Unread: max(u.unread, 0)})
+		if u.running > 0 || u.demands.isHeld(now) {
+			all = append(all, EntryLoad{
+				Upstream: HashOf(id), Running: u.running, Unread: max(u.unread, 0), Held: max(u.demands.heldUntil.Sub(now), 0),
+			})
 		}
 	}
 	return all
@@ -55,22 +61,24 @@
 			delete(f.entryLoads, name)
 		}
 	}
-	f.sumEntryLoads()
+	f.sumEntryLoads(now)
 }
 
 // sumEntryLoads adds up the reported loads by engine. The caller holds the mutex.
-func (f *Fleet) sumEntryLoads() {
+func (f *Fleet) sumEntryLoads(now time.Time) {
 	sums := make(map[uint64]EntryLoad)
 	for _, r := range f.entryLoads {
 		for _, l := range r.loads {
 			known := sums[l.Upstream]
 			known.Running += l.Running
 			known.Unread += l.Unread
+			known.Held = max(known.Held, l.Held-now.Sub(r.receivedAt))
 			sums[l.Upstream] = known
 		}
 	}
 	for id, u := range f.upstreams {
 		s := sums[HashOf(id)]
 		u.regionRunning, u.regionUnread = s.Running, s.Unread
+		u.heldElsewhereUntil = now.Add(s.Held)
 	}
 }
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -51,6 +51,8 @@
 	Pace float64
 	// Closed is set while the engine accepts no requests.
 	Closed bool
+	// Leaving is set while the engine is shutting down.
+	Leaving bool
 	// Held lists the versions that the engine holds.
 	Held []state.HeldVersion
 }
@@ -81,6 +83,11 @@
 	// entry nor the reported entry loads account for.
 	otherRunning int
 
+	// demands is what the process has asked of this entry.
+	demands demands
+	// heldElsewhereUntil is the time until which it wants no requests from another entry.
+	heldElsewhereUntil time.Time
+
 	// observed is what the engine's responses say about its versions, by model.
 	observed map[string]observedVersions
 }
@@ -132,6 +139,9 @@
 	pools map[string][]*upstream
 	// entryLoads are the last reports of the other entries of the region.
 	entryLoads map[hosts.Name]entryLoadReport
+	// departed holds the demands of upstreams that are listed no more, since they may only
+	// have lapsed.
+	departed departedDemands
 	// releases lists the versions of each model that this process has seen released,
 	// oldest first.
 	releases map[string][]release
@@ -165,9 +175,12 @@
 		}
 	}
 	f.assign()
-	f.sumEntryLoads()
+	f.sumEntryLoads(now)
 	var removed []netip.AddrPort
-	for _, u := range before {
+	for id, u := range before {
+		if next := f.upstreams[id]; next == nil || !next.row.SameProcess(u.row) {
+			f.departed.keep(now, u)
+		}
 		if !used[u.row.Address] {
 			removed = append(removed, u.row.Address)
 		}
@@ -179,7 +192,7 @@
 // that of another process.
 func (f *Fleet) updateUpstream(known *upstream, row *state.Upstream) *upstream {
 	if known == nil || !known.row.SameProcess(row) {
-		return &upstream{row: row, observed: make(map[string]observedVersions)}
+		return &upstream{row: row, demands: f.departed.take(row), observed: make(map[string]observedVersions)}
 	}
 	if known.row.Draining != row.Draining {
 		f.options.Log.Info("upstream-draining", zap.String("upstream", row.ID), zap.Bool("draining", row.Draining))
@@ -214,6 +227,9 @@
 		return
 	}
 	u.report, u.reportedAt, u.sentSinceReport = r, now, 0
+	if r.Leaving && r.Started.Equal(u.row.Started) {
+		f.recordLeaving(now, u, "agent")
+	}
 	u.otherRunning = max(r.Running-u.running-u.regionRunning, 0)
 }
 
