soak, fakes: restore the store, let upstreams leave unregistered and ask for pauses

Three kinds of faults: the store returns to a copy of some seconds ago and begins an era, after which the operator and the upstreams write again what was lost; an upstream leaves and says so in its responses only; an upstream declines every other request with a Retry-After.

--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -239,6 +239,7 @@
 	runs := c.world.ledger.RunsFrom(0)
 	c.checkUnsolicited(all, runs)
 	c.checkBudget(all, runs)
+	c.checkDemands(all, runs)
 	c.checkCanceled(all)
 	c.checkTimeouts(all)
 	c.checkShutdowns(all)
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -26,6 +26,8 @@
 	// registrationTTL is the time after which the platform deregisters an upstream that
 	// sends nothing.
 	registrationTTL = 3600 * time.Millisecond
+	// outageTime is how long the store is away when it is restored.
+	outageTime = 500 * time.Millisecond
 )
 
 const eventGracefulStop = "graceful stop"
@@ -78,6 +80,9 @@
 	{"release", func(i *injector, _ time.Duration) { i.release() }},
 	{"release-series", func(i *injector, _ time.Duration) { i.release(); time.Sleep(seriesInterval); i.release() }},
 	{"engine-add", func(i *injector, _ time.Duration) { i.addEngine() }},
+	{"store-restore", func(i *injector, duration time.Duration) { i.restoreStore(duration) }},
+	{"upstream-leave", func(i *injector, _ time.Duration) { i.leave(i.upstream()) }},
+	{"upstream-held", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamHeld, duration) }},
 }
 
 // injector injects faults in the order determined by a seed.
@@ -89,6 +94,8 @@
 	startedSpares int
 	// kinds are the kinds to choose from.
 	kinds []fault
+	// restoring is locked while the store is copied and restored.
+	restoring sync.Mutex
 	// storeFaults and originFaults count the active faults of each.
 	storeFaults  atomic.Int32
 	originFaults atomic.Int32
@@ -296,6 +303,70 @@
 	end()
 }
 
+// leave lets an upstream leave without registering that, and restarts it under a new id.
+func (i *injector) leave(m *managedUpstream) {
+	if !m.reserve() {
+		return
+	}
+	defer m.release()
+	end := i.beginFault("leave", m.name)
+	m.Leave()()
+	i.start(m)
+	end()
+}
+
+// restoreStore copies the store, returns to the copy after a while, and lets the operator and
+// the upstreams write again what was lost. It does nothing while another restore is in progress.
+func (i *injector) restoreStore(duration time.Duration) {
+	if !i.restoring.TryLock() {
+		return
+	}
+	defer i.restoring.Unlock()
+	i.world.store.Backup()
+	time.Sleep(duration)
+	end := i.beginFault("restore", subjectStore)
+	i.world.operator.restoreStore(func() {
+		holdFault(&i.storeFaults, 0, func() {
+			i.world.store.SetFault(fakes.StoreDown)
+			time.Sleep(outageTime)
+			i.world.store.Restore()
+		}, func() { i.world.store.SetFault(fakes.StoreHealthy) })
+	})
+	i.reregister()
+	time.Sleep(registrationTTL)
+	i.deregisterStale()
+	end()
+}
+
+// reregister lets the upstreams that run write their registrations again.
+func (i *injector) reregister() {
+	for _, m := range i.world.upstreams {
+		if !m.isStarted() || !m.reserve() {
+			continue
+		}
+		if err := m.Reregister(); err != nil {
+			i.world.checker.recordViolation("bench", "%s can't register: %v", m.name, err)
+		}
+		m.release()
+	}
+}
+
+// deregisterStale removes the registrations of earlier starts, as the platform does with those
+// that aren't renewed.
+func (i *injector) deregisterStale() {
+	current := make(map[string]bool)
+	for _, m := range i.world.upstreams {
+		if m.isStarted() {
+			current[m.ID()] = true
+		}
+	}
+	for _, id := range i.world.store.UpstreamIDs() {
+		if !current[id] {
+			i.world.store.DeregisterUpstream(id)
+		}
+	}
+}
+
 func (i *injector) start(m *managedUpstream) {
 	if err := m.Start(); err != nil {
 		i.world.checker.recordViolation("bench", "%s can't start: %v", m.name, err)
--- a/stand/internal/soak/operator.go
+++ b/stand/internal/soak/operator.go
@@ -180,6 +180,30 @@
 	return err
 }
 
+const (
+	// quietTime is the time before the store goes away in which the operator writes nothing, so
+	// that readers have seen what it wrote.
+	quietTime = 300 * time.Millisecond
+	// rewriteDelay is the time from the return of the store until the operator writes again.
+	rewriteDelay = time.Second
+)
+
+// restoreStore takes the store away, returns it to its copy, and publishes again what was lost.
+func (o *operator) restoreStore(restore func()) {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	time.Sleep(quietTime)
+	restore()
+	time.Sleep(rewriteDelay)
+	last := o.generations[len(o.generations)-1]
+	if _, err := o.world.store.PublishConfig(o.buildConfig(last, nil)); err != nil {
+		o.world.checker.recordViolation("bench", "%v", err)
+	}
+	if _, err := o.world.store.PublishRelease(state.Release{Model: modelName, Version: len(o.versions)}); err != nil {
+		o.world.checker.recordViolation("bench", "%v", err)
+	}
+}
+
 func (o *operator) recordDrain(id string, at time.Time) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
