member, mesh: send an observer the records of its region first

Cause: a response to an agent held 24 records of all entries, one each 0.9 s, while an entry of the region counts as silent after 2 s without one. So an agent lost entries of its region that were well, the more of them the larger the fleet.

Ruled out: larger messages. 100 records are ten packets, and one lost packet loses all.

Change: up to 24 records of the region first, then 12 of the others; where a region has more, the observer waits longer in proportion before it takes an entry for silent.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -54,6 +54,9 @@
 	assumedEntries = 64
 	// observerRounds is the number of rounds between two queries of an observer.
 	observerRounds = 3
+	// observerLossFactor is how many more responses it takes until a record has come with some
+	// certainty, as each holds a random sample.
+	observerLossFactor = 4
 	// seedRounds is the number of rounds between two messages to a seed while other entries
 	// are known.
 	seedRounds = 7
@@ -61,6 +64,9 @@
 	maxHeartbeats = 256
 	// maxRecords bounds the records of others in a message, so that it fits in a few packets.
 	maxRecords = 24
+	// maxOtherRecords bounds the records of other regions in a response to an observer, which
+	// needs them rarely.
+	maxOtherRecords = maxRecords / 2
 )
 
 // Member is the record of an entry.
@@ -102,6 +108,8 @@
 	random  *rand.Rand
 	others  map[hosts.Name]record
 	rounds  int
+	// observerDelay is added to regionSilenceTimeout at an observer.
+	observerDelay time.Duration
 	// lastQueried is the entry that an observer queried last.
 	lastQueried hosts.Name
 }
@@ -178,6 +186,7 @@
 	t.rounds++
 	t.dropExpired(now)
 	if !t.isEntry {
+		t.updateObserverDelay()
 		return t.observerMessages(now)
 	}
 	var all []Message
@@ -291,11 +300,27 @@
 func (t *Table) isSilent(now time.Time, r record) bool {
 	limit := remoteSilenceTimeout + time.Duration(len(t.others))*silenceTimeoutPerEntry
 	if t.isSameRegion(r.member) {
-		limit = regionSilenceTimeout
+		limit = regionSilenceTimeout + t.observerDelay
 	}
 	return now.Sub(r.updatedAt) >= limit
 }
 
+// updateObserverDelay computes how much later an observer hears of an entry of its region than the
+// entries themselves do: it queries one at a time, and a response holds some of the records.
+func (t *Table) updateObserverDelay() {
+	region := 0
+	for _, r := range t.others {
+		if t.isSameRegion(r.member) {
+			region++
+		}
+	}
+	if responses := (region - 1) / maxRecords; responses > 0 {
+		t.observerDelay = time.Duration(responses*observerLossFactor*observerRounds) * GossipInterval
+		return
+	}
+	t.observerDelay = 0
+}
+
 // Records returns the records of a message: that of an entry itself first, then a sample of those
 // of live entries if others is set.
 func (t *Table) Records(now time.Time, others bool) []Member {
@@ -319,6 +344,23 @@
 	return all
 }
 
+// RecordsForObserver returns the records of a response to an observer, which is mostly of the same
+// region: the record of this entry, then those of live entries of its region, then a sample of
+// the others.
+func (t *Table) RecordsForObserver(now time.Time) []Member {
+	local, others := t.sampleLive(now, maxRecords, true), t.sampleLive(now, maxOtherRecords, false)
+	all := append(local, others...)
+	if t.isEntry {
+		all = append([]Member{t.self}, all...)
+	}
+	return all
+}
+
+// sampleLive returns up to limit records of live entries, those of the own region or the others.
+func (t *Table) sampleLive(now time.Time, limit int, local bool) []Member {
+	return t.sampleMembers(limit, func(m Member) bool { return t.isSameRegion(m) == local && !t.isSilent(now, t.others[m.Name]) })
+}
+
 // Count returns the number of entries with a record, the local one included. Records stay for a
 // minute without a heartbeat: an isolated entry keeps counting the others, because they still
 // spend from the budgets that all entries share. In its first rounds a process doesn't know how
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -248,3 +248,47 @@
 		}
 	}
 }
+
+// TestObserverKnowsItsRegion lets an observer query one entry after the other of fleets with more
+// entries than fit in a message. It must know nearly all of its region at any time, and most of the
+// others.
+func TestObserverKnowsItsRegion(t *testing.T) {
+	for _, count := range []int{7, 60, 120, 300} {
+		random := rand.New(rand.NewPCG(1, 2))
+		all := make([]member.Member, count)
+		for i := range all {
+			all[i] = entry(i, 1)
+		}
+		// One table stands for those of all entries, which know each other.
+		queried, observer := member.NewTable(all[0], 1), member.NewObserver(all[0].Place, 9)
+		observer.SetSeeds([]netip.AddrPort{address(0)})
+		region := (count + 2) / 3
+		now, lowest, lowestOther := time.Unix(1e9, 0), region, count-region
+		for round := range 200 {
+			now = now.Add(member.GossipInterval)
+			for i := range all {
+				all[i].Heartbeat++
+			}
+			queried.NextMessages(now)
+			queried.Merge(now, all[1:])
+			for range observer.NextMessages(now) {
+				if random.Float64() >= 0.05 {
+					observer.Merge(now, queried.RecordsForObserver(now))
+				}
+			}
+			local := 0
+			live := observer.Live(now)
+			for _, m := range live {
+				if m.Place.Region == all[0].Place.Region {
+					local++
+				}
+			}
+			if round >= 100 {
+				lowest, lowestOther = min(lowest, local), min(lowestOther, len(live)-local)
+			}
+		}
+		if float64(lowest) < 0.9*float64(region) || float64(lowestOther) < 0.7*float64(count-region) {
+			t.Errorf("%d entries: at times only %d of %d of the region and %d of %d others are known", count, lowest, region, lowestOther, count-region)
+		}
+	}
+}
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -240,7 +240,8 @@
 
 func (n *Node) sendMessages(messages []member.Message) {
 	n.mutex.Lock()
-	heartbeat, gossip := n.buildGossip(false, true), n.buildGossip(true, true)
+	now := clocks.Now()
+	heartbeat, gossip := n.buildGossip(n.table.Records(now, false), true), n.buildGossip(n.table.Records(now, true), true)
 	n.mutex.Unlock()
 	var toHeartbeat, toGossip []netip.AddrPort
 	for _, m := range messages {
@@ -254,11 +255,9 @@
 	n.Send(gossip, toGossip...)
 }
 
-// buildGossip returns a gossip message, with the records of other entries if others is set. The
-// caller holds the mutex.
-func (n *Node) buildGossip(others, request bool) *wire.Datagram {
+// buildGossip returns a gossip message with the records, of which an entry's own is the first.
+func (n *Node) buildGossip(records []member.Member, request bool) *wire.Datagram {
 	g := &wire.Gossip{Ask: request}
-	records := n.table.Records(clocks.Now(), others)
 	if n.options.Self.Role == hosts.RoleEntry {
 		g.Self = encodeMember(records[0])
 		records = records[1:]
@@ -332,7 +331,7 @@
 	changed := n.table.Merge(clocks.Now(), records)
 	var response *wire.Datagram
 	if g.Ask && g.Self == nil {
-		response = n.buildGossip(true, false)
+		response = n.buildGossip(n.table.RecordsForObserver(clocks.Now()), false)
 	}
 	n.mutex.Unlock()
 	if response != nil && n.options.Self.Role == hosts.RoleEntry {
