member, mesh: let an agent search quickly for a ready entry

Cause: after the loss of all hosts agents start a little before entries. The first query met no listener, the second an entry that wasn't ready yet, and the next one came 0.9 s later.

Change: while an agent knows no ready entry it queries one every 100 ms, for at most 30 rounds; then as before.

After: all 200 agents know a ready entry 300 ms after there is one.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -31,6 +31,12 @@
 const (
 	// GossipInterval is the time between two rounds of gossip.
 	GossipInterval = 300 * time.Millisecond
+	// SearchInterval is the time between two rounds of an observer that knows no ready entry. All
+	// of a fleet search at once when it starts, so it is no shorter.
+	SearchInterval = 100 * time.Millisecond
+	// maxSearches is the number of such rounds. In a longer outage the queries of many observers
+	// would burden the entries.
+	maxSearches = 30
 	// heartbeatRounds is the number of rounds between two heartbeats to the entries of the
 	// local region.
 	heartbeatRounds = 2
@@ -110,6 +116,8 @@
 	rounds  int
 	// observerDelay is added to regionSilenceTimeout at an observer.
 	observerDelay time.Duration
+	// searches counts the rounds of an observer since it last knew a ready entry.
+	searches int
 	// lastQueried is the entry that an observer queried last.
 	lastQueried hosts.Name
 }
@@ -187,6 +195,9 @@
 	t.dropExpired(now)
 	if !t.isEntry {
 		t.updateObserverDelay()
+		if t.searches++; t.knowsReady(now) {
+			t.searches = 0
+		}
 		return t.observerMessages(now)
 	}
 	var all []Message
@@ -230,7 +241,7 @@
 // they seem silent too. For the same reason a query without a response is followed in the next
 // round by one to another entry.
 func (t *Table) observerMessages(now time.Time) []Message {
-	if t.rounds%observerRounds != 1 && len(t.others) > 0 && !t.others[t.lastQueried].isUnanswered() {
+	if t.rounds%observerRounds != 1 && !t.IsSearching(now) && len(t.others) > 0 && !t.others[t.lastQueried].isUnanswered() {
 		return nil
 	}
 	live := func(m Member) bool { return !t.isSilent(now, t.others[m.Name]) }
@@ -250,6 +261,21 @@
 	return all
 }
 
+// IsSearching reports whether an observer knows no ready entry, and hasn't for long. Its rounds then
+// follow each other at SearchInterval.
+func (t *Table) IsSearching(now time.Time) bool {
+	return !t.isEntry && t.searches < maxSearches && !t.knowsReady(now)
+}
+
+func (t *Table) knowsReady(now time.Time) bool {
+	for _, r := range t.others {
+		if r.member.Ready && r.member.State == hosts.StateLive && !t.isSilent(now, r) {
+			return true
+		}
+	}
+	return false
+}
+
 // query records a query of an observer and returns its message.
 func (t *Table) query(now time.Time, m Member) Message {
 	r := t.others[m.Name]
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -218,24 +218,31 @@
 
 // run sends a round of gossip at each interval.
 func (n *Node) run(ctx context.Context) {
-	t := time.NewTicker(member.GossipInterval)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	for {
-		n.sendRound()
-		n.reportChanges()
 		select {
 		case <-t.C:
 		case <-ctx.Done():
 			return
 		}
+		t.Reset(n.sendRound())
+		n.reportChanges()
 	}
 }
 
-func (n *Node) sendRound() {
+// sendRound sends the messages of a round and returns the time until the next one.
+func (n *Node) sendRound() time.Duration {
 	n.mutex.Lock()
-	messages := n.table.NextMessages(clocks.Now())
+	now := clocks.Now()
+	messages := n.table.NextMessages(now)
+	interval := member.GossipInterval
+	if n.table.IsSearching(now) {
+		interval = member.SearchInterval
+	}
 	n.mutex.Unlock()
 	n.sendMessages(messages)
+	return interval
 }
 
 func (n *Node) sendMessages(messages []member.Message) {
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -298,3 +298,38 @@
 		}
 	})
 }
+
+// TestAgentFindsAReadyEntrySoon starts the agents of a fleet a little before its entries, as after
+// the loss of all hosts. Each must know an entry soon after they are ready.
+func TestAgentFindsAReadyEntrySoon(t *testing.T) {
+	const startDelay, readyDelay, limit = 150 * time.Millisecond, 350 * time.Millisecond, 300 * time.Millisecond
+	for seed := range uint64(20) {
+		synctest.Test(t, func(t *testing.T) {
+			f := &fleet{network: &network{sockets: make(map[netip.AddrPort]*socket), isolated: make(map[netip.Addr]bool), random: rand.New(rand.NewPCG(seed, 1))}}
+			var agents []*mesh.Node
+			for i := range 10 {
+				n, stop := f.start(200+i+10*int(seed), hosts.RoleAgent, 1)
+				agents, f.stops = append(agents, n), append(f.stops, stop)
+			}
+			time.Sleep(startDelay)
+			for i := range 7 {
+				n, stop := f.start(i, hosts.RoleEntry, 1)
+				n.SetState(hosts.StateLive, false)
+				f.entries, f.stops = append(f.entries, n), append(f.stops, stop)
+			}
+			time.Sleep(readyDelay)
+			for _, n := range f.entries {
+				n.SetState(hosts.StateLive, true)
+			}
+			time.Sleep(limit)
+			for i, n := range agents {
+				if len(n.Entries()) == 0 {
+					t.Errorf("seed %d: agent %d knows no ready entry after %s", seed, i, limit)
+				}
+			}
+			for _, stop := range f.stops {
+				stop()
+			}
+		})
+	}
+}
