--- a/core/member/member.go
+++ b/core/member/member.go
@@ -374,12 +374,11 @@
 // region: the record of this entry, then those of live entries of its region, then a sample of
 // the others.
 func (t *Table) RecordsForObserver(now time.Time) []Member {
-	local, others := t.sampleLive(now, maxRecords, true), t.sampleLive(now, maxOtherRecords, false)
-	all := append(local, others...)
+	var own []Member
 	if t.isEntry {
-		all = append([]Member{t.self}, all...)
+		own = []Member{t.self}
 	}
-	return all
+	return slices.Concat(own, t.sampleLive(now, maxRecords, true), t.sampleLive(now, maxOtherRecords, false))
 }
 
 // sampleLive returns up to limit records of live entries, those of the own region or the others.
