feed, mesh: keep the order of stand-ins while entries aren't ready

The order in which entries read the store in place of their leader was that of the ready ones. An entry that isn't ready had no rank and took itself for the leader, and after 3 s without contact no entry is ready and each led. The test listed all entries whatever their state.

Change: only a ready entry with the first rank leads; the delay of the others follows the live entries; while none is ready the last order holds, but for a process without rows, as at the start of a fleet.

--- a/agent/server/build.go
+++ b/agent/server/build.go
@@ -97,7 +97,7 @@
 func newFollower(lc fx.Lifecycle, s Settings, a Adapters, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, metrics parts.Metrics, log *zap.Logger) *feed.Follower {
 	f, stop := feed.NewFollower(feed.FollowOptions{
 		Identity: feed.Identity{Self: s.Host, Place: s.Place, Role: hosts.RoleAgent},
-		Mirror:   m, Entries: n.Entries, FallbackTimeout: fallbackTimeout, Scope: metrics.Scope, Log: log,
+		Mirror:   m, Entries: n.Entries, Members: n.LiveEntries, FallbackTimeout: fallbackTimeout, Scope: metrics.Scope, Log: log,
 		Source: func(name hosts.Name) (feed.Source, bool) {
 			if name == feed.PlatformSource {
 				return a.Platform, true
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -273,6 +273,11 @@
 	platform platform
 	entries  []hosts.Host
 	mirrors  map[hosts.Name]*feed.Mirror
+	// readyStaleness is the staleness up to which an entry is ready, or zero if all are.
+	readyStaleness time.Duration
+	// readyEntries is the list as of readyAt.
+	readyEntries []hosts.Host
+	readyAt      time.Time
 
 	mutex sync.Mutex
 	// cut holds the processes that can't reach the platform. True means that their
@@ -340,6 +345,31 @@
 // agentFallbackTimeout is that of the agents of a fleet.
 const agentFallbackTimeout = 5 * time.Second
 
+// ready returns the entries that are ready.
+func (w *world) ready() []hosts.Host {
+	if w.readyStaleness == 0 {
+		return w.entries
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if time.Since(w.readyAt) < readyInterval {
+		return w.readyEntries
+	}
+	var all []hosts.Host
+	for _, h := range w.entries {
+		if staleness, ok := w.mirrors[h.Name].Staleness(); ok && staleness < w.readyStaleness {
+			all = append(all, h)
+		}
+	}
+	if w.readyAt = time.Now(); !slices.Equal(all, w.readyEntries) {
+		w.readyEntries = all
+	}
+	return w.readyEntries
+}
+
+// readyInterval is the time after which processes learn which entries are ready.
+const readyInterval = 100 * time.Millisecond
+
 func (w *world) startAll(all []hosts.Host) func() {
 	var stops []func()
 	for _, h := range all {
@@ -349,7 +379,7 @@
 		}
 		_, stop := feed.NewFollower(feed.FollowOptions{
 			Identity: feed.Identity{Self: h.Name, Place: h.Place, Role: h.Role}, Mirror: w.mirrors[h.Name],
-			Entries: func() []hosts.Host { return w.entries }, FallbackTimeout: fallback, Scope: tally.NoopScope, Log: zap.NewNop(),
+			Entries: w.ready, Members: func() []hosts.Host { return w.entries }, FallbackTimeout: fallback, Scope: tally.NoopScope, Log: zap.NewNop(),
 			Source: func(name hosts.Name) (feed.Source, bool) {
 				if name == feed.PlatformSource {
 					return &platformSource{world: w, self: h.Name}, true
@@ -485,6 +515,7 @@
 	const domains, outage = 5, 5 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		w := newWorldIn(100, domains)
+		w.readyStaleness = 3 * time.Second
 		all := append(slices.Clone(w.entries), w.addAgents(156, domains)...)
 		stop := w.startAll(all)
 		defer stop()
--- a/core/feed/follow.go
+++ b/core/feed/follow.go
@@ -43,8 +43,10 @@
 type FollowOptions struct {
 	Identity Identity
 	Mirror   *Mirror
-	// Entries returns the live entries, as a list that isn't changed but replaced.
+	// Entries returns the entries that are ready, Members all that are live. The lists aren't
+	// changed but replaced.
 	Entries func() []hosts.Host
+	Members func() []hosts.Host
 	// Source returns the source with the name; PlatformSource stands for the platform.
 	// The second result is false if the process is unknown.
 	Source func(name hosts.Name) (Source, bool)
@@ -69,7 +71,9 @@
 	platformFirst []hosts.Name
 	platformLast  []hosts.Name
 	orderedBy     hosts.ListID
+	// fallbackDelay is that for the members of delayedBy.
 	fallbackDelay time.Duration
+	delayedBy     hosts.ListID
 	// leads is set while this process is the leader of its failure domain.
 	leads     bool
 	startedAt time.Time
@@ -118,7 +122,7 @@
 		silence = clocks.Since(f.respondedAt)
 	}
 	switch {
-	case silence > f.options.FallbackTimeout+f.fallbackDelay:
+	case silence > f.fallbackTimeout():
 		return f.platformFirst
 	case clocks.Since(f.substitutedAt) < substituteTime:
 		return f.platformLast
@@ -126,20 +130,32 @@
 	return f.platformLast[:len(f.platformLast)-1]
 }
 
-// orderSources updates the orders of the sources if the entries have changed.
+// orderSources updates the orders of the sources if the entries have changed. While none is ready,
+// the last order holds, unless this process has no rows yet: in an outage all would lead.
 func (f *Follower) orderSources(entries []hosts.Host) {
-	if id := hosts.ListIDOf(entries); id != f.orderedBy || f.platformFirst == nil {
-		order := f.options.Identity.SourceOrder(entries)
-		f.leads = f.options.Identity.Role == hosts.RoleEntry && order[0] == PlatformSource
-		peers := slices.DeleteFunc(order, func(n hosts.Name) bool { return n == PlatformSource })
-		f.platformFirst = append([]hosts.Name{PlatformSource}, peers...)
-		f.platformLast = append(slices.Clone(peers), PlatformSource)
-		f.fallbackDelay = 0
-		if f.options.Identity.Role == hosts.RoleEntry {
-			f.fallbackDelay = f.options.Identity.FallbackDelay(entries)
-		}
-		f.orderedBy = id
+	id := hosts.ListIDOf(entries)
+	if f.platformFirst != nil && (id == f.orderedBy || len(entries) == 0 && f.options.Mirror.Head() != 0) {
+		return
+	}
+	order := f.options.Identity.SourceOrder(entries)
+	f.leads = f.options.Identity.Role == hosts.RoleEntry && order[0] == PlatformSource
+	peers := slices.DeleteFunc(order, func(n hosts.Name) bool { return n == PlatformSource })
+	f.platformFirst = append([]hosts.Name{PlatformSource}, peers...)
+	f.platformLast = append(slices.Clone(peers), PlatformSource)
+	f.orderedBy = id
+}
+
+// fallbackTimeout returns the time without contact after which this process reads the platform
+// although it doesn't lead.
+func (f *Follower) fallbackTimeout() time.Duration {
+	if f.options.Identity.Role != hosts.RoleEntry {
+		return f.options.FallbackTimeout
+	}
+	members := f.options.Members()
+	if id := hosts.ListIDOf(members); id != f.delayedBy {
+		f.fallbackDelay, f.delayedBy = f.options.Identity.FallbackDelay(members), id
 	}
+	return f.options.FallbackTimeout + f.fallbackDelay
 }
 
 // sinceLastContact returns the time since the last response of the platform, or since
--- a/core/feed/sources.go
+++ b/core/feed/sources.go
@@ -48,16 +48,24 @@
 // from others. Each agent ranks them differently, which spreads the load.
 func (id Identity) SourceOrder(entries []hosts.Host) []hosts.Name {
 	ranks := ranksOf(entries)
-	if id.Role == hosts.RoleEntry && ranks[id.Self] == 0 {
+	rank, listed := ranks[id.Self]
+	if id.Role == hosts.RoleEntry && (len(entries) == 0 || listed && rank == 0) {
 		return append([]hosts.Name{PlatformSource}, id.peers(entries, ranks)...)
 	}
 	return append(id.peers(entries, ranks), PlatformSource)
 }
 
-// FallbackDelay returns how much longer than the first one the process waits until it reads the
-// platform in place of the leader of its failure domain.
-func (id Identity) FallbackDelay(entries []hosts.Host) time.Duration {
-	return time.Duration(max(ranksOf(entries)[id.Self]-1, 0)) * backupDelay
+// FallbackDelay returns how much longer than the first one an entry waits until it reads the
+// platform in place of the leader of its failure domain. The members are the live entries, ready
+// or not: in an outage none is ready in the end, and their order must stay.
+func (id Identity) FallbackDelay(members []hosts.Host) time.Duration {
+	ahead := 0
+	for _, h := range members {
+		if h.Place.Domain == id.Place.Domain && hosts.Score("lead", h.Name) > hosts.Score("lead", id.Self) {
+			ahead++
+		}
+	}
+	return time.Duration(max(ahead-1, 0)) * backupDelay
 }
 
 // peers returns the other processes from which this one may pull, best first.
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -132,7 +132,9 @@
 	// at the time of the last other change.
 	members []member.Member
 	// ready are the hosts of those that are live and ready.
-	ready  []hosts.Host
+	ready []hosts.Host
+	// live are the hosts of those that aren't leaving, ready or not.
+	live   []hosts.Host
 	byName map[hosts.Name]int
 }
 
@@ -147,11 +149,15 @@
 	v := &view{members: slices.Clip(live), byName: make(map[hosts.Name]int, len(live))}
 	for i, m := range live {
 		v.byName[m.Name] = i
-		if m.Ready && m.State == hosts.StateLive {
+		if m.State != hosts.StateLive {
+			continue
+		}
+		v.live = append(v.live, m.Host)
+		if m.Ready {
 			v.ready = append(v.ready, m.Host)
 		}
 	}
-	v.ready = slices.Clip(v.ready)
+	v.ready, v.live = slices.Clip(v.ready), slices.Clip(v.live)
 	n.view.Store(v)
 	return v
 }
@@ -178,6 +184,10 @@
 // the list, which is the same one until an entry changes.
 func (n *Node) Entries() []hosts.Host { return n.view.Load().ready }
 
+// LiveEntries returns the hosts of the entries that aren't leaving, ready or not. The caller must
+// not change the list, which is the same one until an entry changes.
+func (n *Node) LiveEntries() []hosts.Host { return n.view.Load().live }
+
 // Find returns the entry with the given name, unless it is silent.
 func (n *Node) Find(name hosts.Name) (member.Member, bool) {
 	v := n.view.Load()
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -125,7 +125,7 @@
 func newFollower(lc fx.Lifecycle, s Settings, o Adapters, m *feed.Mirror, n *mesh.Node, peers parts.PeerClient, metrics parts.Metrics, log *zap.Logger) *feed.Follower {
 	f, stop := feed.NewFollower(feed.FollowOptions{
 		Identity: feed.Identity{Self: s.Host, Place: s.Place, Role: hosts.RoleEntry},
-		Mirror:   m, Entries: n.Entries, FallbackTimeout: feed.ContactTimeout, Scope: metrics.Scope, Log: log,
+		Mirror:   m, Entries: n.Entries, Members: n.LiveEntries, FallbackTimeout: feed.ContactTimeout, Scope: metrics.Scope, Log: log,
 		Source: func(name hosts.Name) (feed.Source, bool) {
 			if name == feed.PlatformSource {
 				return o.Platform, true
