target, proxy: log when an entry learns of a release, and how long requests may start

An entry now writes event=release, and requests to a replaced version carry startwithin=. No behavior changes.

--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -69,6 +69,9 @@
 		zap.String("upstream", f.Row.ID), zap.Int("version", f.Version), zap.Int("running", f.Running),
 		zap.Duration("age", f.LoadAge), zap.Duration("predicted", f.Predicted),
 	}
+	if !f.StartDeadline.IsZero() {
+		fields = append(fields, zap.Duration("startwithin", f.StartDeadline.Sub(start)))
+	}
 	l.logFields = fields
 	m := l.handler.metrics
 	m.attempts[result].Inc(1)
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -212,6 +212,7 @@
 			// before it have already expired.
 			f.releases[m.Name] = []release{{version: r.Version}}
 		case known[len(known)-1].version < r.Version:
+			f.options.Log.Info("release", zap.String("model", m.Name), zap.Int("version", r.Version), zap.Int("before", known[len(known)-1].version))
 			f.releases[m.Name] = append(known[max(len(known)-maxReleases+1, 0):], release{version: r.Version, firstSeen: now})
 		}
 	}
