target, loader: add failing tests for a release that is seen late

An entry or agent that was frozen or out of touch measures the time of a release from when it sees it. Both tests fail: the entry chooses engines of the replaced version 8 s after the release may have been published, and the agent hasn't ordered the new one by then.

--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -270,6 +270,16 @@
 	})
 }
 
+func TestReleaseSeenLateIsLoadedInTime(t *testing.T) {
+	play(t, 1, 5, func(w *world) {
+		// The tables were last confirmed 4 s before the release is seen.
+		time.Sleep(2 * time.Second)
+		w.release(2)
+		time.Sleep(versionTimeout - 4*time.Second)
+		w.check(2, 2)
+	})
+}
+
 func TestRestartedEngineIsReloaded(t *testing.T) {
 	play(t, 1, 0, func(w *world) {
 		w.crash()
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"currantport.example/core/feed"
 	"currantport.example/core/hosts"
 	"currantport.example/core/state"
 	"currantport.example/entry/internal/target"
@@ -141,6 +142,36 @@
 	}
 }
 
+// TestReleaseSeenLateKeepsItsDeadline has an entry miss updates for 3 s. The release may have been
+// published right after the last confirmation of its tables.
+func TestReleaseSeenLateKeepsItsDeadline(t *testing.T) {
+	const missed = 3 * time.Second
+	w, m := newWorld(t, "e0"), feed.NewMirror()
+	update := func(at time.Time, rows ...state.Row) {
+		w.revision++
+		for i := range rows {
+			rows[i].Revision = w.revision
+		}
+		if _, err := m.Apply(feed.Update{Head: w.revision, Rows: rows, ConfirmedAt: at, LastContact: at}); err != nil {
+			t.Fatal(err)
+		}
+		w.fleet.ApplySnapshot(at, m.Snapshot())
+	}
+	pool := w.row(state.EncodePool(w.snapshot.Pool("p")))
+	update(start, pool, w.upstream(engine(1, "d0", 1)))
+	update(start.Add(missed), w.row(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
+	if id, _ := w.place(start.Add(missed), w.requirements()); id != "u1" {
+		t.Errorf("right after the release was seen: %s", id)
+	}
+	_, f := w.place(start.Add(versionTimeout-2*time.Second), w.requirements())
+	if f == nil || f.StartDeadline.After(start.Add(versionTimeout)) {
+		t.Error("a request to the replaced version may start after the end of that version")
+	}
+	if id, _ := w.place(start.Add(versionTimeout), w.requirements()); id != "none, wait false" {
+		t.Errorf("a version that was replaced up to %v ago: %s", versionTimeout, id)
+	}
+}
+
 func TestReleaseBeforeStartTakesEffectAtOnce(t *testing.T) {
 	w := &world{t: t, fleet: target.New(target.Options{
 		Entries: func() []hosts.Host { return entries }, Regions: regions, VersionTimeout: versionTimeout, Random: func() float64 { return 0 }, Log: zap.NewNop(),
