feed, target, loader: count the age of a release from its publication

Both entries of a region had been frozen when the release was published, and their agents got no updates meanwhile. They saw the release 2.9 s late and counted the bound from then: side-hakodate-a-1 ordered the version 8.76 s after the release, 5.83 s by its own count.

A replica now keeps when it was last confirmed to be complete. A release that it then lacked was published later, so its age is at most the time since; a source passes its own bound on, which counts if no version lies between. Entries and agents count their deadlines from that.

Ruled out: a withdrawn request that the engine began all the same, and an engine taken for one of the new version. Agents of the region that saw the release at 38.7 to 39.9 s prove that the entries, which came back later, can't have known of it before, so by their count the deadline was over 2 s away. Agents of the other regions saw it within 0.05 s and ordered it within 6.7 s.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -110,8 +110,8 @@
 	// orderedAt is the time of the last order, or zero if its load has ended.
 	orderedAt time.Time
 	retryAt   time.Time
-	// firstSeen is the time at which each released version was first seen.
-	firstSeen map[targetVersion]time.Time
+	// notBefore is the earliest time at which each version may have been released.
+	notBefore map[targetVersion]time.Time
 	// retained holds the version for which all others were dropped from the cache.
 	retained map[targetVersion]bool
 
@@ -125,7 +125,7 @@
 func New(o Options) (*Loader, func()) {
 	buckets := tally.MustMakeExponentialDurationBuckets(minServedBucket, 2, servedBuckets)
 	l := &Loader{
-		options: o, orders: o.Scope.Counter("orders"), served: o.Scope.Histogram("release_seconds", buckets), firstSeen: make(map[targetVersion]time.Time),
+		options: o, orders: o.Scope.Counter("orders"), served: o.Scope.Histogram("release_seconds", buckets), notBefore: make(map[targetVersion]time.Time),
 	}
 	var stopFetcher, stopStager func()
 	l.fetcher, stopFetcher = newWeightFetcher(o)
@@ -193,14 +193,8 @@
 	if !ok {
 		return
 	}
-	if _, known := l.firstSeen[t]; !known {
-		l.firstSeen[t] = clocks.Now()
-		if len(l.firstSeen) == 1 {
-			// The release time of a version that exists at the start isn't known. It counts
-			// as released a full VersionTimeout ago.
-			l.firstSeen[t] = clocks.Now().Add(-l.options.VersionTimeout)
-		}
-		l.options.Log.Info("release", zap.String("model", t.model), zap.Int("version", t.version))
+	if _, known := l.notBefore[t]; !known {
+		l.recordRelease(t)
 	}
 	if l.slotTarget != t {
 		l.planSlot(t)
@@ -221,6 +215,18 @@
 	l.stager.setTarget(t)
 }
 
+// recordRelease records the earliest time at which a version may have been released. One for
+// which it isn't known, as at the start, counts as released a full VersionTimeout ago.
+func (l *Loader) recordRelease(t targetVersion) {
+	now := clocks.Now()
+	at := l.options.Mirror.Snapshot().Release(t.model).NotBefore
+	if at.IsZero() {
+		at = now.Add(-l.options.VersionTimeout)
+	}
+	l.notBefore[t] = at
+	l.options.Log.Info("release", zap.String("model", t.model), zap.Int("version", t.version), zap.Duration("age", now.Sub(at)))
+}
+
 // nextLoad returns the version to load now, if there is one. Until the newest version is
 // complete, this is an earlier one that the engine lacks, but only if the newest isn't
 // expected before the deadline at which the engine must stop serving its current version.
@@ -291,11 +297,11 @@
 		zap.Int("rank", l.slot.Rank), zap.Int("count", l.slot.Count), zap.Duration("after", l.slot.Start(l.options.VersionTimeout).Sub(clocks.Now())))
 }
 
-// earliestMissing returns the time at which the earliest release that the engine lacks was
-// first seen.
+// earliestMissing returns the earliest time at which a release that the engine lacks may have
+// been published.
 func (l *Loader) earliestMissing(t targetVersion) time.Time {
-	earliest := l.firstSeen[t]
-	for other, at := range l.firstSeen {
+	earliest := l.notBefore[t]
+	for other, at := range l.notBefore {
 		if other.model == t.model && other.version <= t.version && !l.holdsOrNewer(other) && at.Before(earliest) {
 			earliest = at
 		}
@@ -343,7 +349,7 @@
 	ack, err := l.options.Engine.Load(ctx, t.model, t.version)
 	l.orders.Inc(1)
 	l.options.Log.Info("order", zap.String("model", t.model), zap.Int("version", t.version), zap.String("ack", string(ack)),
-		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.firstSeen[t])), zap.Error(err))
+		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.notBefore[t])), zap.Error(err))
 	if err != nil || ack == engine.AckConflict || ack == engine.AckFenced {
 		l.retryAt = clocks.Now().Add(orderBackoff)
 		return
@@ -358,7 +364,7 @@
 // the other versions from the cache.
 func (l *Loader) resumeRequests(t targetVersion) {
 	if !l.orderedAt.IsZero() {
-		since := clocks.Since(l.firstSeen[t])
+		since := clocks.Since(l.notBefore[t])
 		l.served.RecordDuration(since)
 		l.options.Log.Info("version-served", zap.String("model", t.model), zap.Int("version", t.version), zap.Duration("since", since))
 	}
--- a/agent/internal/loader/slot.go
+++ b/agent/internal/loader/slot.go
@@ -19,8 +19,8 @@
 
 // RolloutSlot determines when an engine loads a version.
 type RolloutSlot struct {
-	// FirstSeen is the time at which the agent first saw the release.
-	FirstSeen time.Time
+	// NotBefore is the earliest time at which the version may have been released.
+	NotBefore time.Time
 	// Rank and Count are the position of the engine among those of its pool that serve an
 	// older version, and their number.
 	Rank  int
@@ -33,14 +33,14 @@
 // Requests continue while a version is rolled out. Engines therefore load one after the
 // other, spread over the roll-out limit, so that as many as possible serve at any time. All
 // agents compute the same order from rendezvous ranks, without messages.
-func NewRolloutSlot(firstSeen time.Time, model string, version int, self *state.Upstream, all []*state.Upstream) RolloutSlot {
+func NewRolloutSlot(notBefore time.Time, model string, version int, self *state.Upstream, all []*state.Upstream) RolloutSlot {
 	var names []hosts.Name
 	for _, u := range all {
 		if held := u.Version(model); held != 0 && held < version && !u.Draining {
 			names = append(names, hosts.Name(u.ID))
 		}
 	}
-	s := RolloutSlot{FirstSeen: firstSeen, Count: len(names)}
+	s := RolloutSlot{NotBefore: notBefore, Count: len(names)}
 	if self == nil {
 		return s
 	}
@@ -52,18 +52,18 @@
 // zero means that there is none.
 func (s RolloutSlot) Start(limit time.Duration) time.Time {
 	if limit <= 0 || s.Count <= 1 {
-		return s.FirstSeen
+		return s.NotBefore
 	}
 	first, last := float64(limit)*firstStartRatio, float64(limit)*lastStartRatio
-	return s.FirstSeen.Add(time.Duration(first + (last-first)*float64(s.Rank)/float64(s.Count-1)))
+	return s.NotBefore.Add(time.Duration(first + (last-first)*float64(s.Rank)/float64(s.Count-1)))
 }
 
 // Deadline returns the time after which the engine gets no requests for an older version.
 func (s RolloutSlot) Deadline(limit time.Duration) time.Time {
 	if limit <= 0 {
-		return s.FirstSeen.Add(unboundedLimit)
+		return s.NotBefore.Add(unboundedLimit)
 	}
-	return s.FirstSeen.Add(time.Duration(float64(limit) * lastStartRatio))
+	return s.NotBefore.Add(time.Duration(float64(limit) * lastStartRatio))
 }
 
 // unboundedLimit replaces the roll-out limit where there is none.
--- a/agent/internal/loader/slot_test.go
+++ b/agent/internal/loader/slot_test.go
@@ -21,15 +21,15 @@
 
 // TestEnginesLoadOneAfterTheOther compares the slots that 16 agents compute independently.
 func TestEnginesLoadOneAfterTheOther(t *testing.T) {
-	firstSeen := time.Unix(1e9, 0)
+	notBefore := time.Unix(1e9, 0)
 	all := engines(16, 1)
 	starts := make(map[time.Time]bool)
 	for _, u := range all {
-		slot := loader.NewRolloutSlot(firstSeen, "m", 2, u, all)
+		slot := loader.NewRolloutSlot(notBefore, "m", 2, u, all)
 		at := slot.Start(versionTimeout)
 		starts[at] = true
-		if at.Before(firstSeen) || at.After(slot.Deadline(versionTimeout)) || !slot.Deadline(versionTimeout).Before(firstSeen.Add(versionTimeout)) {
-			t.Errorf("%s loads after %v, deadline after %v", u.ID, at.Sub(firstSeen), slot.Deadline(versionTimeout).Sub(firstSeen))
+		if at.Before(notBefore) || at.After(slot.Deadline(versionTimeout)) || !slot.Deadline(versionTimeout).Before(notBefore.Add(versionTimeout)) {
+			t.Errorf("%s loads after %v, deadline after %v", u.ID, at.Sub(notBefore), slot.Deadline(versionTimeout).Sub(notBefore))
 		}
 	}
 	if len(starts) != 16 {
@@ -38,19 +38,19 @@
 }
 
 func TestOnlyEnginesWithOlderVersionGetSlots(t *testing.T) {
-	firstSeen := time.Unix(1e9, 0)
+	notBefore := time.Unix(1e9, 0)
 	all := append(engines(3, 1), engines(9, 2)[3:]...)
 	all = append(all, &state.Upstream{ID: "empty"})
 	draining := &state.Upstream{ID: "leaves", Draining: true, Held: []state.HeldVersion{{Model: "m", Version: 1, Whole: true}}}
 	all = append(all, draining)
-	if slot := loader.NewRolloutSlot(firstSeen, "m", 2, all[0], all); slot.Count != 3 {
+	if slot := loader.NewRolloutSlot(notBefore, "m", 2, all[0], all); slot.Count != 3 {
 		t.Errorf("%d engines have slots", slot.Count)
 	}
-	if at := loader.NewRolloutSlot(firstSeen, "m", 2, all[0], all[:1]).Start(versionTimeout); !at.Equal(firstSeen) {
-		t.Errorf("the only engine waits for %v", at.Sub(firstSeen))
+	if at := loader.NewRolloutSlot(notBefore, "m", 2, all[0], all[:1]).Start(versionTimeout); !at.Equal(notBefore) {
+		t.Errorf("the only engine waits for %v", at.Sub(notBefore))
 	}
-	if at := loader.NewRolloutSlot(firstSeen, "m", 2, nil, all).Start(0); !at.Equal(firstSeen) {
-		t.Errorf("without a limit it waits for %v", at.Sub(firstSeen))
+	if at := loader.NewRolloutSlot(notBefore, "m", 2, nil, all).Start(0); !at.Equal(notBefore) {
+		t.Errorf("without a limit it waits for %v", at.Sub(notBefore))
 	}
 }
 
--- a/core/feed/handler.go
+++ b/core/feed/handler.go
@@ -84,14 +84,18 @@
 	}
 	m.Contact = now.Sub(u.LastContact).Microseconds()
 	for _, r := range u.Rows {
-		m.Rows = append(m.Rows, encodeRow(r))
+		m.Rows = append(m.Rows, encodeRow(r, now))
 	}
 	for _, k := range u.Retained {
-		m.Retained = append(m.Retained, &wire.RetainedRow{Row: encodeRow(k.Row), Remaining: k.Remaining.Microseconds()})
+		m.Retained = append(m.Retained, &wire.RetainedRow{Row: encodeRow(k.Row, now), Remaining: k.Remaining.Microseconds()})
 	}
 	return m
 }
 
-func encodeRow(r state.Row) *wire.FeedRow {
-	return &wire.FeedRow{Key: r.Key, Revision: uint64(r.Revision), Value: r.Value, Gone: r.Value == nil}
+func encodeRow(r state.Row, now time.Time) *wire.FeedRow {
+	row := &wire.FeedRow{Key: r.Key, Revision: uint64(r.Revision), Value: r.Value, Gone: r.Value == nil}
+	if !r.NotBefore.IsZero() {
+		row.Age = max(now.Sub(r.NotBefore).Microseconds(), 1)
+	}
+	return row
 }
--- a/core/feed/mirror.go
+++ b/core/feed/mirror.go
@@ -46,6 +46,9 @@
 	historyStart state.Revision
 	head         state.Revision
 	checksum     uint64
+	// completeAt is a time at which the replica held all that had been published. Unlike
+	// confirmedAt it outlasts eras. It is zero until the replica is confirmed.
+	completeAt time.Time
 	// retention holds rows of earlier eras. The others count as the platform's rows: rows and
 	// checksum don't include them.
 	retention retention
@@ -155,6 +158,7 @@
 	}
 	if !u.ConfirmedAt.IsZero() && u.ConfirmedAt.After(m.ConfirmedAt()) {
 		m.confirmedAt.Store(&u.ConfirmedAt)
+		m.completeAt = u.ConfirmedAt
 	} else if !changed {
 		return
 	}
@@ -167,9 +171,11 @@
 func (m *Mirror) putRows(now time.Time, rows []state.Row, retained []RetainedRow) []string {
 	touched := make([]string, 0, len(rows))
 	for _, r := range rows {
-		if known := m.rows[r.Key]; r.Value == nil && known.Value != nil {
+		known := m.rows[r.Key]
+		if r.Value == nil && known.Value != nil {
 			m.retention.recordDeparture(known)
 		}
+		r.NotBefore = m.notBefore(known, r)
 		m.putRow(r)
 		touched = append(touched, r.Key)
 	}
@@ -177,6 +183,20 @@
 	return append(touched, m.retention.release(now, m.rows)...)
 }
 
+// notBefore returns the earliest time at which a release may have been published that replaces
+// the known row: after this replica was last complete, or what its source knows.
+func (m *Mirror) notBefore(known, r state.Row) time.Time {
+	if r.Value == nil || !state.IsRelease(r.Key) || m.completeAt.IsZero() {
+		return time.Time{}
+	}
+	// The source may have seen versions between the two that this process has not. Engines that
+	// serve the known version had to leave it when the first of those was published.
+	if versionOf(r) == max(versionOf(known), state.FirstVersion)+1 && r.NotBefore.After(m.completeAt) {
+		return r.NotBefore
+	}
+	return m.completeAt
+}
+
 // beginEra decides which rows of the last era stay active, and returns their keys. The replica
 // isn't confirmed to be current in the new era until the update is applied whole.
 func (m *Mirror) beginEra(now time.Time, u Update) []string {
--- a/core/feed/remote.go
+++ b/core/feed/remote.go
@@ -57,22 +57,27 @@
 	}
 	u.LastContact = requestedAt.Add(time.Duration(m.Held-m.Contact) * time.Microsecond)
 	for _, r := range m.Rows {
-		u.Rows = append(u.Rows, decodeRow(r))
+		u.Rows = append(u.Rows, decodeRow(r, requestedAt.Add(time.Duration(m.Held)*time.Microsecond)))
 	}
 	for _, k := range m.Retained {
 		if k.Row != nil {
-			u.Retained = append(u.Retained, RetainedRow{Row: decodeRow(k.Row), Remaining: time.Duration(k.Remaining) * time.Microsecond})
+			u.Retained = append(u.Retained, RetainedRow{Row: decodeRow(k.Row, time.Time{}), Remaining: time.Duration(k.Remaining) * time.Microsecond})
 		}
 	}
 	return u
 }
 
-func decodeRow(r *wire.FeedRow) state.Row {
+// decodeRow decodes a row. The response was sent at the given time or later; if that is zero,
+// nothing is known of the row's publication.
+func decodeRow(r *wire.FeedRow, sentAt time.Time) state.Row {
 	row := state.Row{Key: r.Key, Revision: state.Revision(r.Revision), Value: r.Value}
 	if r.Gone {
 		row.Value = nil
 	} else if row.Value == nil {
 		row.Value = []byte{}
 	}
+	if r.Age > 0 && !sentAt.IsZero() {
+		row.NotBefore = sentAt.Add(-time.Duration(r.Age) * time.Microsecond)
+	}
 	return row
 }
--- a/core/state/build.go
+++ b/core/state/build.go
@@ -12,6 +12,9 @@
 	Key      string
 	Value    []byte
 	Revision Revision
+	// NotBefore is the earliest time at which a release may have been published, by the clock
+	// of package clocks, or zero if that is unknown. Other rows have none.
+	NotBefore time.Time
 }
 
 // The kinds of rows. A key has the form KIND/NAME, or KIND/POOL/ID for an upstream.
@@ -58,7 +61,7 @@
 	changed := make(map[string]bool)
 	for _, r := range rows {
 		kind, name, _ := strings.Cut(r.Key, "/")
-		if err := b.applyRow(kind, name, r.Value); err != nil {
+		if err := b.applyRow(kind, name, r); err != nil {
 			invalid = append(invalid, RowError{Key: r.Key, Revision: r.Revision, Reason: err.Error()})
 			continue
 		}
@@ -67,7 +70,8 @@
 	return b.snapshot(revision, changed), invalid
 }
 
-func (b *Builder) applyRow(kind, name string, value []byte) error {
+func (b *Builder) applyRow(kind, name string, row Row) error {
+	value := row.Value
 	switch kind {
 	case KindRoute:
 		return putRow(b.routes, name, value, decodeRoute)
@@ -76,7 +80,11 @@
 	case KindWorkspace:
 		return putRow(b.workspaces, name, value, decodeWorkspace)
 	case KindRelease:
-		return putRow(b.releases, name, value, decodeRelease)
+		return putRow(b.releases, name, value, func(value []byte) (Release, error) {
+			r, err := decodeRelease(value)
+			r.NotBefore = row.NotBefore
+			return r, err
+		})
 	case KindUpstream:
 		return putRow(b.upstreams, name, value, decodeUpstream)
 	case KindConfig:
--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -301,11 +301,13 @@
 	if d.Version < FirstVersion {
 		return Release{}, errCounts
 	}
-	return Release(d), nil
+	return Release{Model: d.Model, Version: d.Version}, nil
 }
 
 // EncodeRelease returns the row of a release.
-func EncodeRelease(r Release) (Row, error) { return encode(KindRelease, r.Model, releaseDocument(r)) }
+func EncodeRelease(r Release) (Row, error) {
+	return encode(KindRelease, r.Model, releaseDocument{Model: r.Model, Version: r.Version})
+}
 
 func decodeUpstream(value []byte) (*Upstream, error) {
 	var d upstreamDocument
--- a/core/state/eras.go
+++ b/core/state/eras.go
@@ -15,6 +15,9 @@
 	return false
 }
 
+// IsRelease reports whether a row is the release of a model.
+func IsRelease(key string) bool { return strings.HasPrefix(key, KindRelease+"/") }
+
 // ConfigKey is the key of the row that states the version of the configuration.
 const ConfigKey = KindConfig + "/all"
 
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -170,6 +170,10 @@
 type Release struct {
 	Model   string
 	Version int
+	// NotBefore is the earliest time at which it may have been published, or zero if that is
+	// unknown. It precedes the publication by the time for which this process had no
+	// confirmation of its replica, so that bounds counted from it hold however late it was seen.
+	NotBefore time.Time
 }
 
 // Upstream is a process that serves the requests of a pool.
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -14,8 +14,7 @@
 	// receiving requests, so that none starts too late.
 	versionCutoffMargin = 1300 * time.Millisecond
 	// startDeadlineMargin is how long before that deadline a request that hasn't started is
-	// withdrawn. It covers the delay until this entry saw the release and the network
-	// latency to the engine.
+	// withdrawn. It covers the time until the withdrawal reaches the engine.
 	startDeadlineMargin = 400 * time.Millisecond
 	// crossRegionCost is how much earlier an engine in another region must be expected to
 	// respond to be chosen. It accounts for the traffic between regions.
@@ -185,7 +184,7 @@
 	}
 	for _, r := range f.releases[model] {
 		if r.version > version {
-			return r.firstSeen.Add(f.options.VersionTimeout - startDeadlineMargin)
+			return r.notBefore.Add(f.options.VersionTimeout - startDeadlineMargin)
 		}
 	}
 	return time.Time{}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -106,11 +106,11 @@
 // maxReleases bounds the remembered releases of a model.
 const maxReleases = 8
 
-// release is a version and when this process first saw its release. The time is zero for
-// the version that was current at the start of the process.
+// release is a version and the earliest time at which it may have been released. The time is
+// zero for the version that was current at the start of the process.
 type release struct {
 	version   int
-	firstSeen time.Time
+	notBefore time.Time
 }
 
 // Options configure a Fleet.
@@ -212,8 +212,9 @@
 			// before it have already expired.
 			f.releases[m.Name] = []release{{version: r.Version}}
 		case known[len(known)-1].version < r.Version:
-			f.options.Log.Info("release", zap.String("model", m.Name), zap.Int("version", r.Version), zap.Int("before", known[len(known)-1].version))
-			f.releases[m.Name] = append(known[max(len(known)-maxReleases+1, 0):], release{version: r.Version, firstSeen: now})
+			f.options.Log.Info("release", zap.String("model", m.Name), zap.Int("version", r.Version), zap.Int("before", known[len(known)-1].version),
+				zap.Duration("age", now.Sub(r.NotBefore)))
+			f.releases[m.Name] = append(known[max(len(known)-maxReleases+1, 0):], release{version: r.Version, notBefore: r.NotBefore})
 		}
 	}
 }
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -57,6 +57,11 @@
 
 func (w *world) publish(now time.Time, rows ...state.Row) {
 	w.revision++
+	for i, r := range rows {
+		if state.IsRelease(r.Key) {
+			rows[i].NotBefore = now
+		}
+	}
 	snapshot, rowErrors := w.builder.Apply(w.revision, rows)
 	if len(rowErrors) > 0 {
 		w.t.Fatal(rowErrors)
