--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -28,6 +28,9 @@
 	// both in tokens.
 	Prompt    int
 	MaxOutput int
+	// PromptParts identify the parts of the prompt that other requests may share, in order. The
+	// part that belongs to the request or its session isn't among them.
+	PromptParts []string
 	// ExpectedOutput is the client's estimate of the output in tokens, or zero.
 	ExpectedOutput int
 	// LastEventID is the id of the last event that the client has received, or empty.
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -85,6 +85,9 @@
 		zap.String("id", string(l.call.ID)), zap.Int("try", len(l.attempted)), zap.String("result", resultNames[result]),
 		zap.Duration("took", time.Since(start)), zap.Int("events", l.events), zap.Error(err),
 	}, fields...)
+	if len(l.call.PromptParts) > 0 {
+		all = append(all, zap.Strings("parts", l.call.PromptParts))
+	}
 	l.handler.options.Log.Info("attempt", all...)
 }
 
