--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -44,6 +44,9 @@
 	if ms, err := strconv.Atoi(r.Header.Get("Timeout")); err == nil {
 		c.Timeout = time.Duration(ms) * time.Millisecond
 	}
+	if text := r.Header.Get("Parts"); text != "" {
+		c.PromptParts = strings.Split(text, ",")
+	}
 	return c, nil
 }
 
@@ -54,7 +57,10 @@
 }
 
 func (codec) BuildRequest(c *calls.Call, a calls.Attempt) *conns.Request {
-	h := http.Header{"Id": {string(c.ID)}, "After": {a.LastEventID}, "Workspace": {a.Workspace}, "Remaining": {a.Remaining.String()}}
+	h := http.Header{
+		"Id": {string(c.ID)}, "After": {a.LastEventID}, "Workspace": {a.Workspace}, "Remaining": {a.Remaining.String()},
+		"Parts": {strings.Join(c.PromptParts, ",")},
+	}
 	return &conns.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body,
 		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == string(c.ID) },
@@ -86,7 +92,10 @@
 	id, after        string
 	workspace        string
 	body             string
+	parts            string
 	ended            chan struct{}
+	// crash ends the upstream: its connections are closed and new ones refused.
+	crash func()
 }
 
 // world is an entry with upstreams that follow a script, in a simulated network.
@@ -236,6 +245,8 @@
 	}
 }
 
+func (u *upstream) crash() { _ = u.listener.Close() }
+
 type serverConn struct {
 	upstream *upstream
 	conn     net.Conn
@@ -255,7 +266,7 @@
 	w := c.upstream.world
 	v := visit{
 		upstream: c.upstream.number, id: q.Header.Get("Id"), after: q.Header.Get("After"), workspace: q.Header.Get("Workspace"), body: string(body),
-		ended: make(chan struct{}),
+		parts: q.Header.Get("Parts"), ended: make(chan struct{}), crash: c.upstream.crash,
 	}
 	w.mutex.Lock()
 	v.number = len(w.visits)
