crash, proxy: quarantine the part of a prompt that crashes upstreams

Marks were kept by whole request, so that none of these reached the two marks of a quarantine: 582 of 800 marks in the logs are first ones.

Crashes are now also recorded by shared part. All that ran beside a poisonous request is lost with it, so a part is quarantined only if no upstream is known to survive it, if it was present in half of the crashes at four moments or in a quarter at five, and if no other quarantined part explains them. A part that upstreams survived before, which may crash a new version, takes five moments and 3 s without a survival. Parts that can't be told apart are refused only together. Survivals and verdicts are gossiped, and each survival decides anew.

Ruled out: marks that don't spread (half of the reported ones came within 0.17 s, the last after 0.56 s), and crashes that aren't recognized (170 marks were confirmed within 0.1 s of the loss).

TestOnlyThePoisonousPartIsQuarantined plays fleets with one or two such parts, TestCrashesOfOtherCausesQuarantineNoPart ones without.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -7,6 +7,12 @@
 // is gone, such as a refused connection or a restart. A request with marks that count, of
 // QuarantineThreshold upstreams, is refused.
 //
+// # Parts of prompts
+//
+// A part that requests share, such as a system prompt, may crash upstreams too, whatever else the
+// requests hold. Marks are also kept by part. Most parts with marks are innocent, because all
+// requests of an upstream are lost with it, so that partTable weighs them.
+//
 // # Workload
 //
 // The same request arrives again and again, at any entry. Marks are gossiped to all
@@ -60,6 +66,24 @@
 	return f
 }
 
+// Request identifies a request and what it shares with others.
+type Request struct {
+	Whole Fingerprint
+	// Parts identify the parts of its prompt that other requests may share.
+	Parts []Fingerprint
+}
+
+// NewRequest returns the identity of a request with the given shared parts of its prompt.
+func NewRequest(target, credential string, body []byte, parts []string) Request {
+	q := Request{Whole: FingerprintOf(target, credential, body)}
+	for _, id := range parts {
+		if p := PartOf(id); !slices.Contains(q.Parts, p) {
+			q.Parts = append(q.Parts, p)
+		}
+	}
+	return q
+}
+
 // markKey identifies a mark.
 type markKey struct {
 	fingerprint Fingerprint
@@ -78,20 +102,37 @@
 	log   *zap.Logger
 	mutex sync.Mutex
 	marks map[markKey]mark
+	parts *partTable
 }
 
 // NewRegistry returns a registry without marks.
 func NewRegistry(log *zap.Logger) *Registry {
-	return &Registry{log: log, marks: make(map[markKey]mark)}
+	return &Registry{log: log, marks: make(map[markKey]mark), parts: newPartTable(log)}
 }
 
-// RecordLoss records that an upstream sent no response to a request that it may have run.
-func (r *Registry) RecordLoss(f Fingerprint, upstream string) {
+// RecordLoss records that an upstream sent no whole response to a request that it may have run, and
+// when the request was sent.
+func (r *Registry) RecordLoss(q Request, upstream string, sentAt time.Time) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	k := markKey{fingerprint: f, upstream: upstream}
+	now := clocks.Now()
+	k := markKey{fingerprint: q.Whole, upstream: upstream}
 	if _, ok := r.marks[k]; !ok && len(r.marks) < maxMarks {
-		r.marks[k] = mark{at: clocks.Now()}
+		r.marks[k] = mark{at: now}
+	}
+	r.parts.recordLoss(event{upstream: upstream, at: now, sentAt: sentAt}, q.Parts)
+}
+
+// RecordSurvival records that an upstream wrote a response to a request and survived.
+func (r *Registry) RecordSurvival(q Request) {
+	if len(q.Parts) == 0 {
+		return
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := clocks.Now()
+	for _, p := range q.Parts {
+		r.parts.recordSurvival(now, now, p)
 	}
 }
 
@@ -111,16 +152,18 @@
 			zap.String("upstream", upstream), zap.String("evidence", evidence), zap.Duration("age", now.Sub(m.at)),
 			zap.Int("marks", r.count(now, k.fingerprint)))
 	}
+	r.parts.recordCrash(now, upstream)
 }
 
-// IsQuarantined reports whether a request has crashed too many upstreams.
-func (r *Registry) IsQuarantined(f Fingerprint) bool {
+// IsQuarantined reports whether a request, or a part of its prompt, has crashed too many
+// upstreams.
+func (r *Registry) IsQuarantined(q Request) bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if len(r.marks) == 0 {
-		return false
+	if r.parts.isQuarantined(q.Parts) {
+		return true
 	}
-	return r.count(clocks.Now(), f) >= QuarantineThreshold
+	return len(r.marks) > 0 && r.count(clocks.Now(), q.Whole) >= QuarantineThreshold
 }
 
 func (r *Registry) count(now time.Time, f Fingerprint) int {
@@ -133,7 +176,8 @@
 	return n
 }
 
-// Export implements mesh.CrashMarks. It returns the newest marks first.
+// Export implements mesh.CrashMarks. It returns at most half of the marks for parts of prompts, then
+// the newest ones of requests.
 func (r *Registry) Export(limit int) []*wire.CrashMark {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -141,6 +185,8 @@
 	maps.DeleteFunc(r.marks, func(_ markKey, m mark) bool {
 		return now.Sub(m.at) > markTTL || !m.confirmed && now.Sub(m.at) > evidenceTimeout
 	})
+	r.parts.expire(now)
+	all := r.parts.export(now, limit/2)
 	var keys []markKey
 	for k, m := range r.marks {
 		if m.confirmed {
@@ -150,8 +196,7 @@
 	slices.SortFunc(keys, func(x, y markKey) int {
 		return cmp.Or(r.marks[y].at.Compare(r.marks[x].at), slices.Compare(x.fingerprint[:], y.fingerprint[:]))
 	})
-	var all []*wire.CrashMark
-	for _, k := range keys[:min(len(keys), limit)] {
+	for _, k := range keys[:min(len(keys), limit-len(all))] {
 		all = append(all, &wire.CrashMark{
 			Fingerprint: slices.Clone(k.fingerprint[:]), Upstream: k.upstream, Age: now.Sub(r.marks[k].at).Milliseconds(),
 		})
@@ -164,9 +209,18 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := clocks.Now()
+	judge := false
 	for _, m := range marks {
+		if m.Upstream != "" && m.Age >= 0 && len(m.Fingerprint) == 0 {
+			r.parts.addEvent(event{upstream: m.Upstream, at: now.Add(-time.Duration(m.Age) * time.Millisecond)})
+			continue
+		}
 		k := markKey{upstream: m.Upstream}
-		if copy(k.fingerprint[:], m.Fingerprint) != len(k.fingerprint) || m.Upstream == "" || m.Age < 0 {
+		if copy(k.fingerprint[:], m.Fingerprint) != len(k.fingerprint) || m.Upstream == "" && !m.Survived || m.Age < 0 {
+			continue
+		}
+		if m.Part > 0 {
+			judge = r.parts.merge(now, k.fingerprint, m) || judge
 			continue
 		}
 		if known := r.marks[k]; known.confirmed || len(r.marks) >= maxMarks {
@@ -177,4 +231,7 @@
 			zap.String("upstream", m.Upstream), zap.String("evidence", "reported by "+string(from)),
 			zap.Int("marks", r.count(now, k.fingerprint)))
 	}
+	if judge {
+		r.parts.judge(now)
+	}
 }
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -33,7 +33,7 @@
 	// maxDatagramBytes is the size of the read buffer.
 	maxDatagramBytes = 16 << 10
 	// maxMarks bounds the crash marks in a message.
-	maxMarks = 16
+	maxMarks = 32
 	// readErrorBackoff keeps a failing socket from causing a busy loop.
 	readErrorBackoff = 50 * time.Millisecond
 )
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -55,9 +55,13 @@
 	pool      *state.Pool
 	attempts  *tries.Attempts
 	attempted []string
-	// fingerprint identifies the request in the crash marks.
-	fingerprint crash.Fingerprint
-	stream      streamWriter
+	// identity identifies the request and the parts of its prompt in the crash marks.
+	identity crash.Request
+	// sentAt is when the attempt began.
+	sentAt time.Time
+	// survived is set once the upstream of the attempt has survived the prompt.
+	survived bool
+	stream   streamWriter
 	// lastFailure is an upstream's failure response, which is forwarded if no other attempt
 	// succeeds.
 	lastFailure *bufferedResponse
@@ -81,11 +85,11 @@
 func (l *lifecycle) run(ctx context.Context) {
 	route := l.admission.Route
 	l.stream = streamWriter{writer: l.writer, lastEventID: l.call.LastEventID}
-	l.fingerprint = crash.FingerprintOf(l.call.Target, l.call.Credential, l.call.Body)
+	l.identity = crash.NewRequest(l.call.Target, l.call.Credential, l.call.Body, l.call.PromptParts)
 	l.attempts = tries.New(route, l.deadline)
 	ctx, cancel := context.WithDeadline(ctx, l.deadline)
 	defer cancel()
-	if l.handler.options.Crashes.IsQuarantined(l.fingerprint) {
+	if l.handler.options.Crashes.IsQuarantined(l.identity) {
 		l.refuse(calls.NotRun(calls.ReasonQuarantined, maxRetryAfter, "the request has crashed upstreams"))
 		return
 	}
@@ -112,7 +116,7 @@
 		if l.stream.started {
 			l.handler.metrics.resumed.Inc(1)
 		}
-		if l.handler.options.Crashes.IsQuarantined(l.fingerprint) {
+		if l.handler.options.Crashes.IsQuarantined(l.identity) {
 			l.finish(l.attempts.NextUnplaced(), calls.NotRun(calls.ReasonQuarantined, maxRetryAfter, "the request has crashed upstreams"))
 			return
 		}
@@ -262,12 +266,12 @@
 		l.handler.metrics.waitTime.RecordDuration(time.Since(l.arrived))
 		l.handler.recordRequest(l.pool.Name)
 	}
+	l.survived, l.sentAt = false, time.Now()
 	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	wd := newWatchdog(cancel)
 	defer wd.stop()
-	start := time.Now()
 	result, outcome, err := l.exchange(ctx, f, wd)
 	switch {
 	case outcome == target.OutcomeFailed && errors.Is(outer.Err(), context.Canceled):
@@ -276,7 +280,7 @@
 		outcome = target.OutcomeTimeout
 	}
 	f.Finish(time.Now(), outcome)
-	l.logAttempt(f, result, start, err)
+	l.logAttempt(f, result, l.sentAt, err)
 	return result
 }
 
@@ -377,11 +381,23 @@
 		return
 	}
 	l.handler.metrics.suspects.Inc(1)
-	l.handler.options.Crashes.RecordLoss(l.fingerprint, f.Row.ID)
+	identity := l.identity
+	if l.survived {
+		identity.Parts = nil
+	}
+	l.handler.options.Crashes.RecordLoss(identity, f.Row.ID, l.sentAt)
 	p := &probe{handler: l.handler, row: f.Row}
 	go p.run()
 }
 
+// recordSurvival records that the upstream has written a response to the prompt and lives.
+func (l *lifecycle) recordSurvival() {
+	if !l.survived {
+		l.survived = true
+		l.handler.options.Crashes.RecordSurvival(l.identity)
+	}
+}
+
 // firstByteTimeout returns how long to wait for the first byte of a response.
 func (l *lifecycle) firstByteTimeout(f *target.InFlight) time.Duration {
 	remaining := time.Until(l.deadline)
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -27,6 +27,9 @@
 	// moved to another engine, and minGapTimeout the minimum of that time.
 	gapTimeoutFactor = 3
 	minGapTimeout    = 1200 * time.Millisecond
+	// survivalTime is how long after the first event of a stream its upstream counts as having
+	// survived the prompt.
+	survivalTime = 500 * time.Millisecond
 )
 
 var errMismatched = errors.New("the response belongs to another request")
@@ -102,6 +105,9 @@
 	if !reply.Success && response.Status < http.StatusMultipleChoices {
 		return tries.ResultLost, target.OutcomeFailed, errMismatched
 	}
+	if reply.Success {
+		l.recordSurvival()
+	}
 	l.writeResponse(b)
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
@@ -184,12 +190,17 @@
 func (l *lifecycle) forwardStream(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
 	framed := response.Length >= 0 || !response.IsCloseDelimited()
 	r := events.NewReader(response.Body)
+	var firstEventAt time.Time
 	for {
 		e, err := r.Next()
 		// Bytes after the last whole event are forwarded only if the framing proves the end
 		// of the response.
 		if err != nil && (!framed || !errors.Is(err, events.ErrPartial)) {
 			if errors.Is(err, io.EOF) {
+				// Without framing, the end may be that of an upstream that crashed.
+				if framed && !firstEventAt.IsZero() {
+					l.recordSurvival()
+				}
 				return l.finishStream(response, reply)
 			}
 			return l.streamLost(ctx, f, err)
@@ -200,6 +211,11 @@
 			l.status = response.Status
 			l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), cmp.Or(reply.Version, f.Version))
 		}
+		if firstEventAt.IsZero() {
+			firstEventAt = time.Now()
+		} else if time.Since(firstEventAt) >= survivalTime {
+			l.recordSurvival()
+		}
 		f.RecordFirstEvent(time.Now())
 		wd.reset(l.gapTimeout())
 		if e.ID != "" && !l.stream.isNew(e.ID) {
