feed: bound the age of releases that a restored store has lost

After a restore of the store, a process that learns from another one of a release which the store has lost knew nothing of its age. It then counted as long published, so that callers were refused at once until the engines had loaded it, and the log showed an age of centuries. A release that is published again counted as young at processes that had been away.

The age of retained releases is passed on and kept when they are published again. What a process knew when the era began bounds those that it lacks, since later confirmations say nothing about lost rows.

Failed before: TestReleaseLostByTheStoreKeepsItsAge, TestReleaseWrittenAgainKeepsItsAge, TestReleaseOfUnknownAgeLeavesEnginesInUse.

--- a/core/feed/mirror.go
+++ b/core/feed/mirror.go
@@ -46,9 +46,13 @@
 	historyStart state.Revision
 	head         state.Revision
 	checksum     uint64
-	// completeAt is a time at which the replica held all that had been published. Unlike
-	// confirmedAt it outlasts eras. It is zero until the replica is confirmed.
+	// completeAt is a time at which the replica held all that had been published, in the era that
+	// it was confirmed for. Unlike confirmedAt it outlasts eras. It is zero until the replica is
+	// confirmed.
 	completeAt time.Time
+	// formerCompleteAt is completeAt as it was when the era began. The replica may lack later
+	// rows of former eras, which the store has lost.
+	formerCompleteAt time.Time
 	// retention holds rows of earlier eras. The others count as the platform's rows: rows and
 	// checksum don't include them.
 	retention retention
@@ -175,26 +179,48 @@
 		if r.Value == nil && known.Value != nil {
 			m.retention.recordDeparture(known)
 		}
-		r.NotBefore = m.notBefore(known, r)
+		r.NotBefore = m.notBefore(m.completeAt, r)
 		m.putRow(r)
 		touched = append(touched, r.Key)
 	}
+	for i := range retained {
+		retained[i].Row.NotBefore = m.retainedNotBefore(retained[i].Row)
+	}
 	touched = append(touched, m.retention.adopt(now, retained, m.rows)...)
 	return append(touched, m.retention.release(now, m.rows)...)
 }
 
 // notBefore returns the earliest time at which a release may have been published that replaces
-// the known row: after this replica was last complete, or what its source knows.
-func (m *Mirror) notBefore(known, r state.Row) time.Time {
-	if r.Value == nil || !state.IsRelease(r.Key) || m.completeAt.IsZero() {
+// the active row: after this replica was last complete, or what its source knows.
+func (m *Mirror) notBefore(completeAt time.Time, r state.Row) time.Time {
+	if r.Value == nil || !state.IsRelease(r.Key) || completeAt.IsZero() {
 		return time.Time{}
 	}
-	// The source may have seen versions between the two that this process has not. Engines that
-	// serve the known version had to leave it when the first of those was published.
-	if versionOf(r) == max(versionOf(known), state.FirstVersion)+1 && r.NotBefore.After(m.completeAt) {
+	active := m.retention.active(r.Key, m.rows)
+	switch versionOf(r) {
+	case versionOf(active):
+		// A restored store has it published again.
+		return active.NotBefore
+	case max(versionOf(active), state.FirstVersion) + 1:
+		if r.NotBefore.After(completeAt) {
+			return r.NotBefore
+		}
+	}
+	// The source may have seen versions in between that this process has not. Engines that serve
+	// the active version had to leave it when the first of those was published.
+	return completeAt
+}
+
+// retainedNotBefore returns the same for a release of a former era, which the store has lost.
+func (m *Mirror) retainedNotBefore(r state.Row) time.Time {
+	switch {
+	case !m.formerCompleteAt.IsZero():
+		return m.notBefore(m.formerCompleteAt, r)
+	case state.IsRelease(r.Key) && !r.NotBefore.IsZero():
+		// This process has started in the present era.
 		return r.NotBefore
 	}
-	return m.completeAt
+	return m.notBefore(m.completeAt, r)
 }
 
 // beginEra decides which rows of the last era stay active, and returns their keys. The replica
@@ -222,6 +248,7 @@
 		touched = append(touched, key)
 	}
 	m.historyStart = u.Head
+	m.formerCompleteAt = m.completeAt
 	m.confirmedAt.Store(nil)
 	return touched
 }
--- a/core/feed/release_test.go
+++ b/core/feed/release_test.go
@@ -65,3 +65,68 @@
 		t.Errorf("published up to %v ago, want %v", time.Since(r.NotBefore), c.want)
 	}
 }
+
+// relay applies what one process sends to another that is at an older revision.
+func relay(t *testing.T, from, to *feed.Mirror) {
+	t.Helper()
+	requestedAt := time.Now()
+	reply, err := feed.NewServiceHandler(from).Pull(t.Context(), connect.NewRequest(&wire.PullRequest{After: uint64(to.Head()), Retained: to.RetainedChecksum(nil)}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := to.Apply(feed.DecodeUpdate(reply.Msg, requestedAt)); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestReleaseLostByTheStoreKeepsItsAge restores a copy from before a release that one process
+// retains and another has never seen.
+func TestReleaseLostByTheStoreKeepsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, seen, unseen := newStore(release(2)), feed.NewMirror(), feed.NewMirror()
+		s.read(t, seen)
+		s.read(t, unseen)
+		number, rows := s.number, s.copyRows()
+		time.Sleep(5 * time.Second)
+		s.read(t, seen)
+		s.read(t, unseen)
+		checkedAt := time.Now()
+		time.Sleep(time.Second)
+		s.write(release(3))
+		publishedAt := time.Now()
+		s.read(t, seen)
+		s.restore(number, rows)
+		s.read(t, seen)
+		time.Sleep(time.Second)
+		s.read(t, unseen)
+		relay(t, seen, unseen)
+		r := unseen.Snapshot().Release("m")
+		if r.Version != 3 || r.NotBefore.Before(checkedAt) || r.NotBefore.After(publishedAt) {
+			t.Errorf("version %d, published after %v, want from %v to %v", r.Version, r.NotBefore, checkedAt, publishedAt)
+		}
+	})
+}
+
+// TestReleaseWrittenAgainKeepsItsAge has a store lose a release that is written again later, while
+// a process was out of touch all the time.
+func TestReleaseWrittenAgainKeepsItsAge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s, seen, away := newStore(release(2)), feed.NewMirror(), feed.NewMirror()
+		s.read(t, seen)
+		s.read(t, away)
+		number, rows := s.number, s.copyRows()
+		s.write(release(3))
+		publishedAt := time.Now()
+		s.read(t, seen)
+		s.restore(number, rows)
+		s.read(t, seen)
+		time.Sleep(5 * time.Second)
+		s.read(t, seen)
+		s.write(release(3))
+		s.read(t, seen)
+		relay(t, seen, away)
+		if r := away.Snapshot().Release("m"); r.Version != 3 || r.NotBefore.After(publishedAt) {
+			t.Errorf("version %d counts as published %v after it was", r.Version, r.NotBefore.Sub(publishedAt))
+		}
+	})
+}
--- a/core/feed/remote.go
+++ b/core/feed/remote.go
@@ -56,19 +56,19 @@
 		u.ConfirmedAt = requestedAt.Add(time.Duration(m.Held-m.Age) * time.Microsecond)
 	}
 	u.LastContact = requestedAt.Add(time.Duration(m.Held-m.Contact) * time.Microsecond)
+	sentAt := requestedAt.Add(time.Duration(m.Held) * time.Microsecond)
 	for _, r := range m.Rows {
-		u.Rows = append(u.Rows, decodeRow(r, requestedAt.Add(time.Duration(m.Held)*time.Microsecond)))
+		u.Rows = append(u.Rows, decodeRow(r, sentAt))
 	}
 	for _, k := range m.Retained {
 		if k.Row != nil {
-			u.Retained = append(u.Retained, RetainedRow{Row: decodeRow(k.Row, time.Time{}), Remaining: time.Duration(k.Remaining) * time.Microsecond})
+			u.Retained = append(u.Retained, RetainedRow{Row: decodeRow(k.Row, sentAt), Remaining: time.Duration(k.Remaining) * time.Microsecond})
 		}
 	}
 	return u
 }
 
-// decodeRow decodes a row. The response was sent at the given time or later; if that is zero,
-// nothing is known of the row's publication.
+// decodeRow decodes a row of a response that was sent at the given time or later.
 func decodeRow(r *wire.FeedRow, sentAt time.Time) state.Row {
 	row := state.Row{Key: r.Key, Revision: state.Revision(r.Revision), Value: r.Value}
 	if r.Gone {
@@ -76,7 +76,7 @@
 	} else if row.Value == nil {
 		row.Value = []byte{}
 	}
-	if r.Age > 0 && !sentAt.IsZero() {
+	if r.Age > 0 {
 		row.NotBefore = sentAt.Add(-time.Duration(r.Age) * time.Microsecond)
 	}
 	return row
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -422,3 +422,27 @@
 		t.Errorf("removed: %v", removed)
 	}
 }
+
+// TestReleaseOfUnknownAgeLeavesEnginesInUse has an entry learn from another one of a release that
+// a restored store has lost, while no engine serves it yet.
+func TestReleaseOfUnknownAgeLeavesEnginesInUse(t *testing.T) {
+	w, m := newWorld(t, "e0"), feed.NewMirror()
+	update := func(at time.Time, u feed.Update) {
+		w.revision++
+		u.Head, u.ConfirmedAt, u.LastContact = w.revision, at, at
+		for i := range u.Rows {
+			u.Rows[i].Revision = w.revision
+		}
+		if _, err := m.Apply(u); err != nil {
+			t.Fatal(err)
+		}
+		w.fleet.ApplySnapshot(at, m.Snapshot())
+	}
+	update(start, feed.Update{Rows: []state.Row{w.row(state.EncodePool(w.snapshot.Pool("p"))), w.upstream(engine(1, "d0", 1))}})
+	seenAt := start.Add(time.Minute)
+	update(seenAt.Add(-time.Millisecond), feed.Update{})
+	update(seenAt, feed.Update{Retained: []feed.RetainedRow{{Row: w.row(state.EncodeRelease(state.Release{Model: "m", Version: 2}))}}})
+	if id, _ := w.place(seenAt.Add(time.Second), w.requirements()); id != "u1" {
+		t.Errorf("a second after the release: %s", id)
+	}
+}
