proxy: withdraw each queued request before its version ends

A request that may run only once, or a stream that can't be resumed, waited at an engine for as long as its route allows, so that the engine could begin it on a version that had been replaced too long before. Only requests that may be repeated were withdrawn in time.

Failed before: TestQueuedRequestIsWithdrawnBeforeItsVersionEnds, once and rush (until 9.6 s and 11.6 s of 8 s).

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -402,12 +402,12 @@
 func (l *lifecycle) firstByteTimeout(f *target.InFlight) time.Duration {
 	remaining := time.Until(l.deadline)
 	route := l.admission.Route
-	if !route.IsRetryable() {
-		return remaining
-	}
 	if !f.StartDeadline.IsZero() {
 		remaining = min(remaining, time.Until(f.StartDeadline))
 	}
+	if !route.IsRetryable() {
+		return remaining
+	}
 	if l.attempts.Count()+1 >= route.MaxAttempts {
 		return remaining
 	}
--- /dev/null
+++ b/entry/internal/proxy/withdraw_test.go
@@ -0,0 +1,117 @@
+package proxy_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"currantport.example/core/calls"
+	"currantport.example/core/clocks"
+	"currantport.example/core/conns"
+	"currantport.example/core/crash"
+	"currantport.example/core/feed"
+	"currantport.example/core/hosts"
+	"currantport.example/core/memnet"
+	"currantport.example/core/state"
+	"currantport.example/entry/internal/proxy"
+	"currantport.example/entry/internal/target"
+)
+
+const versionTimeout = 8 * time.Second
+
+// modelCodec names a model in each request.
+type modelCodec struct{ codec }
+
+func (c modelCodec) ParseRequest(r *http.Request) (calls.Call, *calls.Refusal) {
+	parsed, refusal := c.codec.ParseRequest(r)
+	parsed.Model, parsed.Prompt = "m", 10
+	return parsed, refusal
+}
+
+// TestQueuedRequestIsWithdrawnBeforeItsVersionEnds sends a request shortly before the cut-off to an
+// engine whose queue doesn't move.
+func TestQueuedRequestIsWithdrawnBeforeItsVersionEnds(t *testing.T) {
+	for _, path := range []string{"/any/", "/once/", "/flow/", "/rush/"} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { playReplacedVersion(t, path) })
+		})
+	}
+}
+
+func playReplacedVersion(t *testing.T, path string) {
+	w := &world{t: t, mirror: feed.NewMirror(), scope: tally.NewTestScope("", nil)}
+	var waitedUntil atomic.Int64
+	begun := time.Now()
+	w.script = func(_ io.Writer, v visit) {
+		<-v.ended
+		waitedUntil.Store(int64(time.Since(begun)))
+	}
+	n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
+	l, err := n.Listen(address(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go (&upstream{world: w, listener: l}).run()
+	p, stop := conns.New(n.Dialer(netip.MustParseAddr("10.0.0.1")), nil)
+	fleet := target.New(target.Options{
+		Entries: func() []hosts.Host { return nil }, Regions: map[hosts.Domain]hosts.Region{"d": "r"}, Place: hosts.Place{Region: "r"},
+		VersionTimeout: versionTimeout, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
+	})
+	w.handler = proxy.New(proxy.Options{
+		Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: modelCodec{}, UpstreamCodec: codec{}, Crashes: crash.NewRegistry(zap.NewNop()),
+		Bounds: proxy.Bounds{MaxKeyStaleness: time.Minute, MaxMissStaleness: time.Minute}, RetryLimits: plenty, Entries: func() int { return 1 },
+		Random: func() float64 { return 0.5 }, Scope: w.scope, Log: zap.NewNop(),
+	})
+	apply := func(rows ...state.Row) {
+		t.Helper()
+		head := w.mirror.Head() + 1
+		for i := range rows {
+			rows[i].Revision = head
+		}
+		if _, err := w.mirror.Apply(feed.Update{Head: head, Rows: rows, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
+			t.Fatal(err)
+		}
+		fleet.ApplySnapshot(clocks.Now(), w.mirror.Snapshot())
+	}
+	w.publish(0)
+	apply(encoded(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{Slots: 4, Stride: 5, StepTime: 9 * time.Millisecond, PrefillRate: 19100, Models: []state.Model{{Name: "m"}}, Layers: 2}})),
+		encoded(state.EncodeUpstream(&state.Upstream{ID: "u0", Pool: "p", Address: address(0), Domain: "d", Slots: 4, Held: []state.HeldVersion{{Model: "m", Version: 1, Whole: true}}})))
+	apply(encoded(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
+	releasedAt := time.Now()
+	time.Sleep(versionTimeout - 1400*time.Millisecond)
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
+	r.RequestURI, r.Header = path, http.Header{"Id": {"q"}, "Key": {"secret"}}
+	a := httptest.NewRecorder()
+	func() {
+		defer func() { _ = recover() }()
+		w.handler.ServeHTTP(a, r)
+	}()
+	synctest.Wait()
+	if len(w.received()) == 0 {
+		t.Errorf("the request was not sent: %d", a.Code)
+	}
+	if until := time.Duration(waitedUntil.Load()); until > versionTimeout {
+		t.Errorf("the engine may begin the request until %v after the release, status %d", begun.Add(until).Sub(releasedAt), a.Code)
+	}
+	stop()
+	_ = l.Close()
+	n.Kill(address(0).Addr())
+	synctest.Wait()
+}
+
+func encoded(r state.Row, err error) state.Row {
+	if err != nil {
+		panic(fmt.Sprint("row: ", err))
+	}
+	return r
+}
