proxy: use one clock for what the fleet of upstreams remembers

Deadlines of versions and ages of load reports are set by package clocks, which counts suspensions of the machine, but were compared with the monotonic clock, which doesn't. After a suspension each later version would have been left late by its length. Found by reading; package clocks can't be made to see a suspension in a test, so there is none.

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -132,7 +132,7 @@
 		return nil, calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the route's pools aren't listed")
 	}
 	if l.pool.Engine == nil {
-		if f := l.handler.options.Fleet.ChoosePlain(time.Now(), l.pool.Name, l.attempted); f != nil {
+		if f := l.handler.options.Fleet.ChoosePlain(clocks.Now(), l.pool.Name, l.attempted); f != nil {
 			return f, nil
 		}
 		return nil, l.refusalOfNone("no upstream takes requests")
@@ -147,7 +147,7 @@
 		if !l.isRetry {
 			reqs.Remaining = l.poolObjective() - time.Since(l.arrived)
 		}
-		f, wait := l.handler.options.Fleet.ChooseEngine(time.Now(), reqs)
+		f, wait := l.handler.options.Fleet.ChooseEngine(clocks.Now(), reqs)
 		if f != nil {
 			return f, nil
 		}
@@ -164,7 +164,7 @@
 // have asked to be left alone, the client may return when the first of them takes requests again.
 // The times are spread, so that it isn't met by all of them at once.
 func (l *lifecycle) refusalOfNone(detail string) *calls.Refusal {
-	hold := l.handler.options.Fleet.SoonestHold(time.Now(), l.pool.Name)
+	hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), l.pool.Name)
 	if hold == 0 {
 		return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, detail)
 	}
@@ -266,7 +266,7 @@
 		l.handler.metrics.waitTime.RecordDuration(time.Since(l.arrived))
 		l.handler.recordRequest(l.pool.Name)
 	}
-	l.survived, l.sentAt = false, time.Now()
+	l.survived, l.sentAt = false, clocks.Now()
 	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -279,7 +279,7 @@
 	case outcome == target.OutcomeFailed && wd.hasFired():
 		outcome = target.OutcomeTimeout
 	}
-	f.Finish(time.Now(), outcome)
+	f.Finish(clocks.Now(), outcome)
 	l.logAttempt(f, result, l.sentAt, err)
 	return result
 }
@@ -327,7 +327,7 @@
 	if reply.Kind == calls.ReplyMismatched {
 		return
 	}
-	if reply.Leaving && f.RecordLeaving(time.Now()) {
+	if reply.Leaving && f.RecordLeaving(clocks.Now()) {
 		l.handler.metrics.countDemand("leaving", f.Row.ID)
 	}
 	if reply.RetryAfterInvalid != "" {
@@ -336,7 +336,7 @@
 	}
 	if reply.RetryAfter > 0 {
 		l.handler.metrics.countDemand("held", f.Row.ID)
-		f.Hold(time.Now(), reply.RetryAfter)
+		f.Hold(clocks.Now(), reply.RetryAfter)
 	}
 }
 
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -7,6 +7,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"currantport.example/core/clocks"
 	"currantport.example/core/tries"
 	"currantport.example/entry/internal/target"
 )
@@ -83,7 +84,7 @@
 	}
 	all := append([]zap.Field{
 		zap.String("id", string(l.call.ID)), zap.Int("try", len(l.attempted)), zap.String("result", resultNames[result]),
-		zap.Duration("took", time.Since(start)), zap.Int("events", l.events), zap.Error(err),
+		zap.Duration("took", clocks.Since(start)), zap.Int("events", l.events), zap.Error(err),
 	}, fields...)
 	if len(l.call.PromptParts) > 0 {
 		all = append(all, zap.Strings("parts", l.call.PromptParts))
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"currantport.example/core/calls"
+	"currantport.example/core/clocks"
 	"currantport.example/core/conns"
 	"currantport.example/core/events"
 	"currantport.example/core/tries"
@@ -85,7 +86,7 @@
 // forwardUnary reads a short response whole and forwards it. An upstream's failure is kept
 // instead, since the request may be retried.
 func (l *lifecycle) forwardUnary(ctx context.Context, f *target.InFlight, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
-	f.RecordFirstEvent(time.Now())
+	f.RecordFirstEvent(clocks.Now())
 	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header), length: response.Length}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
@@ -206,7 +207,7 @@
 			return l.streamLost(ctx, f, err)
 		}
 		if !l.stream.started {
-			f.RecordFirstEvent(time.Now())
+			f.RecordFirstEvent(clocks.Now())
 			l.firstByte = time.Since(l.arrived)
 			l.status = response.Status
 			l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), cmp.Or(reply.Version, f.Version))
@@ -216,7 +217,7 @@
 		} else if time.Since(firstEventAt) >= survivalTime {
 			l.recordSurvival()
 		}
-		f.RecordFirstEvent(time.Now())
+		f.RecordFirstEvent(clocks.Now())
 		wd.reset(l.gapTimeout())
 		if e.ID != "" && !l.stream.isNew(e.ID) {
 			continue
