crash: don't count losses that a quarantined part explains

Losses that a quarantined part of other requests explains no longer count. A request that has the part itself is refused for it.

Failed before: TestLossesBesideAPoisonousPartDontCount.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -166,10 +166,12 @@
 	return len(r.marks) > 0 && r.count(clocks.Now(), q.Whole) >= QuarantineThreshold
 }
 
+// count returns the number of marks of a request that no quarantined part of other requests
+// explains.
 func (r *Registry) count(now time.Time, f Fingerprint) int {
 	n := 0
 	for k, m := range r.marks {
-		if k.fingerprint == f && m.confirmed && now.Sub(m.at) < markTTL {
+		if k.fingerprint == f && m.confirmed && now.Sub(m.at) < markTTL && !r.parts.isExplained(event{upstream: k.upstream, at: m.at}) {
 			n++
 		}
 	}
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -49,6 +49,24 @@
 	})
 }
 
+func TestLossesBesideAPoisonousPartDontCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := crash.NewRegistry(zap.NewNop())
+		for _, up := range []string{"a", "b", "c", "d"} {
+			r.RecordLoss(crash.NewRequest("/"+up, "key", nil, []string{"bad"}), up, time.Now())
+			r.RecordLoss(other, up, time.Now())
+			r.RecordCrash(up, "connection refused")
+			time.Sleep(time.Second)
+		}
+		if !r.IsQuarantined(crash.NewRequest("/e", "key", nil, []string{"bad"})) {
+			t.Error("the part isn't quarantined")
+		}
+		if r.IsQuarantined(other) {
+			t.Error("a request is quarantined for crashes that the part of others explains")
+		}
+	})
+}
+
 func TestMergedMarksAreCountedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		one, two := crash.NewRegistry(zap.NewNop()), crash.NewRegistry(zap.NewNop())
