events, proxy: take a stream that ends within an event for broken off

A caller got a stream that ended within an event as a complete one, with the half event, if the response had a length or chunks: the bytes after the last whole event were forwarded and the response was ended properly. A stream on a connection that ends with it, and with an empty line or a comment after its last event, was aborted though it was complete.

Cause: the framing was taken as proof of the end, and bytes after the last event counted as part of one whatever they were. Ruled out: the framing itself, since net/http reports a missing end of it.

A stream that ends within an event is now interrupted whatever its framing: it is resumed where the route allows, without the partial event, or aborted. Comments, empty lines and blocks without an id or data belong to the event that follows them, and are forwarded when they end the stream. They neither count as progress any more, so that an upstream that sends nothing else times out, nor may they be longer than an event.

Failed before: proxy.TestStreamCutWithinEventIsNoEnd (6 of 12 cases, length and chunks), proxy.TestStreamCutWithinFirstEventIsNoResponse (length, chunks), proxy.TestWholeStreamEndsWithItsFraming (an empty line after the last event, without length), events.TestOnlyEventsCountAsEvents, and the new cases of events.TestPartialEventIsReported. proxy.TestResetAtEventBoundaryIsNoEnd was right before; red with a reset handed on as the end of the body.

--- a/core/events/events.go
+++ b/core/events/events.go
@@ -36,33 +36,45 @@
 // HasBuffered reports whether more bytes of the stream have been received already.
 func (r *Reader) HasBuffered() bool { return r.source.Buffered() > 0 }
 
-// Next returns the next event. At the end of the stream the error is io.EOF. If the stream
-// ends within an event, the error is ErrPartial and the event holds the bytes that were
-// received. Other errors are those of the source, or ErrTooLong.
+// Next returns the next event. Comments, empty lines and blocks without an id or data are no
+// events; their bytes belong to the next one. At the end of the stream the error is io.EOF, and
+// the event holds the bytes after the last one. If the stream ends within an event, the error is
+// ErrPartial and the event holds the bytes that were received. Other errors are those of the
+// source, or ErrTooLong.
 func (r *Reader) Next() (Event, error) {
 	var e Event
+	// inBlock is true after a line that isn't empty, isEvent after an id or data.
+	inBlock, isEvent := false, false
 	for {
 		line, err := r.readLine()
 		e.Data = append(e.Data, line...)
 		if len(e.Data) > maxEventBytes {
 			return Event{}, ErrTooLong
 		}
-		if err != nil {
-			if errors.Is(err, io.EOF) && len(e.Data) > 0 {
+		if errors.Is(err, io.EOF) {
+			if inBlock || len(line) > 0 {
 				return e, ErrPartial
 			}
+			return e, io.EOF
+		}
+		if err != nil {
 			return Event{}, err
 		}
 		text := bytes.TrimRight(line, "\r\n")
 		if len(text) == 0 {
-			if len(e.Data) > len(line) {
+			if isEvent {
 				return e, nil
 			}
-			// Empty lines between events belong to the next one.
+			inBlock = false
 			continue
 		}
-		if id, ok := bytes.CutPrefix(text, []byte("id:")); ok {
-			e.ID = string(bytes.TrimPrefix(id, []byte(" ")))
+		inBlock = true
+		name, value, _ := bytes.Cut(text, []byte(":"))
+		switch string(name) {
+		case "id":
+			isEvent, e.ID = true, string(bytes.TrimPrefix(value, []byte(" ")))
+		case "data":
+			isEvent = true
 		}
 	}
 }
--- a/core/events/events_test.go
+++ b/core/events/events_test.go
@@ -45,7 +45,7 @@
 }
 
 func TestPartialEventIsReported(t *testing.T) {
-	for _, end := range []string{"id: 2", "id: 2\n", "id: 2\ndata: x\n"} {
+	for _, end := range []string{"id: 2", "id: 2\n", "id: 2\ndata: x\n", ":x", ":x\n", ":x\n\nid: 2\n"} {
 		all, err := collect(strings.NewReader("id: 1\n\n" + end))
 		if !errors.Is(err, events.ErrPartial) || len(all) != 2 || string(all[1].Data) != end {
 			t.Errorf("%q: %d events, %v", end, len(all), err)
@@ -58,6 +58,28 @@
 	}
 }
 
+// TestOnlyEventsCountAsEvents guards against bytes that are no events being taken for progress.
+func TestOnlyEventsCountAsEvents(t *testing.T) {
+	const idle = "\n\n\n: here\n\n:\n\nretry: 5\n\ngarbage\r\n\r\n"
+	all, err := collect(strings.NewReader(idle + "id: 1\ndata: a\n\n" + idle + "data\n\n" + idle))
+	if !errors.Is(err, io.EOF) || len(all) != 3 {
+		t.Fatalf("%d events, %v", len(all), err)
+	}
+	for i, want := range []events.Event{
+		{Data: []byte(idle + "id: 1\ndata: a\n\n"), ID: "1"}, {Data: []byte(idle + "data\n\n")}, {Data: []byte(idle)},
+	} {
+		if string(all[i].Data) != string(want.Data) || all[i].ID != want.ID {
+			t.Errorf("event %d: %q, %q", i, all[i].Data, all[i].ID)
+		}
+	}
+	for _, text := range []string{":x\n", ":x\n\n", "\n", "garbage\n\n"} {
+		all, err := collect(io.MultiReader(strings.NewReader("id: 1\n\n"), strings.NewReader(strings.Repeat(text, 2<<20))))
+		if !errors.Is(err, events.ErrTooLong) || len(all) != 1 {
+			t.Errorf("%q without end: %d events, %v", text, len(all), err)
+		}
+	}
+}
+
 func TestLongEventIsAnError(t *testing.T) {
 	if _, err := collect(strings.NewReader("data: " + strings.Repeat("x", 2<<20))); !errors.Is(err, events.ErrTooLong) {
 		t.Errorf("%v", err)
--- /dev/null
+++ b/entry/internal/proxy/ends_test.go
@@ -0,0 +1,129 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// framing is how the end of a response is marked.
+type framing string
+
+const (
+	framingLength framing = "length"
+	framingChunks framing = "chunks"
+	framingClose  framing = "close"
+	framingHTTP10 framing = "HTTP/1.0"
+)
+
+var framings = []framing{framingLength, framingChunks, framingClose, framingHTTP10}
+
+// write writes a whole response with the body.
+func (f framing) write(w io.Writer, id, body string) {
+	version, header := "HTTP/1.1", ""
+	switch f {
+	case framingLength:
+		header = fmt.Sprintf("Content-Length: %d\r\n", len(body))
+	case framingChunks:
+		header = "Transfer-Encoding: chunked\r\n"
+	case framingHTTP10:
+		version = "HTTP/1.0"
+	}
+	fmt.Fprintf(w, "%s 200 OK\r\nId: %s\r\nSignature: s\r\n%s\r\n", version, id, header)
+	if f != framingChunks {
+		fmt.Fprint(w, body)
+		return
+	}
+	event(w, body)
+	end(w)
+}
+
+// TestStreamCutWithinEventIsNoEnd ends a stream properly, but within an event.
+func TestStreamCutWithinEventIsNoEnd(t *testing.T) {
+	for _, f := range framings {
+		for _, part := range []string{"id: 2", "id: 2\ndata: x2\n", ": x\nid"} {
+			script := func(w io.Writer, v visit) {
+				if v.number == 0 {
+					f.write(w, v.id, numbered(1)+part)
+					return
+				}
+				f.write(w, v.id, numbered(2)+numbered(3))
+			}
+			play(t, 2, script, func(w *world) {
+				a := w.request(context.Background(), "/flow/x")
+				if a.aborted || a.Body.String() != numbered(1)+numbered(2)+numbered(3) {
+					t.Errorf("%s, %q: aborted %t, %q", f, part, a.aborted, a.Body)
+				}
+				if seen := w.received(); len(seen) != 2 || seen[1].after != "1" {
+					t.Errorf("%s, %q: %d attempts", f, part, len(seen))
+				}
+			})
+			play(t, 2, script, func(w *world) {
+				a := w.request(context.Background(), "/rush/x")
+				if !a.aborted || a.Body.String() != numbered(1) || len(w.received()) != 1 {
+					t.Errorf("%s, %q: aborted %t after %d attempts, %q", f, part, a.aborted, len(w.received()), a.Body)
+				}
+			})
+		}
+	}
+}
+
+// TestStreamCutWithinFirstEventIsNoResponse checks that nothing of such a stream is forwarded.
+func TestStreamCutWithinFirstEventIsNoResponse(t *testing.T) {
+	for _, f := range framings {
+		play(t, 2, func(w io.Writer, v visit) { f.write(w, v.id, "id: 1\nda") }, func(w *world) {
+			if a := w.request(context.Background(), "/rush/x"); a.Code != http.StatusBadGateway || strings.Contains(a.Body.String(), "id") {
+				t.Errorf("%s: %d %q", f, a.Code, a.Body)
+			}
+		})
+	}
+}
+
+// TestWholeStreamEndsWithItsFraming checks that a stream is complete after its last event, also
+// if only the end of the connection says so, and that bytes after that event are kept.
+func TestWholeStreamEndsWithItsFraming(t *testing.T) {
+	for _, f := range framings {
+		for _, rest := range []string{"", "\n", ": bye\n\n"} {
+			whole := numbered(1) + numbered(2) + rest
+			play(t, 2, func(w io.Writer, v visit) { f.write(w, v.id, whole) }, func(w *world) {
+				for _, path := range []string{"/flow/x", "/rush/x"} {
+					if a := w.request(context.Background(), path); a.aborted || a.Code != http.StatusOK || a.Body.String() != whole {
+						t.Errorf("%s, %q: aborted %t, %d %q", f, rest, a.aborted, a.Code, a.Body)
+					}
+				}
+				if n := len(w.received()); n != 2 {
+					t.Errorf("%s, %q: %d attempts", f, rest, n)
+				}
+			})
+		}
+	}
+}
+
+// TestResetAtEventBoundaryIsNoEnd resets a stream after a whole event.
+func TestResetAtEventBoundaryIsNoEnd(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n"} {
+		for path, want := range map[string]string{"/flow/x": numbered(1) + numbered(2), "/rush/x": numbered(1)} {
+			var stage *world
+			script := func(w io.Writer, v visit) {
+				if v.number > 0 {
+					framingClose.write(w, v.id, numbered(2))
+					return
+				}
+				fmt.Fprintf(w, "%sId: %s\r\nSignature: s\r\n\r\n%s", head, v.id, numbered(1))
+				time.Sleep(50 * time.Millisecond)
+				stage.reset(v)
+			}
+			play(t, 2, script, func(w *world) {
+				stage = w
+				a := w.request(context.Background(), path)
+				if a.aborted != (path == "/rush/x") || a.Body.String() != want {
+					t.Errorf("%q, %s: aborted %t, %q", head, path, a.aborted, a.Body)
+				}
+			})
+		}
+	}
+}
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -180,18 +180,16 @@
 	return http.NewResponseController(s.writer).Flush()
 }
 
-// forwardStream forwards the events of a response as they arrive.
+// forwardStream forwards the events of a response as they arrive. A stream that ends within an
+// event was interrupted, whatever its framing.
 func (l *lifecycle) forwardStream(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
-	framed := response.Length >= 0 || !response.IsCloseDelimited()
 	r := events.NewReader(response.Body)
 	for {
 		e, err := r.Next()
-		// Bytes after the last whole event are forwarded only if the framing proves the end
-		// of the response.
-		if err != nil && (!framed || !errors.Is(err, events.ErrPartial)) {
-			if errors.Is(err, io.EOF) {
-				return l.finishStream(response, reply)
-			}
+		if errors.Is(err, io.EOF) {
+			return l.finishStream(response, reply, e)
+		}
+		if err != nil {
 			return l.streamLost(ctx, f, err)
 		}
 		if !l.stream.started {
@@ -223,13 +221,17 @@
 	l.lastEventAt = now
 }
 
-// finishStream ends a complete stream.
-func (l *lifecycle) finishStream(response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
+// finishStream ends a complete stream. The rest is what follows its last event.
+func (l *lifecycle) finishStream(response *conns.Response, reply calls.Reply, rest events.Event) (tries.Result, target.Outcome, error) {
 	if !l.stream.started {
 		l.status = response.Status
 		l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), reply.Version)
 	}
 	l.ending = "answered"
+	if _, err := l.writer.Write(rest.Data); err != nil {
+		l.ending = "unwritten"
+		return tries.ResultAnswered, target.OutcomeNeutral, err
+	}
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -92,6 +92,7 @@
 // world is an entry with upstreams that follow a script, in a simulated network.
 type world struct {
 	t       *testing.T
+	network *memnet.Network
 	handler *proxy.Handler
 	mirror  *feed.Mirror
 	script  func(w io.Writer, v visit)
@@ -105,6 +106,8 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80)
 }
 
+var entry = netip.MustParseAddr("10.0.0.1")
+
 var routes = []*state.Route{
 	{Name: "once", Prefix: "/once/", MaxAttempts: 3, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "any", Prefix: "/any/", Idempotent: true, MaxAttempts: 2, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
@@ -127,6 +130,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{t: t, mirror: feed.NewMirror(), script: script, scope: tally.NewTestScope("", nil)}
 		n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
+		w.network = n
 		var stops []func()
 		for i := range upstreams {
 			l, err := n.Listen(address(i))
@@ -137,7 +141,7 @@
 			go u.run()
 			stops = append(stops, func() { _ = l.Close() })
 		}
-		p, stop := conns.New(n.Dialer(netip.MustParseAddr("10.0.0.1")), nil)
+		p, stop := conns.New(n.Dialer(entry), nil)
 		regions := map[hosts.Domain]hosts.Region{"d": "r"}
 		fleet := target.New(target.Options{
 			Entries: func() []hosts.Host { return nil }, Regions: regions, Place: hosts.Place{Region: "r"}, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
@@ -187,6 +191,9 @@
 	}
 }
 
+// reset resets the connections between the entry and the upstream of a visit.
+func (w *world) reset(v visit) { w.network.Cut(entry, address(v.upstream).Addr()) }
+
 // response is what a client received. Aborted is true if the connection was aborted.
 type response struct {
 	*httptest.ResponseRecorder
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -12,7 +12,7 @@
 mutants=$(cat <<'END'
 once~once~core/tries/tries.go~s/retry := a\.route\.IsRetryable\(\) && /retry := /~upstream-lossy
 refused~refused~core/tries/tries.go~s/return StepUnknown\n}\n\n/return StepRefuse\n}\n\n/~upstream-lossy
-partial~answer~entry/internal/proxy/response.go~s/return l\.streamLost\(ctx, f, err\)/return l.finishStream(response, reply)/~upstream-lossy
+partial~answer~entry/internal/proxy/response.go~s/return l\.streamLost\(ctx, f, err\)/return l.finishStream(response, reply, e)/~upstream-lossy
 resume~answer~entry/internal/proxy~s/LastEventID: l\.stream\.lastEventID\}/LastEventID: l.call.LastEventID}/; s/return err != nil \|\| next > last/return true || err != nil || next > last/~upstream-lossy
 foreign~answer~platform/internal/bridge/upstream.go~s/return echoed == id \|\| /return true || echoed == id || /~upstream-doubled
 target~unchanged~platform/internal/bridge/upstream.go~s/Target: c\.Target,/Target: c.Path,/~config
