conns, proxy: bound the heads and the bodies that aren't forwarded

One that declined a request, and sent a body that doesn't end, held the request up until the deadline of routes that run at most once (504 after 3 s, though the request was proven not to have run), and 200 ms on others. A mismatched response with a trickled body held it up alike.

Cause: http.ReadResponse bounds neither a line nor the number of header lines, and a skipped body was bounded in bytes alone, a declined one in bytes only. Ruled out, by a test each: interim responses, mismatched heads, trailers and chunk extensions, which were bounded before (8 and 2 responses here, 8 KiB and 16 KiB in net/http).

One reader below the buffer of a connection counts what is received, whatever it stands for: 64 KiB for a head, 64 KiB for a body that isn't forwarded. Such a body has 50 ms if only the connection is at stake, 1 s if the matching response is still to come. The connection is closed at a bound. A lost head counts as "may have run", as before.

SetReadTimeout and IsCloseDelimited have no callers left.

--- a/core/conns/conns.go
+++ b/core/conns/conns.go
@@ -14,6 +14,12 @@
 // the upstream did not announce to close, and the request was read completely. An idle
 // connection that has received bytes, or that the upstream may be about to close, isn't
 // reused.
+//
+// # Bounds
+//
+// The bytes of a head and of a body that isn't forwarded are bounded, and the time for the
+// latter. The connection is closed when a bound is reached. The context of a request bounds the
+// time for its head and its body, and the reader of the body its bytes.
 package conns
 
 import (
@@ -144,7 +150,8 @@
 	if p.opened != nil {
 		p.opened()
 	}
-	return &Conn{raw: raw, pool: p, address: at, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	l := &limit{raw: raw}
+	return &Conn{raw: raw, pool: p, address: at, limit: l, reader: bufio.NewReaderSize(l, readBufferBytes)}, nil
 }
 
 func (p *Pool) popIdle(at netip.AddrPort) *Conn {
@@ -169,6 +176,7 @@
 	raw     net.Conn
 	pool    *Pool
 	address netip.AddrPort
+	limit   *limit
 	reader  *bufio.Reader
 	// used counts the requests that were sent.
 	used int
--- a/core/conns/conns_test.go
+++ b/core/conns/conns_test.go
@@ -30,6 +30,7 @@
 // server accepts connections and runs the script on each, with the number of the
 // connection.
 type server struct {
+	network  *memnet.Network
 	listener net.Listener
 	script   func(c net.Conn, r *bufio.Reader, number int)
 	accepted int
@@ -89,7 +90,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s := &server{listener: l, script: script}
+		s := &server{network: n, listener: l, script: script}
 		go s.run()
 		p, stop := conns.New(n.Dialer(entry), nil)
 		test(p, s)
--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -15,8 +15,12 @@
 	// maxMismatched is the number of mismatched responses that are skipped before the
 	// connection is closed.
 	maxMismatched = 2
-	// maxMismatchedBytes bounds the body of a mismatched response.
-	maxMismatchedBytes = 64 << 10
+	// mismatchedTimeout bounds the wait for the body of a mismatched response. The matching
+	// one is lost if the connection is closed.
+	mismatchedTimeout = time.Second
+	// discardTimeout bounds the wait for the body of a response that isn't forwarded. Only a
+	// connection is lost if it is closed.
+	discardTimeout = 50 * time.Millisecond
 	// concurrentWriteBytes is the length above which a request is written while the
 	// response is read, since an upstream may respond before it has read everything.
 	concurrentWriteBytes = 4 << 10
@@ -166,10 +170,12 @@
 func (c *Conn) readHead(r *Request) (*http.Response, error) {
 	interim, mismatched := 0, 0
 	for {
+		c.limit.set(maxHeadBytes)
 		response, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method})
 		if err != nil {
 			return nil, err
 		}
+		c.limit.remove()
 		switch {
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
@@ -184,12 +190,25 @@
 		if mismatched++; mismatched > maxMismatched || response.Close {
 			return nil, errMismatched
 		}
-		if n, err := io.Copy(io.Discard, io.LimitReader(response.Body, maxMismatchedBytes)); err != nil || n == maxMismatchedBytes {
-			return nil, errMismatched
+		if err := c.skip(response.Body, mismatchedTimeout); err != nil {
+			return nil, errors.Join(errMismatched, err)
 		}
 	}
 }
 
+// skip reads a body that isn't forwarded. On a failure the connection must be closed.
+func (c *Conn) skip(body io.Reader, timeout time.Duration) error {
+	c.limit.set(maxSkippedBytes)
+	defer c.limit.remove()
+	if err := c.raw.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return err
+	}
+	if _, err := io.Copy(io.Discard, body); err != nil {
+		return err
+	}
+	return c.raw.SetReadDeadline(time.Time{})
+}
+
 // encode returns the request with a Content-Length, however the client framed it.
 func (r *Request) encode() []byte {
 	size := len(r.Method) + len(r.Target) + len(r.Host) + len(r.Body) + 64
@@ -267,12 +286,17 @@
 	r.conn.Close()
 }
 
-// SetReadTimeout bounds the wait for the next bytes of the response. Zero means no bound.
-func (r *Response) SetReadTimeout(d time.Duration) error {
-	if d == 0 {
-		return r.conn.raw.SetReadDeadline(time.Time{})
+// Discard ends a response that isn't forwarded. If it is short, it is read to its end, so that
+// its connection can be reused.
+func (r *Response) Discard() {
+	if r.ended {
+		return
+	}
+	if !r.reusable || r.conn.skip(r.raw.Body, discardTimeout) != nil {
+		r.Close()
+		return
 	}
-	return r.conn.raw.SetReadDeadline(time.Now().Add(d))
+	r.finish()
 }
 
 // IsCloseDelimited reports whether the response ends only when the connection closes.
--- /dev/null
+++ b/entry/internal/proxy/endless_test.go
@@ -0,0 +1,103 @@
+package proxy_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// flood writes the text until the connection is closed. Pause is the time between two of them.
+func flood(w io.Writer, text string, pause time.Duration) {
+	for {
+		if _, err := io.WriteString(w, text); err != nil {
+			return
+		}
+		time.Sleep(pause)
+	}
+}
+
+const (
+	kilobyte = 1 << 10
+	// trickle is short enough that a timer for silence never fires.
+	trickle = 50 * time.Millisecond
+)
+
+// TestDecliningUpstreamIsNotWaitedFor has an upstream decline a request with a body that doesn't
+// end.
+func TestDecliningUpstreamIsNotWaitedFor(t *testing.T) {
+	for name, body := range map[string]func(w io.Writer, v visit){
+		"missing":         func(w io.Writer, v visit) { fmt.Fprint(w, "Content-Length: 9\r\n\r\n"); <-v.ended },
+		"trickled":        func(w io.Writer, _ visit) { fmt.Fprint(w, "Content-Length: 999\r\n\r\n"); flood(w, "x", trickle) },
+		"endless":         func(w io.Writer, _ visit) { fmt.Fprint(w, "\r\n"); flood(w, strings.Repeat("x", kilobyte), 0) },
+		"close-delimited": func(w io.Writer, v visit) { fmt.Fprint(w, "\r\n"); <-v.ended },
+	} {
+		for _, path := range []string{"/once/x", "/any/x", "/rush/x"} {
+			play(t, 2, func(w io.Writer, v visit) {
+				if v.number > 0 {
+					framingLength.write(w, v.id, numbered(1))
+					return
+				}
+				fmt.Fprintf(w, "HTTP/1.1 503 Busy\r\nId: %s\r\nNot-Run: 1\r\n", v.id)
+				body(w, v)
+			}, func(w *world) {
+				began := time.Now()
+				a := w.request(context.Background(), path)
+				if took := time.Since(began); a.Code != http.StatusOK || took > 150*time.Millisecond {
+					t.Errorf("%s, %s: %d after %v", name, path, a.Code, took)
+				}
+				<-w.received()[0].ended
+				if took := time.Since(began); took > 150*time.Millisecond {
+					t.Errorf("%s, %s: the upstream was left after %v", name, path, took)
+				}
+			})
+		}
+	}
+}
+
+// TestEndlessHeadIsLost sends a head without end.
+func TestEndlessHeadIsLost(t *testing.T) {
+	for path, want := range map[string]int{"/once/x": http.StatusBadGateway, "/any/x": http.StatusOK, "/rush/x": http.StatusBadGateway, "/flow/x": http.StatusOK} {
+		play(t, 2, func(w io.Writer, v visit) {
+			if v.number > 0 {
+				framingLength.write(w, v.id, numbered(1))
+				return
+			}
+			fmt.Fprint(w, "HTTP/1.1 200 OK\r\nA: ")
+			flood(w, strings.Repeat("x", kilobyte), 0)
+		}, func(w *world) {
+			began := time.Now()
+			a := w.request(context.Background(), path)
+			if took := time.Since(began); a.Code != want || took > 100*time.Millisecond {
+				t.Errorf("%s: %d after %v", path, a.Code, took)
+			}
+			<-w.received()[0].ended
+		})
+	}
+}
+
+// TestEndlessBodyIsAborted sends a body without end. The client must get an end that doesn't look
+// complete by its deadline, and the upstream must be left.
+func TestEndlessBodyIsAborted(t *testing.T) {
+	chunk := strings.Repeat("x", kilobyte)
+	for name, text := range map[string]string{"": chunk, "Transfer-Encoding: chunked\r\n": fmt.Sprintf("%x\r\n%s\r\n", len(chunk), chunk)} {
+		for _, path := range []string{"/once/x", "/any/x"} {
+			play(t, 2, func(w io.Writer, v visit) {
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\n%s\r\n", v.id, name)
+				flood(w, text, time.Millisecond)
+			}, func(w *world) {
+				began := time.Now()
+				a := w.request(context.Background(), path, "Timeout", "1500")
+				if took := time.Since(began); !a.aborted && a.Code == http.StatusOK || took > 1600*time.Millisecond {
+					t.Errorf("%q, %s: aborted %t, %d after %v", name, path, a.aborted, a.Code, took)
+				}
+				for _, v := range w.received() {
+					<-v.ended
+				}
+			})
+		}
+	}
+}
--- a/entry/internal/proxy/ends_test.go
+++ b/entry/internal/proxy/ends_test.go
@@ -22,8 +22,10 @@
 
 var framings = []framing{framingLength, framingChunks, framingClose, framingHTTP10}
 
-// write writes a whole response with the body.
-func (f framing) write(w io.Writer, id, body string) {
+// write writes a whole successful response with the body.
+func (f framing) write(w io.Writer, id, body string) { f.writeStatus(w, id, "200 OK", body) }
+
+func (f framing) writeStatus(w io.Writer, id, status, body string) {
 	version, header := "HTTP/1.1", ""
 	switch f {
 	case framingLength:
@@ -33,7 +35,7 @@
 	case framingHTTP10:
 		version = "HTTP/1.0"
 	}
-	fmt.Fprintf(w, "%s 200 OK\r\nId: %s\r\nSignature: s\r\n%s\r\n", version, id, header)
+	fmt.Fprintf(w, "%s %s\r\nId: %s\r\nSignature: s\r\n%s\r\n", version, status, id, header)
 	if f != framingChunks {
 		fmt.Fprint(w, body)
 		return
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -303,7 +302,7 @@
 	l.recordDemands(f, reply)
 	switch reply.Kind {
 	case calls.ReplyDeclined, calls.ReplyMoved:
-		discard(response)
+		response.Discard()
 		if reply.Kind == calls.ReplyMoved {
 			return tries.ResultDeclined, target.OutcomeMismatch, declinedError(response.Status)
 		}
@@ -411,12 +410,4 @@
 	engineTimeoutSlack  = 400 * time.Millisecond
 )
 
-// maxDiscardBytes bounds what is read of a response that isn't forwarded.
-const maxDiscardBytes = 16 << 10
-
-// discard reads a short response to its end, so that its connection can be reused.
-func discard(response *conns.Response) {
-	_, _ = io.CopyN(io.Discard, response.Body, maxDiscardBytes)
-}
-
 func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -98,6 +98,9 @@
 	script  func(w io.Writer, v visit)
 	scope   tally.TestScope
 
+	// scripts counts the visits in progress.
+	scripts sync.WaitGroup
+
 	mutex  sync.Mutex
 	visits []visit
 }
@@ -162,6 +165,7 @@
 		for i := range upstreams {
 			n.Kill(address(i).Addr())
 		}
+		w.scripts.Wait()
 		synctest.Wait()
 	})
 }
@@ -270,6 +274,8 @@
 	w.mutex.Unlock()
 	watch := &watch{source: r, ended: v.ended}
 	go watch.run()
+	w.scripts.Add(1)
+	defer w.scripts.Done()
 	w.script(c.conn, v)
 }
 
