proxy, conns: forward a long failure of an upstream whole

A caller got a 5xx response of an upstream that is longer than 256 KiB cut off at that length, and, without a length, with a proper end: it looked complete.

Cause: a failure is kept, since the request may be retried, and written after its attempt. By then its connection is closed, and the body of a closed response returned io.EOF. Ruled out: the framing, since all four kinds were cut.

The body of a response that was closed now returns an error, and a failure that is too long to be kept is forwarded at once.

Failed before: conns.TestClosedResponseHasNoEnd and proxy.TestLongFailureIsNotCutShort (all 8 cases, 262144 of 307200 bytes).

--- a/core/conns/bounds_test.go
+++ b/core/conns/bounds_test.go
@@ -201,6 +201,34 @@
 	})
 }
 
+// TestClosedResponseHasNoEnd guards against the rest of a response that was closed being taken
+// for empty.
+func TestClosedResponseHasNoEnd(t *testing.T) {
+	runScript(t, func(c net.Conn, r *bufio.Reader, _ int) {
+		if id, ok := read(r); ok {
+			respond(c, id, "half and half")
+		}
+	}, func(p *conns.Pool, _ *server) {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		c, err := p.Acquire(ctx, upstream, false)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := c.Do(ctx, request("r", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(response.Body, make([]byte, 4)); err != nil {
+			t.Fatal(err)
+		}
+		response.Close()
+		if rest, err := io.ReadAll(response.Body); err == nil {
+			t.Errorf("the response ended with %q", rest)
+		}
+	})
+}
+
 // TestBodylessResponseEndsWithItsHead checks responses that have no body whatever their header
 // says, and that the next response on the connection isn't read as their body.
 func TestBodylessResponseEndsWithItsHead(t *testing.T) {
--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -61,6 +61,7 @@
 	errUpgrade    = errors.New("the upstream switched protocols")
 	errInterim    = errors.New("too many interim responses")
 	errCanceled   = errors.New("request canceled")
+	errClosed     = errors.New("the response was closed before its end")
 )
 
 // Request is one request to an upstream. Its header holds only end-to-end fields; the
@@ -82,13 +83,16 @@
 	Header http.Header
 	// Length is the length of the body, or -1 if it isn't known in advance.
 	Length int64
-	// Body returns io.EOF only at the proper end of the response.
+	// Body returns io.EOF only at the proper end of the response, never after Close.
 	Body io.Reader
 
-	conn       *Conn
-	raw        *http.Response
-	exchange   *exchange
+	conn     *Conn
+	raw      *http.Response
+	exchange *exchange
+	// ended is true once the response was read to its end or closed, whole only in the
+	// first case.
 	ended      bool
+	whole      bool
 	stopCancel func() bool
 	// reusable is true if the connection may carry another request.
 	reusable bool
@@ -242,9 +246,12 @@
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	r := b.response
-	if r.ended {
+	if r.whole {
 		return 0, io.EOF
 	}
+	if r.ended {
+		return 0, errClosed
+	}
 	n, err := r.raw.Body.Read(p)
 	if err == io.EOF {
 		r.finish()
@@ -254,7 +261,7 @@
 
 // finish ends a response that was read completely.
 func (r *Response) finish() {
-	r.ended = true
+	r.ended, r.whole = true, true
 	if !r.stopCancel() {
 		// The context has ended, so the connection is being closed.
 		r.conn.Close()
--- a/entry/internal/proxy/endless_test.go
+++ b/entry/internal/proxy/endless_test.go
@@ -101,3 +101,19 @@
 		}
 	}
 }
+
+// TestLongFailureIsNotCutShort has an upstream fail with a response that isn't kept whole.
+func TestLongFailureIsNotCutShort(t *testing.T) {
+	long := strings.Repeat("x", 300*kilobyte)
+	for _, f := range framings {
+		failed := func(w io.Writer, v visit) { f.writeStatus(w, v.id, "500 Failed", long) }
+		play(t, 2, failed, func(w *world) {
+			for _, path := range []string{"/once/x", "/any/x"} {
+				a := w.request(context.Background(), path)
+				if a.aborted || a.Code != http.StatusInternalServerError || a.Body.String() != long {
+					t.Errorf("%s, %s: aborted %t, %d with %d bytes", f, path, a.aborted, a.Code, a.Body.Len())
+				}
+			}
+		})
+	}
+}
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -79,7 +79,7 @@
 	length    int64
 }
 
-// forwardUnary reads a short response whole and forwards it. An upstream's failure is kept
+// forwardUnary reads a short response whole and forwards it. An upstream's short failure is kept
 // instead, since the request may be retried.
 func (l *lifecycle) forwardUnary(ctx context.Context, f *target.InFlight, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
 	f.RecordFirstEvent(time.Now())
@@ -95,7 +95,7 @@
 	if len(body) == maxBufferedBytes {
 		b.remainder = response.Body
 	}
-	if response.Status >= http.StatusInternalServerError {
+	if response.Status >= http.StatusInternalServerError && b.remainder == nil {
 		l.lastFailure = b
 		return tries.ResultFailed, target.OutcomeFailed, fmt.Errorf("status %d", response.Status)
 	}
@@ -103,6 +103,9 @@
 		return tries.ResultLost, target.OutcomeFailed, errMismatched
 	}
 	l.writeResponse(b)
+	if response.Status >= http.StatusInternalServerError {
+		return tries.ResultAnswered, target.OutcomeFailed, fmt.Errorf("status %d", response.Status)
+	}
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
