proxy: finish the attempt of a response that is aborted

An entry counted a request as in progress at its upstream for ever after a response longer than 256 KiB had broken off or reached its deadline: the upstream got fewer requests from this entry, and others were told of the load.

Cause: the abort towards the client panicked inside of the attempt, before its end was recorded. Streams aren't concerned, since they are aborted after it.

The attempt now returns, and the request is aborted after it.

Failed before: proxy.TestEndlessBodyIsAborted with a check of the load that is reported to other entries (all 4 cases).

--- a/entry/internal/proxy/endless_test.go
+++ b/entry/internal/proxy/endless_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"currantport.example/core/clocks"
 )
 
 // flood writes the text until the connection is closed. Pause is the time between two of them.
@@ -97,6 +99,9 @@
 				for _, v := range w.received() {
 					<-v.ended
 				}
+				if loads := w.fleet.EntryLoads(clocks.Now()); len(loads) > 0 {
+					t.Errorf("%q, %s: still counted: %+v", name, path, loads)
+				}
 			})
 		}
 	}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -76,6 +76,12 @@
 	logFields   []zap.Field
 }
 
+// Endings of requests, for the log. A broken response is aborted towards the client.
+const (
+	endingAnswered = "answered"
+	endingBroken   = "broken"
+)
+
 // run serves an admitted request to its end.
 func (l *lifecycle) run(ctx context.Context) {
 	route := l.admission.Route
@@ -95,6 +101,9 @@
 			return
 		}
 		result := l.attempt(ctx, inFlight)
+		if l.ending == endingBroken {
+			panic(http.ErrAbortHandler)
+		}
 		if errors.Is(ctx.Err(), context.Canceled) {
 			l.abandon()
 			return
@@ -224,7 +233,7 @@
 	reason := l.attempts.Reason(time.Now())
 	switch {
 	case step == tries.StepAbort || l.stream.started:
-		l.ending = "broken"
+		l.ending = endingBroken
 		panic(http.ErrAbortHandler)
 	case l.lastFailure != nil:
 		l.writeResponse(l.lastFailure)
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -123,7 +123,7 @@
 	}
 	fields = append(fields, zap.Uint64("era", l.view.State.Revision.Era()), zap.Uint64("revision", l.view.State.Revision.Number()), zap.Duration("copyage", l.view.Staleness))
 	fields = append(fields, l.logFields...)
-	if l.status >= http.StatusInternalServerError || l.ending == "broken" {
+	if l.status >= http.StatusInternalServerError || l.ending == endingBroken {
 		l.handler.options.Log.Warn("request", fields...)
 		return
 	}
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -103,15 +103,21 @@
 		return tries.ResultLost, target.OutcomeFailed, errMismatched
 	}
 	l.writeResponse(b)
+	if b.remainder != nil && l.ending == endingAnswered {
+		if _, err := io.CopyBuffer(l.writer, b.remainder, make([]byte, copyBufferBytes)); err != nil {
+			l.ending = endingBroken
+			return tries.ResultTruncated, target.OutcomeFailed, err
+		}
+	}
 	if response.Status >= http.StatusInternalServerError {
 		return tries.ResultAnswered, target.OutcomeFailed, fmt.Errorf("status %d", response.Status)
 	}
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
-// writeResponse writes a response to the client.
+// writeResponse writes a response to the client, without the remainder.
 func (l *lifecycle) writeResponse(b *bufferedResponse) {
-	l.ending, l.status = "answered", b.status
+	l.ending, l.status = endingAnswered, b.status
 	if l.firstByte == 0 {
 		l.firstByte = time.Since(l.arrived)
 	}
@@ -127,14 +133,6 @@
 	l.writer.WriteHeader(b.status)
 	if _, err := l.writer.Write(b.body); err != nil {
 		l.ending = "unwritten"
-		return
-	}
-	if b.remainder == nil {
-		return
-	}
-	if _, err := io.CopyBuffer(l.writer, b.remainder, make([]byte, copyBufferBytes)); err != nil {
-		l.ending = "broken"
-		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -230,7 +228,7 @@
 		l.status = response.Status
 		l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), reply.Version)
 	}
-	l.ending = "answered"
+	l.ending = endingAnswered
 	if _, err := l.writer.Write(rest.Data); err != nil {
 		l.ending = "unwritten"
 		return tries.ResultAnswered, target.OutcomeNeutral, err
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -93,6 +93,7 @@
 type world struct {
 	t       *testing.T
 	network *memnet.Network
+	fleet   *target.Fleet
 	handler *proxy.Handler
 	mirror  *feed.Mirror
 	script  func(w io.Writer, v visit)
@@ -149,6 +150,7 @@
 		fleet := target.New(target.Options{
 			Entries: func() []hosts.Host { return nil }, Regions: regions, Place: hosts.Place{Region: "r"}, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
 		})
+		w.fleet = fleet
 		w.handler = proxy.New(proxy.Options{
 			Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: crash.NewRegistry(zap.NewNop()),
 			Bounds:      proxy.Bounds{MaxKeyStaleness: 4 * time.Second, MaxMissStaleness: 2 * time.Second},
