proxy: let a long response pause once it is forwarded

A caller of an idempotent route got a sound response of more than 256 KiB broken off, if the whole of it took longer than the time after which another upstream is tried: 200 ms at an objective of 100 ms.

Cause: the timer for the first byte went on while the rest was forwarded, when the request can't be retried any more. Routes that run at most once aren't concerned: their timer is the deadline.

The timer is stopped there; the deadline remains.

Failed before: proxy.TestSlowLongResponseIsForwardedWhole (/any/, aborted after 327680 of 655360 bytes).

--- a/entry/internal/proxy/endless_test.go
+++ b/entry/internal/proxy/endless_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -122,3 +123,19 @@
 		})
 	}
 }
+
+// TestSlowLongResponseIsForwardedWhole has a response pause after it has begun to be forwarded.
+func TestSlowLongResponseIsForwardedWhole(t *testing.T) {
+	long := bytes.Repeat([]byte("0123456789abcdef"), 40*kilobyte)
+	for _, path := range []string{"/once/x", "/any/x"} {
+		play(t, 2, func(w io.Writer, v visit) {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\n\r\n%s", v.id, long[:len(long)/2])
+			time.Sleep(time.Second)
+			_, _ = w.Write(long[len(long)/2:])
+		}, func(w *world) {
+			if a := w.request(context.Background(), path); a.aborted || !bytes.Equal(a.Body.Bytes(), long) {
+				t.Errorf("%s: aborted %t after %d of %d bytes", path, a.aborted, a.Body.Len(), len(long))
+			}
+		})
+	}
+}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -323,7 +323,7 @@
 	if l.admission.Route.Stream && reply.Success {
 		return l.forwardStream(ctx, f, wd, response, reply)
 	}
-	return l.forwardUnary(ctx, f, response, reply)
+	return l.forwardUnary(ctx, f, wd, response, reply)
 }
 
 // recordDemands records what a response says about further requests to its upstream.
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -81,7 +81,7 @@
 
 // forwardUnary reads a short response whole and forwards it. An upstream's short failure is kept
 // instead, since the request may be retried.
-func (l *lifecycle) forwardUnary(ctx context.Context, f *target.InFlight, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
+func (l *lifecycle) forwardUnary(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
 	f.RecordFirstEvent(time.Now())
 	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header), length: response.Length}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
@@ -104,6 +104,8 @@
 	}
 	l.writeResponse(b)
 	if b.remainder != nil && l.ending == endingAnswered {
+		// The request can't be retried any more, so that only its deadline bounds the response.
+		wd.stop()
 		if _, err := io.CopyBuffer(l.writer, b.remainder, make([]byte, copyBufferBytes)); err != nil {
 			l.ending = endingBroken
 			return tries.ResultTruncated, target.OutcomeFailed, err
