proxy: leave an upstream that repeats events without new ones

A caller got nothing new until its deadline, and then an abort, from an upstream that sent the events again that the caller had: they are dropped, but each restarted the timer for the event gap.

Only events that are forwarded restart it now.

Failed before: proxy.TestStreamWithoutProgressResumes (earlier event, trickled and without a pause: aborted after 5 s).

--- a/entry/internal/proxy/endless_test.go
+++ b/entry/internal/proxy/endless_test.go
@@ -139,3 +139,62 @@
 		})
 	}
 }
+
+// TestStreamWithoutProgressResumes has a stream go on without new events. Clients give up after a
+// gap of two seconds.
+func TestStreamWithoutProgressResumes(t *testing.T) {
+	for name, text := range map[string]string{
+		"comment":          ": here\n\n",
+		"comment lines":    ": here\n",
+		"empty lines":      "\n",
+		"unknown fields":   "retry: 5\n\n",
+		"earlier event":    numbered(1),
+		"event, endless":   "data: x\n",
+		"line of an event": "x",
+	} {
+		for _, size := range []int{1, kilobyte} {
+			pause := trickle
+			if size > 1 {
+				pause = 0
+			}
+			play(t, 2, func(w io.Writer, v visit) {
+				if v.number > 0 {
+					framingLength.write(w, v.id, numbered(2))
+					return
+				}
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\n\r\n%s", v.id, numbered(1))
+				flood(w, strings.Repeat(text, size), pause)
+			}, func(w *world) {
+				began := time.Now()
+				a := w.request(context.Background(), "/flow/x")
+				if took := time.Since(began); a.aborted || a.Body.String() != numbered(1)+numbered(2) || took > 2*time.Second {
+					t.Errorf("%s, %d at once: aborted %t after %v, %d bytes", name, size, a.aborted, took, a.Body.Len())
+				}
+				<-w.received()[0].ended
+			})
+		}
+	}
+}
+
+// TestStreamWithoutEventsIsAborted has a stream send no event at all.
+func TestStreamWithoutEventsIsAborted(t *testing.T) {
+	for _, text := range []string{": here\n\n", "\n", "x"} {
+		for path, want := range map[string]int{"/flow/x": http.StatusOK, "/rush/x": http.StatusGatewayTimeout} {
+			play(t, 2, func(w io.Writer, v visit) {
+				if v.number > 0 {
+					framingLength.write(w, v.id, numbered(1))
+					return
+				}
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\n\r\n", v.id)
+				flood(w, text, trickle)
+			}, func(w *world) {
+				began := time.Now()
+				a := w.request(context.Background(), path, "Timeout", "1500")
+				if took := time.Since(began); a.aborted || a.Code != want || took > 1600*time.Millisecond {
+					t.Errorf("%q, %s: aborted %t, %d after %v", text, path, a.aborted, a.Code, took)
+				}
+				<-w.received()[0].ended
+			})
+		}
+	}
+}
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -195,17 +195,17 @@
 		if err != nil {
 			return l.streamLost(ctx, f, err)
 		}
+		f.RecordFirstEvent(time.Now())
+		// An upstream that repeats what the client has makes no progress.
+		if e.ID != "" && !l.stream.isNew(e.ID) {
+			continue
+		}
 		if !l.stream.started {
-			f.RecordFirstEvent(time.Now())
 			l.firstByte = time.Since(l.arrived)
 			l.status = response.Status
 			l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), cmp.Or(reply.Version, f.Version))
 		}
-		f.RecordFirstEvent(time.Now())
 		wd.reset(l.gapTimeout())
-		if e.ID != "" && !l.stream.isNew(e.ID) {
-			continue
-		}
 		l.recordEvent()
 		if err := l.stream.writeEvent(e, r.HasBuffered()); err != nil {
 			l.ending = "unwritten"
