links: bound the heads of responses of external systems

A store, an origin or an engine that sent a head without end was read for up to 10 MB a call, the default of net/http, against 64 KiB that we take from clients.

Cause: the transports set no bound. Interim responses count towards it in net/http. The clients for other processes share the transport and get the bound too.

Failed before: links.TestEndlessHeadIsCutOff (all 6 cases, 10.5 MB taken each).

--- a/core/links/links.go
+++ b/core/links/links.go
@@ -122,6 +122,8 @@
 		DialContext:        ExternalDialer(dial),
 		DisableCompression: true,
 		IdleConnTimeout:    clientIdleTimeout,
+		// An external system in trouble may send a head without end.
+		MaxResponseHeaderBytes: maxHeaderBytes,
 	}
 }
 
