httpd: bound the wait for a body that isn't read

A client that was refused before its body was read got no response for as long as it went on sending the body slowly.

Cause: net/http reads up to 256 KiB of such a body before it sends the response, without a bound in time; the bound of a body that is read is set by the handler.

After a handler that left a part of a body, the rest has 1 s; the response says that the connection closes.

Failed before: httpd.TestUnreadBodyHoldsNoResponseUp (no response in 10 s, with a length and in chunks).

--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -37,6 +38,8 @@
 	// idleSlack is added to the configured idle timeout, so that a request sent at the last
 	// moment doesn't cross the close.
 	idleSlack = 500 * time.Millisecond
+	// unreadBodyTimeout bounds the wait for the rest of a body that isn't read.
+	unreadBodyTimeout = time.Second
 )
 
 // Options are the dependencies and settings of a Server.
@@ -156,6 +159,11 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
+	if r.Body != nil && r.Body != http.NoBody {
+		b := &requestBody{ReadCloser: r.Body}
+		r.Body = b
+		defer s.boundUnreadBody(w, b)
+	}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -166,6 +174,32 @@
 	s.options.Handler.ServeHTTP(w, r)
 }
 
+// requestBody records whether a body was read to its end.
+type requestBody struct {
+	io.ReadCloser
+	whole bool
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.whole = b.whole || err == io.EOF
+	return n, err
+}
+
+// boundUnreadBody bounds the wait for the rest of a body that the handler hasn't read. The server
+// reads it before it sends the response. After a whole body there must be no deadline, since the
+// server watches for the client to disconnect.
+func (s *Server) boundUnreadBody(w http.ResponseWriter, b *requestBody) {
+	if b.whole {
+		return
+	}
+	err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		s.options.Log.Debug("deadline-set-failed", zap.Error(err))
+	}
+}
+
 // Stop shuts the server down gracefully and returns the number of requests that were still
 // in progress.
 func (s *Server) Stop(ctx context.Context) int {
--- a/entry/internal/httpd/httpd_test.go
+++ b/entry/internal/httpd/httpd_test.go
@@ -59,7 +59,7 @@
 			t.Fatal(err)
 		}
 		s, stop := httpd.New(httpd.Options{
-			Listener: l, Handler: http.HandlerFunc(slow), Refuse: http.HandlerFunc(refuse), DrainTime: 3 * time.Second, ShutdownTimeout: 7 * time.Second, Log: zap.NewNop(),
+			Listener: l, Handler: http.HandlerFunc(respondByMethod), Refuse: http.HandlerFunc(refuse), DrainTime: 3 * time.Second, ShutdownTimeout: 7 * time.Second, Log: zap.NewNop(),
 		})
 		dial := n.Dialer(netip.MustParseAddr("10.0.0.2"))
 		test(s, func() *client {
