proxy: keep the stated length of a response without a body

A caller of HEAD, or one that got a 304, was told a length of 0, and one that got a 204 was told a length at all.

Cause: the length that was sent is that of the body which was read. Ruled out: that the body of such a response is waited for (conns.TestBodylessResponseEndsWithItsHead).

Failed before: proxy.TestBodylessResponseKeepsItsHead (HEAD, 204, 304).

--- a/entry/internal/proxy/ends_test.go
+++ b/entry/internal/proxy/ends_test.go
@@ -129,3 +129,36 @@
 		}
 	}
 }
+
+// TestBodylessResponseKeepsItsHead checks responses without a body, whose length, if stated, is
+// that of another one.
+func TestBodylessResponseKeepsItsHead(t *testing.T) {
+	for name, c := range map[string]struct {
+		method, head, length string
+		status               int
+	}{
+		"HEAD, length": {http.MethodHead, "200 OK\r\nContent-Length: 9\r\n", "9", http.StatusOK},
+		"HEAD, chunks": {http.MethodHead, "200 OK\r\nTransfer-Encoding: chunked\r\n", "", http.StatusOK},
+		"HEAD":         {http.MethodHead, "200 OK\r\n", "", http.StatusOK},
+		"304":          {http.MethodGet, "304 Not Modified\r\nContent-Length: 9\r\n", "9", http.StatusNotModified},
+		"204":          {http.MethodPost, "204 No Content\r\n", "", http.StatusNoContent},
+	} {
+		for _, path := range []string{"/once/x", "/any/x", "/rush/x"} {
+			play(t, 1, func(w io.Writer, v visit) {
+				head, _, _ := strings.Cut(c.head, "\r\n")
+				fmt.Fprintf(w, "HTTP/1.1 %s\r\nId: %s\r\nSignature: s\r\n%s\r\n", head, v.id, strings.TrimPrefix(c.head, head+"\r\n"))
+				<-v.ended
+			}, func(w *world) {
+				length := c.length
+				if path == "/rush/x" && c.status == http.StatusOK {
+					// A stream states no length.
+					length = ""
+				}
+				a := w.send(context.Background(), c.method, path)
+				if a.aborted || a.Code != c.status || a.Header().Get("Content-Length") != length || a.Body.Len() > 0 {
+					t.Errorf("%s, %s: aborted %t, %d, length %q, %q", name, path, a.aborted, a.Code, a.Header().Get("Content-Length"), a.Body)
+				}
+			})
+		}
+	}
+}
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -76,14 +76,29 @@
 	body   []byte
 	// remainder is the rest of a body longer than maxBufferedBytes, or nil.
 	remainder io.Reader
-	length    int64
+	// length is the Content-Length, or empty if it isn't known.
+	length string
+}
+
+// lengthOf returns the Content-Length of a response of which the body, or its beginning, was read.
+// A response without a body may state the length of another one.
+func (l *lifecycle) lengthOf(response *conns.Response, b *bufferedResponse) string {
+	switch {
+	case l.call.Method == http.MethodHead, response.Status == http.StatusNoContent, response.Status == http.StatusNotModified:
+		return response.Header.Get("Content-Length")
+	case b.remainder == nil:
+		return strconv.Itoa(len(b.body))
+	case response.Length >= 0:
+		return strconv.FormatInt(response.Length, 10)
+	}
+	return ""
 }
 
 // forwardUnary reads a short response whole and forwards it. An upstream's short failure is kept
 // instead, since the request may be retried.
 func (l *lifecycle) forwardUnary(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
 	f.RecordFirstEvent(time.Now())
-	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header), length: response.Length}
+	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header)}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
 		if ctx.Err() == nil {
@@ -95,6 +110,7 @@
 	if len(body) == maxBufferedBytes {
 		b.remainder = response.Body
 	}
+	b.length = l.lengthOf(response, b)
 	if response.Status >= http.StatusInternalServerError && b.remainder == nil {
 		l.lastFailure = b
 		return tries.ResultFailed, target.OutcomeFailed, fmt.Errorf("status %d", response.Status)
@@ -127,10 +143,8 @@
 	for name, values := range b.header {
 		h[name] = values
 	}
-	if b.remainder == nil {
-		h.Set("Content-Length", strconv.Itoa(len(b.body)))
-	} else if b.length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(b.length, 10))
+	if b.length != "" {
+		h.Set("Content-Length", b.length)
 	}
 	l.writer.WriteHeader(b.status)
 	if _, err := l.writer.Write(b.body); err != nil {
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -206,8 +206,12 @@
 	aborted bool
 }
 
-func (w *world) request(ctx context.Context, path string, headers ...string) (a response) {
-	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body")).WithContext(ctx)
+func (w *world) request(ctx context.Context, path string, headers ...string) response {
+	return w.send(ctx, http.MethodPost, path, headers...)
+}
+
+func (w *world) send(ctx context.Context, method, path string, headers ...string) (a response) {
+	r := httptest.NewRequest(method, "http://h"+path, strings.NewReader("body")).WithContext(ctx)
 	r.RequestURI = path
 	r.Header = http.Header{"Id": {"q"}, "Key": {"secret"}}
 	for i := 0; i+1 < len(headers); i += 2 {
