httpd: reset the connection of an aborted response without chunks

A client of HTTP/1.0 got a stream that was aborted with a proper end of its connection, which is the end of such a response, so that it looked complete.

Cause: an abort closes the connection, and without chunks or a length nothing else tells. Ruled out: HTTP/1.1, also with Connection: close, where the last chunk is missing (other cases of the test, right before).

The connection is reset in this case.

Failed before: httpd.TestAbortedResponseDoesNotLookComplete (HTTP/1.0).

--- a/entry/internal/httpd/bounds_test.go
+++ b/entry/internal/httpd/bounds_test.go
@@ -1,13 +1,17 @@
 package httpd_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"currantport.example/entry/internal/httpd"
 )
 
@@ -86,3 +90,37 @@
 	}
 	slow(w, r)
 }
+
+// abortMidway sends a part of a response and aborts it.
+func abortMidway(w http.ResponseWriter, _ *http.Request) {
+	_, _ = io.WriteString(w, "id: 1\n\n")
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
+
+// TestAbortedResponseDoesNotLookComplete checks the bytes that a client gets, also one whose
+// version of HTTP has no chunks, so that the end of the connection is that of the response.
+func TestAbortedResponseDoesNotLookComplete(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, stop := httpd.New(httpd.Options{Listener: l, Handler: http.HandlerFunc(abortMidway), Log: zap.NewNop()})
+	defer stop()
+	for _, q := range []string{"GET / HTTP/1.1\r\nHost: h\r\n\r\n", "GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n", "GET / HTTP/1.0\r\nHost: h\r\n\r\n"} {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		fmt.Fprint(c, q)
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err == nil {
+			_, err = io.ReadAll(r.Body)
+			_ = r.Body.Close()
+		}
+		if err == nil {
+			t.Errorf("%q: the response looks complete", q)
+		}
+		_ = c.Close()
+	}
+}
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -102,6 +102,7 @@
 	h := &http.Server{
 		Handler: s, ErrorLog: zap.NewStdLog(s.options.Log.Named("http")),
 		MaxHeaderBytes: defaultMaxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		ConnContext: withConn,
 	}
 	if l.HeaderBytes > 0 {
 		h.MaxHeaderBytes = l.HeaderBytes
@@ -159,6 +160,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
+	defer s.resetAborted(r)
 	if r.Body != nil && r.Body != http.NoBody {
 		b := &requestBody{ReadCloser: r.Body}
 		r.Body = b
@@ -174,6 +176,29 @@
 	s.options.Handler.ServeHTTP(w, r)
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// resetAborted makes the server reset the connection of a response that is being aborted, if
+// nothing but the end of the connection marks that of the response.
+func (s *Server) resetAborted(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
+	if ok && !r.ProtoAtLeast(1, 1) {
+		if err := c.SetLinger(0); err != nil {
+			s.options.Log.Debug("reset-failed", zap.Error(err))
+		}
+	}
+	panic(cause)
+}
+
 // requestBody records whether a body was read to its end.
 type requestBody struct {
 	io.ReadCloser
