--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -305,8 +305,3 @@
 	}
 	r.finish()
 }
-
-// IsCloseDelimited reports whether the response ends only when the connection closes.
-func (r *Response) IsCloseDelimited() bool {
-	return r.Length < 0 && len(r.raw.TransferEncoding) == 0
-}
