--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"syscall"
 	"time"
@@ -81,6 +80,12 @@
 	logFields   []zap.Field
 }
 
+// Endings of requests, for the log. A broken response is aborted towards the client.
+const (
+	endingAnswered = "answered"
+	endingBroken   = "broken"
+)
+
 // run serves an admitted request to its end.
 func (l *lifecycle) run(ctx context.Context) {
 	route := l.admission.Route
@@ -100,6 +105,9 @@
 			return
 		}
 		result := l.attempt(ctx, inFlight)
+		if l.ending == endingBroken {
+			panic(http.ErrAbortHandler)
+		}
 		if errors.Is(ctx.Err(), context.Canceled) {
 			l.abandon()
 			return
@@ -229,7 +237,7 @@
 	reason := l.attempts.Reason(time.Now())
 	switch {
 	case step == tries.StepAbort || l.stream.started:
-		l.ending = "broken"
+		l.ending = endingBroken
 		panic(http.ErrAbortHandler)
 	case l.lastFailure != nil:
 		l.writeResponse(l.lastFailure)
@@ -307,7 +315,7 @@
 	l.recordDemands(f, reply)
 	switch reply.Kind {
 	case calls.ReplyDeclined, calls.ReplyMoved:
-		discard(response)
+		response.Discard()
 		if reply.Kind == calls.ReplyMoved {
 			return tries.ResultDeclined, target.OutcomeMismatch, declinedError(response.Status)
 		}
@@ -319,7 +327,7 @@
 	if l.admission.Route.Stream && reply.Success {
 		return l.forwardStream(ctx, f, wd, response, reply)
 	}
-	return l.forwardUnary(ctx, f, response, reply)
+	return l.forwardUnary(ctx, f, wd, response, reply)
 }
 
 // recordDemands records what a response says about further requests to its upstream.
@@ -427,12 +435,4 @@
 	engineTimeoutSlack  = 400 * time.Millisecond
 )
 
-// maxDiscardBytes bounds what is read of a response that isn't forwarded.
-const maxDiscardBytes = 16 << 10
-
-// discard reads a short response to its end, so that its connection can be reused.
-func discard(response *conns.Response) {
-	_, _ = io.CopyN(io.Discard, response.Body, maxDiscardBytes)
-}
-
 func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
