--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -15,6 +15,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -37,6 +38,8 @@
 	// idleSlack is added to the configured idle timeout, so that a request sent at the last
 	// moment doesn't cross the close.
 	idleSlack = 500 * time.Millisecond
+	// unreadBodyTimeout bounds the wait for the rest of a body that isn't read.
+	unreadBodyTimeout = time.Second
 )
 
 // Options are the dependencies and settings of a Server.
@@ -99,6 +102,7 @@
 	h := &http.Server{
 		Handler: s, ErrorLog: zap.NewStdLog(s.options.Log.Named("http")),
 		MaxHeaderBytes: defaultMaxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		ConnContext: withConn,
 	}
 	if l.HeaderBytes > 0 {
 		h.MaxHeaderBytes = l.HeaderBytes
@@ -156,6 +160,12 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
+	defer s.resetAborted(r)
+	if r.Body != nil && r.Body != http.NoBody {
+		b := &requestBody{ReadCloser: r.Body}
+		r.Body = b
+		defer s.boundUnreadBody(w, b)
+	}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -166,6 +176,55 @@
 	s.options.Handler.ServeHTTP(w, r)
 }
 
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// resetAborted makes the server reset the connection of a response that is being aborted, if
+// nothing but the end of the connection marks that of the response.
+func (s *Server) resetAborted(r *http.Request) {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
+	if ok && !r.ProtoAtLeast(1, 1) {
+		if err := c.SetLinger(0); err != nil {
+			s.options.Log.Debug("reset-failed", zap.Error(err))
+		}
+	}
+	panic(cause)
+}
+
+// requestBody records whether a body was read to its end.
+type requestBody struct {
+	io.ReadCloser
+	whole bool
+}
+
+// Read implements io.Reader.
+func (b *requestBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	b.whole = b.whole || err == io.EOF
+	return n, err
+}
+
+// boundUnreadBody bounds the wait for the rest of a body that the handler hasn't read. The server
+// reads it before it sends the response. After a whole body there must be no deadline, since the
+// server watches for the client to disconnect.
+func (s *Server) boundUnreadBody(w http.ResponseWriter, b *requestBody) {
+	if b.whole {
+		return
+	}
+	err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
+		s.options.Log.Debug("deadline-set-failed", zap.Error(err))
+	}
+}
+
 // Stop shuts the server down gracefully and returns the number of requests that were still
 // in progress.
 func (s *Server) Stop(ctx context.Context) int {
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -33,7 +33,10 @@
 	survivalTime = 500 * time.Millisecond
 )
 
-var errMismatched = errors.New("the response belongs to another request")
+var (
+	errMismatched = errors.New("the response belongs to another request")
+	errNoEvent    = errors.New("the connection was closed before the first event")
+)
 
 // declinedError reports that an upstream has not run the request. Its value is the HTTP
 // status.
@@ -80,14 +83,33 @@
 	body   []byte
 	// remainder is the rest of a body longer than maxBufferedBytes, or nil.
 	remainder io.Reader
-	length    int64
+	// length is the Content-Length, or empty if it isn't known.
+	length string
+}
+
+// lengthOf returns the Content-Length of a response of which the body, or its beginning, was read.
+// A response without a body may state the length of another one.
+func (l *lifecycle) lengthOf(response *conns.Response, b *bufferedResponse) string {
+	switch {
+	case l.call.Method == http.MethodHead, response.Status == http.StatusNoContent, response.Status == http.StatusNotModified:
+		return response.Header.Get("Content-Length")
+	case b.remainder == nil:
+		return strconv.Itoa(len(b.body))
+	case response.Length >= 0:
+		return strconv.FormatInt(response.Length, 10)
+	}
+	return ""
 }
 
-// forwardUnary reads a short response whole and forwards it. An upstream's failure is kept
+// forwardUnary reads a short response whole and forwards it. An upstream's short failure is kept
 // instead, since the request may be retried.
-func (l *lifecycle) forwardUnary(ctx context.Context, f *target.InFlight, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
+func (l *lifecycle) forwardUnary(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
 	f.RecordFirstEvent(clocks.Now())
-	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header), length: response.Length}
+	if !l.admission.Route.IsRetryable() {
+		// The upstream has begun the request, so that only the deadline bounds it.
+		wd.reset(time.Until(l.deadline))
+	}
+	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header)}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
 	if err != nil {
 		if ctx.Err() == nil {
@@ -99,7 +121,8 @@
 	if len(body) == maxBufferedBytes {
 		b.remainder = response.Body
 	}
-	if response.Status >= http.StatusInternalServerError {
+	b.length = l.lengthOf(response, b)
+	if response.Status >= http.StatusInternalServerError && b.remainder == nil {
 		l.lastFailure = b
 		return tries.ResultFailed, target.OutcomeFailed, fmt.Errorf("status %d", response.Status)
 	}
@@ -110,12 +133,23 @@
 		l.recordSurvival()
 	}
 	l.writeResponse(b)
+	if b.remainder != nil && l.ending == endingAnswered {
+		// The request can't be retried any more, so that only its deadline bounds the response.
+		wd.stop()
+		if _, err := io.CopyBuffer(l.writer, b.remainder, make([]byte, copyBufferBytes)); err != nil {
+			l.ending = endingBroken
+			return tries.ResultTruncated, target.OutcomeFailed, err
+		}
+	}
+	if response.Status >= http.StatusInternalServerError {
+		return tries.ResultAnswered, target.OutcomeFailed, fmt.Errorf("status %d", response.Status)
+	}
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
-// writeResponse writes a response to the client.
+// writeResponse writes a response to the client, without the remainder.
 func (l *lifecycle) writeResponse(b *bufferedResponse) {
-	l.ending, l.status = "answered", b.status
+	l.ending, l.status = endingAnswered, b.status
 	if l.firstByte == 0 {
 		l.firstByte = time.Since(l.arrived)
 	}
@@ -123,22 +157,12 @@
 	for name, values := range b.header {
 		h[name] = values
 	}
-	if b.remainder == nil {
-		h.Set("Content-Length", strconv.Itoa(len(b.body)))
-	} else if b.length >= 0 {
-		h.Set("Content-Length", strconv.FormatInt(b.length, 10))
+	if b.length != "" {
+		h.Set("Content-Length", b.length)
 	}
 	l.writer.WriteHeader(b.status)
 	if _, err := l.writer.Write(b.body); err != nil {
 		l.ending = "unwritten"
-		return
-	}
-	if b.remainder == nil {
-		return
-	}
-	if _, err := io.CopyBuffer(l.writer, b.remainder, make([]byte, copyBufferBytes)); err != nil {
-		l.ending = "broken"
-		panic(http.ErrAbortHandler)
 	}
 }
 
@@ -187,41 +211,42 @@
 	return http.NewResponseController(s.writer).Flush()
 }
 
-// forwardStream forwards the events of a response as they arrive.
+// forwardStream forwards the events of a response as they arrive. A stream that ends within an
+// event was interrupted, whatever its framing.
 func (l *lifecycle) forwardStream(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
-	framed := response.Length >= 0 || !response.IsCloseDelimited()
 	r := events.NewReader(response.Body)
 	var firstEventAt time.Time
 	for {
 		e, err := r.Next()
-		// Bytes after the last whole event are forwarded only if the framing proves the end
-		// of the response.
-		if err != nil && (!framed || !errors.Is(err, events.ErrPartial)) {
-			if errors.Is(err, io.EOF) {
-				// Without framing, the end may be that of an upstream that crashed.
-				if framed && !firstEventAt.IsZero() {
-					l.recordSurvival()
-				}
-				return l.finishStream(response, reply)
+		if errors.Is(err, io.EOF) {
+			// Without framing, the end may be that of an upstream that crashed.
+			if response.IsCloseDelimited() && firstEventAt.IsZero() && l.stream.lastEventID == "" {
+				return l.streamLost(ctx, f, errNoEvent)
 			}
-			return l.streamLost(ctx, f, err)
+			if !response.IsCloseDelimited() && !firstEventAt.IsZero() {
+				l.recordSurvival()
+			}
+			return l.finishStream(response, reply, e)
 		}
-		if !l.stream.started {
-			f.RecordFirstEvent(clocks.Now())
-			l.firstByte = time.Since(l.arrived)
-			l.status = response.Status
-			l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), cmp.Or(reply.Version, f.Version))
+		if err != nil {
+			return l.streamLost(ctx, f, err)
 		}
+		f.RecordFirstEvent(clocks.Now())
 		if firstEventAt.IsZero() {
 			firstEventAt = time.Now()
 		} else if time.Since(firstEventAt) >= survivalTime {
 			l.recordSurvival()
 		}
-		f.RecordFirstEvent(clocks.Now())
-		wd.reset(l.gapTimeout())
+		// An upstream that repeats what the client has makes no progress.
 		if e.ID != "" && !l.stream.isNew(e.ID) {
 			continue
 		}
+		if !l.stream.started {
+			l.firstByte = time.Since(l.arrived)
+			l.status = response.Status
+			l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), cmp.Or(reply.Version, f.Version))
+		}
+		wd.reset(l.gapTimeout())
 		l.recordEvent()
 		if err := l.stream.writeEvent(e, r.HasBuffered()); err != nil {
 			l.ending = "unwritten"
@@ -240,13 +265,17 @@
 	l.lastEventAt = now
 }
 
-// finishStream ends a complete stream.
-func (l *lifecycle) finishStream(response *conns.Response, reply calls.Reply) (tries.Result, target.Outcome, error) {
+// finishStream ends a complete stream. The rest is what follows its last event.
+func (l *lifecycle) finishStream(response *conns.Response, reply calls.Reply, rest events.Event) (tries.Result, target.Outcome, error) {
 	if !l.stream.started {
 		l.status = response.Status
 		l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), reply.Version)
 	}
-	l.ending = "answered"
+	l.ending = endingAnswered
+	if _, err := l.writer.Write(rest.Data); err != nil {
+		l.ending = "unwritten"
+		return tries.ResultAnswered, target.OutcomeNeutral, err
+	}
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -101,11 +101,16 @@
 // world is an entry with upstreams that follow a script, in a simulated network.
 type world struct {
 	t       *testing.T
+	network *memnet.Network
+	fleet   *target.Fleet
 	handler *proxy.Handler
 	mirror  *feed.Mirror
 	script  func(w io.Writer, v visit)
 	scope   tally.TestScope
 
+	// scripts counts the visits in progress.
+	scripts sync.WaitGroup
+
 	mutex  sync.Mutex
 	visits []visit
 }
@@ -114,6 +119,8 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 80)
 }
 
+var entry = netip.MustParseAddr("10.0.0.1")
+
 var routes = []*state.Route{
 	{Name: "once", Prefix: "/once/", MaxAttempts: 3, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "any", Prefix: "/any/", Idempotent: true, MaxAttempts: 2, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
@@ -136,6 +143,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{t: t, mirror: feed.NewMirror(), script: script, scope: tally.NewTestScope("", nil)}
 		n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
+		w.network = n
 		var stops []func()
 		for i := range upstreams {
 			l, err := n.Listen(address(i))
@@ -146,11 +154,12 @@
 			go u.run()
 			stops = append(stops, func() { _ = l.Close() })
 		}
-		p, stop := conns.New(n.Dialer(netip.MustParseAddr("10.0.0.1")), nil)
+		p, stop := conns.New(n.Dialer(entry), nil)
 		regions := map[hosts.Domain]hosts.Region{"d": "r"}
 		fleet := target.New(target.Options{
 			Entries: func() []hosts.Host { return nil }, Regions: regions, Place: hosts.Place{Region: "r"}, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
 		})
+		w.fleet = fleet
 		w.handler = proxy.New(proxy.Options{
 			Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: crash.NewRegistry(zap.NewNop()),
 			Bounds:      proxy.Bounds{MaxKeyStaleness: 4 * time.Second, MaxMissStaleness: 2 * time.Second},
@@ -167,6 +176,7 @@
 		for i := range upstreams {
 			n.Kill(address(i).Addr())
 		}
+		w.scripts.Wait()
 		synctest.Wait()
 	})
 }
@@ -196,14 +206,21 @@
 	}
 }
 
+// reset resets the connections between the entry and the upstream of a visit.
+func (w *world) reset(v visit) { w.network.Cut(entry, address(v.upstream).Addr()) }
+
 // response is what a client received. Aborted is true if the connection was aborted.
 type response struct {
 	*httptest.ResponseRecorder
 	aborted bool
 }
 
-func (w *world) request(ctx context.Context, path string, headers ...string) (a response) {
-	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body")).WithContext(ctx)
+func (w *world) request(ctx context.Context, path string, headers ...string) response {
+	return w.send(ctx, http.MethodPost, path, headers...)
+}
+
+func (w *world) send(ctx context.Context, method, path string, headers ...string) (a response) {
+	r := httptest.NewRequest(method, "http://h"+path, strings.NewReader("body")).WithContext(ctx)
 	r.RequestURI = path
 	r.Header = http.Header{"Id": {"q"}, "Key": {"secret"}}
 	for i := 0; i+1 < len(headers); i += 2 {
@@ -274,6 +291,8 @@
 	w.mutex.Unlock()
 	watch := &watch{source: r, ended: v.ended}
 	go watch.run()
+	w.scripts.Add(1)
+	defer w.scripts.Done()
 	w.script(c.conn, v)
 }
 
