soak: release versions that entries see late

A request was served by a replaced version because both entries of a region had been paused when the release was published. The soak couldn't find that: `version` excused each entry that had been disturbed around the release.

`release-unseen` pauses all entries of a failure domain for 2 to 4 s and releases a version 0.1 s after the pause has begun; for half of the releases the origin is away until older versions have to end, so that engines keep them. It also covers requests that were sent before the bound and began after it, and versions released before an earlier disturbance.

--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -208,13 +209,28 @@
 		w.timeline.undisturbed(drained, r.ReceivedAt, s.entry.name, subjectStore) {
 		c.recordViolation("drain", "%s at %s through %s reached %s %s after it was drained", s.ID, at, s.entry.name, r.UpstreamID, r.ReceivedAt.Sub(drained))
 	}
-	_, versions := w.operator.history()
+	c.checkVersion(s, r)
+}
+
+// checkVersion checks that nothing starts on a version once a newer one was acknowledged for
+// versionLimit. The time counts from the acknowledgement, also for an entry that was disturbed
+// then, while the store and the link of the entry to it are undisturbed.
+func (c *checker) checkVersion(s *sentRequest, r *fakes.Run) {
+	t := c.world.timeline
+	if r.StartedAt.IsZero() || r.Version == 0 || !t.undisturbed(r.ReceivedAt, r.StartedAt, s.entry.name) {
+		return
+	}
+	counted := r.StartedAt.Add(-versionLimit)
+	_, versions := c.world.operator.history()
 	for _, v := range versions {
-		if r.StartedAt.IsZero() || r.Version == 0 || r.Version >= v.number || r.StartedAt.Sub(v.storedAt) <= versionLimit || s.sentAt.Sub(v.storedAt) <= versionLimit {
+		if r.Version >= v.number || !v.storedAt.Before(counted) {
 			continue
 		}
-		if w.timeline.undisturbed(v.storedAt, r.StartedAt, s.entry.name, subjectStore) {
-			c.recordViolation("version", "%s at %s through %s started on version %d %s after version %d was released", s.ID, at, s.entry.name, r.Version, r.StartedAt.Sub(v.storedAt), v.number)
+		if !t.overlaps(counted.Add(-stabilityTime), r.StartedAt, func(e *Event) bool {
+			return e.Subject == subjectStore || e.Subject == s.entry.name && strings.HasPrefix(e.Name, eventStoreLink)
+		}) {
+			c.recordViolation("version", "%s at %s through %s started on version %d %s after version %d was released",
+				s.ID, t.offset(s.sentAt), s.entry.name, r.Version, r.StartedAt.Sub(v.storedAt), v.number)
 			break
 		}
 	}
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"currantport.example/core/clocks"
+	"currantport.example/core/hosts"
 	"currantport.example/platform/fakes"
 )
 
@@ -28,9 +29,18 @@
 	registrationTTL = 3600 * time.Millisecond
 	// outageTime is how long the store is away when it is restored.
 	outageTime = 500 * time.Millisecond
+	// minDomainPause and maxDomainPause bound the pause of a failure domain, unseenDelay is the
+	// time from its start until a version is released.
+	minDomainPause = 2 * time.Second
+	maxDomainPause = 4 * time.Second
+	unseenDelay    = 100 * time.Millisecond
 )
 
-const eventGracefulStop = "graceful stop"
+const (
+	eventGracefulStop = "graceful stop"
+	// eventStoreLink begins the names of the faults of the link of a process to the store.
+	eventStoreLink = "store-"
+)
 
 // fault is a kind of fault. Its run injects one and returns when it has ended.
 type fault struct {
@@ -83,6 +93,7 @@
 	{"store-restore", func(i *injector, duration time.Duration) { i.restoreStore(duration) }},
 	{"upstream-leave", func(i *injector, _ time.Duration) { i.leave(i.upstream()) }},
 	{"upstream-held", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamHeld, duration) }},
+	{"release-unseen", func(i *injector, _ time.Duration) { i.releaseUnseen(i.entry().settings.Place.Domain) }},
 }
 
 // injector injects faults in the order determined by a seed.
@@ -221,7 +232,7 @@
 func (i *injector) breakStoreLink(p *process, duration time.Duration) {
 	all := []linkFault{linkDelay, linkReset, linkOneway, linkSilence, linkDark}
 	f := all[i.randomN(int64(len(all)))]
-	end := i.beginFault("store-"+string(f), p.name)
+	end := i.beginFault(eventStoreLink+string(f), p.name)
 	l := i.world.storeLinkOf(p.name)
 	holdFault(&l.activeFaults, duration, func() { l.setFault(f) }, func() { l.setFault(linkHealthy) })
 	end()
@@ -408,6 +419,24 @@
 	}
 }
 
+// releaseUnseen releases a version while all entries of a failure domain are paused. Half of the
+// versions can't be loaded before the older ones have to end.
+func (i *injector) releaseUnseen(d hosts.Domain) {
+	duration := minDomainPause + time.Duration(i.randomN(int64(maxDomainPause-minDomainPause)))
+	var group sync.WaitGroup
+	if i.randomN(2) == 0 {
+		group.Go(func() { i.breakOrigin(fakes.OriginDown, versionLimit+duration) })
+	}
+	for _, p := range i.world.entries {
+		if p.settings.Place.Domain == d {
+			group.Go(func() { i.pause(p, duration) })
+		}
+	}
+	time.Sleep(unseenDelay)
+	i.release()
+	group.Wait()
+}
+
 // addEngine starts a spare engine without a model.
 func (i *injector) addEngine() {
 	i.mutex.Lock()
--- a/stand/internal/soak/timeline.go
+++ b/stand/internal/soak/timeline.go
@@ -56,12 +56,16 @@
 
 // undisturbedExcept is like undisturbed but ignores events with the given name.
 func (t *timeline) undisturbedExcept(name string, from, until time.Time, subjects ...Subject) bool {
+	return !t.overlaps(from.Add(-stabilityTime), until, func(e *Event) bool { return slices.Contains(subjects, e.Subject) && e.Name != name })
+}
+
+// overlaps reports whether an event with a subject that matches lasted at any time between the
+// two.
+func (t *timeline) overlaps(from, until time.Time, matches func(*Event) bool) bool {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
-	from = from.Add(-stabilityTime)
-	return !slices.ContainsFunc(t.events, func(e *Event) bool {
-		return e.Subject != "" && slices.Contains(subjects, e.Subject) && e.Name != name &&
-			e.StartedAt.Before(until) && (e.EndedAt.IsZero() || e.EndedAt.After(from))
+	return slices.ContainsFunc(t.events, func(e *Event) bool {
+		return e.Subject != "" && e.StartedAt.Before(until) && (e.EndedAt.IsZero() || e.EndedAt.After(from)) && matches(e)
 	})
 }
 
