soak, fakes: send prompts with a part that crashes engines

One part of a prompt may crash each engine that begins to write a response on it, whatever else the request holds. The product recognizes only whole requests, so such requests crash engines for as long as they come, and sound ones find none.

fakes.Upstream.CrashOn crashes an engine at the first event for prompts that share a part; half of the crashes tear that event. `poison-part` lets clients add such a part to one prompt in four for 10 to 15 s, at any entry. Prompts have a first part that others share and one of their own; `unchanged` covers them. Checks: `poison` (at most three such requests reach engines 3 s after the fifth crash) and `innocent` (sound requests with the same key or first part begin at least half as often as undisturbed).

An upstream that has crashed now refuses connections: its proxy accepted and reset them, so that entries never saw a refused connection, which they take for evidence.

--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -48,6 +48,8 @@
 	world *world
 
 	mutex sync.Mutex
+	// poisons are the parts with which clients sent requests that crash engines.
+	poisons []*poisonPart
 	// unchecked are requests that have ended but may still run, in the order of their end.
 	unchecked []*sentRequest
 	requests  []*sentRequest
@@ -181,6 +183,9 @@
 		if r.Target != s.Target || r.BodyDigest != s.bodyDigest {
 			all = append(all, finding{"unchanged", "an upstream ran " + r.Target + " with another body or path"})
 		}
+		if !slices.Equal(r.Parts, s.Parts) {
+			all = append(all, finding{"unchanged", fmt.Sprintf("an upstream ran the prompt %v instead of %v", r.Parts, s.Parts)})
+		}
 		if r.Workspace != s.key.workspace || r.Credential != "" {
 			all = append(all, finding{"workspace", fmt.Sprintf("ran for workspace %q instead of %q, key forwarded: %t", r.Workspace, s.key.workspace, r.Credential != "")})
 		}
@@ -256,6 +261,7 @@
 	c.checkUnsolicited(all, runs)
 	c.checkBudget(all, runs)
 	c.checkDemands(all, runs)
+	c.checkPoison(all, runs)
 	c.checkCanceled(all)
 	c.checkTimeouts(all)
 	c.checkShutdowns(all)
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -38,6 +39,8 @@
 
 const (
 	eventGracefulStop = "graceful stop"
+	eventDrain        = "drain"
+	eventSettings     = "settings"
 	// eventStoreLink begins the names of the faults of the link of a process to the store.
 	eventStoreLink = "store-"
 )
@@ -94,6 +97,7 @@
 	{"upstream-leave", func(i *injector, _ time.Duration) { i.leave(i.upstream()) }},
 	{"upstream-held", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamHeld, duration) }},
 	{"release-unseen", func(i *injector, _ time.Duration) { i.releaseUnseen(i.entry().settings.Place.Domain) }},
+	{"poison-part", func(i *injector, _ time.Duration) { i.poisonPart() }},
 }
 
 // injector injects faults in the order determined by a seed.
@@ -110,6 +114,8 @@
 	// storeFaults and originFaults count the active faults of each.
 	storeFaults  atomic.Int32
 	originFaults atomic.Int32
+	// poisoning is locked while clients send requests with a poison part.
+	poisoning sync.Mutex
 }
 
 // newInjector returns an injector of the kinds named by the options.
@@ -241,7 +247,7 @@
 // changeSettings changes the settings file of a process and signals it with a probability
 // of one half.
 func (i *injector) changeSettings(p *process) {
-	end := i.beginFault("settings", p.name)
+	end := i.beginFault(eventSettings, p.name)
 	defer end()
 	err := p.updateSettings(func(s *fakes.ProcessSettings) {
 		if len(s.Seeds) > 0 {
@@ -284,6 +290,7 @@
 	}
 	defer m.release()
 	end := i.beginFault("crash", m.name)
+	m.proxy.refuse()
 	m.Crash()
 	expire := time.AfterFunc(registrationTTL, m.Deregister)
 	time.Sleep(duration)
@@ -301,7 +308,7 @@
 	}
 	defer m.release()
 	id := m.ID()
-	end := i.beginFault("drain", m.name)
+	end := i.beginFault(eventDrain, m.name)
 	at, wait, err := m.Drain()
 	if err != nil {
 		i.world.checker.recordViolation("bench", "%s can't drain: %v", m.name, err)
@@ -379,7 +386,7 @@
 }
 
 func (i *injector) start(m *managedUpstream) {
-	if err := m.Start(); err != nil {
+	if err := errors.Join(m.proxy.listen(), m.Start()); err != nil {
 		i.world.checker.recordViolation("bench", "%s can't start: %v", m.name, err)
 	}
 }
--- a/stand/internal/soak/load.go
+++ b/stand/internal/soak/load.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
+	"strings"
 	"time"
 
 	"currantport.example/core/clocks"
@@ -25,7 +27,11 @@
 	maxCancelDelay = 150 * time.Millisecond
 	resolveTimeout = time.Second
 	bodyBytes      = 512
-	promptTokens   = 200
+	// sharedParts is the number of first parts that prompts share.
+	sharedParts  = 3
+	sharedTokens = 120
+	poisonTokens = 30
+	ownTokens    = 50
 )
 
 // requestKind describes requests to one kind of route.
@@ -52,7 +58,9 @@
 	fakes.Request
 	kind       requestKind
 	bodyDigest string
-	key        apiKey
+	// poison is the part of the prompt that crashes engines, or nil.
+	poison *poisonPart
+	key    apiKey
 	// entry is the process that received the request, startNumber its start at that time.
 	entry       *process
 	startNumber int
@@ -148,7 +156,14 @@
 	sum := sha256.Sum256(s.Body)
 	s.bodyDigest = hex.EncodeToString(sum[:])
 	if s.kind.stream {
-		s.Model, s.Prompt, s.Output = modelName, promptTokens, eventCount
+		s.Model, s.Output = modelName, eventCount
+		if c.random.IntN(poisonInterval) == 0 {
+			s.poison = w.poison.Load()
+		}
+		s.Parts = c.prompt(s.ID, s.poison)
+		for _, p := range s.Parts {
+			s.Prompt += p.Tokens
+		}
 	}
 	at := c.addresses[c.random.IntN(len(c.addresses))]
 	s.entry = w.entryAt(at)
@@ -159,6 +174,16 @@
 	c.exchange(ctx, at, s)
 }
 
+// prompt returns the parts of a prompt: a first one shared by many, the poison part if there is
+// one, and one of its own.
+func (c *client) prompt(id string, poison *poisonPart) []fakes.PromptPart {
+	parts := []fakes.PromptPart{{ID: fmt.Sprintf("a%d", c.random.IntN(sharedParts)), Tokens: sharedTokens}}
+	if poison != nil {
+		parts = slices.Insert(parts, poison.position, fakes.PromptPart{ID: poison.id, Tokens: poisonTokens})
+	}
+	return append(parts, fakes.PromptPart{ID: strings.ReplaceAll(id, "-", "0"), Tokens: ownTokens})
+}
+
 func (c *client) exchange(ctx context.Context, at netip.AddrPort, s *sentRequest) {
 	timeout := clientTimeout
 	cancels := c.random.IntN(12) == 0
--- a/stand/internal/soak/proxy.go
+++ b/stand/internal/soak/proxy.go
@@ -39,40 +39,72 @@
 
 // proxy forwards connections to a target.
 type proxy struct {
-	listener net.Listener
-	target   netip.AddrPort
+	address netip.AddrPort
+	target  netip.AddrPort
+	group   *shell.Group
 	// activeFaults counts the active faults.
 	activeFaults atomic.Int32
 
 	mutex sync.Mutex
-	fault linkFault
-	open  map[*link]bool
+	// listener is nil while connections are refused.
+	listener net.Listener
+	fault    linkFault
+	open     map[*link]bool
 }
 
 // newProxy returns a proxy that listens at the address until the returned function is
 // called.
 func newProxy(at, target netip.AddrPort) (*proxy, func(), error) {
-	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", at.String())
-	if err != nil {
+	p := &proxy{address: at, target: target, group: shell.NewGroup(), fault: linkHealthy, open: make(map[*link]bool)}
+	if err := p.listen(); err != nil {
 		return nil, nil, err
 	}
-	p := &proxy{listener: l, target: target, fault: linkHealthy, open: make(map[*link]bool)}
-	g := shell.NewGroup()
-	g.Go(p.run)
 	return p, func() {
-		_ = l.Close()
+		p.refuse()
 		p.setFault(linkReset)
-		g.Stop()
+		p.group.Stop()
 	}, nil
 }
 
-func (p *proxy) run(context.Context) {
+// listen accepts connections until refuse is called.
+func (p *proxy) listen() error {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.listener != nil {
+		return nil
+	}
+	l, err := (&net.ListenConfig{}).Listen(context.Background(), "tcp", p.address.String())
+	if err != nil {
+		return err
+	}
+	p.listener = l
+	p.group.Go((&acceptor{proxy: p, listener: l}).run)
+	return nil
+}
+
+// refuse lets new connections be refused, as those to a process that has ended.
+func (p *proxy) refuse() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.listener != nil {
+		_ = p.listener.Close()
+		p.listener = nil
+	}
+}
+
+// acceptor accepts the connections of one listener.
+type acceptor struct {
+	proxy    *proxy
+	listener net.Listener
+}
+
+func (a *acceptor) run(context.Context) {
 	for {
-		c, err := p.listener.Accept()
+		c, err := a.listener.Accept()
 		if err != nil {
 			return
 		}
-		p.accept(c)
+		a.proxy.accept(c)
 	}
 }
 
--- a/stand/internal/soak/world.go
+++ b/stand/internal/soak/world.go
@@ -78,6 +78,8 @@
 	name  Subject
 	proxy *proxy
 	agent *process
+	// isEngine is set for an upstream of the engines' pool.
+	isEngine bool
 	// activeFaults counts the active faults of the upstream.
 	activeFaults atomic.Int32
 
@@ -125,6 +127,8 @@
 	operator  *operator
 	entries   []*process
 	upstreams []*managedUpstream
+	// poison is the part that clients add to some of their prompts, or nil.
+	poison atomic.Pointer[poisonPart]
 
 	// mutex guards the fields that grow when an engine is added.
 	mutex  sync.Mutex
@@ -290,7 +294,7 @@
 		return nil, err
 	}
 	w.cleanups = append(w.cleanups, stop)
-	m := &managedUpstream{Upstream: fakes.NewUpstream(o), name: name, proxy: p}
+	m := &managedUpstream{Upstream: fakes.NewUpstream(o), name: name, proxy: p, isEngine: o.Engine != nil}
 	w.upstreams = append(w.upstreams, m)
 	return m, nil
 }
