soak, fakes: send responses that end with their connection, and bytes without end

Upstreams may send a response with neither a length nor chunks, end a stream inside an event, or send bytes that are no response until the reader closes. The stand-ins did none of that.

fakes: `unframed` (whole, ends with an orderly close; a crash resets it), `torn` (a unary response without a length reset halfway; a stream that ends properly inside an event, with or without chunks) and `endless` (a line of a head, lines of a head, or the body of a response to no request, 1 MiB each 10 ms). `memory` checks that no process takes more than the limit in its settings. A one-way cut of a link no longer passes on the orderly end of a connection whose bytes it has dropped: that would make a part of such a response look whole.

--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -138,6 +138,11 @@
 		for _, s := range c.takeSettled(time.Now().Add(-settleDelay)) {
 			c.check(s)
 		}
+		for _, p := range slices.Concat(c.world.entries, c.world.agentList()) {
+			if n := p.residentBytes(); n > fakes.MemoryLimit {
+				c.recordViolation("memory", "%s takes %d MiB", p.name, n>>20)
+			}
+		}
 	}
 }
 
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -97,6 +97,9 @@
 	{"upstream-leave", func(i *injector, _ time.Duration) { i.leave(i.upstream()) }},
 	{"upstream-held", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamHeld, duration) }},
 	{"release-unseen", func(i *injector, _ time.Duration) { i.releaseUnseen(i.entry().settings.Place.Domain) }},
+	{"upstream-unframed", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamUnframed, duration) }},
+	{"upstream-torn", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamTorn, duration) }},
+	{"upstream-endless", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamEndless, duration) }},
 	{"poison-part", func(i *injector, _ time.Duration) { i.poisonPart() }},
 }
 
--- a/stand/internal/soak/process.go
+++ b/stand/internal/soak/process.go
@@ -112,6 +112,22 @@
 	_ = p.command.Process.Signal(s)
 }
 
+// residentBytes returns the memory of the current start, or zero if that isn't known.
+func (p *process) residentBytes() int64 {
+	p.mutex.Lock()
+	id := p.command.Process.Pid
+	p.mutex.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/statm", id))
+	if err != nil {
+		return 0
+	}
+	var size, resident int64
+	if _, err := fmt.Sscan(string(text), &size, &resident); err != nil {
+		return 0
+	}
+	return resident * int64(os.Getpagesize())
+}
+
 // stop shuts the process down gracefully and waits for the end of the current start.
 func (p *process) stop() {
 	p.mutex.Lock()
--- a/stand/internal/soak/proxy.go
+++ b/stand/internal/soak/proxy.go
@@ -193,7 +193,7 @@
 			// Dropped bytes are never delivered, so no later bytes may follow them.
 			l.mute()
 		}
-		if n > 0 && !l.isSilent() && (!fromTarget || !l.isMuted()) {
+		if n > 0 && !l.drops(fromTarget) {
 			if l.proxy.currentFault() == linkDelay {
 				time.Sleep(linkDelayTime)
 			}
@@ -205,7 +205,8 @@
 		if err == nil {
 			continue
 		}
-		if l.isSilent() {
+		if l.drops(fromTarget) {
+			// The end must not follow bytes that were dropped.
 			return
 		}
 		if err == io.EOF { //nolint:errorlint // a connection returns it as it is
@@ -224,16 +225,11 @@
 	}
 }
 
-func (l *link) isSilent() bool {
+// drops reports whether the link drops bytes in a direction.
+func (l *link) drops(fromTarget bool) bool {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	return l.silent
-}
-
-func (l *link) isMuted() bool {
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
-	return l.muted
+	return l.silent || fromTarget && l.muted
 }
 
 func (l *link) mute() {
