--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -21,7 +21,7 @@
 workspace~workspace~entry/internal/proxy/lifecycle.go~s/a\.Workspace = l\.admission\.Workspace\.Name/a.Workspace = "workspace-0"/~config
 secret~workspace~platform/internal/bridge/client.go~s/forms\.HeaderAPIKey: true, //~config
 revoked~revoked~entry/internal/proxy/admit.go~s/if v\.Staleness > b\.MaxKeyStaleness \{/if false {/~store-hung,config-revoke
-drain~drain~entry/internal/target/choose.go~s/!u\.row\.Draining && //; s/if u\.row\.Draining \|\| /if /~upstream-drain
+drain~drain~entry/internal/target/choose.go~s/!u\.row\.Draining && //; s/ && !u\.demands\.leaving//~upstream-drain
 routes~route~core/state/build.go~s/into\[name\] = row/if _, ok := into[name]; !ok { into[name] = row }/~config
 late~route~core/feed/mirror.go~s/(rows := m\.changedRows\(u\)\n)/$1\tif len(rows) > 1 { time.Sleep(3 * time.Second) }\n/~config~2s
 forward~forward~core/feed/mirror.go~s/return m\.snapshot\.Load\(\) \}/if s := older.Load(); s != nil \&\& time.Now().UnixNano()%5 == 0 { return s }; return m.snapshot.Load() }\n\nvar older atomic.Pointer[state.Snapshot]/; s/(\t\tm\.snapshot\.Store\(snapshot\))/\t\tolder.Store(m.snapshot.Load())\n$1/~config
