--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -21,12 +21,13 @@
 workspace~workspace~entry/internal/proxy/lifecycle.go~s/a\.Workspace = l\.admission\.Workspace\.Name/a.Workspace = "workspace-0"/~config
 secret~workspace~platform/internal/bridge/client.go~s/forms\.HeaderAPIKey: true, //~config
 revoked~revoked~entry/internal/proxy/admit.go~s/if v\.Staleness > b\.MaxKeyStaleness \{/if false {/~store-hung,config-revoke
-drain~drain~entry/internal/target/choose.go~s/!u\.row\.Draining && //; s/if u\.row\.Draining \|\| /if /~upstream-drain
+drain~drain~entry/internal/target/choose.go~s/!u\.row\.Draining && //; s/ && !u\.demands\.leaving//~upstream-drain
 routes~route~core/state/build.go~s/into\[name\] = row/if _, ok := into[name]; !ok { into[name] = row }/~config
 late~route~core/feed/mirror.go~s/(rows := m\.changedRows\(u\)\n)/$1\tif len(rows) > 1 { time.Sleep(3 * time.Second) }\n/~config~2s
 forward~forward~core/feed/mirror.go~s/return m\.snapshot\.Load\(\) \}/if s := older.Load(); s != nil \&\& time.Now().UnixNano()%5 == 0 { return s }; return m.snapshot.Load() }\n\nvar older atomic.Pointer[state.Snapshot]/; s/(\t\tm\.snapshot\.Store\(snapshot\))/\t\tolder.Store(m.snapshot.Load())\n$1/~config
 denied~denied~entry/internal/proxy/admit.go~s/if !v\.State\.Configured \|\| !v\.Confirmed \{/if false {/~entries-kill,store-hung
 version~version~entry/internal/target/choose.go~s/return end\.IsZero\(\) \|\| /return true || /~release,origin-down
+unseen~version~core/feed/mirror.go~s/ && r\.NotBefore\.After\(m\.completeAt\) \{/ \&\& false {/; s/return m\.completeAt\n/return time.Now()\n/~release-unseen~6s
 weights~weights~agent/internal/loader/stage.go~s/(func \(s \*stager\) verify\(ctx context\.Context\) bool \{\n)/$1\tif true { return true }\n/~release,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt~250ms
 budget~budget~entry/internal/proxy/handler.go~s/return h\.budgetOf\(pool\)\.TrySpend\(clocks\.Now\(\), h\.options\.Entries\(\)\)/return true/~upstream-grey~100ms
 left~left~entry/internal/proxy~s/l\.run\(r\.Context\(\)\)/l.run(context.WithoutCancel(r.Context()))/; s/(if err := l\.stream\.writeEvent\(e, r\.HasBuffered\(\)\); err != nil) \{/$1 \&\& false {/~config
@@ -37,6 +38,7 @@
 leaving~leaving~entry/internal/target/choose.go~s/ && !u\.demands\.leaving//~upstream-leave
 holds~holds~entry/internal/target/choose.go~s/ && !u\.demands\.isHeld\(now\)//~upstream-held~300ms
 retained~revoked~core/feed/mirror.go~s/m\.retention\.beginEra\(now, active, platform\)/m.retention.rows = nil/~store-restore,config-revoke,config-revoke,config-revoke
+memory~memory~entry/internal/proxy/handler.go~s/(l\.run\(r\.Context\(\)\)\n)/$1\tpart := make([]byte, 1<<20); for i := range part { part[i] = 1 }; kept.Store(l, part)\n/; s/\z/\nvar kept sync.Map\n/; s/"sync"\n//; s/import \(\n/import (\n\t"sync"\n/~config
 exit~exit~core/parts/server.go~s/(func \(s SeedWatcher\) reload\(\) \{\n)/$1\tpanic("settings")\n/~settings
 END
 )
--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -47,6 +48,8 @@
 	world *world
 
 	mutex sync.Mutex
+	// poisons are the parts with which clients sent requests that crash engines.
+	poisons []*poisonPart
 	// unchecked are requests that have ended but may still run, in the order of their end.
 	unchecked []*sentRequest
 	requests  []*sentRequest
@@ -135,6 +138,11 @@
 		for _, s := range c.takeSettled(time.Now().Add(-settleDelay)) {
 			c.check(s)
 		}
+		for _, p := range slices.Concat(c.world.entries, c.world.agentList()) {
+			if n := p.residentBytes(); n > fakes.MemoryLimit {
+				c.recordViolation("memory", "%s takes %d MiB", p.name, n>>20)
+			}
+		}
 	}
 }
 
@@ -180,6 +188,9 @@
 		if r.Target != s.Target || r.BodyDigest != s.bodyDigest {
 			all = append(all, finding{"unchanged", "an upstream ran " + r.Target + " with another body or path"})
 		}
+		if !slices.Equal(r.Parts, s.Parts) {
+			all = append(all, finding{"unchanged", fmt.Sprintf("an upstream ran the prompt %v instead of %v", r.Parts, s.Parts)})
+		}
 		if r.Workspace != s.key.workspace || r.Credential != "" {
 			all = append(all, finding{"workspace", fmt.Sprintf("ran for workspace %q instead of %q, key forwarded: %t", r.Workspace, s.key.workspace, r.Credential != "")})
 		}
@@ -208,13 +219,28 @@
 		w.timeline.undisturbed(drained, r.ReceivedAt, s.entry.name, subjectStore) {
 		c.recordViolation("drain", "%s at %s through %s reached %s %s after it was drained", s.ID, at, s.entry.name, r.UpstreamID, r.ReceivedAt.Sub(drained))
 	}
-	_, versions := w.operator.history()
+	c.checkVersion(s, r)
+}
+
+// checkVersion checks that nothing starts on a version once a newer one was acknowledged for
+// versionLimit. The time counts from the acknowledgement, also for an entry that was disturbed
+// then, while the store and the link of the entry to it are undisturbed.
+func (c *checker) checkVersion(s *sentRequest, r *fakes.Run) {
+	t := c.world.timeline
+	if r.StartedAt.IsZero() || r.Version == 0 || !t.undisturbed(r.ReceivedAt, r.StartedAt, s.entry.name) {
+		return
+	}
+	counted := r.StartedAt.Add(-versionLimit)
+	_, versions := c.world.operator.history()
 	for _, v := range versions {
-		if r.StartedAt.IsZero() || r.Version == 0 || r.Version >= v.number || r.StartedAt.Sub(v.storedAt) <= versionLimit || s.sentAt.Sub(v.storedAt) <= versionLimit {
+		if r.Version >= v.number || !v.storedAt.Before(counted) {
 			continue
 		}
-		if w.timeline.undisturbed(v.storedAt, r.StartedAt, s.entry.name, subjectStore) {
-			c.recordViolation("version", "%s at %s through %s started on version %d %s after version %d was released", s.ID, at, s.entry.name, r.Version, r.StartedAt.Sub(v.storedAt), v.number)
+		if !t.overlaps(counted.Add(-stabilityTime), r.StartedAt, func(e *Event) bool {
+			return e.Subject == subjectStore || e.Subject == s.entry.name && strings.HasPrefix(e.Name, eventStoreLink)
+		}) {
+			c.recordViolation("version", "%s at %s through %s started on version %d %s after version %d was released",
+				s.ID, t.offset(s.sentAt), s.entry.name, r.Version, r.StartedAt.Sub(v.storedAt), v.number)
 			break
 		}
 	}
@@ -240,6 +266,7 @@
 	c.checkUnsolicited(all, runs)
 	c.checkBudget(all, runs)
 	c.checkDemands(all, runs)
+	c.checkPoison(all, runs)
 	c.checkCanceled(all)
 	c.checkTimeouts(all)
 	c.checkShutdowns(all)
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"slices"
@@ -12,6 +13,7 @@
 	"time"
 
 	"currantport.example/core/clocks"
+	"currantport.example/core/hosts"
 	"currantport.example/platform/fakes"
 )
 
@@ -28,9 +30,20 @@
 	registrationTTL = 3600 * time.Millisecond
 	// outageTime is how long the store is away when it is restored.
 	outageTime = 500 * time.Millisecond
+	// minDomainPause and maxDomainPause bound the pause of a failure domain, unseenDelay is the
+	// time from its start until a version is released.
+	minDomainPause = 2 * time.Second
+	maxDomainPause = 4 * time.Second
+	unseenDelay    = 100 * time.Millisecond
 )
 
-const eventGracefulStop = "graceful stop"
+const (
+	eventGracefulStop = "graceful stop"
+	eventDrain        = "drain"
+	eventSettings     = "settings"
+	// eventStoreLink begins the names of the faults of the link of a process to the store.
+	eventStoreLink = "store-"
+)
 
 // fault is a kind of fault. Its run injects one and returns when it has ended.
 type fault struct {
@@ -83,6 +96,11 @@
 	{"store-restore", func(i *injector, duration time.Duration) { i.restoreStore(duration) }},
 	{"upstream-leave", func(i *injector, _ time.Duration) { i.leave(i.upstream()) }},
 	{"upstream-held", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamHeld, duration) }},
+	{"release-unseen", func(i *injector, _ time.Duration) { i.releaseUnseen(i.entry().settings.Place.Domain) }},
+	{"upstream-unframed", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamUnframed, duration) }},
+	{"upstream-torn", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamTorn, duration) }},
+	{"upstream-endless", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamEndless, duration) }},
+	{"poison-part", func(i *injector, _ time.Duration) { i.poisonPart() }},
 }
 
 // injector injects faults in the order determined by a seed.
@@ -99,6 +117,8 @@
 	// storeFaults and originFaults count the active faults of each.
 	storeFaults  atomic.Int32
 	originFaults atomic.Int32
+	// poisoning is locked while clients send requests with a poison part.
+	poisoning sync.Mutex
 }
 
 // newInjector returns an injector of the kinds named by the options.
@@ -221,7 +241,7 @@
 func (i *injector) breakStoreLink(p *process, duration time.Duration) {
 	all := []linkFault{linkDelay, linkReset, linkOneway, linkSilence, linkDark}
 	f := all[i.randomN(int64(len(all)))]
-	end := i.beginFault("store-"+string(f), p.name)
+	end := i.beginFault(eventStoreLink+string(f), p.name)
 	l := i.world.storeLinkOf(p.name)
 	holdFault(&l.activeFaults, duration, func() { l.setFault(f) }, func() { l.setFault(linkHealthy) })
 	end()
@@ -230,7 +250,7 @@
 // changeSettings changes the settings file of a process and signals it with a probability
 // of one half.
 func (i *injector) changeSettings(p *process) {
-	end := i.beginFault("settings", p.name)
+	end := i.beginFault(eventSettings, p.name)
 	defer end()
 	err := p.updateSettings(func(s *fakes.ProcessSettings) {
 		if len(s.Seeds) > 0 {
@@ -273,6 +293,7 @@
 	}
 	defer m.release()
 	end := i.beginFault("crash", m.name)
+	m.proxy.refuse()
 	m.Crash()
 	expire := time.AfterFunc(registrationTTL, m.Deregister)
 	time.Sleep(duration)
@@ -290,7 +311,7 @@
 	}
 	defer m.release()
 	id := m.ID()
-	end := i.beginFault("drain", m.name)
+	end := i.beginFault(eventDrain, m.name)
 	at, wait, err := m.Drain()
 	if err != nil {
 		i.world.checker.recordViolation("bench", "%s can't drain: %v", m.name, err)
@@ -368,7 +389,7 @@
 }
 
 func (i *injector) start(m *managedUpstream) {
-	if err := m.Start(); err != nil {
+	if err := errors.Join(m.proxy.listen(), m.Start()); err != nil {
 		i.world.checker.recordViolation("bench", "%s can't start: %v", m.name, err)
 	}
 }
@@ -408,6 +429,24 @@
 	}
 }
 
+// releaseUnseen releases a version while all entries of a failure domain are paused. Half of the
+// versions can't be loaded before the older ones have to end.
+func (i *injector) releaseUnseen(d hosts.Domain) {
+	duration := minDomainPause + time.Duration(i.randomN(int64(maxDomainPause-minDomainPause)))
+	var group sync.WaitGroup
+	if i.randomN(2) == 0 {
+		group.Go(func() { i.breakOrigin(fakes.OriginDown, versionLimit+duration) })
+	}
+	for _, p := range i.world.entries {
+		if p.settings.Place.Domain == d {
+			group.Go(func() { i.pause(p, duration) })
+		}
+	}
+	time.Sleep(unseenDelay)
+	i.release()
+	group.Wait()
+}
+
 // addEngine starts a spare engine without a model.
 func (i *injector) addEngine() {
 	i.mutex.Lock()
