--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -57,12 +57,15 @@
 	sentAt time.Time
 }
 
-// follows reports whether the crash has another cause in time than an earlier one.
+// follows reports whether the crash is evidence of its own beside an earlier one.
 func (e event) follows(earlier event) bool {
 	return e.at.Sub(earlier.at) >= momentGap || !e.sentAt.IsZero() && !e.sentAt.Before(earlier.at)
 }
 
-func (e event) is(o event) bool { return e.upstream == o.upstream && e.at.Sub(o.at).Abs() < sameCrash }
+// isSame reports whether two processes speak of the same crash.
+func (e event) isSame(o event) bool {
+	return e.upstream == o.upstream && e.at.Sub(o.at).Abs() < sameCrash
+}
 
 // suspect is a part of a prompt of which requests were lost with their upstreams.
 type suspect struct {
@@ -173,7 +176,7 @@
 
 // addCrash adds a crash to a part unless it is known or an upstream survived the part since.
 func (t *partTable) addCrash(p Fingerprint, s *suspect, e event) bool {
-	if !e.at.After(t.survivedAt(p)) || slices.ContainsFunc(s.crashes, e.is) {
+	if !e.at.After(t.survivedAt(p)) || slices.ContainsFunc(s.crashes, e.isSame) {
 		return false
 	}
 	s.crashes = append(s.crashes[max(len(s.crashes)-maxCrashes+1, 0):], e)
@@ -183,7 +186,7 @@
 
 // addEvent adds a crash that is to be explained.
 func (t *partTable) addEvent(e event) {
-	if !slices.ContainsFunc(t.events, e.is) {
+	if !slices.ContainsFunc(t.events, e.isSame) {
 		t.events = append(t.events[max(len(t.events)-maxEvents+1, 0):], e)
 	}
 }
@@ -224,7 +227,7 @@
 		s.quarantined, s.rivals = false, nil
 	}
 	t.convicted = t.convicted[:0]
-	// What a part explains no longer counts for those that follow, so that the order matters.
+	// What a convicted part explains no longer counts against those after it in the order.
 	for _, p := range ranked {
 		if left := t.unexplained(p); t.convicts(now, p, left) {
 			t.convict(p, t.rivalsOf(p, left, ranked))
@@ -238,7 +241,8 @@
 	for p, s := range t.suspects {
 		if s.quarantined != before[p].quarantined || len(s.rivals) != len(before[p].rivals) {
 			t.log.Warn("prompt-part-quarantined", zap.String("part", hex.EncodeToString(p[:])), zap.Bool("quarantined", s.quarantined),
-				zap.Int("rivals", len(s.rivals)), zap.Int("crashes", len(s.crashes)), zap.Bool("adopted", s.adopted), zap.Int("of", len(t.events)), zap.Time("survived", t.survivedAt(p)))
+				zap.Int("rivals", len(s.rivals)), zap.Bool("adopted", s.adopted), zap.Int("crashes", len(s.crashes)),
+				zap.Int("of", len(t.events)), zap.Time("survived", t.survivedAt(p)))
 		}
 	}
 }
@@ -262,7 +266,7 @@
 		return nil
 	}
 	for _, r := range ranked {
-		shared := func(e event) bool { return slices.ContainsFunc(t.suspects[r].crashes, e.is) }
+		shared := func(e event) bool { return slices.ContainsFunc(t.suspects[r].crashes, e.isSame) }
 		if r != p && t.survivedAt(r).IsZero() && count(crashes, shared) == len(crashes) {
 			rivals = append(rivals, r)
 		}
@@ -281,13 +285,16 @@
 	}
 	slices.SortFunc(all, func(x, y Fingerprint) int {
 		a, b := t.suspects[x], t.suspects[y]
-		return cmp.Or(cmp.Compare(rankOf(t.survivedAt(x).IsZero()), rankOf(t.survivedAt(y).IsZero())), cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(b.position, a.position), slices.Compare(x[:], y[:]))
+		return cmp.Or(
+			cmp.Compare(boolRank(t.survivedAt(x).IsZero()), boolRank(t.survivedAt(y).IsZero())),
+			cmp.Compare(len(b.crashes), len(a.crashes)), cmp.Compare(b.position, a.position), slices.Compare(x[:], y[:]),
+		)
 	})
 	return all
 }
 
-// rankOf returns a rank by which those for which something is true come first.
-func rankOf(isFirst bool) int {
+// boolRank orders true before false.
+func boolRank(isFirst bool) int {
 	if isFirst {
 		return 0
 	}
@@ -302,7 +309,7 @@
 	}
 	slices.SortFunc(crashes, func(a, b event) int { return a.at.Compare(b.at) })
 	others := slices.DeleteFunc(slices.Clone(t.events), func(e event) bool {
-		return e.at.Before(crashes[0].at.Add(-momentGap)) || slices.ContainsFunc(crashes, e.is) || t.isExplained(e)
+		return e.at.Before(crashes[0].at.Add(-momentGap)) || slices.ContainsFunc(crashes, e.isSame) || t.isExplained(e)
 	})
 	moments := countMoments(crashes, others)
 	if !survivedAt.IsZero() && moments < survivedMoments {
@@ -346,7 +353,7 @@
 
 // isExplained reports whether a quarantined part explains the crash.
 func (t *partTable) isExplained(e event) bool {
-	return slices.ContainsFunc(t.convicted, func(s *suspect) bool { return slices.ContainsFunc(s.crashes, e.is) })
+	return slices.ContainsFunc(t.convicted, func(s *suspect) bool { return slices.ContainsFunc(s.crashes, e.isSame) })
 }
 
 func (t *partTable) isQuarantined(parts []Fingerprint) bool {
@@ -355,7 +362,8 @@
 		if s == nil || !s.quarantined {
 			continue
 		}
-		if len(s.rivals) == 0 || slices.ContainsFunc(s.rivals, func(r Fingerprint) bool { return slices.Contains(parts, r) }) {
+		isPresent := func(r Fingerprint) bool { return slices.Contains(parts, r) }
+		if len(s.rivals) == 0 || slices.ContainsFunc(s.rivals, isPresent) {
 			return true
 		}
 	}
