soak: add mutants of the quarantine of prompt parts

`poison` and `innocent` had been red only for lack of that quarantine.

A first mutant of innocent, which took each suspected part for quarantined, stayed green: first parts are soon seen to survive.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -27,7 +27,9 @@
 forward~forward~core/feed/mirror.go~s/return m\.snapshot\.Load\(\) \}/if s := older.Load(); s != nil \&\& time.Now().UnixNano()%5 == 0 { return s }; return m.snapshot.Load() }\n\nvar older atomic.Pointer[state.Snapshot]/; s/(\t\tm\.snapshot\.Store\(snapshot\))/\t\tolder.Store(m.snapshot.Load())\n$1/~config
 denied~denied~entry/internal/proxy/admit.go~s/if !v\.State\.Configured \|\| !v\.Confirmed \{/if false {/~entries-kill,store-hung
 version~version~entry/internal/target/choose.go~s/return end\.IsZero\(\) \|\| /return true || /~release,origin-down
-unseen~version~core/feed/mirror.go~s/ && r\.NotBefore\.After\(m\.completeAt\) \{/ \&\& false {/; s/return m\.completeAt\n/return time.Now()\n/~release-unseen~6s
+unseen~version~core/feed/mirror.go~s/r\.NotBefore\.After\((m\.)?completeAt\)/false/; s/return (m\.)?completeAt\n/return time.Now()\n/~release-unseen~6s
+poison~poison~core/crash/crash.go~s/if r\.parts\.isQuarantined\(q\.Parts\) \{/if false {/~poison-part~6s
+innocent~innocent~core/crash/parts.go~s/(\) isQuarantined\(parts \[\]Fingerprint\) bool \{\n)/$1\tif len(t.convicted) > 0 { return true }\n/~poison-part~6s
 weights~weights~agent/internal/loader/stage.go~s/(func \(s \*stager\) verify\(ctx context\.Context\) bool \{\n)/$1\tif true { return true }\n/~release,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt~250ms
 budget~budget~entry/internal/proxy/handler.go~s/return h\.budgetOf\(pool\)\.TrySpend\(clocks\.Now\(\), h\.options\.Entries\(\)\)/return true/~upstream-grey~100ms
 left~left~entry/internal/proxy~s/l\.run\(r\.Context\(\)\)/l.run(context.WithoutCancel(r.Context()))/; s/(if err := l\.stream\.writeEvent\(e, r\.HasBuffered\(\)\); err != nil) \{/$1 \&\& false {/~config
