crash: gossip no evidence that a verdict explains

Two entries that had been restarted got the verdict on the part with one crash, but all crashes of its bystanders, and took four of those for causes.

A suspect's crashes that a verdict explains are no longer passed on, nor are they as crashes to be explained. What the verdict of a part with rivals explains still is, since the others decide on it too.

Failed before: TestNewEntryTakesNoBystanderForTheCause.

--- a/core/crash/marks.go
+++ b/core/crash/marks.go
@@ -26,7 +26,8 @@
 	for _, p := range t.newestNotices(limit / noticeShare) {
 		marks = append(marks, &wire.CrashMark{Fingerprint: slices.Clone(p[:]), Part: 1, Survived: true, Age: now.Sub(t.survivedAt(p)).Milliseconds()})
 	}
-	for _, e := range t.events[max(len(t.events)-limit/eventShare, 0):] {
+	open := slices.DeleteFunc(slices.Clone(t.events), t.isSettled)
+	for _, e := range open[max(len(open)-limit/eventShare, 0):] {
 		marks = append(marks, &wire.CrashMark{Upstream: e.upstream, Age: now.Sub(e.at).Milliseconds()})
 	}
 	marks = append(marks, t.evidence(now)...)
@@ -52,12 +53,13 @@
 		if !t.survivedAt(p).IsZero() && !s.quarantined {
 			continue
 		}
-		marks := s.marks(now, p)
 		if s.isConvicted() {
+			marks := s.marks(now, p, s.crashes)
 			verdicts, reasons = append(verdicts, marks[0]), append(reasons, marks[1:]...)
-		} else {
-			suspicions = append(suspicions, marks...)
+			continue
 		}
+		// Without the reasons of the verdict, others would take the part for the cause.
+		suspicions = append(suspicions, s.marks(now, p, slices.DeleteFunc(slices.Clone(s.crashes), t.isSettled))...)
 	}
 	return slices.Concat(verdicts, suspicions, reasons)
 }
@@ -65,10 +67,15 @@
 // isConvicted reports whether each request with the part is refused.
 func (s *suspect) isConvicted() bool { return s.quarantined && len(s.rivals) == 0 }
 
-// marks returns the marks of the last crashes of a suspect, newest first.
-func (s *suspect) marks(now time.Time, p Fingerprint) []*wire.CrashMark {
+// isSettled reports whether a verdict explains the crash.
+func (t *partTable) isSettled(e event) bool {
+	return slices.ContainsFunc(t.convicted, func(s *suspect) bool { return s.isConvicted() && slices.ContainsFunc(s.crashes, e.isSame) })
+}
+
+// marks returns the marks of the last of the crashes, newest first.
+func (s *suspect) marks(now time.Time, p Fingerprint, crashes []event) []*wire.CrashMark {
 	var marks []*wire.CrashMark
-	for _, e := range slices.Backward(s.crashes[max(len(s.crashes)-maxEvidence, 0):]) {
+	for _, e := range slices.Backward(crashes[max(len(crashes)-maxEvidence, 0):]) {
 		marks = append(marks, &wire.CrashMark{
 			Fingerprint: slices.Clone(p[:]), Part: uint32(s.position), Upstream: e.upstream, Age: now.Sub(e.at).Milliseconds(), Quarantined: s.isConvicted(),
 		})
--- a/core/crash/quarantine_test.go
+++ b/core/crash/quarantine_test.go
@@ -224,3 +224,29 @@
 		})
 	}
 }
+
+// TestNewEntryTakesNoBystanderForTheCause guards against evidence that a verdict explains elsewhere
+// and that reaches an entry without that verdict's own.
+func TestNewEntryTakesNoBystanderForTheCause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		one, two := crash.NewRegistry(zap.NewNop()), crash.NewRegistry(zap.NewNop())
+		bystanders := []string{"all", "even", "odd"}
+		for i := range 6 {
+			crashOne(one, fmt.Sprint("u", i), []string{"bad"}, []string{"all"}, bystanders[1+i%2:2+i%2])
+			time.Sleep(200 * time.Millisecond)
+		}
+		crashSeries(one, "later", 2, 200*time.Millisecond, []string{"bad"})
+		for range 10 {
+			two.Merge("one", one.Export(32))
+			time.Sleep(gossipInterval)
+		}
+		for _, r := range []*crash.Registry{one, two} {
+			checkRefused(t, r, "bad")
+			for _, b := range bystanders {
+				if r.IsQuarantined(identity([]string{b}, -1)) {
+					t.Errorf("%s is refused", b)
+				}
+			}
+		}
+	})
+}
