loader: load in turn from when a release is seen to when it ends

The first slot is counted from when the release is seen again, since the pieces arrive after that, the last one from the publication.

TestEnginesLoadInTurnThoughTheReleaseWasSeenLate covers releases that are seen 1, 3 and 7 s late.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -96,6 +96,13 @@
 	version int
 }
 
+// releaseTime is when a version was released.
+type releaseTime struct {
+	// notBefore is the earliest time at which it may have been, seenAt when this process saw it.
+	notBefore time.Time
+	seenAt    time.Time
+}
+
 // Loader keeps one engine at the released version.
 type Loader struct {
 	options Options
@@ -110,8 +117,8 @@
 	// orderedAt is the time of the last order, or zero if its load has ended.
 	orderedAt time.Time
 	retryAt   time.Time
-	// notBefore is the earliest time at which each version may have been released.
-	notBefore map[targetVersion]time.Time
+	// releases holds when each version was released.
+	releases map[targetVersion]releaseTime
 	// retained holds the version for which all others were dropped from the cache.
 	retained map[targetVersion]bool
 
@@ -125,7 +132,7 @@
 func New(o Options) (*Loader, func()) {
 	buckets := tally.MustMakeExponentialDurationBuckets(minServedBucket, 2, servedBuckets)
 	l := &Loader{
-		options: o, orders: o.Scope.Counter("orders"), served: o.Scope.Histogram("release_seconds", buckets), notBefore: make(map[targetVersion]time.Time),
+		options: o, orders: o.Scope.Counter("orders"), served: o.Scope.Histogram("release_seconds", buckets), releases: make(map[targetVersion]releaseTime),
 	}
 	var stopFetcher, stopStager func()
 	l.fetcher, stopFetcher = newWeightFetcher(o)
@@ -193,7 +200,7 @@
 	if !ok {
 		return
 	}
-	if _, known := l.notBefore[t]; !known {
+	if _, known := l.releases[t]; !known {
 		l.recordRelease(t)
 	}
 	if l.slotTarget != t {
@@ -223,7 +230,7 @@
 	if at.IsZero() {
 		at = now.Add(-l.options.VersionTimeout)
 	}
-	l.notBefore[t] = at
+	l.releases[t] = releaseTime{notBefore: at, seenAt: now}
 	l.options.Log.Info("release", zap.String("model", t.model), zap.Int("version", t.version), zap.Duration("age", now.Sub(at)))
 }
 
@@ -292,18 +299,18 @@
 func (l *Loader) planSlot(t targetVersion) {
 	l.slotTarget, l.orderedAt = t, time.Time{}
 	s := l.options.Mirror.Snapshot()
-	l.slot = NewRolloutSlot(l.earliestMissing(t), t.model, t.version, l.row(l.status.Started), s.Upstreams(l.options.Pool))
+	release := l.earliestMissing(t)
+	l.slot = NewRolloutSlot(release.notBefore, release.seenAt, t.model, t.version, l.row(l.status.Started), s.Upstreams(l.options.Pool))
 	l.options.Log.Info("load-planned", zap.String("model", t.model), zap.Int("version", t.version),
 		zap.Int("rank", l.slot.Rank), zap.Int("count", l.slot.Count), zap.Duration("after", l.slot.Start(l.options.VersionTimeout).Sub(clocks.Now())))
 }
 
-// earliestMissing returns the earliest time at which a release that the engine lacks may have
-// been published.
-func (l *Loader) earliestMissing(t targetVersion) time.Time {
-	earliest := l.notBefore[t]
-	for other, at := range l.notBefore {
-		if other.model == t.model && other.version <= t.version && !l.holdsOrNewer(other) && at.Before(earliest) {
-			earliest = at
+// earliestMissing returns the time of the earliest release that the engine lacks.
+func (l *Loader) earliestMissing(t targetVersion) releaseTime {
+	earliest := l.releases[t]
+	for other, r := range l.releases {
+		if other.model == t.model && other.version <= t.version && !l.holdsOrNewer(other) && r.notBefore.Before(earliest.notBefore) {
+			earliest = r
 		}
 	}
 	return earliest
@@ -349,7 +356,7 @@
 	ack, err := l.options.Engine.Load(ctx, t.model, t.version)
 	l.orders.Inc(1)
 	l.options.Log.Info("order", zap.String("model", t.model), zap.Int("version", t.version), zap.String("ack", string(ack)),
-		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.notBefore[t])), zap.Error(err))
+		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.releases[t].notBefore)), zap.Error(err))
 	if err != nil || ack == engine.AckConflict || ack == engine.AckFenced {
 		l.retryAt = clocks.Now().Add(orderBackoff)
 		return
@@ -364,7 +371,7 @@
 // the other versions from the cache.
 func (l *Loader) resumeRequests(t targetVersion) {
 	if !l.orderedAt.IsZero() {
-		since := clocks.Since(l.notBefore[t])
+		since := clocks.Since(l.releases[t].notBefore)
 		l.served.RecordDuration(since)
 		l.options.Log.Info("version-served", zap.String("model", t.model), zap.Int("version", t.version), zap.Duration("since", since))
 	}
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -114,7 +114,7 @@
 	for i := range 100 {
 		self := &state.Upstream{ID: fmt.Sprint("e", i), Pool: "minds", Address: engineAddress, Slots: 2, Started: w.started, Held: held}
 		pool := append(slices.Clone(all), self)
-		if loader.NewRolloutSlot(time.Now(), writer, 2, self, pool).Rank == len(all) {
+		if loader.NewRolloutSlot(time.Now(), time.Now(), writer, 2, self, pool).Rank == len(all) {
 			return pool
 		}
 	}
--- a/agent/internal/loader/slot.go
+++ b/agent/internal/loader/slot.go
@@ -19,8 +19,11 @@
 
 // RolloutSlot determines when an engine loads a version.
 type RolloutSlot struct {
-	// NotBefore is the earliest time at which the version may have been released.
+	// NotBefore is the earliest time at which the version may have been released, SeenAt when
+	// the agent saw that it was. The first engine is timed by SeenAt, since the pieces arrive after
+	// it, and the last one by NotBefore, from which the roll-out limit counts.
 	NotBefore time.Time
+	SeenAt    time.Time
 	// Rank and Count are the position of the engine among those of its pool that serve an
 	// older version, and their number.
 	Rank  int
@@ -33,14 +36,14 @@
 // Requests continue while a version is rolled out. Engines therefore load one after the
 // other, spread over the roll-out limit, so that as many as possible serve at any time. All
 // agents compute the same order from rendezvous ranks, without messages.
-func NewRolloutSlot(notBefore time.Time, model string, version int, self *state.Upstream, all []*state.Upstream) RolloutSlot {
+func NewRolloutSlot(notBefore, seenAt time.Time, model string, version int, self *state.Upstream, all []*state.Upstream) RolloutSlot {
 	var names []hosts.Name
 	for _, u := range all {
 		if held := u.Version(model); held != 0 && held < version && !u.Draining {
 			names = append(names, hosts.Name(u.ID))
 		}
 	}
-	s := RolloutSlot{NotBefore: notBefore, Count: len(names)}
+	s := RolloutSlot{NotBefore: notBefore, SeenAt: seenAt, Count: len(names)}
 	if self == nil {
 		return s
 	}
@@ -54,8 +57,12 @@
 	if limit <= 0 || s.Count <= 1 {
 		return s.NotBefore
 	}
-	first, last := float64(limit)*firstStartRatio, float64(limit)*lastStartRatio
-	return s.NotBefore.Add(time.Duration(first + (last-first)*float64(s.Rank)/float64(s.Count-1)))
+	last := s.NotBefore.Add(time.Duration(float64(limit) * lastStartRatio))
+	first := s.SeenAt.Add(time.Duration(float64(limit) * firstStartRatio))
+	if first.After(last) {
+		return last
+	}
+	return first.Add(last.Sub(first) * time.Duration(s.Rank) / time.Duration(s.Count-1))
 }
 
 // Deadline returns the time after which the engine gets no requests for an older version.
--- a/agent/internal/loader/slot_test.go
+++ b/agent/internal/loader/slot_test.go
@@ -25,7 +25,7 @@
 	all := engines(16, 1)
 	starts := make(map[time.Time]bool)
 	for _, u := range all {
-		slot := loader.NewRolloutSlot(notBefore, "m", 2, u, all)
+		slot := loader.NewRolloutSlot(notBefore, notBefore, "m", 2, u, all)
 		at := slot.Start(versionTimeout)
 		starts[at] = true
 		if at.Before(notBefore) || at.After(slot.Deadline(versionTimeout)) || !slot.Deadline(versionTimeout).Before(notBefore.Add(versionTimeout)) {
@@ -37,19 +37,39 @@
 	}
 }
 
+func TestEnginesLoadInTurnThoughTheReleaseWasSeenLate(t *testing.T) {
+	notBefore := time.Unix(1e9, 0)
+	for _, late := range []time.Duration{time.Second, 3 * time.Second, 7 * time.Second} {
+		seenAt := notBefore.Add(late)
+		all := engines(8, 1)
+		starts := make(map[time.Time]bool)
+		for _, u := range all {
+			slot := loader.NewRolloutSlot(notBefore, seenAt, "m", 2, u, all)
+			at := slot.Start(versionTimeout)
+			starts[at] = true
+			if at.After(slot.Deadline(versionTimeout)) || late < 4*time.Second && at.Before(seenAt.Add(versionTimeout/4)) {
+				t.Errorf("seen %v late: %s loads %v after the release, the last one after %v", late, u.ID, at.Sub(notBefore), slot.Deadline(versionTimeout).Sub(notBefore))
+			}
+		}
+		if late < 4*time.Second && len(starts) != len(all) {
+			t.Errorf("seen %v late: %d engines load at %d times", late, len(all), len(starts))
+		}
+	}
+}
+
 func TestOnlyEnginesWithOlderVersionGetSlots(t *testing.T) {
 	notBefore := time.Unix(1e9, 0)
 	all := append(engines(3, 1), engines(9, 2)[3:]...)
 	all = append(all, &state.Upstream{ID: "empty"})
 	draining := &state.Upstream{ID: "leaves", Draining: true, Held: []state.HeldVersion{{Model: "m", Version: 1, Whole: true}}}
 	all = append(all, draining)
-	if slot := loader.NewRolloutSlot(notBefore, "m", 2, all[0], all); slot.Count != 3 {
+	if slot := loader.NewRolloutSlot(notBefore, notBefore, "m", 2, all[0], all); slot.Count != 3 {
 		t.Errorf("%d engines have slots", slot.Count)
 	}
-	if at := loader.NewRolloutSlot(notBefore, "m", 2, all[0], all[:1]).Start(versionTimeout); !at.Equal(notBefore) {
+	if at := loader.NewRolloutSlot(notBefore, notBefore, "m", 2, all[0], all[:1]).Start(versionTimeout); !at.Equal(notBefore) {
 		t.Errorf("the only engine waits for %v", at.Sub(notBefore))
 	}
-	if at := loader.NewRolloutSlot(notBefore, "m", 2, nil, all).Start(0); !at.Equal(notBefore) {
+	if at := loader.NewRolloutSlot(notBefore, notBefore, "m", 2, nil, all).Start(0); !at.Equal(notBefore) {
 		t.Errorf("without a limit it waits for %v", at.Sub(notBefore))
 	}
 }
