--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -81,7 +81,7 @@
 	{"upstream-lossy", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamLossy, duration) }},
 	{"upstream-garbled", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamGarbled, duration) }},
 	{"upstream-doubled", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamExtraResponse, duration) }},
-	{"upstream-spoilt", func(i *injector, _ time.Duration) { i.upstream().CorruptStagedPieces() }},
+	{"upstream-spoilt", func(i *injector, _ time.Duration) { i.corruptStaged(i.upstream()) }},
 	{"link-delay", func(i *injector, duration time.Duration) { i.breakLink(linkDelay, duration) }},
 	{"link-reset", func(i *injector, duration time.Duration) { i.breakLink(linkReset, duration) }},
 	{"link-oneway", func(i *injector, duration time.Duration) { i.breakLink(linkOneway, duration) }},
@@ -447,6 +447,12 @@
 	group.Wait()
 }
 
+// corruptStaged corrupts pieces that are staged at an engine.
+func (i *injector) corruptStaged(m *managedUpstream) {
+	i.world.timeline.add(Event{Name: "staged pieces corrupted", Subject: m.name})
+	m.CorruptStagedPieces()
+}
+
 // addEngine starts a spare engine without a model.
 func (i *injector) addEngine() {
 	i.mutex.Lock()
