bridge, proxy: decode and log the limit that an upstream names

Logs could not tell whether an upstream's Server-Limit wasn't read or was read and exceeded: no line named it. No decision changes.

--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -94,4 +94,11 @@
 	RetryAfterInvalid string
 	// Leaving is true if the upstream is shutting down.
 	Leaving bool
+	// Limited is true if the upstream names the number of requests a second that it takes
+	// from all entries together. Limit is that number, finite and not negative.
+	Limited bool
+	Limit   float64
+	// LimitInvalid is the text of a value that names no such number, or empty. Such a
+	// response says nothing about a limit.
+	LimitInvalid string
 }
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -346,6 +346,19 @@
 		l.handler.metrics.countDemand("held", f.Row.ID)
 		f.Hold(clocks.Now(), reply.RetryAfter)
 	}
+	l.recordLimit(f, reply)
+}
+
+// recordLimit logs the limit that an upstream names.
+func (l *lifecycle) recordLimit(f *target.InFlight, reply calls.Reply) {
+	if reply.LimitInvalid != "" {
+		l.handler.options.Log.Warn("limit-invalid", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID),
+			zap.String("value", reply.LimitInvalid[:min(len(reply.LimitInvalid), maxLoggedValue)]))
+	}
+	if reply.Limited {
+		l.handler.metrics.countDemand("limited", f.Row.ID)
+		l.handler.options.Log.Info("limit-named", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID), zap.Float64("limit", reply.Limit))
+	}
 }
 
 // maxLoggedValue bounds the part of an invalid header that is logged, in bytes.
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -81,6 +81,12 @@
 			r.RetryAfterInvalid = text
 		}
 	}
+	if text := h.Get("Limit"); text != "" {
+		l, err := strconv.ParseFloat(text, 64)
+		if r.Limit, r.Limited = l, err == nil; err != nil {
+			r.LimitInvalid = text
+		}
+	}
 	return r
 }
 
