--- /dev/null
+++ b/entry/internal/proxy/limits_test.go
@@ -0,0 +1,56 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+)
+
+// limitSpan and limitSlack are those of the users' rule: in no span may an upstream get more than
+// one and a half times what its limit allows, and limitSlack requests more.
+const (
+	limitSpan  = 4 * time.Second
+	limitSlack = 5
+)
+
+// mostWithin returns the largest number of the times in any span of the given length. The times
+// are in order.
+func mostWithin(times []time.Time, span time.Duration) int {
+	most, first := 0, 0
+	for i, t := range times {
+		for t.Sub(times[first]) >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+// TestLimitThatUpstreamNamesIsKept guards against an entry that sends an upstream as many requests
+// as ever although the upstream names a limit in each response.
+func TestLimitThatUpstreamNamesIsKept(t *testing.T) {
+	var times []time.Time
+	play(t, 2, func(w io.Writer, v visit) {
+		if v.upstream == 0 {
+			times = append(times, time.Now())
+			answered(w, v.id, "Limit: 1")
+			return
+		}
+		good(w, v.id, "served")
+	}, func(w *world) {
+		for range 200 {
+			if a := w.request(context.Background(), "/open/x"); a.Code != http.StatusOK {
+				t.Errorf("status %d though another upstream has no limit", a.Code)
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if most, allowed := mostWithin(times, limitSpan), 6+limitSlack; most > allowed {
+			t.Errorf("%d requests in %s, allowed %d", most, limitSpan, allowed)
+		}
+		if len(times) < 10 {
+			t.Errorf("%d requests in 20 s use less than half of the limit", len(times))
+		}
+	})
+}
