target, quota, syncer: keep the limit of an upstream over all entries

Cause: nothing read Server-Limit, so that each entry sent what it would have sent anyway; one entry alone exceeded it. Ruled out by the record: requests that had been chosen before the limit was known, which would have ended within a second.

One entry, the ready one of the upstream's region with the highest rendezvous score, owns the limit and spends it through a bucket without a burst at the start. Other entries ask it, in datagrams, only if nothing else takes a request; a grant counts from the ask, so that one that was held up isn't used. Entries that must wait get turns. What upstreams name carries a serial, so that entries agree on the last value; it goes out with entry loads and gossip, and to an entry that starts at once. An entry that sees no majority of the others spends its part only. A limit belongs to one process, ends with a response without it, and is never taken for less than one request in ten seconds.

--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -49,6 +49,7 @@
 	ReasonKeyReused   Reason = "key-reused"
 	ReasonOverload    Reason = "overload"
 	ReasonHeld        Reason = "held"
+	ReasonLimited     Reason = "limited"
 	ReasonDeadline    Reason = "deadline"
 	ReasonLeaving     Reason = "leaving"
 	ReasonStarting    Reason = "starting"
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -152,6 +152,13 @@
 	return true
 }
 
+// HasState reports whether the table has a record of this start of the entry that is ready or not
+// as in the given one.
+func (t *Table) HasState(m Member) bool {
+	known, ok := t.others[m.Name]
+	return ok && known.member.Incarnation == m.Incarnation && known.member.Ready == m.Ready
+}
+
 // Merge adds received records and reports whether the set of live entries, their states or
 // their addresses changed.
 func (t *Table) Merge(now time.Time, records []Member) bool {
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -34,6 +34,8 @@
 	maxDatagramBytes = 16 << 10
 	// maxMarks bounds the crash marks in a message.
 	maxMarks = 32
+	// maxLimits bounds the limits of upstreams in a message.
+	maxLimits = 16
 	// readErrorBackoff keeps a failing socket from causing a busy loop.
 	readErrorBackoff = 50 * time.Millisecond
 )
@@ -64,6 +66,12 @@
 	Subscription func(from netip.AddrPort, i *wire.Interest)
 	Holdings     func(from netip.AddrPort, h *wire.Holds)
 	EntryLoads   func(s *wire.Shares)
+	Asks         func(from netip.AddrPort, a *wire.Asks)
+	Grants       func(from netip.AddrPort, g *wire.Grants)
+	// Limits receives the limits of upstreams that another entry knows. ExportLimits returns
+	// those that this one knows, at most the given number.
+	Limits       func(from hosts.Name, all []*wire.Limit)
+	ExportLimits func(most int) []*wire.Limit
 }
 
 // Options configure a Node.
@@ -285,6 +293,9 @@
 	if n.options.CrashMarks != nil {
 		g.Marks = n.options.CrashMarks.Export(maxMarks)
 	}
+	if export := n.handlers.Load().ExportLimits; export != nil {
+		g.Limits = export(maxLimits)
+	}
 	return &wire.Datagram{Body: &wire.Datagram_Gossip{Gossip: g}}
 }
 
@@ -325,6 +336,14 @@
 		if h.EntryLoads != nil {
 			h.EntryLoads(b.Shares)
 		}
+	case *wire.Datagram_Asks:
+		if h.Asks != nil {
+			h.Asks(from, b.Asks)
+		}
+	case *wire.Datagram_Grants:
+		if h.Grants != nil {
+			h.Grants(from, b.Grants)
+		}
 	case *wire.Datagram_Holds:
 		if h.Holdings != nil {
 			h.Holdings(from, b.Holds)
@@ -345,6 +364,7 @@
 		}
 	}
 	n.mutex.Lock()
+	isNew := name != "" && !n.table.HasState(records[0])
 	changed := n.table.Merge(clocks.Now(), records)
 	var response *wire.Datagram
 	if g.Ask && g.Self == nil {
@@ -354,6 +374,7 @@
 	if response != nil && n.options.Self.Role == hosts.RoleEntry {
 		n.Send(response, from)
 	}
+	n.receiveLimits(from, name, g.Limits, isNew)
 	if n.options.CrashMarks != nil && len(g.Marks) > 0 {
 		n.options.CrashMarks.Merge(name, g.Marks)
 	}
@@ -362,6 +383,23 @@
 	}
 }
 
+// receiveLimits passes the limits of upstreams on, and tells those that are known here to an entry
+// that has started, before it sends its first requests.
+func (n *Node) receiveLimits(from netip.AddrPort, name hosts.Name, limits []*wire.Limit, isNew bool) {
+	h := n.handlers.Load()
+	if isNew && h.ExportLimits != nil {
+		if known := h.ExportLimits(maxLimits); len(known) > 0 {
+			n.mutex.Lock()
+			self := encodeMember(n.table.Self())
+			n.mutex.Unlock()
+			n.Send(&wire.Datagram{Body: &wire.Datagram_Gossip{Gossip: &wire.Gossip{Self: self, Limits: known}}}, from)
+		}
+	}
+	if h.Limits != nil && len(limits) > 0 {
+		h.Limits(name, limits)
+	}
+}
+
 // reportChanges logs the entries that appeared, disappeared or changed state, and calls OnChange.
 func (n *Node) reportChanges() {
 	v := n.refreshView()
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -249,6 +249,32 @@
 	})
 }
 
+// TestStartingEntryLearnsLimits checks that an entry which starts again hears of the limits of
+// upstreams from an entry of its region within a round trip of being ready.
+func TestStartingEntryLearnsLimits(t *testing.T) {
+	runFleet(t, 8, func(f *fleet) {
+		f.entries[2].SetHandlers(mesh.Handlers{ExportLimits: func(int) []*wire.Limit { return []*wire.Limit{{Upstream: "u", Rate: 1, Serial: 1}} }})
+		time.Sleep(settleTime)
+		f.stops[5]()
+		n, stop := f.start(5, hosts.RoleEntry, 2)
+		f.entries[5], f.stops[5] = n, stop
+		n.SetState(hosts.StateLive, false)
+		time.Sleep(settleTime)
+		var heard time.Time
+		n.SetHandlers(mesh.Handlers{Limits: func(from hosts.Name, all []*wire.Limit) {
+			if heard.IsZero() && from == "e2" && len(all) == 1 && all[0].Upstream == "u" {
+				heard = time.Now()
+			}
+		}})
+		ready := time.Now()
+		n.SetState(hosts.StateLive, true)
+		time.Sleep(settleTime)
+		if heard.IsZero() || heard.Sub(ready) > 2*latency {
+			t.Errorf("heard %s after the entry was ready", heard.Sub(ready))
+		}
+	})
+}
+
 // TestInvalidDatagramsAreIgnored sends bytes that can't be decoded, and a record without an
 // address.
 func TestInvalidDatagramsAreIgnored(t *testing.T) {
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -139,42 +139,56 @@
 	if l.pool == nil && !l.choosePool() {
 		return nil, calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the route's pools aren't listed")
 	}
-	if l.pool.Engine == nil {
-		if f := l.handler.options.Fleet.ChoosePlain(clocks.Now(), l.pool.Name, l.attempted); f != nil {
-			return f, nil
-		}
-		return nil, l.refusalOfNone("no upstream takes requests")
-	}
 	reqs := target.Requirements{
 		Pool: l.pool, Model: l.call.Model, PromptTokens: l.call.Prompt, Version: l.stream.version, Exclude: l.attempted,
 		MaxEventGap: l.admission.Route.MaxEventGap,
 	}
 	l.isRetry = l.handler.timeouts.IsRetry(l.admission.Route.Name, &l.call)
 	until := l.arrived.Add(l.objective() / capacityWaitDivisor)
+	var grant target.GrantRequest
 	for {
 		if !l.isRetry {
 			reqs.Remaining = l.poolObjective() - time.Since(l.arrived)
 		}
-		f, wait := l.handler.options.Fleet.ChooseEngine(clocks.Now(), reqs)
+		now := clocks.Now()
+		f, full := l.choose(now, reqs)
 		if f != nil {
 			return f, nil
 		}
-		if wait == 0 {
-			return nil, l.refusalOfNone("no engine serves the version")
+		limited, hasLimited := l.handler.options.Fleet.AwaitLimited(now, reqs, &grant)
+		if full == 0 && !hasLimited {
+			return nil, l.refusalOfNone()
 		}
-		if time.Now().Add(capacityPollInterval).After(until) || !clocks.Sleep(ctx, capacityPollInterval) {
-			return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(wait), "the engines are full")
+		next := capacityPollInterval
+		if full == 0 {
+			next = max(next, limited)
+		}
+		if time.Now().Add(next).After(until) || !clocks.Sleep(ctx, capacityPollInterval) {
+			if full > 0 {
+				return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(full), "the engines are full")
+			}
+			wait := l.handler.options.Fleet.LimitedRetryDelay(clocks.Now(), l.pool.Name, limited)
+			return nil, calls.NotRun(calls.ReasonLimited, max(wait, minRetryAfter), "the upstreams take no more requests a second")
 		}
 	}
 }
 
+// choose assigns the request to an upstream. If the engines that could serve it are full, it
+// returns the time after which one may not be.
+func (l *lifecycle) choose(now time.Time, reqs target.Requirements) (*target.InFlight, time.Duration) {
+	if l.pool.Engine == nil {
+		return l.handler.options.Fleet.ChoosePlain(now, l.pool.Name, l.attempted), 0
+	}
+	return l.handler.options.Fleet.ChooseEngine(now, reqs)
+}
+
 // refusalOfNone returns the refusal of a request for which there is no upstream. If the upstreams
 // have asked to be left alone, the client may return when the first of them takes requests again.
 // The times are spread, so that it isn't met by all of them at once.
-func (l *lifecycle) refusalOfNone(detail string) *calls.Refusal {
+func (l *lifecycle) refusalOfNone() *calls.Refusal {
 	hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), l.pool.Name)
 	if hold == 0 {
-		return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, detail)
+		return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, "no upstream serves the request")
 	}
 	spread := time.Duration(l.handler.options.Random() * float64(holdSpread))
 	return calls.NotRun(calls.ReasonHeld, hold+spread, "the upstreams want no requests for a while")
@@ -349,15 +363,21 @@
 	l.recordLimit(f, reply)
 }
 
-// recordLimit logs the limit that an upstream names.
+// recordLimit records what a response says about the limit of its upstream. A response that the
+// request belongs elsewhere may come from another upstream.
 func (l *lifecycle) recordLimit(f *target.InFlight, reply calls.Reply) {
+	if reply.Kind == calls.ReplyMoved {
+		return
+	}
 	if reply.LimitInvalid != "" {
 		l.handler.options.Log.Warn("limit-invalid", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID),
 			zap.String("value", reply.LimitInvalid[:min(len(reply.LimitInvalid), maxLoggedValue)]))
+		if !reply.Limited {
+			return
+		}
 	}
-	if reply.Limited {
-		l.handler.metrics.countDemand("limited", f.Row.ID)
-		l.handler.options.Log.Info("limit-named", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID), zap.Float64("limit", reply.Limit))
+	if f.RecordLimit(clocks.Now(), reply.Limit, reply.Limited) {
+		l.handler.metrics.countDemand("limit", f.Row.ID)
 	}
 }
 
--- /dev/null
+++ b/entry/internal/syncer/limits.go
@@ -0,0 +1,113 @@
+package syncer
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"currantport.example/core/clocks"
+	"currantport.example/core/hosts"
+	"currantport.example/core/mesh"
+	"currantport.example/core/quota"
+	"currantport.example/core/wire"
+	"currantport.example/entry/internal/target"
+)
+
+// maxAnnouncedLimits bounds the limits in an entry load message.
+const maxAnnouncedLimits = 32
+
+// sendAsks asks the owners of limits for the requests that wait.
+func (sy *Syncer) sendAsks(ctx context.Context) {
+	for {
+		select {
+		case <-sy.options.Fleet.Asks():
+		case <-ctx.Done():
+			return
+		}
+		for owner, asks := range sy.options.Fleet.TakeAsks(clocks.Now()) {
+			if m, ok := sy.options.Mesh.Find(owner); ok {
+				sy.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Asks{Asks: encodeAsks(sy.options.Self, asks)}}, m.Address)
+			}
+		}
+	}
+}
+
+// LimitHandlers returns the handlers of messages about the limits of upstreams.
+func LimitHandlers(f *target.Fleet, n *mesh.Node) mesh.Handlers {
+	return mesh.Handlers{
+		Limits: func(from hosts.Name, all []*wire.Limit) { f.ReceiveLimits(clocks.Now(), from, DecodeLimits(all)) },
+		ExportLimits: func(most int) []*wire.Limit {
+			return EncodeLimits(f.Limits(clocks.Now(), most))
+		},
+		Asks: func(from netip.AddrPort, m *wire.Asks) {
+			if grants := f.ReceiveAsks(clocks.Now(), hosts.Name(m.Name), decodeAsks(m)); len(grants) > 0 {
+				n.Send(&wire.Datagram{Body: &wire.Datagram_Grants{Grants: encodeGrants(grants)}}, from)
+			}
+		},
+		Grants: func(_ netip.AddrPort, m *wire.Grants) { f.ReceiveGrants(clocks.Now(), decodeGrants(m)) },
+	}
+}
+
+// EncodeLimits returns the wire form of limits.
+func EncodeLimits(all []target.UpstreamLimit) []*wire.Limit {
+	var encoded []*wire.Limit
+	for _, l := range all {
+		encoded = append(encoded, encodeLimit(l))
+	}
+	return encoded
+}
+
+func encodeLimit(l target.UpstreamLimit) *wire.Limit {
+	return &wire.Limit{Upstream: l.ID, Started: startMicros(l.Started), Rate: l.Limit.Rate, Serial: l.Limit.Serial}
+}
+
+// DecodeLimits returns the limits of a wire form.
+func DecodeLimits(all []*wire.Limit) []target.UpstreamLimit {
+	var decoded []target.UpstreamLimit
+	for _, l := range all {
+		decoded = append(decoded, decodeLimit(l))
+	}
+	return decoded
+}
+
+func decodeLimit(l *wire.Limit) target.UpstreamLimit {
+	return target.UpstreamLimit{
+		ID: l.GetUpstream(), Started: startTime(l.GetStarted()), Limit: quota.Limit{Rate: l.GetRate(), Serial: l.GetSerial()},
+	}
+}
+
+func encodeAsks(self hosts.Name, asks []target.Ask) *wire.Asks {
+	m := &wire.Asks{Name: string(self)}
+	for _, a := range asks {
+		m.Asks = append(m.Asks, &wire.Ask{Limit: encodeLimit(a.Limit), Count: uint32(a.Count), Stamp: uint64(a.Stamp)})
+	}
+	return m
+}
+
+func decodeAsks(m *wire.Asks) []target.Ask {
+	var all []target.Ask
+	for _, a := range m.Asks {
+		all = append(all, target.Ask{Limit: decodeLimit(a.Limit), Count: int(a.Count), Stamp: time.Duration(a.Stamp)})
+	}
+	return all
+}
+
+func encodeGrants(grants []target.Grant) *wire.Grants {
+	m := &wire.Grants{}
+	for _, g := range grants {
+		m.Grants = append(m.Grants, &wire.Grant{
+			Limit: encodeLimit(g.Limit), Count: uint32(g.Count), Wait: uint32(g.Wait.Milliseconds()), Stamp: uint64(g.Stamp),
+		})
+	}
+	return m
+}
+
+func decodeGrants(m *wire.Grants) []target.Grant {
+	var all []target.Grant
+	for _, g := range m.Grants {
+		all = append(all, target.Grant{
+			Limit: decodeLimit(g.Limit), Count: int(g.Count), Wait: time.Duration(g.Wait) * time.Millisecond, Stamp: time.Duration(g.Stamp),
+		})
+	}
+	return all
+}
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -1,10 +1,10 @@
 // Package syncer keeps the parts of an entry in step with the platform's tables and with the
 // other processes of the fleet.
 //
-// A Syncer runs three goroutines: one applies snapshots to the fleet of upstreams, the server's
+// A Syncer runs four goroutines: one applies snapshots to the fleet of upstreams, the server's
 // limits and the connection pool, and updates the entry's readiness; one sends this entry's
-// loads at engines to the other entries of the region; one subscribes to the load reports of
-// agents.
+// loads at engines to the other entries of the region; one asks the owners of limits for
+// requests; one subscribes to the load reports of agents.
 package syncer
 
 import (
@@ -74,6 +74,7 @@
 	g.Go(sy.run)
 	g.Go(sy.loop)
 	g.Go(sy.broadcastEntryLoads)
+	g.Go(sy.sendAsks)
 	return sy, g.Stop
 }
 
@@ -100,9 +101,10 @@
 			sy.applySnapshot(s)
 		}
 		sy.updateReadiness(last)
+		sy.options.Fleet.SetKnownEntries(sy.options.Mesh.EntryCount())
 		if live := hosts.ListIDOf(sy.options.Mesh.Entries()); live != entries {
 			entries = live
-			sy.options.Fleet.Assign()
+			sy.options.Fleet.Assign(clocks.Now())
 		}
 		select {
 		case <-changed:
@@ -185,10 +187,12 @@
 		to := sy.regionEntries()
 		now := clocks.Now()
 		loads, leaving := sy.options.Fleet.EntryLoads(now), sy.options.Fleet.AnnouncedLeaving(now)
-		if len(loads)+len(leaving) > 0 || !idle {
-			sy.sendEntryLoads(to, loads, leaving)
+		limits := sy.options.Fleet.AnnouncedLimits(now, maxAnnouncedLimits)
+		news := len(loads) + len(leaving) + len(limits)
+		if news > 0 || !idle {
+			sy.sendEntryLoads(to, loads, leaving, limits)
 		}
-		idle = len(loads)+len(leaving) == 0
+		idle = news == 0
 		if !clocks.Sleep(ctx, EntryLoadInterval(len(to))) {
 			return
 		}
@@ -206,8 +210,8 @@
 	return all
 }
 
-func (sy *Syncer) sendEntryLoads(to []netip.AddrPort, loads []target.EntryLoad, leaving []target.LeavingUpstream) {
-	m := &wire.Shares{Name: string(sy.options.Self)}
+func (sy *Syncer) sendEntryLoads(to []netip.AddrPort, loads []target.EntryLoad, leaving []target.LeavingUpstream, limits []target.UpstreamLimit) {
+	m := &wire.Shares{Name: string(sy.options.Self), Limits: EncodeLimits(limits)}
 	for _, l := range loads {
 		m.Shares = append(m.Shares, &wire.Share{
 			Upstream: l.Upstream, Running: uint32(l.Running), Unread: uint32(l.Unread), Held: uint32(l.Held.Milliseconds()),
@@ -229,6 +233,7 @@
 	}
 	now := clocks.Now()
 	f.ReceiveEntryLoads(now, hosts.Name(m.Name), loads)
+	f.ReceiveLimits(now, hosts.Name(m.Name), DecodeLimits(m.Limits))
 	if len(m.Leaving) == 0 {
 		return
 	}
--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -45,7 +45,7 @@
 // reserve returns the number of slots that this entry leaves free at an engine.
 func (f *Fleet) reserve(u *upstream, slots int) int {
 	switch {
-	case u.assigned:
+	case u.assigned, u.ownsLimit():
 		return 0
 	case f.isRemote(u):
 		return slots / remoteReserveDivisor
--- a/entry/internal/target/assign.go
+++ b/entry/internal/target/assign.go
@@ -3,16 +3,18 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"currantport.example/core/hosts"
 )
 
-// Assign recomputes which engines are assigned to this entry. Call it when the set of live
+// Assign recomputes which engines are assigned to this entry, and the owners of limits. Call it when the set of live
 // entries changes.
-func (f *Fleet) Assign() {
+func (f *Fleet) Assign(now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.assign()
+	f.assignLimits(now)
 }
 
 // assign computes the local and the remote assignments of this entry. All entries arrive at
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -103,18 +103,11 @@
 func (f *Fleet) candidates(now time.Time, reqs Requirements) []candidate {
 	var all, others []candidate
 	for _, u := range f.pools[reqs.Pool.Name] {
-		if !u.acceptsRequests(now) || slices.Contains(reqs.Exclude, u.row.ID) {
+		if !u.acceptsRequests(now) || isExcluded(reqs, u) || !u.demands.limit.hasRequest(f, now) {
 			continue
 		}
-		v := u.servedVersion(now, reqs.Model)
-		if v == 0 || reqs.Version != 0 && v != reqs.Version {
-			continue
-		}
-		minVersion := v
-		if v == unknownVersion {
-			v, minVersion = 0, u.observed[reqs.Model].rejected+1
-		}
-		if !f.mayServe(now, reqs.Model, minVersion) {
+		v, minVersion, ok := f.versionFor(now, u, reqs)
+		if !ok {
 			continue
 		}
 		c := candidate{upstream: u, version: v, minVersion: minVersion, load: u.load(now)}
@@ -135,6 +128,23 @@
 	return all
 }
 
+// isExcluded reports whether the request was already tried at the upstream.
+func isExcluded(reqs Requirements, u *upstream) bool { return slices.Contains(reqs.Exclude, u.row.ID) }
+
+// versionFor returns the version that would serve the request at an engine, or zero if it is
+// unknown, and the lowest that it can be. It returns false if that may not serve it.
+func (f *Fleet) versionFor(now time.Time, u *upstream, reqs Requirements) (version, minVersion int, ok bool) {
+	version = u.servedVersion(now, reqs.Model)
+	if version == 0 || reqs.Version != 0 && version != reqs.Version {
+		return 0, 0, false
+	}
+	minVersion = version
+	if version == unknownVersion {
+		version, minVersion = 0, u.observed[reqs.Model].rejected+1
+	}
+	return version, minVersion, f.mayServe(now, reqs.Model, minVersion)
+}
+
 // acceptsRequests reports whether the upstream accepts requests, according to its row, its
 // health and its last load report.
 func (u *upstream) acceptsRequests(now time.Time) bool {
@@ -156,7 +166,7 @@
 	if f.isRemote(c.upstream) {
 		cost += crossRegionCost
 	}
-	if !c.upstream.assigned {
+	if !c.upstream.assigned && !c.upstream.ownsLimit() {
 		cost += unassignedCost
 	}
 	if c.upstream.health.IsDegraded(now) {
@@ -211,7 +221,7 @@
 	var best *upstream
 	lowest := 0.0
 	for _, u := range f.pools[pool] {
-		if !u.isOffered(now) || slices.Contains(exclude, u.row.ID) {
+		if !u.isOffered(now) || slices.Contains(exclude, u.row.ID) || !u.demands.limit.hasRequest(f, now) {
 			continue
 		}
 		c := f.plainCost(now, u)
--- a/entry/internal/target/demands.go
+++ b/entry/internal/target/demands.go
@@ -35,6 +35,8 @@
 	leavingAt time.Time
 	// heldUntil is the time until which the upstream wants no requests.
 	heldUntil time.Time
+	// limit is the limit that it has named, or nil if it never named one.
+	limit *limitState
 }
 
 // isHeld reports whether the upstream wants no requests from this entry now.
@@ -63,7 +65,7 @@
 
 // keep keeps the demands of an upstream that was removed.
 func (p *departedDemands) keep(now time.Time, u *upstream) {
-	if !u.demands.leaving && !u.demands.isHeld(now) {
+	if !u.demands.leaving && !u.demands.isHeld(now) && u.demands.limit == nil {
 		return
 	}
 	for k, d := range p.all {
--- /dev/null
+++ b/entry/internal/target/limits_test.go
@@ -0,0 +1,540 @@
+package target_test
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/hosts"
+	"currantport.example/core/state"
+	"currantport.example/entry/internal/target"
+)
+
+const (
+	// limitSpan, limitRatio and limitSlack are those of the users' rule: in no span may an
+	// upstream get more than limitRatio times what its limit allows, and limitSlack more.
+	limitSpan  = 4 * time.Second
+	limitRatio = 1.5
+	limitSlack = 5
+	// graceTime is the time after the first response with a limit from which the rule counts, and
+	// toldTime the time from which an entry counts that got one.
+	graceTime = 3 * time.Second
+	toldTime  = 500 * time.Millisecond
+
+	messageDelay   = 2 * time.Millisecond
+	gossipInterval = 600 * time.Millisecond
+)
+
+// crowd is a number of entries of two regions before one plain upstream that names a limit.
+type crowd struct {
+	t        testing.TB
+	random   *rand.Rand
+	entries  []hosts.Host
+	members  []*crowdEntry
+	pool     *state.Pool
+	row      state.Row
+	messages []message
+	now      time.Time
+	// named returns the limit that the upstream names at a time.
+	named func(now time.Time) (float64, bool)
+	// lost is the share of the messages that are lost. IsCut reports whether those between two
+	// entries are; it may be nil.
+	lost  float64
+	isCut func(from, to *crowdEntry) bool
+	// sent are the times of the requests at the upstream, counted those of entries for which the
+	// rule holds.
+	sent, counted []time.Time
+	// refused counts the requests that weren't sent; messageCount and askCount count messages.
+	refused, messageCount, askCount int
+}
+
+// crowdEntry is an entry with its waiting requests.
+type crowdEntry struct {
+	host    hosts.Host
+	fleet   *target.Fleet
+	waiting []*waitingRequest
+	// view are the entries that it takes for live.
+	view        []hosts.Host
+	told        time.Time
+	pausedUntil time.Time
+	// isExcused is set for an entry that the rule doesn't count.
+	isExcused bool
+}
+
+type waitingRequest struct {
+	arrived time.Time
+	grant   target.GrantRequest
+}
+
+type message struct {
+	at      time.Time
+	to      *crowdEntry
+	deliver func(now time.Time, f *target.Fleet)
+}
+
+func newCrowd(t testing.TB, seed uint64, entries int, named func(time.Time) (float64, bool)) *crowd {
+	t.Helper()
+	c := &crowd{t: t, random: rand.New(rand.NewPCG(seed, 1)), pool: &state.Pool{Name: "s"}, now: start, named: named}
+	u := plain(0, start)
+	c.row = encode(t)(state.EncodeUpstream(&u))
+	for i := range entries {
+		c.entries = append(c.entries, hosts.Host{Name: hosts.Name(fmt.Sprintf("e%d", i)), Place: hosts.Place{Region: hosts.Region(fmt.Sprintf("r%d", i%2))}})
+	}
+	for _, h := range c.entries {
+		e := &crowdEntry{host: h, view: c.entries}
+		c.members = append(c.members, e)
+		c.boot(e)
+	}
+	return c
+}
+
+// boot starts the process of an entry anew.
+func (c *crowd) boot(e *crowdEntry) {
+	var builder state.Builder
+	snapshot, rowErrors := builder.Apply(1, []state.Row{encode(c.t)(state.EncodePool(c.pool)), c.row})
+	if len(rowErrors) > 0 {
+		c.t.Fatal(rowErrors)
+	}
+	e.fleet = target.New(target.Options{
+		Self: e.host.Name, Place: e.host.Place, Entries: func() []hosts.Host { return e.view }, Regions: regions, Random: c.random.Float64, Log: zap.NewNop(),
+	})
+	e.fleet.SetKnownEntries(len(c.entries))
+	e.fleet.ApplySnapshot(c.now, snapshot)
+	e.waiting, e.told = nil, time.Time{}
+}
+
+// owner returns the entry that owns the limit.
+func (c *crowd) owner() *crowdEntry {
+	best := c.members[0]
+	highest := uint64(0)
+	for _, e := range c.members {
+		if score := hosts.Score("limit u0", e.host.Name); e.host.Place.Region == "r0" && score > highest {
+			best, highest = e, score
+		}
+	}
+	return best
+}
+
+func (c *crowd) find(name hosts.Name) *crowdEntry {
+	for _, e := range c.members {
+		if e.host.Name == name {
+			return e
+		}
+	}
+	return nil
+}
+
+func (c *crowd) post(from, to *crowdEntry, deliver func(now time.Time, f *target.Fleet)) {
+	c.messageCount++
+	if to == nil || c.random.Float64() < c.lost || c.isCut != nil && c.isCut(from, to) {
+		return
+	}
+	c.messages = append(c.messages, message{at: c.now.Add(messageDelay), to: to, deliver: deliver})
+}
+
+// run plays the time with the given demand, in requests a second over all entries.
+func (c *crowd) run(demand float64, span time.Duration) {
+	next := c.now
+	ticks := int(span / tick)
+	for i := range ticks {
+		c.now = c.now.Add(tick)
+		for ; !next.After(c.now); next = next.Add(time.Duration(c.random.ExpFloat64() / demand * float64(time.Second))) {
+			e := c.members[c.random.IntN(len(c.members))]
+			e.waiting = append(e.waiting, &waitingRequest{arrived: c.now})
+		}
+		c.deliver()
+		for _, e := range c.members {
+			if c.now.Before(e.pausedUntil) {
+				continue
+			}
+			c.serve(e)
+			c.sendAsks(e)
+			if i%c.loadTicks() == 0 {
+				c.announce(e)
+			}
+			if i%int(gossipInterval/tick) == 0 {
+				c.gossip(e)
+			}
+		}
+	}
+}
+
+// loadTicks is the interval of entry loads, as syncer.EntryLoadInterval has it.
+func (c *crowd) loadTicks() int { return min(max(len(c.entries)/2, entryLoadTicks), 5*entryLoadTicks) }
+
+func (c *crowd) deliver() {
+	due := c.messages
+	c.messages = nil
+	for _, m := range due {
+		if c.now.Before(m.at) || c.now.Before(m.to.pausedUntil) {
+			c.messages = append(c.messages, m)
+			continue
+		}
+		m.deliver(c.now, m.to.fleet)
+	}
+}
+
+// serve places the waiting requests of an entry as the proxy does.
+func (c *crowd) serve(e *crowdEntry) {
+	var left []*waitingRequest
+	for _, q := range e.waiting {
+		if f := e.fleet.ChoosePlain(c.now, "s", nil); f != nil {
+			c.send(e, f)
+			continue
+		}
+		delay, ok := e.fleet.AwaitLimited(c.now, target.Requirements{Pool: c.pool}, &q.grant)
+		if !ok || c.now.Add(max(delay, tick)).Sub(q.arrived) > capacityTimeout {
+			c.refused++
+			continue
+		}
+		left = append(left, q)
+	}
+	e.waiting = left
+}
+
+// send sends a request, which is answered within the tick.
+func (c *crowd) send(e *crowdEntry, f *target.InFlight) {
+	limit, isLimited := c.named(c.now)
+	c.sent = append(c.sent, c.now)
+	if !e.told.IsZero() && c.now.Sub(e.told) >= toldTime && !e.isExcused {
+		c.counted = append(c.counted, c.now)
+	}
+	if isLimited && e.told.IsZero() {
+		e.told = c.now
+	}
+	f.RecordLimit(c.now, limit, isLimited)
+	f.Finish(c.now, target.OutcomeSuccess)
+}
+
+func (c *crowd) sendAsks(e *crowdEntry) {
+	for owner, asks := range e.fleet.TakeAsks(c.now) {
+		c.askCount++
+		c.post(e, c.find(owner), func(now time.Time, f *target.Fleet) {
+			grants := f.ReceiveAsks(now, e.host.Name, asks)
+			c.post(c.find(owner), e, func(now time.Time, f *target.Fleet) { f.ReceiveGrants(now, grants) })
+		})
+	}
+}
+
+func (c *crowd) announce(e *crowdEntry) {
+	all := e.fleet.AnnouncedLimits(c.now, 32)
+	if len(all) == 0 {
+		return
+	}
+	for _, o := range c.members {
+		if o != e && o.host.Place == e.host.Place {
+			c.post(e, o, func(now time.Time, f *target.Fleet) { f.ReceiveLimits(now, e.host.Name, all) })
+		}
+	}
+}
+
+// gossip sends to two entries.
+func (c *crowd) gossip(e *crowdEntry) {
+	all := e.fleet.Limits(c.now, 16)
+	for range 2 {
+		c.post(e, c.members[c.random.IntN(len(c.members))], func(now time.Time, f *target.Fleet) { f.ReceiveLimits(now, e.host.Name, all) })
+	}
+}
+
+// mostWithin returns the largest number of the times in any span of the given length.
+func mostWithin(times []time.Time, span time.Duration) int {
+	most, first := 0, 0
+	for i, t := range times {
+		for t.Sub(times[first]) >= span {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
+
+func allowed(rate float64) int {
+	return int(math.Floor(limitRatio*rate*limitSpan.Seconds())) + limitSlack
+}
+
+func after(times []time.Time, from time.Time) []time.Time {
+	for i, t := range times {
+		if !t.Before(from) {
+			return times[i:]
+		}
+	}
+	return nil
+}
+
+func always(rate float64) func(time.Time) (float64, bool) {
+	return func(time.Time) (float64, bool) { return rate, true }
+}
+
+// report is what a run of a crowd came to.
+type report struct {
+	// most and mostCounted are the most requests in limitSpan once the rule counts, of all entries
+	// and of those for which it holds.
+	most, mostCounted int
+	// used is the used part of the limit.
+	used float64
+}
+
+func (c *crowd) report(rate float64) report {
+	from := start.Add(graceTime)
+	sent := after(c.sent, from)
+	return report{
+		most: mostWithin(sent, limitSpan), mostCounted: mostWithin(after(c.counted, from), limitSpan),
+		used: float64(len(sent)) / (rate * c.now.Sub(from).Seconds()),
+	}
+}
+
+// TestLimitIsSharedByAllEntries guards against entries that each spend a limit of the whole fleet,
+// and against a limit that is hardly used.
+func TestLimitIsSharedByAllEntries(t *testing.T) {
+	for _, s := range []struct {
+		entries int
+		rates   []float64
+	}{{6, []float64{0.5, 1, 1.5, 20, 500}}, {24, []float64{0.5, 1, 1.5, 20, 500}}, {740, []float64{1, 20}}} {
+		for _, rate := range s.rates {
+			c := newCrowd(t, 1, s.entries, always(rate))
+			c.run(max(3*rate, 10), 15*time.Second)
+			r := c.report(rate)
+			if r.most > allowed(rate) {
+				t.Errorf("%d entries, %g a second: %d requests in %s, allowed %d", s.entries, rate, r.most, limitSpan, allowed(rate))
+			}
+			if r.used < 0.75 {
+				t.Errorf("%d entries, %g a second: %.2f of the limit is used", s.entries, rate, r.used)
+			}
+		}
+	}
+}
+
+// BenchmarkLimit prints, for each size and rate, the most requests in limitSpan at the upstream, the
+// used part of the limit, and the asks a second of all entries. The demand is three times the limit
+// and at least ten requests a second.
+func BenchmarkLimit(b *testing.B) {
+	for range b.N {
+		for _, entries := range []int{6, 24, 740} {
+			for _, rate := range []float64{0.5, 1, 1.5, 20, 500} {
+				const span = 40 * time.Second
+				c := newCrowd(b, 1, entries, always(rate))
+				c.run(max(3*rate, 10), span)
+				r := c.report(rate)
+				fmt.Printf("bench=limit entries=%d rate=%g most=%d allowed=%d used=%.2f asks=%.1f\n",
+					entries, rate, r.most, allowed(rate), r.used, float64(c.askCount)/span.Seconds())
+			}
+		}
+	}
+}
+
+// without returns the hosts other than those of the given entries.
+func without(all []hosts.Host, gone ...*crowdEntry) []hosts.Host {
+	var left []hosts.Host
+	for _, h := range all {
+		if !slices.ContainsFunc(gone, func(e *crowdEntry) bool { return e.host.Name == h.Name }) {
+			left = append(left, h)
+		}
+	}
+	return left
+}
+
+// troubles befall entries while the upstream names its limit.
+var troubles = map[string]func(c *crowd, owner *crowdEntry, demand float64){
+	"messages are lost": func(c *crowd, _ *crowdEntry, demand float64) {
+		c.lost = 0.3
+		c.run(demand, 15*time.Second)
+	},
+	"the owner receives nothing": func(c *crowd, owner *crowdEntry, demand float64) {
+		owner.isExcused = true
+		c.isCut = func(_, to *crowdEntry) bool { return to == owner }
+		c.run(demand, 2*time.Second)
+		c.setView(owner, []hosts.Host{owner.host})
+		c.run(demand, 5*time.Second)
+		c.isCut = nil
+		c.setView(owner, c.entries)
+		c.run(demand, 5*time.Second)
+	},
+	"the owner is paused": func(c *crowd, owner *crowdEntry, demand float64) {
+		owner.isExcused = true
+		owner.pausedUntil = c.now.Add(3 * time.Second)
+		c.run(demand, 2*time.Second)
+		for _, e := range c.members {
+			if e != owner {
+				c.setView(e, without(c.entries, owner))
+			}
+		}
+		c.run(demand, time.Second+300*time.Millisecond)
+		for _, e := range c.members {
+			c.setView(e, c.entries)
+			c.run(demand, 100*time.Millisecond)
+		}
+		c.run(demand, 5*time.Second)
+	},
+	"another entry is paused": func(c *crowd, owner *crowdEntry, demand float64) {
+		other := c.members[0]
+		if other == owner {
+			other = c.members[2]
+		}
+		other.pausedUntil = c.now.Add(3 * time.Second)
+		c.run(demand, 10*time.Second)
+	},
+	"the owner is killed and back": func(c *crowd, owner *crowdEntry, demand float64) {
+		owner.isExcused = true
+		owner.pausedUntil = c.now.Add(time.Second)
+		c.run(demand, time.Second)
+		c.boot(owner)
+		c.run(demand, 10*time.Second)
+	},
+	"all entries are killed and back": func(c *crowd, _ *crowdEntry, demand float64) {
+		for _, e := range c.members {
+			c.boot(e)
+		}
+		c.run(demand, 10*time.Second)
+	},
+	"a region is cut off": func(c *crowd, _ *crowdEntry, demand float64) {
+		c.isCut = func(from, to *crowdEntry) bool { return from.host.Place != to.host.Place }
+		c.run(demand, 8*time.Second)
+		for _, e := range c.members {
+			c.setView(e, slices.DeleteFunc(slices.Clone(c.entries), func(h hosts.Host) bool { return h.Place != e.host.Place }))
+		}
+		c.run(demand, 8*time.Second)
+	},
+	"entries see another owner for a second": func(c *crowd, owner *crowdEntry, demand float64) {
+		for i, e := range c.members {
+			if i%2 == 1 && e != owner {
+				c.setView(e, without(c.entries, owner))
+			}
+		}
+		c.run(demand, time.Second)
+		for _, e := range c.members {
+			c.setView(e, c.entries)
+		}
+		c.run(demand, 5*time.Second)
+	},
+}
+
+// TestLimitIsKeptInTrouble plays the troubles. The rule counts the entries that they don't befall;
+// all together must not exceed the limit by far.
+func TestLimitIsKeptInTrouble(t *testing.T) {
+	for name, trouble := range troubles {
+		for _, entries := range []int{6, 24} {
+			for _, rate := range []float64{0.5, 1.5, 20} {
+				c := newCrowd(t, 3, entries, always(rate))
+				demand := max(3*rate, 20)
+				c.run(demand, 5*time.Second)
+				trouble(c, c.owner(), demand)
+				c.run(demand, 3*time.Second)
+				if r := c.report(rate); r.mostCounted > allowed(rate) || r.most > 2*allowed(rate) {
+					t.Errorf("%s, %d entries, %g a second: %+v, allowed %d", name, entries, rate, r, allowed(rate))
+				}
+			}
+		}
+	}
+}
+
+// setView sets the entries that an entry takes for live.
+func (c *crowd) setView(e *crowdEntry, view []hosts.Host) {
+	e.view = view
+	e.fleet.Assign(c.now)
+}
+
+// TestLimitFollowsWhatTheUpstreamNames plays limits that rise, fall, end and return. Each must be
+// kept from graceTime after it was first named, and used while it holds.
+func TestLimitFollowsWhatTheUpstreamNames(t *testing.T) {
+	type phase struct {
+		rate    float64
+		limited bool
+	}
+	phases := []phase{{2, true}, {20, true}, {0.5, true}, {0, false}, {1, true}, {0, true}, {5, true}}
+	const span = 20 * time.Second
+	at := func(now time.Time) phase { return phases[min(int(now.Sub(start)/span), len(phases)-1)] }
+	for _, lost := range []float64{0, 0.2} {
+		c := newCrowd(t, 5, 6, func(now time.Time) (float64, bool) { return at(now).rate, at(now).limited })
+		c.lost = lost
+		c.run(60, time.Duration(len(phases))*span)
+		for i, p := range phases {
+			from := start.Add(time.Duration(i)*span + graceTime)
+			all := after(c.sent, from)
+			for k, v := range all {
+				if !v.Before(from.Add(span - graceTime)) {
+					all = all[:k]
+					break
+				}
+			}
+			wanted := p.rate
+			if !p.limited {
+				wanted = 60
+			}
+			if n := mostWithin(all, limitSpan); p.limited && n > allowed(p.rate) {
+				t.Errorf("lost %g, phase %d, %+v: %d requests in %s, allowed %d", lost, i, p, n, limitSpan, allowed(p.rate))
+			}
+			if used := float64(len(all)) / (span - graceTime).Seconds(); used < 0.6*wanted {
+				t.Errorf("lost %g, phase %d, %+v: %.2f requests a second", lost, i, p, used)
+			}
+		}
+	}
+}
+
+// TestProcessThatStartsAnewHasNoLimit checks that a limit belongs to one process of an upstream, and
+// that it outlives a registration that lapses.
+func TestProcessThatStartsAnewHasNoLimit(t *testing.T) {
+	w := newWorld(t, "e0")
+	u := plain(0, start)
+	w.publish(start, w.upstream(u))
+	f := w.fleet.ChoosePlain(start, "s", nil)
+	f.RecordLimit(start, 0, true)
+	f.Finish(start, target.OutcomeSuccess)
+	expect := func(what, want string) {
+		t.Helper()
+		if got := w.plainUpstream(start); got != want {
+			t.Errorf("%s: %s, want %s", what, got, want)
+		}
+	}
+	expect("limited", "none")
+	w.publish(start, state.Row{Key: "upstream/s/u0"})
+	w.publish(start, w.upstream(u))
+	expect("removed and listed again", "none")
+	w.publish(start, w.upstream(plain(0, start.Add(time.Second))))
+	expect("started again", "u0")
+}
+
+// TestResponseToAnEarlierRequestChangesNoLimit checks that what an upstream said before the known
+// limit doesn't replace it.
+func TestResponseToAnEarlierRequestChangesNoLimit(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(plain(0, start)))
+	earlier := w.fleet.ChoosePlain(start, "s", nil)
+	f := w.fleet.ChoosePlain(start, "s", nil)
+	now := start.Add(time.Second)
+	f.RecordLimit(now, 1, true)
+	if earlier.RecordLimit(now, 0, false) {
+		t.Error("a response to a request of before ends the limit")
+	}
+	now = now.Add(10 * time.Second)
+	later := w.fleet.ChoosePlain(now, "s", nil)
+	if !later.RecordLimit(now, 0, false) || w.plainUpstream(now) == "none" {
+		t.Error("a later response doesn't end the limit")
+	}
+	other := newWorld(t, "e1")
+	other.publish(start, other.upstream(plain(0, start)))
+	o := other.fleet.ChoosePlain(start, "s", nil)
+	o.RecordLimit(start, 1, true)
+	other.fleet.ReceiveLimits(now, "e0", w.fleet.Limits(now, 1))
+	if other.plainUpstream(now) == "none" {
+		t.Error("the end isn't taken from another entry")
+	}
+}
+
+// TestLimitIsKnownBeforeTheFirstRequest checks that an entry heeds what it heard of an upstream before
+// it had read that the upstream exists.
+func TestLimitIsKnownBeforeTheFirstRequest(t *testing.T) {
+	told, w := newWorld(t, "e1"), newWorld(t, "e0")
+	u := plain(0, start)
+	told.publish(start, told.upstream(u))
+	told.fleet.ChoosePlain(start, "s", nil).RecordLimit(start, 0, true)
+	w.fleet.ReceiveLimits(start, "e1", told.fleet.Limits(start, 1))
+	w.publish(start, w.upstream(u))
+	if got := w.plainUpstream(start); got != "none" {
+		t.Errorf("the first request goes to %s", got)
+	}
+}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -142,6 +142,19 @@
 	// departed holds the demands of upstreams that are listed no more, since they may only
 	// have lapsed.
 	departed departedDemands
+	// limited are the upstreams that have named a limit, by id.
+	limited map[string]*upstream
+	// unlistedLimits are limits of upstreams that aren't listed, as other entries told them.
+	unlistedLimits map[string]UpstreamLimit
+	// limitedReturns is the time, by pool, at which the next client should return that is
+	// refused because of limits.
+	limitedReturns map[string]time.Time
+	// knownEntries is the number of known entries, silent ones included.
+	knownEntries int
+	// asks receives a value when the owner of a limit is to be asked. The stamps of asks count
+	// from asksSince.
+	asks      chan struct{}
+	asksSince time.Time
 	// releases lists the versions of each model that this process has seen released,
 	// oldest first.
 	releases map[string][]release
@@ -152,6 +165,7 @@
 	return &Fleet{
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
+		limited: make(map[string]*upstream), unlistedLimits: make(map[string]UpstreamLimit), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
 	}
 }
 
@@ -162,11 +176,15 @@
 	defer f.mutex.Unlock()
 	before := f.upstreams
 	f.upstreams, f.pools = make(map[string]*upstream, len(before)), make(map[string][]*upstream)
+	clear(f.limited)
 	used := make(map[netip.AddrPort]bool)
 	for _, p := range s.Pools() {
 		for _, row := range s.Upstreams(p.Name) {
 			u := f.updateUpstream(before[row.ID], row)
 			f.upstreams[row.ID] = u
+			if u.demands.limit != nil {
+				f.limited[row.ID] = u
+			}
 			f.pools[p.Name] = append(f.pools[p.Name], u)
 			used[row.Address] = true
 		}
@@ -174,7 +192,13 @@
 			f.recordReleases(now, s, p.Engine)
 		}
 	}
+	for id := range f.unlistedLimits {
+		if u := f.upstreams[id]; u != nil {
+			f.applyUnlisted(now, u)
+		}
+	}
 	f.assign()
+	f.assignLimits(now)
 	f.sumEntryLoads(now)
 	var removed []netip.AddrPort
 	for id, u := range before {
@@ -307,6 +331,7 @@
 
 // startRequest counts a request that is about to be sent. The caller holds the mutex.
 func (f *Fleet) startRequest(now time.Time, u *upstream, model string, prompt int) *InFlight {
+	u.demands.limit.takeRequest(f, now)
 	u.running++
 	u.sentSinceReport++
 	u.unread += prompt
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -113,12 +113,13 @@
 		Self: self, Regions: s.Regions, Mirror: m, Cache: c, Mesh: n, Client: peers.Client, NewSource: o.NewWeights,
 		AgentPort: s.AgentPort, MaxBytes: int64(s.MaxPrefetchSize), Scope: metrics.Scope, Log: log,
 	})
-	n.SetHandlers(mesh.Handlers{
-		LoadReport: func(_ netip.AddrPort, l *wire.LoadDigest) {
-			f.ReceiveLoadReport(clocks.Now(), l.Upstream, syncer.DecodeLoadReport(l))
-		},
-		Holdings: p.ReceiveHoldings, EntryLoads: func(s *wire.Shares) { syncer.ReceiveEntryLoads(f, s) },
-	})
+	h := syncer.LimitHandlers(f, n)
+	h.LoadReport = func(_ netip.AddrPort, l *wire.LoadDigest) {
+		f.ReceiveLoadReport(clocks.Now(), l.Upstream, syncer.DecodeLoadReport(l))
+	}
+	h.Holdings = p.ReceiveHoldings
+	h.EntryLoads = func(s *wire.Shares) { syncer.ReceiveEntryLoads(f, s) }
+	n.SetHandlers(h)
 	return shell.WithCleanup(lc, p, stop)
 }
 
