soak, fakes: let upstreams name limits, and check them at the upstream

Upstreams of the soak, alone or all of a plain pool, now name a limit, mostly change it, and drop it; values that name none are among them. The check limits counts what reaches an upstream in each 4 s through entries that had passed the limit on half a second before, from 3 s after it was named. A restart clears what a stand-in names, as that of a real upstream does.

--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -50,6 +50,8 @@
 	mutex sync.Mutex
 	// poisons are the parts with which clients sent requests that crash engines.
 	poisons []*poisonPart
+	// limits are the times for which upstreams named a limit.
+	limits []namedLimit
 	// unchecked are requests that have ended but may still run, in the order of their end.
 	unchecked []*sentRequest
 	requests  []*sentRequest
@@ -266,6 +268,7 @@
 	c.checkUnsolicited(all, runs)
 	c.checkBudget(all, runs)
 	c.checkDemands(all, runs)
+	c.checkLimits(all, runs)
 	c.checkPoison(all, runs)
 	c.checkCanceled(all)
 	c.checkTimeouts(all)
--- a/stand/internal/soak/demands.go
+++ b/stand/internal/soak/demands.go
@@ -29,24 +29,34 @@
 // checkDemands checks that entries heed what upstreams say in their responses: that they leave,
 // or that they want no requests for a while.
 func (c *checker) checkDemands(all []*sentRequest, runs []fakes.Run) {
+	for k, group := range groupRuns(all, runs, func(e entryRun) sender { return sender{entry: e.start(), upstream: e.run.UpstreamID} }) {
+		c.checkLeaving(k, group)
+		c.checkHolds(k, group)
+	}
+}
+
+// start returns the process that sent the request to the upstream.
+func (e entryRun) start() processStart {
+	return processStart{e.request.entry.name, e.request.startNumber}
+}
+
+// groupRuns returns the runs of the requests by a key, in the order in which they arrived.
+func groupRuns[K comparable](all []*sentRequest, runs []fakes.Run, keyOf func(entryRun) K) map[K][]entryRun {
 	requests := make(map[string]*sentRequest, len(all))
 	for _, s := range all {
 		requests[s.ID] = s
 	}
-	groups := make(map[sender][]entryRun)
+	groups := make(map[K][]entryRun)
 	for _, r := range runs {
-		s := requests[r.ID]
-		if s == nil {
-			continue
+		if s := requests[r.ID]; s != nil {
+			e := entryRun{request: s, run: r}
+			groups[keyOf(e)] = append(groups[keyOf(e)], e)
 		}
-		k := sender{entry: processStart{s.entry.name, s.startNumber}, upstream: r.UpstreamID}
-		groups[k] = append(groups[k], entryRun{request: s, run: r})
 	}
-	for k, group := range groups {
+	for _, group := range groups {
 		slices.SortFunc(group, func(a, b entryRun) int { return a.run.ReceivedAt.Compare(b.run.ReceivedAt) })
-		c.checkLeaving(k, group)
-		c.checkHolds(k, group)
 	}
+	return groups
 }
 
 // checkLeaving checks that an upstream gets no request that was sent drainLimit after the entry
@@ -54,8 +64,7 @@
 func (c *checker) checkLeaving(k sender, group []entryRun) {
 	var known time.Time
 	for _, e := range group {
-		told := e.run.Leaving && e.request.response.Status == e.run.Status && !e.request.endedAt.IsZero()
-		if told && (known.IsZero() || e.request.endedAt.Before(known)) {
+		if e.run.Leaving && e.isPassedOn() && (known.IsZero() || e.request.endedAt.Before(known)) {
 			known = e.request.endedAt
 		}
 	}
@@ -71,6 +80,11 @@
 	}
 }
 
+// isPassedOn reports whether the client got the response.
+func (e entryRun) isPassedOn() bool {
+	return e.request.response.Status == e.run.Status && !e.request.endedAt.IsZero()
+}
+
 // checkHolds checks that an upstream is left alone for as long as it asked the entry for.
 func (c *checker) checkHolds(k sender, group []entryRun) {
 	for _, e := range group {
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -100,6 +100,7 @@
 	{"upstream-unframed", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamUnframed, duration) }},
 	{"upstream-torn", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamTorn, duration) }},
 	{"upstream-endless", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamEndless, duration) }},
+	{"upstream-limit", func(i *injector, _ time.Duration) { i.limit(i.upstream()) }},
 	{"poison-part", func(i *injector, _ time.Duration) { i.poisonPart() }},
 }
 
--- a/stand/internal/soak/world.go
+++ b/stand/internal/soak/world.go
@@ -80,6 +80,8 @@
 	agent *process
 	// isEngine is set for an upstream of the engines' pool.
 	isEngine bool
+	// limiting is locked while the upstream names a limit.
+	limiting sync.Mutex
 	// activeFaults counts the active faults of the upstream.
 	activeFaults atomic.Int32
 
