--- a/stand/internal/soak/limits.go
+++ b/stand/internal/soak/limits.go
@@ -97,26 +97,7 @@
 }
 
 func (c *checker) checkLimit(l namedLimit, group []entryRun) {
-	told := make(map[processStart]time.Time)
-	var first time.Time
-	for _, e := range group {
-		if e.run.Status == 0 || e.run.ReceivedAt.Before(l.from) {
-			continue
-		}
-		if !slices.Equal(e.run.Limits, []string{l.text}) {
-			// Another process has started under the id, or the value has changed.
-			if e.run.ReceivedAt.Before(l.till) {
-				l.till = e.run.ReceivedAt
-			}
-			continue
-		}
-		if at, ok := told[e.start()]; e.isPassedOn() && (!ok || e.request.endedAt.Before(at)) {
-			told[e.start()] = e.request.endedAt
-		}
-		if first.IsZero() {
-			first = e.run.ReceivedAt
-		}
-	}
+	told, first, till := l.passedOn(group)
 	if first.IsZero() {
 		return
 	}
@@ -124,7 +105,7 @@
 	for _, e := range group {
 		at, ok := told[e.start()]
 		received := e.run.ReceivedAt
-		if ok && !received.Before(at.Add(limitToldTime)) && !received.Before(first.Add(stabilityTime)) && received.Before(l.till) &&
+		if ok && !received.Before(at.Add(limitToldTime)) && !received.Before(first.Add(stabilityTime)) && received.Before(till) &&
 			e.run.Status != statusMisdirected && c.world.timeline.undisturbed(received, received, e.request.entry.name) {
 			counted = append(counted, received)
 		}
@@ -142,3 +123,26 @@
 		}
 	}
 }
+
+// passedOn returns when each entry had first passed on a response with the limit, when the upstream
+// first named it, and when it named it no more: another process has started under the id, or the
+// value has changed.
+func (l namedLimit) passedOn(group []entryRun) (told map[processStart]time.Time, first, till time.Time) {
+	told, till = make(map[processStart]time.Time), l.till
+	for _, e := range group {
+		if e.run.Status == 0 || e.run.ReceivedAt.Before(l.from) || !e.run.ReceivedAt.Before(till) {
+			continue
+		}
+		if !slices.Equal(e.run.Limits, []string{l.text}) {
+			till = e.run.ReceivedAt
+			continue
+		}
+		if at, ok := told[e.start()]; e.isPassedOn() && (!ok || e.request.endedAt.Before(at)) {
+			told[e.start()] = e.request.endedAt
+		}
+		if first.IsZero() {
+			first = e.run.ReceivedAt
+		}
+	}
+	return told, first, till
+}
