--- a/entry/internal/proxy/limits_test.go
+++ b/entry/internal/proxy/limits_test.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"testing"
 	"time"
+
+	"currantport.example/core/calls"
 )
 
 // limitSpan and limitSlack are those of the users' rule: in no span may an upstream get more than
@@ -54,3 +56,30 @@
 		}
 	})
 }
+
+// TestRefusalBecauseOfLimitsComesTrue lets clients that are refused because the only upstream takes two
+// requests a second return when they were told to. They are refused at once, and served then.
+func TestRefusalBecauseOfLimitsComesTrue(t *testing.T) {
+	play(t, 1, func(w io.Writer, v visit) { answered(w, v.id, "Limit: 2") }, func(w *world) {
+		w.request(context.Background(), "/open/x")
+		refused := time.Now()
+		var waits []time.Duration
+		for range 6 {
+			a := w.request(context.Background(), "/open/x")
+			wait, err := time.ParseDuration(a.Header().Get("Wait"))
+			if err != nil || a.Header().Get("Outcome") != string(calls.OutcomeNotRun) {
+				t.Fatalf("status %d, %v", a.Code, a.Header())
+			}
+			waits = append(waits, wait)
+		}
+		if took := time.Since(refused); took > 10*time.Millisecond {
+			t.Errorf("the refusals took %s", took)
+		}
+		for i, wait := range waits {
+			time.Sleep(time.Until(refused.Add(wait)))
+			if a := w.request(context.Background(), "/open/x"); a.Code != http.StatusOK {
+				t.Errorf("client %d was told to return after %s: status %d, %v", i, wait, a.Code, a.Header())
+			}
+		}
+	})
+}
--- /dev/null
+++ b/entry/internal/syncer/limits_test.go
@@ -0,0 +1,39 @@
+package syncer_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/protobuf/proto"
+
+	"currantport.example/core/quota"
+	"currantport.example/core/wire"
+	"currantport.example/entry/internal/syncer"
+	"currantport.example/entry/internal/target"
+)
+
+// TestLimitsSurviveTheWire converts limits to messages and back, and bounds the size of one.
+func TestLimitsSurviveTheWire(t *testing.T) {
+	all := []target.UpstreamLimit{
+		{ID: "i-7f3a91c2", Started: time.UnixMicro(1790000000123456), Limit: quota.Limit{Rate: 1.5, Serial: 3}},
+		{ID: "i-0", Limit: quota.Limit{Serial: 4}},
+	}
+	encoded := syncer.EncodeLimits(all)
+	data, err := proto.Marshal(&wire.Shares{Limits: encoded})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var m wire.Shares
+	if err := proto.Unmarshal(data, &m); err != nil {
+		t.Fatal(err)
+	}
+	if d := cmp.Diff(all, syncer.DecodeLimits(m.Limits)); d != "" {
+		t.Error(d)
+	}
+	if size := proto.Size(encoded[0]); size > 40 {
+		t.Errorf("a limit takes %d bytes", size)
+	}
+	t.Logf("ask %d bytes, grant %d bytes", proto.Size(&wire.Datagram{Body: &wire.Datagram_Asks{Asks: &wire.Asks{Name: "edge-may-pen-a-1", Asks: []*wire.Ask{{Limit: encoded[0], Count: 1, Stamp: 1 << 40}}}}}),
+		proto.Size(&wire.Datagram{Body: &wire.Datagram_Grants{Grants: &wire.Grants{Grants: []*wire.Grant{{Limit: encoded[0], Count: 1, Stamp: 1 << 40}}}}}))
+}
