--- a/agent/internal/fetch/fetch_test.go
+++ b/agent/internal/fetch/fetch_test.go
@@ -241,7 +241,7 @@
 func TestDistributionUnderFault(t *testing.T) {
 	cases := append([]trial.Case{nil}, faultCases()...)
 	cases = append(cases, lateCases()...)
-	trial.Run(t, append(cases, pairCases()...), testDistribution)
+	trial.RunParallel(t, append(cases, pairCases()...), testDistribution)
 }
 
 func testDistribution(t *testing.T, s *trial.Script) {
--- a/agent/internal/fetch/scenario_test.go
+++ b/agent/internal/fetch/scenario_test.go
@@ -146,6 +146,7 @@
 func TestRolloutThroughChange(t *testing.T) {
 	for _, s := range scenarios() {
 		t.Run(s.name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) { s.test(t) })
 		})
 	}
--- a/core/trial/trial.go
+++ b/core/trial/trial.go
@@ -96,6 +96,18 @@
 	}
 }
 
+// RunParallel is Run with the cases in parallel, after the test function has returned. The body must
+// share nothing between them.
+func RunParallel(t *testing.T, cases []Case, body func(t *testing.T, s *Script)) {
+	t.Helper()
+	for _, c := range cases {
+		t.Run(c.String(), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { body(t, NewScript(c)) })
+		})
+	}
+}
+
 // Script holds the faults that are still to be injected in one run. It is safe
 // for concurrent use.
 type Script struct {
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -253,10 +253,10 @@
 // keepUnlisted keeps the limit of an upstream that isn't listed here. An entry that has just started
 // hears of limits before it has read the list.
 func (f *Fleet) keepUnlisted(l UpstreamLimit) {
-	known, ok := f.unlistedLimits[l.ID]
-	if !ok && len(f.unlistedLimits) >= maxUnlistedLimits {
-		return
+	if len(f.unlistedLimits) >= maxUnlistedLimits {
+		clear(f.unlistedLimits)
 	}
+	known, ok := f.unlistedLimits[l.ID]
 	if !ok || !known.Started.Equal(l.Started) || l.Limit.Supersedes(known.Limit) {
 		f.unlistedLimits[l.ID] = l
 	}
