--- a/entry/internal/syncer/limits.go
+++ b/entry/internal/syncer/limits.go
@@ -16,17 +16,23 @@
 // maxAnnouncedLimits bounds the limits in an entry load message.
 const maxAnnouncedLimits = 32
 
-// sendAsks asks the owners of limits for the requests that wait.
-func (sy *Syncer) sendAsks(ctx context.Context) {
+// asker asks the owners of limits for the requests that wait.
+type asker struct {
+	self  hosts.Name
+	fleet *target.Fleet
+	mesh  *mesh.Node
+}
+
+func (a *asker) run(ctx context.Context) {
 	for {
 		select {
-		case <-sy.options.Fleet.Asks():
+		case <-a.fleet.Asks():
 		case <-ctx.Done():
 			return
 		}
-		for owner, asks := range sy.options.Fleet.TakeAsks(clocks.Now()) {
-			if m, ok := sy.options.Mesh.Find(owner); ok {
-				sy.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Asks{Asks: encodeAsks(sy.options.Self, asks)}}, m.Address)
+		for owner, asks := range a.fleet.TakeAsks(clocks.Now()) {
+			if m, ok := a.mesh.Find(owner); ok {
+				a.mesh.Send(&wire.Datagram{Body: &wire.Datagram_Asks{Asks: encodeAsks(a.self, asks)}}, m.Address)
 			}
 		}
 	}
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -74,7 +74,7 @@
 	g.Go(sy.run)
 	g.Go(sy.loop)
 	g.Go(sy.broadcastEntryLoads)
-	g.Go(sy.sendAsks)
+	g.Go((&asker{self: o.Self, fleet: o.Fleet, mesh: o.Mesh}).run)
 	return sy, g.Stop
 }
 
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -103,7 +103,7 @@
 func (f *Fleet) candidates(now time.Time, reqs Requirements) []candidate {
 	var all, others []candidate
 	for _, u := range f.pools[reqs.Pool.Name] {
-		if !u.acceptsRequests(now) || isExcluded(reqs, u) || !u.demands.limit.hasRequest(f, now) {
+		if !u.acceptsRequests(now) || isExcluded(reqs, u) || !u.demands.limit.allows(f, now) {
 			continue
 		}
 		v, minVersion, ok := f.versionFor(now, u, reqs)
@@ -221,7 +221,7 @@
 	var best *upstream
 	lowest := 0.0
 	for _, u := range f.pools[pool] {
-		if !u.isOffered(now) || slices.Contains(exclude, u.row.ID) || !u.demands.limit.hasRequest(f, now) {
+		if !u.isOffered(now) || slices.Contains(exclude, u.row.ID) || !u.demands.limit.allows(f, now) {
 			continue
 		}
 		c := f.plainCost(now, u)
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -11,18 +11,10 @@
 )
 
 const (
-	// askTimeout is how long an entry waits for the owner of a limit. It covers several round
-	// trips between regions.
-	askTimeout = 60 * time.Millisecond
-	// grantTTL is how long after the ask a granted request may be sent.
-	grantTTL = 300 * time.Millisecond
-	// refusedAskDelay is when to ask an entry again that doesn't own the limit by its own view of
-	// the fleet, or that didn't respond.
-	refusedAskDelay = 500 * time.Millisecond
-	// maxAskCount bounds the requests in an ask.
-	maxAskCount = 16
 	// endedLimitTTL is how long other entries are told that a limit has ended.
 	endedLimitTTL = time.Minute
+	// maxUnlistedLimits bounds the limits that are kept of upstreams that aren't listed.
+	maxUnlistedLimits = 1024
 )
 
 // limitState is what an entry knows of the limit of one process of an upstream.
@@ -31,8 +23,8 @@
 	// changedAt is when the limit became known here. What the response to an earlier request
 	// says may be older.
 	changedAt time.Time
-	// owner is the entry that spends the limit. It is the zero host if no entry is ready.
-	owner hosts.Host
+	// owner is the entry that spends the limit. It is empty if no entry is ready.
+	owner hosts.Name
 	// isOwner is set if this entry is the owner, which spends through the allotter.
 	isOwner  bool
 	allotter quota.Allotter
@@ -56,8 +48,8 @@
 	return s.limit.Rate
 }
 
-// hasRequest reports whether a request may be sent now.
-func (s *limitState) hasRequest(f *Fleet, now time.Time) bool {
+// allows reports whether a request may be sent now.
+func (s *limitState) allows(f *Fleet, now time.Time) bool {
 	if s == nil || !s.limit.IsSet() {
 		return true
 	}
@@ -68,8 +60,8 @@
 	return len(s.grants) > 0
 }
 
-// takeRequest uses a request that hasRequest has reported.
-func (s *limitState) takeRequest(f *Fleet, now time.Time) {
+// spend uses a request that allows has found.
+func (s *limitState) spend(f *Fleet, now time.Time) {
 	switch {
 	case s == nil || !s.limit.IsSet():
 	case s.isOwner:
@@ -150,20 +142,20 @@
 	region := f.options.Regions[hosts.Domain(u.row.Domain)]
 	// The hash key must be the same in all entries, including those of other releases.
 	key := "limit " + u.row.ID
-	owner, isLocal, highest := hosts.Host{}, false, uint64(0)
+	owner, isLocal, highest := hosts.Name(""), false, uint64(0)
 	for _, h := range f.options.Entries() {
 		local, score := h.Place.Region == region, hosts.Score(key, h.Name)
-		if owner.Name == "" || local && !isLocal || local == isLocal && score > highest {
-			owner, isLocal, highest = h, local, score
+		if owner == "" || local && !isLocal || local == isLocal && score > highest {
+			owner, isLocal, highest = h.Name, local, score
 		}
 	}
-	isOwner := owner.Name == f.options.Self || owner.Name == ""
+	isOwner := owner == f.options.Self || owner == ""
 	if isOwner && !s.isOwner {
 		s.allotter.Reset(now)
 	}
-	if owner.Name != s.owner.Name {
+	if owner != s.owner {
 		s.deniedUntil = time.Time{}
-		f.options.Log.Info("limit-owner", zap.String("upstream", u.row.ID), zap.String("owner", string(owner.Name)), zap.String("before", string(s.owner.Name)))
+		f.options.Log.Info("limit-owner", zap.String("upstream", u.row.ID), zap.String("owner", string(owner)), zap.String("before", string(s.owner)))
 	}
 	s.owner, s.isOwner = owner, isOwner
 }
@@ -247,9 +239,6 @@
 	return u
 }
 
-// maxUnlistedLimits bounds the limits that are kept of upstreams that aren't listed.
-const maxUnlistedLimits = 1024
-
 // keepUnlisted keeps the limit of an upstream that isn't listed here. An entry that has just started
 // hears of limits before it has read the list.
 func (f *Fleet) keepUnlisted(l UpstreamLimit) {
@@ -269,201 +258,5 @@
 		return
 	}
 	delete(f.unlistedLimits, u.row.ID)
-	f.mergeLimit(now, "before", l)
-}
-
-// GrantRequest is the state of a request that waits for an upstream with a limit. The zero value is
-// that of one that doesn't.
-type GrantRequest struct {
-	// upstream is the one whose owner was asked last, askedAt the time of that.
-	upstream *upstream
-	askedAt  time.Time
-}
-
-// isPending reports whether the owner hasn't responded yet.
-func (g *GrantRequest) isPending() bool {
-	return g.upstream != nil && !g.upstream.demands.limit.answeredAt.After(g.askedAt)
-}
-
-// AwaitLimited returns the time after which an upstream may take the request that gets none now
-// because of its limit, and false if there is no such upstream. If another entry owns the limit it
-// is asked.
-func (f *Fleet) AwaitLimited(now time.Time, reqs Requirements, g *GrantRequest) (time.Duration, bool) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if len(f.limited) == 0 {
-		return 0, false
-	}
-	soonest, found := time.Duration(0), false
-	var unasked *upstream
-	for _, u := range f.pools[reqs.Pool.Name] {
-		s := u.demands.limit
-		if s == nil || !s.limit.IsSet() || !f.couldServe(now, u, reqs) {
-			continue
-		}
-		delay, isAsked := f.limitDelay(now, u, g)
-		if !found || delay < soonest {
-			soonest, found = delay, true
-		}
-		if !isAsked && (unasked == nil || f.options.Random() < 0.5) {
-			unasked = u
-		}
-	}
-	if unasked != nil && (!g.isPending() || now.Sub(g.askedAt) >= askTimeout) {
-		g.upstream, g.askedAt = unasked, now
-		f.ask(unasked)
-	}
-	return soonest, found
-}
-
-// limitDelay returns the time after which the limit of an upstream may let the request pass, and
-// whether that is known or the owner has been asked.
-func (f *Fleet) limitDelay(now time.Time, u *upstream, g *GrantRequest) (delay time.Duration, isAsked bool) {
-	s := u.demands.limit
-	switch {
-	case s.isOwner:
-		return s.allotter.Wait(now, s.rate(f), f.options.Self), true
-	case s.hasRequest(f, now):
-		return 0, true
-	case now.Before(s.deniedUntil):
-		return s.deniedUntil.Sub(now), true
-	case g.upstream != u || !g.isPending():
-		return 0, false
-	case now.Sub(g.askedAt) < askTimeout:
-		return 0, true
-	}
-	s.deniedUntil = now.Add(refusedAskDelay)
-	return refusedAskDelay, true
-}
-
-// couldServe reports whether nothing but a limit keeps the request from the upstream.
-func (f *Fleet) couldServe(now time.Time, u *upstream, reqs Requirements) bool {
-	if !u.isOffered(now) || isExcluded(reqs, u) {
-		return false
-	}
-	if reqs.Pool.Engine == nil {
-		return true
-	}
-	if !u.acceptsRequests(now) {
-		return false
-	}
-	_, _, ok := f.versionFor(now, u, reqs)
-	return ok
-}
-
-// ask notes that a request waits for the owner's grant. The caller holds the mutex.
-func (f *Fleet) ask(u *upstream) {
-	u.demands.limit.wanted++
-	select {
-	case f.asks <- struct{}{}:
-	default:
-	}
+	f.mergeLimit(now, "unlisted", l)
 }
-
-// Asks returns a channel that receives a value when TakeAsks has something to return.
-func (f *Fleet) Asks() <-chan struct{} { return f.asks }
-
-// Ask asks the owner of a limit for requests.
-type Ask struct {
-	Limit UpstreamLimit
-	Count int
-	// Stamp is the time of the ask since a moment that only the asking entry knows.
-	Stamp time.Duration
-}
-
-// TakeAsks returns the asks to send, by owner.
-func (f *Fleet) TakeAsks(now time.Time) map[hosts.Name][]Ask {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	if f.asksSince.IsZero() {
-		f.asksSince = now
-	}
-	all := make(map[hosts.Name][]Ask)
-	for _, u := range f.limited {
-		s := u.demands.limit
-		if s.wanted > 0 && s.limit.IsSet() && !s.isOwner {
-			all[s.owner.Name] = append(all[s.owner.Name], Ask{Limit: u.currentLimit(), Count: min(s.wanted, maxAskCount), Stamp: now.Sub(f.asksSince)})
-		}
-		s.wanted = 0
-	}
-	return all
-}
-
-// Grant is the response to an Ask.
-type Grant struct {
-	Limit UpstreamLimit
-	// Count is the number of requests granted. If it is zero, Wait is the time after which to
-	// ask again.
-	Count int
-	Wait  time.Duration
-	// Stamp is that of the ask.
-	Stamp time.Duration
-}
-
-// ReceiveAsks returns the grants for another entry. Upstreams that this entry doesn't list get none.
-func (f *Fleet) ReceiveAsks(now time.Time, from hosts.Name, asks []Ask) []Grant {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	var all []Grant
-	for _, a := range asks {
-		u := f.mergeLimit(now, from, a.Limit)
-		if u == nil || u.demands.limit == nil {
-			continue
-		}
-		s := u.demands.limit
-		g := Grant{Limit: u.currentLimit(), Stamp: a.Stamp, Wait: refusedAskDelay}
-		if s.limit.IsSet() && s.isOwner && u.isOffered(now) {
-			g.Count, g.Wait = s.allotter.Take(now, s.rate(f), from, max(min(a.Count, maxAskCount), 1))
-		}
-		all = append(all, g)
-	}
-	return all
-}
-
-// ReceiveGrants records the grants of an owner.
-func (f *Fleet) ReceiveGrants(now time.Time, grants []Grant) {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	for _, g := range grants {
-		u := f.mergeLimit(now, "owner", g.Limit)
-		if u == nil || u.demands.limit == nil || !u.demands.limit.limit.IsSet() {
-			continue
-		}
-		s := u.demands.limit
-		s.answeredAt = now
-		if g.Count == 0 {
-			s.deniedUntil = now.Add(max(g.Wait, time.Millisecond))
-			continue
-		}
-		// The time counts from the ask, so that a grant that was held up is not used.
-		for range min(g.Count, maxAskCount) {
-			s.grants = append(s.grants, f.asksSince.Add(g.Stamp+grantTTL))
-		}
-	}
-}
-
-// LimitedRetryDelay returns when a client should return to a pool whose upstreams are all kept back
-// by their limits, the soonest of them for the given time. Clients that are refused one after the
-// other get different times, since the pool takes only so many.
-func (f *Fleet) LimitedRetryDelay(now time.Time, pool string, soonest time.Duration) time.Duration {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	rate := 0.0
-	for _, u := range f.pools[pool] {
-		if s := u.demands.limit; s != nil && s.limit.IsSet() && u.isOffered(now) {
-			rate += s.limit.Rate
-		}
-	}
-	at := now.Add(soonest)
-	if next := f.limitedReturns[pool]; next.After(at) {
-		at = next
-	}
-	if rate > 0 && at.Sub(now) < maxLimitedRetryDelay {
-		entries := max(len(f.options.Entries()), 1)
-		f.limitedReturns[pool] = at.Add(time.Duration(float64(entries) / rate * float64(time.Second)))
-	}
-	return min(at.Sub(now), maxLimitedRetryDelay)
-}
-
-// maxLimitedRetryDelay bounds the time after which a client returns.
-const maxLimitedRetryDelay = 10 * time.Second
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -331,7 +331,7 @@
 
 // startRequest counts a request that is about to be sent. The caller holds the mutex.
 func (f *Fleet) startRequest(now time.Time, u *upstream, model string, prompt int) *InFlight {
-	u.demands.limit.takeRequest(f, now)
+	u.demands.limit.spend(f, now)
 	u.running++
 	u.sentSinceReport++
 	u.unread += prompt
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -40,7 +40,7 @@
 leaving~leaving~entry/internal/target/choose.go~s/ && !u\.demands\.leaving//~upstream-leave
 holds~holds~entry/internal/target/choose.go~s/ && !u\.demands\.isHeld\(now\)//~upstream-held~300ms
 limitignored~limits~entry/internal/target/limits.go~s/(isLimited bool\) bool \{\n)/$1\tif true { return false }\n/~upstream-limit~1s
-limitunshared~limits~entry/internal/target/limits.go~s/isOwner := owner\.Name == f\.options\.Self \|\| /isOwner := true || /~upstream-limit~1s
+limitunshared~limits~entry/internal/target/limits.go~s/isOwner := owner == f\.options\.Self \|\| /isOwner := true || /~upstream-limit~1s
 limitforgotten~limits~entry/internal/target/limits.go~s/if s == nil \|\| !s\.limit\.IsSet\(\) \{/if s == nil || !s.limit.IsSet() || now.Sub(s.changedAt) > time.Second {/~upstream-limit~1s
 retained~revoked~core/feed/mirror.go~s/m\.retention\.beginEra\(now, active, platform\)/m.retention.rows = nil/~store-restore,config-revoke,config-revoke,config-revoke
 memory~memory~entry/internal/proxy/handler.go~s/(l\.run\(r\.Context\(\)\)\n)/$1\tpart := make([]byte, 1<<20); for i := range part { part[i] = 1 }; kept.Store(l, part)\n/; s/\z/\nvar kept sync.Map\n/; s/"sync"\n//; s/import \(\n/import (\n\t"sync"\n/~config
