proxy: log a value that names no limit once, not with each response

An upstream that gives such a value gives it in each response, which was a warning for each request. TestInvalidLimitIsLoggedOnce: 1 line in 5 requests (5 before).

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -370,8 +370,10 @@
 		return
 	}
 	if reply.LimitInvalid != "" {
-		l.handler.options.Log.Warn("limit-invalid", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID),
-			zap.String("value", reply.LimitInvalid[:min(len(reply.LimitInvalid), maxLoggedValue)]))
+		value := reply.LimitInvalid[:min(len(reply.LimitInvalid), maxLoggedValue)]
+		if f.RecordInvalidLimit(value) {
+			l.handler.options.Log.Warn("limit-invalid", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID), zap.String("value", value))
+		}
 		if !reply.Limited {
 			return
 		}
--- a/entry/internal/proxy/limits_test.go
+++ b/entry/internal/proxy/limits_test.go
@@ -7,6 +7,9 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
 	"currantport.example/core/calls"
 )
 
@@ -57,6 +60,22 @@
 	})
 }
 
+// TestInvalidLimitIsLoggedOnce lets an upstream give the same value that names no limit in each
+// response. It is used as without one.
+func TestInvalidLimitIsLoggedOnce(t *testing.T) {
+	core, logged := observer.New(zap.WarnLevel)
+	playLogged(t, 1, plenty, zap.New(core), func(w io.Writer, v visit) { answered(w, v.id, "Limit: few") }, func(w *world) {
+		for range 5 {
+			if a := w.request(context.Background(), "/open/x"); a.Code != http.StatusOK {
+				t.Errorf("status %d", a.Code)
+			}
+		}
+	})
+	if n := logged.FilterMessage("limit-invalid").Len(); n != 1 {
+		t.Errorf("%d lines", n)
+	}
+}
+
 // TestRefusalBecauseOfLimitsComesTrue lets clients that are refused because the only upstream takes two
 // requests a second return when they were told to. They are refused at once, and served then.
 func TestRefusalBecauseOfLimitsComesTrue(t *testing.T) {
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -145,6 +145,11 @@
 }
 
 func playWith(t *testing.T, upstreams int, limits budget.Limits, script func(w io.Writer, v visit), test func(w *world)) {
+	t.Helper()
+	playLogged(t, upstreams, limits, zap.NewNop(), script, test)
+}
+
+func playLogged(t *testing.T, upstreams int, limits budget.Limits, log *zap.Logger, script func(w io.Writer, v visit), test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{t: t, mirror: feed.NewMirror(), script: script, scope: tally.NewTestScope("", nil)}
@@ -170,7 +175,7 @@
 			Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: crash.NewRegistry(zap.NewNop()),
 			Bounds:      proxy.Bounds{MaxKeyStaleness: 4 * time.Second, MaxMissStaleness: 2 * time.Second},
 			RetryLimits: limits, Entries: func() int { return 1 },
-			Random: func() float64 { return 0.5 }, Scope: w.scope, Log: zap.NewNop(),
+			Random: func() float64 { return 0.5 }, Scope: w.scope, Log: log,
 		})
 		w.publish(upstreams)
 		fleet.ApplySnapshot(clocks.Now(), w.mirror.Snapshot())
--- a/entry/internal/target/demands.go
+++ b/entry/internal/target/demands.go
@@ -35,8 +35,10 @@
 	leavingAt time.Time
 	// heldUntil is the time until which the upstream wants no requests.
 	heldUntil time.Time
-	// limit is the limit that it has named, or nil if it never named one.
-	limit *limitState
+	// limit is the limit that it has named, or nil if it never named one. InvalidLimit is the
+	// last value that it gave in place of one.
+	limit        *limitState
+	invalidLimit string
 }
 
 // isHeld reports whether the upstream wants no requests from this entry now.
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -105,6 +105,16 @@
 	return true
 }
 
+// RecordInvalidLimit records a value that names no limit. It reports whether the upstream hasn't given
+// the same one just before.
+func (r *InFlight) RecordInvalidLimit(value string) bool {
+	r.fleet.mutex.Lock()
+	defer r.fleet.mutex.Unlock()
+	isNew := r.upstream.demands.invalidLimit != value
+	r.upstream.demands.invalidLimit = value
+	return isNew
+}
+
 // setLimit replaces the limit of an upstream. Source says who told, for the log. The caller holds
 // the mutex.
 func (f *Fleet) setLimit(now time.Time, u *upstream, l quota.Limit, source string) {
