--- a/stand/internal/soak/poison.go
+++ b/stand/internal/soak/poison.go
@@ -176,7 +176,9 @@
 	similar, last := similarRequests(p, all)
 	for _, s := range similar {
 		if s.sentAt.After(since) && !s.sentAt.After(last) && c.inTouch(s, s.sentAt) {
-			c.countBegun(s, beside[s.kind.name])
+			if c.hasVersion(s.sentAt) {
+				c.countBegun(s, beside[s.kind.name])
+			}
 		} else if c.isCalm(s) {
 			c.countBegun(s, calm[s.kind.name])
 		}
@@ -189,6 +191,20 @@
 	}
 }
 
+// versionCutoff is how long before a replaced version may begin no more requests entries stop sending
+// them.
+const versionCutoff = 1500 * time.Millisecond
+
+// hasVersion reports whether an engine had ever loaded a version with which a request may begin at a
+// time. Between the end of the time of a replaced version and the first load of a newer one all
+// requests are refused.
+func (c *checker) hasVersion(at time.Time) bool {
+	_, versions := c.world.operator.history()
+	return !slices.ContainsFunc(versions, func(v modelVersion) bool {
+		return v.storedAt.Add(versionLimit-versionCutoff).Before(at) && !c.world.ledger.IsLoaded(v.number, at)
+	})
+}
+
 // similarRequests returns the sound requests that share the key or the first part of one with the
 // poison part, and the time of the last request with that.
 func similarRequests(p *poisonPart, all []*sentRequest) ([]*sentRequest, time.Time) {
