mesh, target: send limits in gossip only, and announce only first-hand ones

Heartbeats go to all entries of a region each 0.6 s. With 16 limits of 40 bytes they would have cost an entry among 105 of a region 112 KB/s (worked out), where 5 KB/s are the target for all control; and an entry repeated to its region what others had told it. Gossip to two entries each 0.3 s carries them on, at most 4.3 KB/s (worked out).

--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -277,9 +277,21 @@
 		toHeartbeat = append(toHeartbeat, m.To)
 	}
 	n.Send(heartbeat, toHeartbeat...)
+	if len(toGossip) > 0 {
+		gossip.GetGossip().Limits = n.exportLimits()
+	}
 	n.Send(gossip, toGossip...)
 }
 
+// exportLimits returns limits of upstreams to send. Heartbeats carry none, as they go to all entries of
+// the region.
+func (n *Node) exportLimits() []*wire.Limit {
+	if export := n.handlers.Load().ExportLimits; export != nil {
+		return export(maxLimits)
+	}
+	return nil
+}
+
 // buildGossip returns a gossip message with the records, of which an entry's own is the first.
 func (n *Node) buildGossip(records []member.Member, request bool) *wire.Datagram {
 	g := &wire.Gossip{Ask: request}
@@ -293,9 +305,6 @@
 	if n.options.CrashMarks != nil {
 		g.Marks = n.options.CrashMarks.Export(maxMarks)
 	}
-	if export := n.handlers.Load().ExportLimits; export != nil {
-		g.Limits = export(maxLimits)
-	}
 	return &wire.Datagram{Body: &wire.Datagram_Gossip{Gossip: g}}
 }
 
@@ -386,16 +395,15 @@
 // receiveLimits passes the limits of upstreams on, and tells those that are known here to an entry
 // that has started, before it sends its first requests.
 func (n *Node) receiveLimits(from netip.AddrPort, name hosts.Name, limits []*wire.Limit, isNew bool) {
-	h := n.handlers.Load()
-	if isNew && h.ExportLimits != nil {
-		if known := h.ExportLimits(maxLimits); len(known) > 0 {
+	if isNew {
+		if known := n.exportLimits(); len(known) > 0 {
 			n.mutex.Lock()
 			self := encodeMember(n.table.Self())
 			n.mutex.Unlock()
 			n.Send(&wire.Datagram{Body: &wire.Datagram_Gossip{Gossip: &wire.Gossip{Self: self, Limits: known}}}, from)
 		}
 	}
-	if h.Limits != nil && len(limits) > 0 {
+	if h := n.handlers.Load(); h.Limits != nil && len(limits) > 0 {
 		h.Limits(name, limits)
 	}
 }
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -23,6 +23,8 @@
 	// changedAt is when the limit became known here. What the response to an earlier request
 	// says may be older.
 	changedAt time.Time
+	// isFirstHand is set if a response to this entry said so, not another entry.
+	isFirstHand bool
 	// owner is the entry that spends the limit. It is empty if no entry is ready.
 	owner hosts.Name
 	// isOwner is set if this entry is the owner, which spends through the allotter.
@@ -102,6 +104,7 @@
 		return false
 	}
 	r.fleet.setLimit(now, r.upstream, next, "response")
+	r.upstream.demands.limit.isFirstHand = true
 	return true
 }
 
@@ -128,7 +131,7 @@
 	}
 	f.options.Log.Info("upstream-limit", zap.String("upstream", u.row.ID), zap.Time("started", u.row.Started), zap.String("told", source),
 		zap.Float64("limit", l.Rate), zap.Float64("before", s.limit.Rate), zap.Uint64("serial", l.Serial), zap.Int("running", u.running))
-	s.limit, s.changedAt = l, now
+	s.limit, s.changedAt, s.isFirstHand = l, now, false
 	s.allotter.Reset(now)
 	s.grants, s.deniedUntil, s.wanted = nil, time.Time{}, 0
 	f.assignLimit(now, u)
@@ -188,11 +191,12 @@
 	return UpstreamLimit{ID: u.row.ID, Started: u.row.Started, Limit: u.demands.limit.limit}
 }
 
-// AnnouncedLimits returns at most the given number of limits that lately became known here.
+// AnnouncedLimits returns at most the given number of limits that upstreams have lately named in
+// responses to this entry.
 func (f *Fleet) AnnouncedLimits(now time.Time, most int) []UpstreamLimit {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.collectLimits(most, func(s *limitState) bool { return now.Sub(s.changedAt) < announceTime })
+	return f.collectLimits(most, func(s *limitState) bool { return s.isFirstHand && now.Sub(s.changedAt) < announceTime })
 }
 
 // Limits returns at most the given number of the limits that hold or have lately ended. If there
