--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -260,17 +260,18 @@
 		f.entries[5], f.stops[5] = n, stop
 		n.SetState(hosts.StateLive, false)
 		time.Sleep(settleTime)
-		var heard time.Time
+		var heard atomic.Pointer[time.Time]
 		n.SetHandlers(mesh.Handlers{Limits: func(from hosts.Name, all []*wire.Limit) {
-			if heard.IsZero() && from == "e2" && len(all) == 1 && all[0].Upstream == "u" {
-				heard = time.Now()
+			if from == "e2" && len(all) == 1 && all[0].Upstream == "u" {
+				now := time.Now()
+				heard.CompareAndSwap(nil, &now)
 			}
 		}})
 		ready := time.Now()
 		n.SetState(hosts.StateLive, true)
 		time.Sleep(settleTime)
-		if heard.IsZero() || heard.Sub(ready) > 2*latency {
-			t.Errorf("heard %s after the entry was ready", heard.Sub(ready))
+		if at := heard.Load(); at == nil || at.Sub(ready) > 2*latency {
+			t.Errorf("heard at %v, ready at %v", at, ready)
 		}
 	})
 }
