--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -187,6 +187,7 @@
 		for i := range upstreams {
 			n.Kill(address(i).Addr())
 		}
+		synctest.Wait()
 		w.scripts.Wait()
 		synctest.Wait()
 	})
