--- a/core/relay/edits_test.go
+++ b/core/relay/edits_test.go
@@ -98,6 +98,7 @@
 // removed by the next revision, and at times the service returns an older state of a
 // table. Every process must show only complete published revisions and never go back.
 func TestTwoOperatorsEditAtOnce(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		synctest.Test(t, func(t *testing.T) {
 			random := rand.New(rand.NewPCG(6, seed))
--- a/core/relay/hosts_test.go
+++ b/core/relay/hosts_test.go
@@ -110,6 +110,7 @@
 // The number of calls per second doesn't depend on the number of processes, since each
 // process spaces its direct reads by that number.
 func TestMassStartStaysWithinTheBudget(t *testing.T) {
+	t.Parallel()
 	const allowed = 2000
 	synctest.Test(t, func(t *testing.T) {
 		list := fleetOf(7, 18, 60, 540)
@@ -142,6 +143,7 @@
 // The feeds connect all processes over few hops and with few children each, also if a
 // failure domain is down.
 func TestFeedsConnectAllProcesses(t *testing.T) {
+	t.Parallel()
 	random := rand.New(rand.NewPCG(6, 2))
 	for range 12 {
 		domains := 2 + random.IntN(17)
--- a/core/relay/relay_test.go
+++ b/core/relay/relay_test.go
@@ -98,6 +98,7 @@
 // The service takes up to 2 s for each response. Changes must still become active in
 // time over an hour.
 func TestChangesOfSlowServiceAreActiveInTime(t *testing.T) {
+	t.Parallel()
 	for _, slow := range []time.Duration{time.Second, 2 * time.Second} {
 		t.Run(slow.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/core/relay/state_test.go
+++ b/core/relay/state_test.go
@@ -153,6 +153,7 @@
 // Entries and agents that poll rarely hold, after two requests, exactly what the
 // polled process holds, however many revisions they were behind.
 func TestLaggingProcessesCatchUp(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(3) {
 		e := &editor{random: rand.New(rand.NewPCG(6, seed)), pools: map[string]tables.Pool{}}
 		now := time.Unix(1000, 0)
