--- a/core/quota/ways_test.go
+++ b/core/quota/ways_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"currantport.example/core/quota"
+	"currantport.example/core/trial"
 )
 
 const (
@@ -142,12 +143,5 @@
 		}
 		waiting = left
 	}
-	first := 0
-	for i, at := range sent {
-		for at.Sub(sent[first]) >= 4*time.Second {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most, float64(len(sent)) / (rate * (waySpan - 3*time.Second).Seconds())
+	return trial.MostWithin(sent, 4*time.Second), float64(len(sent)) / (rate * (waySpan - 3*time.Second).Seconds())
 }
--- a/entry/internal/proxy/limits_test.go
+++ b/entry/internal/proxy/limits_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"currantport.example/core/calls"
+	"currantport.example/core/trial"
 )
 
 // limitSpan and limitSlack are those of the users' rule: in no span may an upstream get more than
@@ -20,19 +21,6 @@
 	limitSlack = 5
 )
 
-// mostWithin returns the largest number of the times in any span of the given length. The times
-// are in order.
-func mostWithin(times []time.Time, span time.Duration) int {
-	most, first := 0, 0
-	for i, t := range times {
-		for t.Sub(times[first]) >= span {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 // TestLimitThatUpstreamNamesIsKept guards against an entry that sends an upstream as many requests
 // as ever although the upstream names a limit in each response.
 func TestLimitThatUpstreamNamesIsKept(t *testing.T) {
@@ -51,7 +39,7 @@
 			}
 			time.Sleep(100 * time.Millisecond)
 		}
-		if most, allowed := mostWithin(times, limitSpan), 6+limitSlack; most > allowed {
+		if most, allowed := trial.MostWithin(times, limitSpan), 6+limitSlack; most > allowed {
 			t.Errorf("%d requests in %s, allowed %d", most, limitSpan, allowed)
 		}
 		if len(times) < 10 {
--- a/entry/internal/target/crowd_test.go
+++ b/entry/internal/target/crowd_test.go
@@ -11,6 +11,7 @@
 
 	"currantport.example/core/hosts"
 	"currantport.example/core/state"
+	"currantport.example/core/trial"
 	"currantport.example/entry/internal/target"
 )
 
@@ -240,18 +241,6 @@
 	}
 }
 
-// mostWithin returns the largest number of the times in any span of the given length.
-func mostWithin(times []time.Time, span time.Duration) int {
-	most, first := 0, 0
-	for i, t := range times {
-		for t.Sub(times[first]) >= span {
-			first++
-		}
-		most = max(most, i-first+1)
-	}
-	return most
-}
-
 func allowed(rate float64) int {
 	return int(math.Floor(limitRatio*rate*limitSpan.Seconds())) + limitSlack
 }
@@ -282,7 +271,7 @@
 	from := start.Add(graceTime)
 	sent := after(c.sent, from)
 	return report{
-		most: mostWithin(sent, limitSpan), mostCounted: mostWithin(after(c.counted, from), limitSpan),
+		most: trial.MostWithin(sent, limitSpan), mostCounted: trial.MostWithin(after(c.counted, from), limitSpan),
 		used: float64(len(sent)) / (rate * c.now.Sub(from).Seconds()),
 	}
 }
--- a/entry/internal/target/limits_test.go
+++ b/entry/internal/target/limits_test.go
@@ -8,6 +8,7 @@
 
 	"currantport.example/core/hosts"
 	"currantport.example/core/state"
+	"currantport.example/core/trial"
 	"currantport.example/entry/internal/target"
 )
 
@@ -188,7 +189,7 @@
 			if !p.limited {
 				wanted = 60
 			}
-			if n := mostWithin(all, limitSpan); p.limited && n > allowed(p.rate) {
+			if n := trial.MostWithin(all, limitSpan); p.limited && n > allowed(p.rate) {
 				t.Errorf("lost %g, phase %d, %+v: %d requests in %s, allowed %d", lost, i, p, n, limitSpan, allowed(p.rate))
 			}
 			if used := float64(len(all)) / (span - graceTime).Seconds(); used < 0.6*wanted {
