loader, target, proxy: log which version an engine serves

The entry took the engine for one of version 9, and the logs can't tell whether the agent reported 9 wrongly or the engine went back after it: neither side logs what an engine serves.

The agent logs each change of the versions that its engine holds, with the engine's count of accepted orders, and that count before each order. The line of a request states the version of the response beside the expected one. An entry logs when a load report or a response shows an older version than before, once a second for each upstream at most.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -23,6 +23,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -275,6 +276,9 @@
 		l.orderedAt = time.Time{}
 		l.stager.reset()
 	}
+	if !slices.Equal(s.Held, l.status.Held) && !l.statusAt.IsZero() {
+		l.options.Log.Info("engine-version", zap.String("held", heldText(s.Held)), zap.String("before", heldText(l.status.Held)), zap.Uint64("count", s.OrderCount))
+	}
 	if s.Leaving && !l.status.Leaving {
 		l.options.Log.Info("engine-leaving", zap.Time("started", s.Started), zap.Int("active", s.Active))
 		l.options.Notify()
@@ -355,7 +359,7 @@
 	defer cancel()
 	ack, err := l.options.Engine.Load(ctx, t.model, t.version)
 	l.orders.Inc(1)
-	l.options.Log.Info("order", zap.String("model", t.model), zap.Int("version", t.version), zap.String("ack", string(ack)),
+	l.options.Log.Info("order", zap.String("model", t.model), zap.Int("version", t.version), zap.Uint64("count", l.status.OrderCount), zap.String("ack", string(ack)),
 		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.releases[t].notBefore)), zap.Error(err))
 	if err != nil || ack == engine.AckConflict || ack == engine.AckFenced {
 		l.retryAt = clocks.Now().Add(orderBackoff)
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -337,7 +337,7 @@
 	case calls.ReplyMismatched:
 		return tries.ResultLost, target.OutcomeFailed, errMismatched
 	}
-	f.RecordVersion(reply.Version)
+	f.RecordVersion(clocks.Now(), reply.Version)
 	if l.admission.Route.Stream && reply.Success {
 		return l.forwardStream(ctx, f, wd, response, reply)
 	}
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -67,7 +67,7 @@
 // the request.
 func (l *lifecycle) logAttempt(f *target.InFlight, result tries.Result, start time.Time, err error) {
 	fields := []zap.Field{
-		zap.String("upstream", f.Row.ID), zap.Int("version", f.Version), zap.Int("running", f.Running),
+		zap.String("upstream", f.Row.ID), zap.Int("version", f.Version), zap.Int("served", f.Served), zap.Int("running", f.Running),
 		zap.Duration("age", f.LoadAge), zap.Duration("predicted", f.Predicted),
 	}
 	if !f.StartDeadline.IsZero() {
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -34,6 +34,9 @@
 	// mismatchBackoff is how long an engine that rejected a request for its version gets no
 	// requests. It is busy loading a version, or its next load report states the new one.
 	mismatchBackoff = time.Second
+	// versionLogInterval is the shortest time between two log lines of an upstream about a return
+	// to an older version.
+	versionLogInterval = time.Second
 	// unknownVersion stands for a version later than those that the entry knows. It keeps
 	// engines usable for an entry that reaches neither the platform nor the agents.
 	unknownVersion = -1
@@ -90,6 +93,8 @@
 
 	// observed is what the engine's responses say about its versions, by model.
 	observed map[string]observedVersions
+	// versionLoggedAt is the time of the last log line about a return to an older version.
+	versionLoggedAt time.Time
 }
 
 // observedVersions are the versions of one model that an engine's responses have confirmed
@@ -252,6 +257,11 @@
 	if u == nil || u.report.Serial >= r.Serial && now.Sub(u.reportedAt) < loadReportTTL {
 		return
 	}
+	if r.Started.Equal(u.report.Started) {
+		for _, h := range r.Held {
+			f.logOlderVersion(now, u, "report", versionOf(u.report.Held, h.Model), h.Version)
+		}
+	}
 	u.report, u.reportedAt, u.sentSinceReport = r, now, 0
 	if r.Leaving && r.Started.Equal(u.row.Started) {
 		f.recordLeaving(now, u, "agent")
@@ -259,6 +269,26 @@
 	u.otherRunning = max(r.Running-u.running-u.regionRunning, 0)
 }
 
+// logOlderVersion logs that an engine was shown to serve an older version than before. Zero means
+// none.
+func (f *Fleet) logOlderVersion(now time.Time, u *upstream, source string, before, version int) {
+	if version == 0 || version >= before || now.Sub(u.versionLoggedAt) < versionLogInterval {
+		return
+	}
+	u.versionLoggedAt = now
+	f.options.Log.Warn("engine-version-older", zap.String("upstream", u.row.ID), zap.String("source", source), zap.Int("version", version), zap.Int("before", before))
+}
+
+// versionOf returns the held version of a model, or zero.
+func versionOf(held []state.HeldVersion, model string) int {
+	for _, h := range held {
+		if h.Model == model {
+			return h.Version
+		}
+	}
+	return 0
+}
+
 // servedVersion returns the version of a model that the upstream serves, or zero if it
 // serves none. It returns unknownVersion if responses show that it serves a later one than
 // the newest report or row says.
@@ -316,6 +346,8 @@
 	// StartDeadline is the time after which the request must not start on this version,
 	// or zero.
 	StartDeadline time.Time
+	// Served is the version in the response, or zero.
+	Served int
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
 	// Running is the number of requests at the upstream before this one; LoadAge is the age
@@ -343,10 +375,12 @@
 }
 
 // RecordVersion records the version in the upstream's response. Zero means unknown.
-func (r *InFlight) RecordVersion(version int) {
+func (r *InFlight) RecordVersion(now time.Time, version int) {
 	r.fleet.mutex.Lock()
 	defer r.fleet.mutex.Unlock()
+	r.Served = version
 	v := r.upstream.observed[r.model]
+	r.fleet.logOlderVersion(now, r.upstream, "response", v.served, version)
 	v.served = max(v.served, version)
 	r.upstream.observed[r.model] = v
 }
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -226,7 +226,7 @@
 	if id != "u1" || f.ExactVersion || f.Version != 0 {
 		t.Fatalf("after the backoff: %s, version %d, exact %t", id, f.Version, f.ExactVersion)
 	}
-	f.RecordVersion(2)
+	f.RecordVersion(now, 2)
 	f.Finish(now, target.OutcomeSuccess)
 	if id, f = w.place(now, w.requirements()); id != "u1" || f.Version != 2 {
 		t.Errorf("after a response: %s, version %d", id, f.Version)
