--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -53,6 +53,14 @@
 	// orders are the versions of accepted orders, rejected those of the others.
 	orders   []int
 	rejected []int
+	// losses are the delays after which the next orders take effect, which get no response.
+	losses []time.Duration
+	// older are the versions that the engine went back to, mixed those whose load began while
+	// pieces of another version were staged, both by orders without a response.
+	older []int
+	mixed []int
+	// stageTime is the time that the engine takes to store a piece.
+	stageTime time.Duration
 	// others is the number of other engines of the pool.
 	others int
 	// fetchTime is the time that the fetch of a version takes.
@@ -195,15 +203,25 @@
 }
 
 func (w *world) Stage(_ context.Context, _ string, piece int, data []byte) error {
+	time.Sleep(w.stageTime)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.staged[piece] = bytes.Clone(data)
 	return nil
 }
 
-func (w *world) Load(_ context.Context, _ string, version int) (engine.Ack, error) {
+func (w *world) Load(ctx context.Context, _ string, version int) (engine.Ack, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if len(w.losses) > 0 {
+		delay := w.losses[0]
+		w.losses = w.losses[1:]
+		time.AfterFunc(delay, func() { w.acceptLate(version) })
+		w.mutex.Unlock()
+		<-ctx.Done()
+		w.mutex.Lock()
+		return "", ctx.Err()
+	}
 	if w.busy {
 		w.rejected = append(w.rejected, version)
 		return engine.AckConflict, nil
@@ -213,16 +231,41 @@
 			w.t.Errorf("version %d is ordered with %q as piece %d", version, w.staged[i], i)
 		}
 	}
+	w.accept(version)
+	return engine.AckStarted, nil
+}
+
+// acceptLate takes an order that got no response.
+func (w *world) acceptLate(version int) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.busy || w.held == version {
+		return
+	}
+	for i := range pieceCount {
+		if !bytes.Equal(w.staged[i], pieceOf(version, i)) {
+			w.mixed = append(w.mixed, version)
+			break
+		}
+	}
+	w.accept(version)
+}
+
+// accept begins to load a version. The caller holds the mutex.
+func (w *world) accept(version int) {
 	w.busy, w.orders = true, append(w.orders, version)
 	started := w.started
 	time.AfterFunc(w.running+loadTime, func() {
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
-		if w.started.Equal(started) {
-			w.held, w.busy = version, false
+		if !w.started.Equal(started) {
+			return
+		}
+		if version < w.held {
+			w.older = append(w.older, version)
 		}
+		w.held, w.busy = version, false
 	})
-	return engine.AckStarted, nil
 }
 
 func (w *world) crash() {
@@ -312,3 +355,62 @@
 		})
 	}
 }
+
+// playLostOrder releases two versions. The order of the first one gets no response and takes effect
+// after the delay.
+func playLostOrder(t *testing.T, delay time.Duration, test func(w *world)) {
+	t.Helper()
+	play(t, 1, 0, func(w *world) {
+		w.mutex.Lock()
+		w.losses, w.stageTime, w.fetchTime[3] = []time.Duration{delay}, 50*time.Millisecond, 300*time.Millisecond
+		w.mutex.Unlock()
+		w.release(2)
+		time.Sleep(500 * time.Millisecond)
+		w.release(3)
+		time.Sleep(2 * versionTimeout)
+		w.mutex.Lock()
+		defer w.mutex.Unlock()
+		if w.held != 3 {
+			t.Errorf("an order late by %v: serves %d after orders %v", delay, w.held, w.orders)
+		}
+		test(w)
+	})
+}
+
+func TestOrderWithoutResponseDoesNotBringBackOlderVersion(t *testing.T) {
+	for delay := 500 * time.Millisecond; delay <= 6*time.Second; delay += 500 * time.Millisecond {
+		playLostOrder(t, delay, func(w *world) {
+			if len(w.older) > 0 {
+				t.Errorf("an order late by %v: went back to %v after orders %v", delay, w.older, w.orders)
+			}
+		})
+	}
+}
+
+func TestPiecesAreNotReplacedWhileAnOrderMayTakeEffect(t *testing.T) {
+	for delay := 900 * time.Millisecond; delay <= 2500*time.Millisecond; delay += 50 * time.Millisecond {
+		playLostOrder(t, delay, func(w *world) {
+			if len(w.mixed) > 0 {
+				t.Errorf("an order late by %v: versions %v were loaded with pieces of others", delay, w.mixed)
+			}
+		})
+	}
+}
+
+// TestEngineThatWentBackLoadsAtOnce has an engine return to a version whose time is over, while it
+// waits for the last slot of the newest one.
+func TestEngineThatWentBackLoadsAtOnce(t *testing.T) {
+	play(t, 1, 5, func(w *world) {
+		w.release(2)
+		time.Sleep(versionTimeout)
+		w.release(2)
+		w.release(3)
+		time.Sleep(time.Second)
+		w.check(2, 2)
+		w.mutex.Lock()
+		w.held = 1
+		w.mutex.Unlock()
+		time.Sleep(time.Second)
+		w.check(3, 2, 3)
+	})
+}
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -446,3 +446,38 @@
 		t.Errorf("a second after the release: %s", id)
 	}
 }
+
+// TestEngineThatWentBackKeepsTheDeadlineOfItsVersion has an engine return to version 1, by its load
+// report and by its response, while version 2 is current.
+func TestEngineThatWentBackKeepsTheDeadlineOfItsVersion(t *testing.T) {
+	held := func(version int) []state.HeldVersion {
+		return []state.HeldVersion{{Model: "m", Version: version, Whole: true}}
+	}
+	respond := func(w *world, at time.Time, version int) {
+		_, f := w.place(at, w.requirements())
+		if f == nil {
+			t.Fatalf("no engine after %v", at.Sub(start))
+		}
+		f.RecordVersion(at.Add(100*time.Millisecond), version)
+		f.Finish(at.Add(200*time.Millisecond), target.OutcomeSuccess)
+	}
+	for name, goBack := range map[string]func(w *world, at time.Time){
+		"report": func(w *world, at time.Time) {
+			w.fleet.ReceiveLoadReport(at, "u1", target.LoadReport{Serial: 2, Pace: 1, Held: held(1)})
+		},
+		"response": func(w *world, at time.Time) { respond(w, at, 1) },
+	} {
+		w := newWorld(t, "e0")
+		w.publish(start, w.upstream(engine(1, "d0", 1)), w.row(state.EncodeRelease(state.Release{Model: "m", Version: 1})))
+		w.publish(start, w.row(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
+		w.fleet.ReceiveLoadReport(start.Add(3*time.Second), "u1", target.LoadReport{Serial: 1, Pace: 1, Held: held(2)})
+		respond(w, start.Add(3*time.Second), 2)
+		goBack(w, start.Add(6*time.Second))
+		if _, f := w.place(start.Add(6300*time.Millisecond), w.requirements()); f == nil || f.Version != 1 || f.StartDeadline.After(start.Add(versionTimeout)) {
+			t.Errorf("%s: before the end of version 1: %+v", name, f)
+		}
+		if id, _ := w.place(start.Add(7*time.Second), w.requirements()); id != "none, wait false" {
+			t.Errorf("%s: a version that was replaced 7 s ago: %s", name, id)
+		}
+	}
+}
