loader, engine, bridge: order a load with the expected order count

The agent ordered version 8 twice without a response, then version 9, which was accepted. About 5 s after it was sent, one order of 8 took effect and the engine went back until version 10 was ordered: nothing told it that the order was outdated.

An order now carries the count of accepted orders that the agent last read from the engine, which rejects the order if its count is another. Once version 9 has been accepted, an order of 8 that expects the count before it can't be.

Ruled out: fencing tokens, which engines check only where the platform says so.

TestOrderWithoutResponseDoesNotBringBackOlderVersion was red and passes: of orders late by 0.5 to 6 s none brings the engine back.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -357,7 +357,7 @@
 func (l *Loader) orderLoad(ctx context.Context, t targetVersion) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	ack, err := l.options.Engine.Load(ctx, t.model, t.version)
+	ack, err := l.options.Engine.Load(ctx, t.model, t.version, l.status.OrderCount)
 	l.orders.Inc(1)
 	l.options.Log.Info("order", zap.String("model", t.model), zap.Int("version", t.version), zap.Uint64("count", l.status.OrderCount), zap.String("ack", string(ack)),
 		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.releases[t].notBefore)), zap.Error(err))
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -53,6 +53,8 @@
 	// orders are the versions of accepted orders, rejected those of the others.
 	orders   []int
 	rejected []int
+	// ordersBefore is the number of orders before the last restart.
+	ordersBefore int
 	// losses are the delays after which the next orders take effect, which get no response.
 	losses []time.Duration
 	// older are the versions that the engine went back to, mixed those whose load began while
@@ -178,7 +180,7 @@
 func (w *world) Status(context.Context) (engine.Status, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	s := engine.Status{Started: w.started, Busy: w.busy, OrderCount: uint64(len(w.orders)), TotalTokens: 100, Pace: 1}
+	s := engine.Status{Started: w.started, Busy: w.busy, OrderCount: w.orderCount(), TotalTokens: 100, Pace: 1}
 	if w.held > 0 {
 		s.Held = []state.HeldVersion{{Model: writer, Version: w.held, Whole: true}}
 	}
@@ -210,19 +212,19 @@
 	return nil
 }
 
-func (w *world) Load(ctx context.Context, _ string, version int) (engine.Ack, error) {
+func (w *world) Load(ctx context.Context, _ string, version int, expected uint64) (engine.Ack, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if len(w.losses) > 0 {
 		delay := w.losses[0]
 		w.losses = w.losses[1:]
-		time.AfterFunc(delay, func() { w.acceptLate(version) })
+		time.AfterFunc(delay, func() { w.acceptLate(version, expected) })
 		w.mutex.Unlock()
 		<-ctx.Done()
 		w.mutex.Lock()
 		return "", ctx.Err()
 	}
-	if w.busy {
+	if w.busy || expected != w.orderCount() {
 		w.rejected = append(w.rejected, version)
 		return engine.AckConflict, nil
 	}
@@ -236,10 +238,10 @@
 }
 
 // acceptLate takes an order that got no response.
-func (w *world) acceptLate(version int) {
+func (w *world) acceptLate(version int, expected uint64) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.busy || w.held == version {
+	if w.busy || expected != w.orderCount() || w.held == version {
 		return
 	}
 	for i := range pieceCount {
@@ -251,6 +253,9 @@
 	w.accept(version)
 }
 
+// orderCount returns the number of orders since the last restart. The caller holds the mutex.
+func (w *world) orderCount() uint64 { return uint64(len(w.orders) - w.ordersBefore) }
+
 // accept begins to load a version. The caller holds the mutex.
 func (w *world) accept(version int) {
 	w.busy, w.orders = true, append(w.orders, version)
@@ -271,7 +276,7 @@
 func (w *world) crash() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.started, w.held, w.busy = time.Now(), 0, false
+	w.started, w.held, w.busy, w.ordersBefore = time.Now(), 0, false, len(w.orders)
 }
 
 func (w *world) check(held int, orders ...int) {
@@ -356,13 +361,13 @@
 	}
 }
 
-// playLostOrder releases two versions. The order of the first one gets no response and takes effect
-// after the delay.
-func playLostOrder(t *testing.T, delay time.Duration, test func(w *world)) {
+// playLostOrder releases two versions. The orders of the first one get no response and take effect
+// after the delays.
+func playLostOrder(t *testing.T, test func(w *world), delays ...time.Duration) {
 	t.Helper()
 	play(t, 1, 0, func(w *world) {
 		w.mutex.Lock()
-		w.losses, w.stageTime, w.fetchTime[3] = []time.Duration{delay}, 50*time.Millisecond, 300*time.Millisecond
+		w.losses, w.stageTime, w.fetchTime[3] = slices.Clone(delays), 50*time.Millisecond, 300*time.Millisecond
 		w.mutex.Unlock()
 		w.release(2)
 		time.Sleep(500 * time.Millisecond)
@@ -371,7 +376,7 @@
 		w.mutex.Lock()
 		defer w.mutex.Unlock()
 		if w.held != 3 {
-			t.Errorf("an order late by %v: serves %d after orders %v", delay, w.held, w.orders)
+			t.Errorf("orders late by %v: serves %d after orders %v", delays, w.held, w.orders)
 		}
 		test(w)
 	})
@@ -379,21 +384,21 @@
 
 func TestOrderWithoutResponseDoesNotBringBackOlderVersion(t *testing.T) {
 	for delay := 500 * time.Millisecond; delay <= 6*time.Second; delay += 500 * time.Millisecond {
-		playLostOrder(t, delay, func(w *world) {
+		playLostOrder(t, func(w *world) {
 			if len(w.older) > 0 {
 				t.Errorf("an order late by %v: went back to %v after orders %v", delay, w.older, w.orders)
 			}
-		})
+		}, delay)
 	}
 }
 
 func TestPiecesAreNotReplacedWhileAnOrderMayTakeEffect(t *testing.T) {
-	for delay := 900 * time.Millisecond; delay <= 2500*time.Millisecond; delay += 50 * time.Millisecond {
-		playLostOrder(t, delay, func(w *world) {
+	for delay := 900 * time.Millisecond; delay <= 3*time.Second; delay += 50 * time.Millisecond {
+		playLostOrder(t, func(w *world) {
 			if len(w.mixed) > 0 {
 				t.Errorf("an order late by %v: versions %v were loaded with pieces of others", delay, w.mixed)
 			}
-		})
+		}, delay, time.Minute)
 	}
 }
 
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -158,7 +158,8 @@
 	// AckStarted means that the order is in progress, AckDone that it is complete.
 	AckStarted Ack = "begun"
 	AckDone    Ack = "done"
-	// AckConflict means that the order is invalid in the engine's current state.
+	// AckConflict means that the order is invalid in the engine's current state, or that its
+	// order count isn't the expected one.
 	AckConflict Ack = "unfit"
 	// AckFenced means that the engine has accepted an order with a higher fence.
 	AckFenced Ack = "fenced"
@@ -176,6 +177,8 @@
 	// Stage stores a piece, replacing any piece with the same index.
 	Stage(ctx context.Context, model string, piece int, data []byte) error
 	// Load orders the engine to serve the staged weights once the running requests have
-	// ended. The engine accepts no requests until the load is complete.
-	Load(ctx context.Context, model string, version int) (Ack, error)
+	// ended. The engine accepts no requests until the load is complete. It rejects the order
+	// with AckConflict unless its order count is the expected one. After an error, the order may
+	// be accepted until the count is another.
+	Load(ctx context.Context, model string, version int, expected uint64) (Ack, error)
 }
