loader: plan the slot anew for an engine that went back

The slot is planned again once the engine serves an older version than when it was planned. The deadline is then that of the earliest release that the engine lacks.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -17,7 +17,9 @@
 //
 // Staged pieces may become corrupt, an engine may restart and lose its versions, a newer
 // version may be released at any time. So each round compares the status that the engine
-// reports with the released version, and no other state of the engine is kept.
+// reports with the released version. No other state of the engine is kept, except that an order
+// without a response may take effect later. It expects the engine's order count, as each order
+// does, and until that count is another, the same version stays staged and is ordered again.
 package loader
 
 import (
@@ -112,12 +114,16 @@
 	served  tally.Histogram
 	fetcher *weightFetcher
 	stager  *stager
-	// slotTarget is the version to which slot belongs.
+	// slotTarget is the version to which slot belongs, slotHeld the one that the engine served when
+	// it was planned, or zero.
 	slotTarget targetVersion
+	slotHeld   int
 	slot       RolloutSlot
 	// orderedAt is the time of the last order, or zero if its load has ended.
 	orderedAt time.Time
 	retryAt   time.Time
+	// open is the order that the engine may still accept, or nil.
+	open *openOrder
 	// releases holds when each version was released.
 	releases map[targetVersion]releaseTime
 	// retained holds the version for which all others were dropped from the cache.
@@ -204,7 +210,7 @@
 	if _, known := l.releases[t]; !known {
 		l.recordRelease(t)
 	}
-	if l.slotTarget != t {
+	if held := l.heldVersion(t.model); l.slotTarget != t || held != 0 && held < l.slotHeld {
 		l.planSlot(t)
 	}
 	l.fetcher.setTarget(t)
@@ -212,6 +218,11 @@
 		l.resumeRequests(t)
 		return
 	}
+	if l.open != nil {
+		l.stager.setTarget(l.open.target)
+		l.advance(ctx, l.open.target)
+		return
+	}
 	if next, ok := l.nextLoad(t); ok {
 		l.stager.setTarget(next)
 		l.advance(ctx, next)
@@ -283,6 +294,7 @@
 		l.options.Log.Info("engine-leaving", zap.Time("started", s.Started), zap.Int("active", s.Active))
 		l.options.Notify()
 	}
+	l.settleOrder(s)
 	l.status, l.statusAt = s, clocks.Now()
 	return true
 }
@@ -301,7 +313,7 @@
 
 // planSlot computes the roll-out slot of the engine for a version.
 func (l *Loader) planSlot(t targetVersion) {
-	l.slotTarget, l.orderedAt = t, time.Time{}
+	l.slotTarget, l.slotHeld, l.orderedAt = t, l.heldVersion(t.model), time.Time{}
 	s := l.options.Mirror.Snapshot()
 	release := l.earliestMissing(t)
 	l.slot = NewRolloutSlot(release.notBefore, release.seenAt, t.model, t.version, l.row(l.status.Started), s.Upstreams(l.options.Pool))
@@ -321,13 +333,17 @@
 }
 
 // holdsOrNewer reports whether the engine serves the version or a newer one.
-func (l *Loader) holdsOrNewer(t targetVersion) bool {
+func (l *Loader) holdsOrNewer(t targetVersion) bool { return l.heldVersion(t.model) >= t.version }
+
+// heldVersion returns the version of a model that the engine serves, or zero.
+func (l *Loader) heldVersion(model string) int {
+	version := 0
 	for _, h := range l.status.Held {
-		if h.Model == t.model && h.Version >= t.version {
-			return true
+		if h.Model == model {
+			version = max(version, h.Version)
 		}
 	}
-	return false
+	return version
 }
 
 // advance takes the next step towards serving the version.
@@ -341,7 +357,7 @@
 	if !l.stager.isComplete(t) || now.Before(l.retryAt) {
 		return
 	}
-	if len(l.status.Held) > 0 && now.Before(l.slot.Start(l.options.VersionTimeout)) {
+	if l.open == nil && len(l.status.Held) > 0 && now.Before(l.slot.Start(l.options.VersionTimeout)) {
 		return
 	}
 	if !l.stager.verify(ctx) {
@@ -354,20 +370,6 @@
 	l.orderLoad(ctx, t)
 }
 
-func (l *Loader) orderLoad(ctx context.Context, t targetVersion) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	ack, err := l.options.Engine.Load(ctx, t.model, t.version, l.status.OrderCount)
-	l.orders.Inc(1)
-	l.options.Log.Info("order", zap.String("model", t.model), zap.Int("version", t.version), zap.Uint64("count", l.status.OrderCount), zap.String("ack", string(ack)),
-		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.releases[t].notBefore)), zap.Error(err))
-	if err != nil || ack == engine.AckConflict || ack == engine.AckFenced {
-		l.retryAt = clocks.Now().Add(orderBackoff)
-		return
-	}
-	l.orderedAt = clocks.Now()
-}
-
 // stopRequests notifies entries to send no more requests.
 func (l *Loader) stopRequests() { l.setClosing(true) }
 
@@ -381,7 +383,7 @@
 	}
 	l.orderedAt = time.Time{}
 	l.setClosing(false)
-	if l.fetcher.progressOf(t).Done() && !l.retained[t] {
+	if l.fetcher.progressOf(t).Done() && !l.retained[t] && l.open == nil {
 		l.retained = map[targetVersion]bool{t: true}
 		l.fetcher.retain(t)
 	}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -80,8 +80,8 @@
 	Body io.ReadCloser
 }
 
-// NotStartedError proves that the upstream has not started a request and never
-// will: it was not sent, or the upstream refused it.
+// NotStartedError proves that the upstream has not started a request or an order and
+// never will: it was not sent, or the upstream refused it.
 type NotStartedError struct{ Cause error }
 
 // Error implements error.
@@ -178,7 +178,7 @@
 	Stage(ctx context.Context, model string, piece int, data []byte) error
 	// Load orders the engine to serve the staged weights once the running requests have
 	// ended. The engine accepts no requests until the load is complete. It rejects the order
-	// with AckConflict unless its order count is the expected one. After an error, the order may
-	// be accepted until the count is another.
+	// with AckConflict unless its order count is the expected one. After an error
+	// other than NotStartedError, the order may be accepted until the count is another.
 	Load(ctx context.Context, model string, version int, expected uint64) (Ack, error)
 }
