target: take the newest observation of an engine's version, not the highest version

Their entry had heard from the engine's agent that it was back at version 8 and went on to count it as one of version 9, with a deadline 4 s later: it took the greater of the reported version and the newest one that a response had named, since an engine was held never to go back.

The greater one was taken for a load report that is older than a response. That case stays: a response counts if its request was sent after the last report. A report counts if it names a changed version after the response, or came more than a second after it, the most that its status may be old. In between, the older version counts: it has to be left earlier, and the next report decides. The same holds for a version that the engine declined to serve.

Not added: requests that name the version that they were reckoned with. Only those for the newest version and resumed streams do. An engine that has moved on would decline the others, at the cost of a further attempt from the shared budget, and it is the engines that are about to load where the versions differ. It would do no harm where nothing is being rolled out, but then the newest version is expected, which is named already.

TestEngineThatWentBackKeepsTheDeadlineOfItsVersion was red, by the report and by the response, and passes, also for an engine that first declined the newer version.

--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -17,6 +17,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,8 @@
 const (
 	// loadReportTTL is how long a load report is valid. Agents send several in that time.
 	loadReportTTL = 1500 * time.Millisecond
+	// maxReportAge bounds the age of the status in a load report that arrives.
+	maxReportAge = time.Second
 	// mismatchBackoff is how long an engine that rejected a request for its version gets no
 	// requests. It is busy loading a version, or its next load report states the new one.
 	mismatchBackoff = time.Second
@@ -71,6 +74,10 @@
 
 	report     LoadReport
 	reportedAt time.Time
+	// reportHeldSince is when the first load report with the versions of the last one arrived,
+	// rowHeldSince the same for the row.
+	reportHeldSince time.Time
+	rowHeldSince    time.Time
 	// assigned is set for engines that are assigned to this entry.
 	assigned bool
 	// remoteEntries is the number of entries of other regions that the engine is assigned
@@ -98,16 +105,60 @@
 }
 
 // observedVersions are the versions of one model that an engine's responses have confirmed
-// or ruled out. An engine never returns to an older version while its process runs.
+// or ruled out.
 type observedVersions struct {
-	// served is the newest version that it has responded with.
-	served int
+	// served is the version of the newest response, or zero. The engine served it at some time
+	// from servedSince, when the request was sent, to servedAt.
+	served      int
+	servedSince time.Time
+	servedAt    time.Time
 	// rejected is the newest version for which it declined a request because it serves
 	// another one; rejectedAt is the time of the last such response.
 	rejected   int
 	rejectedAt time.Time
 }
 
+// record records the version of a response to a request that was sent at the given time. Of two
+// responses that overtook each other, the older version counts, since it has to be left earlier.
+func (o *observedVersions) record(now, sentAt time.Time, version int) {
+	if version == 0 {
+		return
+	}
+	if sentAt.Before(o.servedSince) {
+		o.served = min(o.served, version)
+	} else {
+		o.served, o.servedSince = version, sentAt
+	}
+	o.servedAt = now
+	if version <= o.rejected && sentAt.After(o.rejectedAt) {
+		o.rejected = 0
+	}
+}
+
+// statedVersion is the version of a model by the load reports of an engine, or by its row.
+type statedVersion struct {
+	version int
+	// since is when it was first received, receivedAt when it was last.
+	since      time.Time
+	receivedAt time.Time
+}
+
+// isAfter reports whether the engine served the version at a later time than the given one.
+func (s statedVersion) isAfter(t time.Time) bool {
+	return s.since.After(t) || s.receivedAt.Add(-maxReportAge).After(t)
+}
+
+// newest returns the version that was observed last, or the older one where that is undecided.
+func (o *observedVersions) newest(s statedVersion) int {
+	switch {
+	case o.served == 0 || s.isAfter(o.servedAt):
+		return s.version
+	case s.receivedAt.Before(o.servedSince):
+		return o.served
+	}
+	return min(s.version, o.served)
+}
+
 // maxReleases bounds the remembered releases of a model.
 const maxReleases = 8
 
@@ -185,7 +236,7 @@
 	used := make(map[netip.AddrPort]bool)
 	for _, p := range s.Pools() {
 		for _, row := range s.Upstreams(p.Name) {
-			u := f.updateUpstream(before[row.ID], row)
+			u := f.updateUpstream(now, before[row.ID], row)
 			f.upstreams[row.ID] = u
 			if u.demands.limit != nil {
 				f.limited[row.ID] = u
@@ -219,13 +270,16 @@
 
 // updateUpstream returns the known state with the new row, or a fresh state if the row is
 // that of another process.
-func (f *Fleet) updateUpstream(known *upstream, row *state.Upstream) *upstream {
+func (f *Fleet) updateUpstream(now time.Time, known *upstream, row *state.Upstream) *upstream {
 	if known == nil || !known.row.SameProcess(row) {
-		return &upstream{row: row, demands: f.departed.take(row), observed: make(map[string]observedVersions)}
+		return &upstream{row: row, rowHeldSince: now, demands: f.departed.take(row), observed: make(map[string]observedVersions)}
 	}
 	if known.row.Draining != row.Draining {
 		f.options.Log.Info("upstream-draining", zap.String("upstream", row.ID), zap.Bool("draining", row.Draining))
 	}
+	if !slices.Equal(known.row.Held, row.Held) {
+		known.rowHeldSince = now
+	}
 	known.row = row
 	return known
 }
@@ -262,6 +316,9 @@
 			f.logOlderVersion(now, u, "report", versionOf(u.report.Held, h.Model), h.Version)
 		}
 	}
+	if u.reportedAt.IsZero() || !slices.Equal(r.Held, u.report.Held) {
+		u.reportHeldSince = now
+	}
 	u.report, u.reportedAt, u.sentSinceReport = r, now, 0
 	if r.Leaving && r.Started.Equal(u.row.Started) {
 		f.recordLeaving(now, u, "agent")
@@ -293,19 +350,21 @@
 // serves none. It returns unknownVersion if responses show that it serves a later one than
 // the newest report or row says.
 func (u *upstream) servedVersion(now time.Time, model string) int {
-	all := u.row.Held
+	held, stated := u.row.Held, statedVersion{since: u.rowHeldSince, receivedAt: u.rowHeldSince}
 	if u.hasReport(now) {
-		all = u.report.Held
+		held, stated = u.report.Held, statedVersion{since: u.reportHeldSince, receivedAt: u.reportedAt}
 	}
 	observed := u.observed[model]
-	for _, h := range all {
+	for _, h := range held {
 		if h.Model != model || !h.Whole {
 			continue
 		}
-		if v := max(h.Version, observed.served); v > observed.rejected {
+		stated.version = h.Version
+		v := observed.newest(stated)
+		switch {
+		case v > observed.rejected || stated.isAfter(observed.rejectedAt):
 			return v
-		}
-		if now.Sub(observed.rejectedAt) < mismatchBackoff {
+		case now.Sub(observed.rejectedAt) < mismatchBackoff:
 			return 0
 		}
 		return unknownVersion
@@ -380,8 +439,8 @@
 	defer r.fleet.mutex.Unlock()
 	r.Served = version
 	v := r.upstream.observed[r.model]
-	r.fleet.logOlderVersion(now, r.upstream, "response", v.served, version)
-	v.served = max(v.served, version)
+	r.fleet.logOlderVersion(now, r.upstream, "response", max(v.served, r.Version), version)
+	v.record(now, r.startedAt, version)
 	r.upstream.observed[r.model] = v
 }
 
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -447,31 +447,41 @@
 	}
 }
 
+func heldVersion(version int) []state.HeldVersion {
+	return []state.HeldVersion{{Model: "m", Version: version, Whole: true}}
+}
+
+// respond sends a request, to which the engine responds 100 ms later with the version.
+func (w *world) respond(at time.Time, version int) {
+	w.t.Helper()
+	_, f := w.place(at, w.requirements())
+	if f == nil {
+		w.t.Fatalf("no engine after %v", at.Sub(start))
+	}
+	f.RecordVersion(at.Add(100*time.Millisecond), version)
+	f.Finish(at.Add(200*time.Millisecond), target.OutcomeSuccess)
+}
+
 // TestEngineThatWentBackKeepsTheDeadlineOfItsVersion has an engine return to version 1, by its load
 // report and by its response, while version 2 is current.
 func TestEngineThatWentBackKeepsTheDeadlineOfItsVersion(t *testing.T) {
-	held := func(version int) []state.HeldVersion {
-		return []state.HeldVersion{{Model: "m", Version: version, Whole: true}}
-	}
-	respond := func(w *world, at time.Time, version int) {
-		_, f := w.place(at, w.requirements())
-		if f == nil {
-			t.Fatalf("no engine after %v", at.Sub(start))
-		}
-		f.RecordVersion(at.Add(100*time.Millisecond), version)
-		f.Finish(at.Add(200*time.Millisecond), target.OutcomeSuccess)
+	report := func(w *world, at time.Time) {
+		w.fleet.ReceiveLoadReport(at, "u1", target.LoadReport{Serial: 2, Pace: 1, Held: heldVersion(1)})
 	}
 	for name, goBack := range map[string]func(w *world, at time.Time){
-		"report": func(w *world, at time.Time) {
-			w.fleet.ReceiveLoadReport(at, "u1", target.LoadReport{Serial: 2, Pace: 1, Held: held(1)})
+		"report":   report,
+		"response": func(w *world, at time.Time) { w.respond(at, 1) },
+		"rejection": func(w *world, at time.Time) {
+			_, f := w.place(at, w.requirements())
+			f.Finish(at, target.OutcomeMismatch)
+			report(w, at.Add(100*time.Millisecond))
 		},
-		"response": func(w *world, at time.Time) { respond(w, at, 1) },
 	} {
 		w := newWorld(t, "e0")
 		w.publish(start, w.upstream(engine(1, "d0", 1)), w.row(state.EncodeRelease(state.Release{Model: "m", Version: 1})))
 		w.publish(start, w.row(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
-		w.fleet.ReceiveLoadReport(start.Add(3*time.Second), "u1", target.LoadReport{Serial: 1, Pace: 1, Held: held(2)})
-		respond(w, start.Add(3*time.Second), 2)
+		w.fleet.ReceiveLoadReport(start.Add(3*time.Second), "u1", target.LoadReport{Serial: 1, Pace: 1, Held: heldVersion(2)})
+		w.respond(start.Add(3*time.Second), 2)
 		goBack(w, start.Add(6*time.Second))
 		if _, f := w.place(start.Add(6300*time.Millisecond), w.requirements()); f == nil || f.Version != 1 || f.StartDeadline.After(start.Add(versionTimeout)) {
 			t.Errorf("%s: before the end of version 1: %+v", name, f)
@@ -481,3 +491,42 @@
 		}
 	}
 }
+
+// TestOlderObservationOfAVersionDoesNotOutlastANewerOne has load reports and responses arrive around
+// a load of version 2, and checks the version that the entry expects right after each.
+func TestOlderObservationOfAVersionDoesNotOutlastANewerOne(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(1, "d0", 1)))
+	serial := uint64(0)
+	report := func(at time.Time, version int) {
+		serial++
+		w.fleet.ReceiveLoadReport(at, "u1", target.LoadReport{Serial: serial, Pace: 1, Held: heldVersion(version)})
+	}
+	for _, c := range []struct {
+		name    string
+		after   time.Duration
+		observe func(at time.Time, version int)
+		version int
+		want    int
+	}{
+		{"a response before any report", 0, w.respond, 1, 1},
+		{"the first report after the load", 150 * time.Millisecond, report, 2, 2},
+		{"a response of the next version", time.Second, w.respond, 3, 3},
+		{"a report on its way during that response", 1050 * time.Millisecond, report, 2, 2},
+		{"the next report", 1250 * time.Millisecond, report, 3, 3},
+		{"a response after the last report", 1500 * time.Millisecond, w.respond, 4, 4},
+		{"a response long after it", 9 * time.Second, w.respond, 5, 5},
+		{"a report after that", 9200 * time.Millisecond, report, 5, 5},
+		{"a response of an older version", 9300 * time.Millisecond, w.respond, 4, 4},
+		{"a report that may be older than that", 9500 * time.Millisecond, report, 5, 4},
+		{"a report that isn't", 10500 * time.Millisecond, report, 5, 5},
+	} {
+		at := start.Add(c.after)
+		c.observe(at, c.version)
+		_, f := w.place(at.Add(time.Second/10), w.requirements())
+		if f == nil || f.Version != c.want {
+			t.Fatalf("%s: %+v, want version %d", c.name, f, c.want)
+		}
+		f.Finish(at, target.OutcomeSuccess)
+	}
+}
