loader: test that lost orders neither bring an engine back nor mix versions

200 seeds of 20 s in virtual time: orders get lost, arrive up to 6 s late, come twice or lose their response, while versions are released and engines restart. No engine goes back or loads pieces of two versions, and each serves the newest version 8 s after orders are answered again.

--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -55,8 +56,8 @@
 	rejected []int
 	// ordersBefore is the number of orders before the last restart.
 	ordersBefore int
-	// losses are the delays after which the next orders take effect, which get no response.
-	losses []time.Duration
+	// fateOf decides what happens to an order. Nil means that each is answered at once.
+	fateOf func() orderFate
 	// older are the versions that the engine went back to, mixed those whose load began while
 	// pieces of another version were staged, both by orders without a response.
 	older []int
@@ -205,24 +206,32 @@
 }
 
 func (w *world) Stage(_ context.Context, _ string, piece int, data []byte) error {
-	time.Sleep(w.stageTime)
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	stageTime := w.stageTime
+	w.mutex.Unlock()
+	time.Sleep(stageTime)
+	w.mutex.Lock()
 	w.staged[piece] = bytes.Clone(data)
 	return nil
 }
 
+// orderFate is what happens to an order on its way.
+type orderFate struct {
+	// arrivals are the delays after which the engine receives it, or a copy of it.
+	arrivals []time.Duration
+	// answered is set if the response to the first arrival reaches the agent.
+	answered bool
+}
+
 func (w *world) Load(ctx context.Context, _ string, version int, expected uint64) (engine.Ack, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if len(w.losses) > 0 {
-		delay := w.losses[0]
-		w.losses = w.losses[1:]
-		time.AfterFunc(delay, func() { w.acceptLate(version, expected) })
+	if w.fateOf != nil {
+		fate, started := w.fateOf(), w.started
 		w.mutex.Unlock()
-		<-ctx.Done()
-		w.mutex.Lock()
-		return "", ctx.Err()
+		defer w.mutex.Lock()
+		return w.deliver(ctx, started, version, expected, fate)
 	}
 	if w.busy || expected != w.orderCount() {
 		w.rejected = append(w.rejected, version)
@@ -237,12 +246,35 @@
 	return engine.AckStarted, nil
 }
 
-// acceptLate takes an order that got no response.
-func (w *world) acceptLate(version int, expected uint64) {
+// deliver lets the engine that started then receive an order.
+func (w *world) deliver(ctx context.Context, started time.Time, version int, expected uint64, fate orderFate) (engine.Ack, error) {
+	acks := make(chan engine.Ack, len(fate.arrivals))
+	for _, delay := range fate.arrivals {
+		time.AfterFunc(delay, func() {
+			if ack, ok := w.receive(started, version, expected); ok && fate.answered {
+				acks <- ack
+			}
+		})
+	}
+	select {
+	case ack := <-acks:
+		return ack, nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// receive handles an order that was sent to the engine that started then.
+func (w *world) receive(started time.Time, version int, expected uint64) (engine.Ack, bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.busy || expected != w.orderCount() || w.held == version {
-		return
+	switch {
+	case !w.started.Equal(started):
+		return "", false
+	case w.busy || expected != w.orderCount():
+		return engine.AckConflict, true
+	case w.held == version:
+		return engine.AckDone, true
 	}
 	for i := range pieceCount {
 		if !bytes.Equal(w.staged[i], pieceOf(version, i)) {
@@ -251,6 +283,7 @@
 		}
 	}
 	w.accept(version)
+	return engine.AckStarted, true
 }
 
 // orderCount returns the number of orders since the last restart. The caller holds the mutex.
@@ -367,7 +400,15 @@
 	t.Helper()
 	play(t, 1, 0, func(w *world) {
 		w.mutex.Lock()
-		w.losses, w.stageTime, w.fetchTime[3] = slices.Clone(delays), 50*time.Millisecond, 300*time.Millisecond
+		w.stageTime, w.fetchTime[3] = 50*time.Millisecond, 300*time.Millisecond
+		w.fateOf = func() orderFate {
+			if len(delays) == 0 {
+				return orderFate{arrivals: []time.Duration{0}, answered: true}
+			}
+			fate := orderFate{arrivals: delays[:1]}
+			delays = delays[1:]
+			return fate
+		}
 		w.mutex.Unlock()
 		w.release(2)
 		time.Sleep(500 * time.Millisecond)
@@ -419,3 +460,63 @@
 		w.check(3, 2, 3)
 	})
 }
+
+// TestEngineNeitherGoesBackNorMixesOverLostOrders loses, delays and doubles orders and their responses
+// for 20 s, while versions are released and the engine restarts.
+func TestEngineNeitherGoesBackNorMixesOverLostOrders(t *testing.T) {
+	for seed := range uint64(seedCount) {
+		random, fates := rand.New(rand.NewPCG(seed, 32)), rand.New(rand.NewPCG(seed, 33))
+		upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+		play(t, 1, random.IntN(4), func(w *world) {
+			w.mutex.Lock()
+			w.stageTime, w.running = upTo(60*time.Millisecond), upTo(time.Second)
+			end := time.Now().Add(20 * time.Second)
+			w.fateOf = func() orderFate {
+				if time.Now().After(end) {
+					return orderFate{arrivals: []time.Duration{0}, answered: true}
+				}
+				return randomFate(fates)
+			}
+			w.mutex.Unlock()
+			newest := 1
+			for time.Now().Before(end) {
+				switch random.IntN(40) {
+				case 0:
+					w.crash()
+				case 1, 2, 3, 4, 5, 6, 7, 8:
+					newest++
+					w.mutex.Lock()
+					w.fetchTime[newest] = upTo(2 * time.Second)
+					w.mutex.Unlock()
+				}
+				w.release(newest)
+				time.Sleep(upTo(time.Second))
+			}
+			time.Sleep(versionTimeout)
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			if len(w.older) > 0 || len(w.mixed) > 0 || w.held != newest {
+				t.Errorf("seed %d: went back to %v, mixed versions %v, serves %d, newest %d, orders %v", seed, w.older, w.mixed, w.held, newest, w.orders)
+			}
+		})
+	}
+}
+
+// seedCount is the number of plays of random faults.
+const seedCount = 200
+
+func randomFate(random *rand.Rand) orderFate {
+	late := func() time.Duration { return time.Duration(random.Int64N(int64(6 * time.Second))) }
+	switch random.IntN(6) {
+	case 0:
+		return orderFate{}
+	case 1:
+		return orderFate{arrivals: []time.Duration{0}}
+	case 2, 3:
+		return orderFate{arrivals: []time.Duration{late()}}
+	case 4:
+		return orderFate{arrivals: []time.Duration{0, late()}, answered: true}
+	default:
+		return orderFate{arrivals: []time.Duration{0}, answered: true}
+	}
+}
