crash: drop the oldest marks in place of refusing new ones

After 4096 losses within the lifetime of marks, as when a failure domain with many requests in progress ends, an entry recorded no further loss. A request that crashes each upstream then had no marks, so it was sent on to one upstream after the other for up to five minutes.

When full, the registry now drops what no longer counts and then half of the marks, the oldest ones of requests with a single mark first. A quarantined request keeps its marks through such a flood. What falls out is believed not to have crashed an upstream: a request may so crash one more upstream for each 2048 losses elsewhere that follow its first crash.

Both new tests failed before: a request that had crashed two upstreams after the flood wasn't refused, whether its marks came from losses here or from another entry.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -46,7 +46,8 @@
 	// evidenceTimeout is how long evidence of a crash may take to arrive. A platform lists
 	// an upstream as removed after a few missed heartbeats.
 	evidenceTimeout = 8 * time.Second
-	// maxMarks bounds the marks that are kept.
+	// maxMarks bounds the marks that are kept. Beyond it, the oldest marks of requests with no
+	// other mark are dropped first.
 	maxMarks = 4096
 )
 
@@ -119,12 +120,45 @@
 	defer r.mutex.Unlock()
 	now := clocks.Now()
 	k := markKey{fingerprint: q.Whole, upstream: upstream}
-	if _, ok := r.marks[k]; !ok && len(r.marks) < maxMarks {
-		r.marks[k] = mark{at: now}
+	if _, ok := r.marks[k]; !ok {
+		r.put(now, k, mark{at: now})
 	}
 	r.parts.recordLoss(event{upstream: upstream, at: now, sentAt: sentAt}, q.Parts)
 }
 
+// put adds or replaces a mark.
+func (r *Registry) put(now time.Time, k markKey, m mark) {
+	if _, ok := r.marks[k]; !ok && len(r.marks) >= maxMarks {
+		r.prune(now)
+	}
+	r.marks[k] = m
+}
+
+// prune drops half of the marks.
+func (r *Registry) prune(now time.Time) {
+	r.expire(now)
+	ofRequest := make(map[Fingerprint]int)
+	for k := range r.marks {
+		ofRequest[k.fingerprint]++
+	}
+	isRepeated := func(k markKey) bool { return ofRequest[k.fingerprint] > 1 }
+	keys := slices.SortedFunc(maps.Keys(r.marks), func(x, y markKey) int {
+		return cmp.Or(cmp.Compare(boolRank(!isRepeated(x)), boolRank(!isRepeated(y))), r.marks[x].at.Compare(r.marks[y].at))
+	})
+	dropped := keys[:max(len(keys)-maxMarks/2, 0)]
+	for _, k := range dropped {
+		delete(r.marks, k)
+	}
+	r.log.Warn("crash-marks-dropped", zap.Int("dropped", len(dropped)), zap.Int("left", len(r.marks)))
+}
+
+// expire drops the marks that no longer count and those that no evidence can confirm any more.
+func (r *Registry) expire(now time.Time) {
+	maps.DeleteFunc(r.marks, func(_ markKey, m mark) bool {
+		return now.Sub(m.at) > markTTL || !m.confirmed && now.Sub(m.at) > evidenceTimeout
+	})
+}
+
 // RecordSurvival records that an upstream wrote a response to a request and survived.
 func (r *Registry) RecordSurvival(q Request) {
 	if len(q.Parts) == 0 {
@@ -190,9 +224,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := clocks.Now()
-	maps.DeleteFunc(r.marks, func(_ markKey, m mark) bool {
-		return now.Sub(m.at) > markTTL || !m.confirmed && now.Sub(m.at) > evidenceTimeout
-	})
+	r.expire(now)
 	r.parts.expire(now)
 	all := r.parts.export(now, limit/2)
 	var keys []markKey
@@ -234,10 +266,10 @@
 			judge = r.parts.merge(now, k.fingerprint, m) || judge
 			continue
 		}
-		if known := r.marks[k]; known.confirmed || len(r.marks) >= maxMarks {
+		if r.marks[k].confirmed {
 			continue
 		}
-		r.marks[k] = mark{at: now.Add(-time.Duration(m.Age) * time.Millisecond), confirmed: true}
+		r.put(now, k, mark{at: now.Add(-time.Duration(m.Age) * time.Millisecond), confirmed: true})
 		r.log.Warn("crash-mark", zap.String("fingerprint", hex.EncodeToString(k.fingerprint[:])),
 			zap.String("upstream", m.Upstream), zap.String("evidence", "reported by "+string(from)),
 			zap.Int("marks", r.count(now, k.fingerprint)))
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -1,6 +1,7 @@
 package crash_test
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -8,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"currantport.example/core/crash"
+	"currantport.example/core/wire"
 )
 
 var poison, other = crash.NewRequest("/x", "key", []byte("poison"), nil), crash.NewRequest("/x", "key", []byte("other"), nil)
@@ -88,3 +90,62 @@
 		}
 	})
 }
+
+// TestFloodOfLossesDoesNotHideARepeatedCrash ends many upstreams with all their requests, some of
+// them before a request that crashes each upstream and some after its first crash.
+func TestFloodOfLossesDoesNotHideARepeatedCrash(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := crash.NewRegistry(zap.NewNop())
+		flood := func(group string) {
+			for i := range 6000 {
+				up := fmt.Sprint(group, i/20)
+				r.RecordLoss(crash.NewRequest(fmt.Sprint("/", group, i), "key", nil, nil), up, time.Now())
+				if i%20 == 19 {
+					r.RecordCrash(up, "connection refused")
+				}
+			}
+		}
+		flood("before")
+		for _, up := range []string{"a", "b"} {
+			time.Sleep(time.Second)
+			r.RecordLoss(poison, up, time.Now())
+			r.RecordCrash(up, "connection refused")
+			if up == "a" {
+				time.Sleep(time.Second)
+				for i := range 1000 {
+					r.RecordLoss(crash.NewRequest(fmt.Sprint("/after", i), "key", nil, nil), "c", time.Now())
+				}
+			}
+		}
+		if !r.IsQuarantined(poison) {
+			t.Error("a request that has crashed two upstreams isn't refused")
+		}
+	})
+}
+
+// TestFloodOfMarksDoesNotReleaseARequest has a registry filled with marks of other processes after a
+// request was quarantined.
+func TestFloodOfMarksDoesNotReleaseARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := crash.NewRegistry(zap.NewNop())
+		for _, up := range []string{"a", "b"} {
+			r.RecordLoss(poison, up, time.Now())
+			r.RecordCrash(up, "connection refused")
+		}
+		for i := range 20000 {
+			f := crash.FingerprintOf(fmt.Sprint("/", i), "key", nil)
+			r.Merge("peer", []*wire.CrashMark{{Fingerprint: f[:], Upstream: "c"}})
+			if i%1000 == 0 {
+				time.Sleep(100 * time.Millisecond)
+			}
+		}
+		if !r.IsQuarantined(poison) {
+			t.Error("a request that has crashed two upstreams is no longer refused")
+		}
+		last := crash.FingerprintOf("/19999", "key", nil)
+		r.Merge("peer", []*wire.CrashMark{{Fingerprint: last[:], Upstream: "d"}})
+		if !r.IsQuarantined(crash.NewRequest("/19999", "key", nil, nil)) {
+			t.Error("a request whose marks arrived last isn't refused")
+		}
+	})
+}
