target: keep the end of old versions when releases are forgotten

Requests began on version 1 up to 12.3 s after version 2 was released, with a bound of 8 s, when versions followed each other every second or faster. Entries remembered eight releases of a model. The ninth dropped the oldest one, so that an engine that still served version 1 got the deadline of version 10 or later.

A release is now dropped only once a later one has expired, which then bounds all versions before it just as well. Beyond 64 releases within the time of a version the oldest one that is kept inherits the earliest end of those before it, so that memory stays bounded and a version can only end too early.

TestManyReleasesDoNotProlongAVersion and TestQuickReleasesLeaveEnginesInUse failed before.

--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -17,6 +17,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -103,8 +104,9 @@
 	rejectedAt time.Time
 }
 
-// maxReleases bounds the remembered releases of a model.
-const maxReleases = 8
+// maxReleases bounds the remembered releases of a model. Beyond it, the versions before those
+// that are remembered count as expired.
+const maxReleases = 64
 
 // release is a version and the earliest time at which it may have been released. The time is
 // zero for the version that was current at the start of the process.
@@ -155,8 +157,8 @@
 	// from asksSince.
 	asks      chan struct{}
 	asksSince time.Time
-	// releases lists the versions of each model that this process has seen released,
-	// oldest first.
+	// releases lists the versions of each model that this process has seen released, oldest
+	// first. Versions before the first one end no later than that one says.
 	releases map[string][]release
 }
 
@@ -238,11 +240,27 @@
 		case known[len(known)-1].version < r.Version:
 			f.options.Log.Info("release", zap.String("model", m.Name), zap.Int("version", r.Version), zap.Int("before", known[len(known)-1].version),
 				zap.Duration("age", now.Sub(r.NotBefore)))
-			f.releases[m.Name] = append(known[max(len(known)-maxReleases+1, 0):], release{version: r.Version, notBefore: r.NotBefore})
+			f.releases[m.Name] = append(f.relevantReleases(now, known), release{version: r.Version, notBefore: r.NotBefore})
 		}
 	}
 }
 
+// relevantReleases returns the releases that bound the use of versions in the future, at most
+// maxReleases - 1. Those before the first one bound it to a time that isn't later.
+func (f *Fleet) relevantReleases(now time.Time, all []release) []release {
+	for len(all) > 1 && now.Sub(all[1].notBefore) >= f.options.VersionTimeout {
+		all = all[1:]
+	}
+	if len(all) < maxReleases {
+		return all
+	}
+	dropped := len(all) - maxReleases + 1
+	earliest := slices.MinFunc(all[:dropped+1], func(a, b release) int { return a.notBefore.Compare(b.notBefore) })
+	all = slices.Clone(all[dropped:])
+	all[0].notBefore = earliest.notBefore
+	return all
+}
+
 // ReceiveLoadReport stores the load report of an upstream. Reports that arrive out of order
 // and those of unknown upstreams are ignored.
 func (f *Fleet) ReceiveLoadReport(now time.Time, id string, r LoadReport) {
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -147,6 +147,49 @@
 	}
 }
 
+// TestManyReleasesDoNotProlongAVersion publishes a release each second until one more than an entry
+// remembers, or many of them at once.
+func TestManyReleasesDoNotProlongAVersion(t *testing.T) {
+	for name, c := range map[string]struct {
+		interval time.Duration
+		count    int
+	}{
+		"within the time of a version": {700 * time.Millisecond, 11},
+		"over a minute":                {800 * time.Millisecond, 75},
+		"at once":                      {time.Millisecond, 5000},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, "e0")
+			w.publish(start, w.upstream(engine(1, "d0", 1)))
+			releasedAt := start.Add(time.Second)
+			for i := range c.count {
+				w.publish(releasedAt.Add(time.Duration(i)*c.interval), w.row(state.EncodeRelease(state.Release{Model: "m", Version: i + 2})))
+			}
+			now := releasedAt.Add(max(time.Duration(c.count-1)*c.interval, versionTimeout-time.Second))
+			if id, f := w.place(now, w.requirements()); f != nil {
+				t.Errorf("%v after the release of version 2: %s with version %d until %v after it", now.Sub(releasedAt), id, f.Version, f.StartDeadline.Sub(releasedAt))
+			}
+		})
+	}
+}
+
+// TestQuickReleasesLeaveEnginesInUse publishes releases in quick succession. An engine stays in use
+// until the first of those that it lacks expires.
+func TestQuickReleasesLeaveEnginesInUse(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(1, "d0", 1)))
+	for i := range 20 {
+		w.publish(start.Add(time.Duration(i)*300*time.Millisecond), w.row(state.EncodeRelease(state.Release{Model: "m", Version: i + 2})))
+	}
+	if id, _ := w.place(start.Add(6*time.Second), w.requirements()); id != "u1" {
+		t.Errorf("6 s after the first release: %s", id)
+	}
+	w.publish(start.Add(6*time.Second), w.upstream(engine(1, "d0", 10)))
+	if id, f := w.place(start.Add(9*time.Second), w.requirements()); f == nil || !f.StartDeadline.Before(start.Add(9*300*time.Millisecond+versionTimeout)) {
+		t.Errorf("version 10, which was replaced 6.3 s before: %s", id)
+	}
+}
+
 // TestReleaseSeenLateKeepsItsDeadline has an entry miss updates for 3 s. The release may have been
 // published right after the last confirmation of its tables.
 func TestReleaseSeenLateKeepsItsDeadline(t *testing.T) {
