recent, feed: remember departures for a whole fleet

A replica remembered up to 4096 upstreams that had left, and forgot all of them with the next one. If the store was then restored from a copy, an upstream that had left a moment before was used again: at a fleet of 12,000 upstreams, after any third of it had left since the process started.

recent.Map keeps a key until as many others as its size were put after it. The size is above that of a fleet, since what is kept may grow with the number of upstreams.

TestDepartureIsKnownAfterManyOthers failed before with 4000 and more departures after the one in question.

--- a/core/feed/eras_test.go
+++ b/core/feed/eras_test.go
@@ -272,6 +272,35 @@
 	})
 }
 
+// TestDepartureIsKnownAfterManyOthers removes an upstream among as many as a fleet has, before the
+// restored copy lists it again.
+func TestDepartureIsKnownAfterManyOthers(t *testing.T) {
+	const fleet = 12000
+	for _, last := range []int{0, 4000, 4100, fleet} {
+		u := upstreamRow("u", firstStart, false)
+		s, m := newStore(u), feed.NewMirror()
+		for i := range fleet {
+			s.write(upstreamRow(fmt.Sprint("o", i), firstStart, false))
+		}
+		s.read(t, m)
+		remove := func(from, to int) {
+			for i := from; i < to; i++ {
+				s.write(state.Row{Key: upstreamRow(fmt.Sprint("o", i), firstStart, false).Key})
+			}
+			s.read(t, m)
+		}
+		remove(0, last)
+		s.write(state.Row{Key: u.Key})
+		s.read(t, m)
+		remove(last, fleet)
+		s.restore(1, map[string]state.Row{u.Key: u})
+		s.read(t, m)
+		if n := len(m.Snapshot().Upstreams("p")); n != 0 {
+			t.Errorf("%d upstreams left before and %d after it: it is used again", last, fleet-last)
+		}
+	}
+}
+
 // TestEraNeedsAllRows checks that a replica doesn't enter an era by a delta, isn't confirmed in it
 // before it has all rows, and doesn't return to the era before.
 func TestEraNeedsAllRows(t *testing.T) {
--- a/core/feed/mirror.go
+++ b/core/feed/mirror.go
@@ -63,7 +63,7 @@
 
 // NewMirror returns an empty replica.
 func NewMirror() *Mirror {
-	m := &Mirror{rows: make(map[string]state.Row), changed: make(chan struct{})}
+	m := &Mirror{rows: make(map[string]state.Row), retention: newRetention(), changed: make(chan struct{})}
 	m.snapshot.Store(&state.Snapshot{})
 	return m
 }
--- a/core/feed/retain.go
+++ b/core/feed/retain.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"time"
 
+	"currantport.example/core/recent"
 	"currantport.example/core/state"
 )
 
@@ -14,8 +15,9 @@
 	// revivedTimeout is how long an upstream that had left stays unused although a restored
 	// store lists it. Stores drop upstreams that are silent for about four seconds.
 	revivedTimeout = 5 * time.Second
-	// maxDeparted bounds the upstreams that are remembered as gone.
-	maxDeparted = 4096
+	// maxDeparted is the number of upstreams that are remembered as gone, above the size of a
+	// fleet.
+	maxDeparted = 16384
 )
 
 // RetainedRow is a row that stays active although the platform's current era has another one.
@@ -41,8 +43,7 @@
 func (k retainedRow) isShared() bool { return k.departed.IsZero() }
 
 // retention decides, when the platform's store was restored from a copy, which rows of the era
-// before stay active until they are published again. The zero value retains none. It isn't safe
-// for concurrent use.
+// before stay active until they are published again. It isn't safe for concurrent use.
 //
 // The configuration is retained as a whole, and a release, while the platform states an older
 // version. An upstream that is draining stays so until its process has ended. Upstreams that the
@@ -50,26 +51,21 @@
 type retention struct {
 	rows map[string]retainedRow
 	// departed holds when the process of each upstream started that was removed, by key.
-	departed map[string]time.Time
+	departed *recent.Map[string, time.Time]
 	// drained holds when the process of each upstream started that was draining when an era
 	// began, by key.
-	drained map[string]time.Time
+	drained *recent.Map[string, time.Time]
+}
+
+func newRetention() retention {
+	return retention{departed: recent.New[string, time.Time](maxDeparted), drained: recent.New[string, time.Time](maxDeparted)}
 }
 
 // recordDeparture remembers that the platform removed an upstream.
 func (r *retention) recordDeparture(row state.Row) {
 	if f, ok := state.FactsOf(row); ok && !f.Started.IsZero() {
-		r.departed = remember(r.departed, row.Key, f.Started)
-	}
-}
-
-// remember adds the start of a process to a map of at most maxDeparted, and returns the map.
-func remember(all map[string]time.Time, key string, started time.Time) map[string]time.Time {
-	if all == nil || len(all) >= maxDeparted {
-		all = make(map[string]time.Time)
+		r.departed.Put(row.Key, f.Started)
 	}
-	all[key] = started
-	return all
 }
 
 // beginEra decides on all rows when an era begins. Active holds the rows that were active,
@@ -83,7 +79,7 @@
 	for key, row := range platform {
 		_, wasActive := active[key]
 		f, ok := state.FactsOf(row)
-		if started, departed := r.departed[key]; ok && departed && !wasActive && started.Equal(f.Started) {
+		if started, departed := r.departed.Get(key); ok && departed && !wasActive && started.Equal(f.Started) {
 			r.rows[key] = retainedRow{row: state.Row{Key: key}, until: now.Add(revivedTimeout), departed: started}
 		}
 	}
@@ -128,7 +124,7 @@
 		r.rows[row.Key] = retainedRow{row: row}
 	}
 	if was.Draining {
-		r.drained = remember(r.drained, row.Key, was.Started)
+		r.drained.Put(row.Key, was.Started)
 	}
 }
 
@@ -202,7 +198,7 @@
 		return false
 	}
 	f, _ := state.FactsOf(offer.row)
-	if started, ok := r.drained[offer.row.Key]; ok && started.Equal(f.Started) && !f.Draining {
+	if started, ok := r.drained.Get(offer.row.Key); ok && started.Equal(f.Started) && !f.Draining {
 		return false
 	}
 	known, ok := r.rows[offer.row.Key]
