target: keep the demands of a whole fleet that lapses

An entry kept the demands of 1024 upstreams that are listed no more, and none of further ones. If a large failure domain lapsed at once, upstreams that had said that they leave, asked for a pause or named a limit got requests as if they had not, once they were listed again as the same process.

Demands belong to one process and end with it, so they need no age limit. They are now kept for as many upstreams as a fleet has; beyond that those that lapsed first are forgotten.

TestLapsedFleetKeepsItsDemands failed before.

--- a/entry/internal/target/demands.go
+++ b/entry/internal/target/demands.go
@@ -17,10 +17,9 @@
 	// announceTime is how long an entry repeats that an upstream is leaving. Messages may be
 	// lost.
 	announceTime = 2 * time.Second
-	// demandsTTL is how long the demands of an upstream are kept that is listed no more,
-	// maxDeparted bounds how many of them.
-	demandsTTL  = 10 * time.Minute
-	maxDeparted = 1024
+	// maxDeparted is the number of upstreams that are listed no more of which the demands are kept,
+	// above the size of a fleet.
+	maxDeparted = 16384
 	// heldElsewhereCost is how much earlier an engine must be expected to respond to be chosen
 	// that wants no requests from another entry. It is probably overloaded.
 	heldElsewhereCost = 250 * time.Millisecond
@@ -55,40 +54,20 @@
 	return processKey{id: u.ID, address: u.Address, started: u.Started.UnixMicro()}
 }
 
-// departedDemands holds the demands of upstreams that are listed no more. The zero value is empty.
-type departedDemands struct {
-	all map[processKey]departure
-}
-
-type departure struct {
-	demands demands
-	at      time.Time
-}
-
-// keep keeps the demands of an upstream that was removed.
-func (p *departedDemands) keep(now time.Time, u *upstream) {
-	if !u.demands.leaving && !u.demands.isHeld(now) && u.demands.limit == nil {
-		return
-	}
-	for k, d := range p.all {
-		if now.Sub(d.at) > demandsTTL {
-			delete(p.all, k)
-		}
-	}
-	if p.all == nil {
-		p.all = make(map[processKey]departure)
-	}
-	if len(p.all) < maxDeparted {
-		p.all[processOf(u.row)] = departure{demands: u.demands, at: now}
+// keepDemands keeps the demands of an upstream that was removed. The caller holds the mutex.
+func (f *Fleet) keepDemands(now time.Time, u *upstream) {
+	if u.demands.leaving || u.demands.isHeld(now) || u.demands.limit != nil {
+		f.departed.Put(processOf(u.row), u.demands)
 	}
 }
 
-// take returns and forgets the demands of an upstream that is listed again.
-func (p *departedDemands) take(row *state.Upstream) demands {
+// takeDemands returns and forgets the demands of an upstream that is listed again. The caller holds
+// the mutex.
+func (f *Fleet) takeDemands(row *state.Upstream) demands {
 	k := processOf(row)
-	d := p.all[k]
-	delete(p.all, k)
-	return d.demands
+	d, _ := f.departed.Get(k)
+	f.departed.Delete(k)
+	return d
 }
 
 // RecordLeaving records that the upstream has said in a response that it is shutting down. It
--- a/entry/internal/target/demands_test.go
+++ b/entry/internal/target/demands_test.go
@@ -56,6 +56,29 @@
 	expect("started again", "u0")
 }
 
+// TestLapsedFleetKeepsItsDemands has all upstreams, of which each leaves, lapse at once and be listed
+// again.
+func TestLapsedFleetKeepsItsDemands(t *testing.T) {
+	const fleet = 12000
+	w := newWorld(t, "e0")
+	var listed, removed []state.Row
+	var leaving []target.LeavingUpstream
+	for i := range fleet {
+		u := plain(i, start)
+		r := w.upstream(u)
+		listed, removed = append(listed, r), append(removed, state.Row{Key: r.Key})
+		leaving = append(leaving, target.LeavingUpstream{ID: u.ID, Started: u.Started})
+	}
+	w.publish(start, listed...)
+	w.fleet.ReceiveLeaving(start, "e1", leaving)
+	w.publish(start, removed...)
+	now := start.Add(time.Second)
+	w.publish(now, listed...)
+	if got := w.plainUpstream(now); got != "none" {
+		t.Errorf("a second after the fleet lapsed: %s", got)
+	}
+}
+
 // TestLeavingIsToldToOthers checks what an entry tells others, and that agents' reports count.
 func TestLeavingIsToldToOthers(t *testing.T) {
 	a, b := newWorld(t, "e0"), newWorld(t, "e1")
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -25,6 +25,7 @@
 
 	"currantport.example/core/health"
 	"currantport.example/core/hosts"
+	"currantport.example/core/recent"
 	"currantport.example/core/state"
 	"currantport.example/core/timing"
 )
@@ -143,7 +144,7 @@
 	entryLoads map[hosts.Name]entryLoadReport
 	// departed holds the demands of upstreams that are listed no more, since they may only
 	// have lapsed.
-	departed departedDemands
+	departed *recent.Map[processKey, demands]
 	// limited are the upstreams that have named a limit, by id.
 	limited map[string]*upstream
 	// unlistedLimits are limits of upstreams that aren't listed, as other entries told them.
@@ -167,7 +168,8 @@
 	return &Fleet{
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
-		limited: make(map[string]*upstream), unlistedLimits: make(map[string]UpstreamLimit), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		departed: recent.New[processKey, demands](maxDeparted),
+		limited:  make(map[string]*upstream), unlistedLimits: make(map[string]UpstreamLimit), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
 	}
 }
 
@@ -205,7 +207,7 @@
 	var removed []netip.AddrPort
 	for id, u := range before {
 		if next := f.upstreams[id]; next == nil || !next.row.SameProcess(u.row) {
-			f.departed.keep(now, u)
+			f.keepDemands(now, u)
 		}
 		if !used[u.row.Address] {
 			removed = append(removed, u.row.Address)
@@ -218,7 +220,7 @@
 // that of another process.
 func (f *Fleet) updateUpstream(known *upstream, row *state.Upstream) *upstream {
 	if known == nil || !known.row.SameProcess(row) {
-		return &upstream{row: row, demands: f.departed.take(row), observed: make(map[string]observedVersions)}
+		return &upstream{row: row, demands: f.takeDemands(row), observed: make(map[string]observedVersions)}
 	}
 	if known.row.Draining != row.Draining {
 		f.options.Log.Info("upstream-draining", zap.String("upstream", row.ID), zap.Bool("draining", row.Draining))
