target: keep the limits of a whole fleet until it is listed

An entry that had not read the list of upstreams yet kept up to 1024 limits that other entries told of, and forgot all of them with the next one, so that upstreams which had named a limit got its first requests unbounded. It now keeps as many as a fleet has upstreams.

TestLimitsHeardBeforeTheListAreAllKept failed before: 736 of 12000 limits were known.

--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -13,8 +13,9 @@
 const (
 	// endedLimitTTL is how long other entries are told that a limit has ended.
 	endedLimitTTL = time.Minute
-	// maxUnlistedLimits bounds the limits that are kept of upstreams that aren't listed.
-	maxUnlistedLimits = 1024
+	// maxUnlistedLimits is the number of limits that are kept of upstreams that aren't listed, above
+	// the size of a fleet.
+	maxUnlistedLimits = 16384
 )
 
 // limitState is what an entry knows of the limit of one process of an upstream.
@@ -256,21 +257,16 @@
 // keepUnlisted keeps the limit of an upstream that isn't listed here. An entry that has just started
 // hears of limits before it has read the list.
 func (f *Fleet) keepUnlisted(l UpstreamLimit) {
-	if len(f.unlistedLimits) >= maxUnlistedLimits {
-		clear(f.unlistedLimits)
-	}
-	known, ok := f.unlistedLimits[l.ID]
+	known, ok := f.unlistedLimits.Get(l.ID)
 	if !ok || !known.Started.Equal(l.Started) || l.Limit.Supersedes(known.Limit) {
-		f.unlistedLimits[l.ID] = l
+		f.unlistedLimits.Put(l.ID, l)
 	}
 }
 
 // applyUnlisted sets the limit that other entries told of an upstream before it was listed here.
 func (f *Fleet) applyUnlisted(now time.Time, u *upstream) {
-	l, ok := f.unlistedLimits[u.row.ID]
-	if !ok {
-		return
+	if l, ok := f.unlistedLimits.Get(u.row.ID); ok {
+		f.unlistedLimits.Delete(u.row.ID)
+		f.mergeLimit(now, "unlisted", l)
 	}
-	delete(f.unlistedLimits, u.row.ID)
-	f.mergeLimit(now, "unlisted", l)
 }
--- a/entry/internal/target/limits_test.go
+++ b/entry/internal/target/limits_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"currantport.example/core/hosts"
+	"currantport.example/core/quota"
 	"currantport.example/core/state"
 	"currantport.example/core/trial"
 	"currantport.example/entry/internal/target"
@@ -262,3 +263,20 @@
 		t.Errorf("the first request goes to %s", got)
 	}
 }
+
+// TestLimitsHeardBeforeTheListAreAllKept has an entry that starts hear of the limits of all upstreams
+// before it has read that they exist.
+func TestLimitsHeardBeforeTheListAreAllKept(t *testing.T) {
+	const fleet = 12000
+	w := newWorld(t, "e0")
+	var listed []state.Row
+	for i := range fleet {
+		u := plain(i, start)
+		listed = append(listed, w.upstream(u))
+		w.fleet.ReceiveLimits(start, "e1", []target.UpstreamLimit{{ID: u.ID, Started: u.Started, Limit: quota.Limit{Rate: 0.1, Serial: 1}}})
+	}
+	w.publish(start, listed...)
+	if n := len(w.fleet.Limits(start, fleet)); n != fleet {
+		t.Errorf("%d of %d limits are known", n, fleet)
+	}
+}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -148,7 +148,7 @@
 	// limited are the upstreams that have named a limit, by id.
 	limited map[string]*upstream
 	// unlistedLimits are limits of upstreams that aren't listed, as other entries told them.
-	unlistedLimits map[string]UpstreamLimit
+	unlistedLimits *recent.Map[string, UpstreamLimit]
 	// limitedReturns is the time, by pool, at which the next client should return that is
 	// refused because of limits.
 	limitedReturns map[string]time.Time
@@ -169,7 +169,7 @@
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted),
-		limited:  make(map[string]*upstream), unlistedLimits: make(map[string]UpstreamLimit), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		limited:  make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
 	}
 }
 
@@ -196,10 +196,8 @@
 			f.recordReleases(now, s, p.Engine)
 		}
 	}
-	for id := range f.unlistedLimits {
-		if u := f.upstreams[id]; u != nil {
-			f.applyUnlisted(now, u)
-		}
+	for _, u := range f.upstreams {
+		f.applyUnlisted(now, u)
 	}
 	f.assign()
 	f.assignLimits(now)
