--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -25,6 +25,7 @@
 
 	"currantport.example/core/health"
 	"currantport.example/core/hosts"
+	"currantport.example/core/recent"
 	"currantport.example/core/state"
 	"currantport.example/core/timing"
 )
@@ -159,8 +160,9 @@
 	return min(s.version, o.served)
 }
 
-// maxReleases bounds the remembered releases of a model.
-const maxReleases = 8
+// maxReleases bounds the remembered releases of a model. Beyond it, the versions before those
+// that are remembered count as expired.
+const maxReleases = 64
 
 // release is a version and the earliest time at which it may have been released. The time is
 // zero for the version that was current at the start of the process.
@@ -197,11 +199,11 @@
 	entryLoads map[hosts.Name]entryLoadReport
 	// departed holds the demands of upstreams that are listed no more, since they may only
 	// have lapsed.
-	departed departedDemands
+	departed *recent.Map[processKey, demands]
 	// limited are the upstreams that have named a limit, by id.
 	limited map[string]*upstream
 	// unlistedLimits are limits of upstreams that aren't listed, as other entries told them.
-	unlistedLimits map[string]UpstreamLimit
+	unlistedLimits *recent.Map[string, UpstreamLimit]
 	// limitedReturns is the time, by pool, at which the next client should return that is
 	// refused because of limits.
 	limitedReturns map[string]time.Time
@@ -211,8 +213,8 @@
 	// from asksSince.
 	asks      chan struct{}
 	asksSince time.Time
-	// releases lists the versions of each model that this process has seen released,
-	// oldest first.
+	// releases lists the versions of each model that this process has seen released, oldest
+	// first. Versions before the first one end no later than that one says.
 	releases map[string][]release
 }
 
@@ -221,7 +223,8 @@
 	return &Fleet{
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
-		limited: make(map[string]*upstream), unlistedLimits: make(map[string]UpstreamLimit), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		departed: recent.New[processKey, demands](maxDeparted),
+		limited:  make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
 	}
 }
 
@@ -248,10 +251,8 @@
 			f.recordReleases(now, s, p.Engine)
 		}
 	}
-	for id := range f.unlistedLimits {
-		if u := f.upstreams[id]; u != nil {
-			f.applyUnlisted(now, u)
-		}
+	for _, u := range f.upstreams {
+		f.applyUnlisted(now, u)
 	}
 	f.assign()
 	f.assignLimits(now)
@@ -259,7 +260,7 @@
 	var removed []netip.AddrPort
 	for id, u := range before {
 		if next := f.upstreams[id]; next == nil || !next.row.SameProcess(u.row) {
-			f.departed.keep(now, u)
+			f.keepDemands(now, u)
 		}
 		if !used[u.row.Address] {
 			removed = append(removed, u.row.Address)
@@ -272,7 +273,7 @@
 // that of another process.
 func (f *Fleet) updateUpstream(now time.Time, known *upstream, row *state.Upstream) *upstream {
 	if known == nil || !known.row.SameProcess(row) {
-		return &upstream{row: row, rowHeldSince: now, demands: f.departed.take(row), observed: make(map[string]observedVersions)}
+		return &upstream{row: row, rowHeldSince: now, demands: f.takeDemands(row), observed: make(map[string]observedVersions)}
 	}
 	if known.row.Draining != row.Draining {
 		f.options.Log.Info("upstream-draining", zap.String("upstream", row.ID), zap.Bool("draining", row.Draining))
@@ -297,11 +298,27 @@
 		case known[len(known)-1].version < r.Version:
 			f.options.Log.Info("release", zap.String("model", m.Name), zap.Int("version", r.Version), zap.Int("before", known[len(known)-1].version),
 				zap.Duration("age", now.Sub(r.NotBefore)))
-			f.releases[m.Name] = append(known[max(len(known)-maxReleases+1, 0):], release{version: r.Version, notBefore: r.NotBefore})
+			f.releases[m.Name] = append(f.relevantReleases(now, known), release{version: r.Version, notBefore: r.NotBefore})
 		}
 	}
 }
 
+// relevantReleases returns the releases that bound the use of versions in the future, at most
+// maxReleases - 1. Those before the first one bound it to a time that isn't later.
+func (f *Fleet) relevantReleases(now time.Time, all []release) []release {
+	for len(all) > 1 && now.Sub(all[1].notBefore) >= f.options.VersionTimeout {
+		all = all[1:]
+	}
+	if len(all) < maxReleases {
+		return all
+	}
+	dropped := len(all) - maxReleases + 1
+	earliest := slices.MinFunc(all[:dropped+1], func(a, b release) int { return a.notBefore.Compare(b.notBefore) })
+	all = slices.Clone(all[dropped:])
+	all[0].notBefore = earliest.notBefore
+	return all
+}
+
 // ReceiveLoadReport stores the load report of an upstream. Reports that arrive out of order
 // and those of unknown upstreams are ignored.
 func (f *Fleet) ReceiveLoadReport(now time.Time, id string, r LoadReport) {
