loader: read the status of the engine while an order waits

The agent read no status of its engine for up to a second while an order got no response, so that entries decided by reports of that age, and it began to fetch a newer version only after that.

The call of an order runs beside the rounds. A status that shows that the order was accepted ends the call. Nothing else is ordered and no other version is staged while it waits.

TestEngineIsWatchedWhileAnOrderWaits was red: after 100 ms, neither was the new status known nor the version released meanwhile fetched.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -148,6 +148,7 @@
 	g.Go(l.run)
 	return l, func() {
 		g.Stop()
+		l.stopCall()
 		stopStager()
 		stopFetcher()
 	}
@@ -200,6 +201,7 @@
 }
 
 func (l *Loader) round(ctx context.Context) {
+	l.endCall()
 	if !l.pollStatus(ctx) {
 		return
 	}
@@ -349,7 +351,7 @@
 // advance takes the next step towards serving the version.
 func (l *Loader) advance(ctx context.Context, t targetVersion) {
 	now := clocks.Now()
-	if l.status.Busy || !l.orderedAt.IsZero() && now.Sub(l.orderedAt) < orderBackoff {
+	if l.open != nil && l.open.call != nil || l.status.Busy || !l.orderedAt.IsZero() && now.Sub(l.orderedAt) < orderBackoff {
 		return
 	}
 	// The load of an earlier order has ended, and the engine doesn't serve the version.
@@ -367,7 +369,7 @@
 	if len(l.status.Held) > 0 && !clocks.Sleep(ctx, closeDelay) {
 		return
 	}
-	l.orderLoad(ctx, t)
+	l.orderLoad(t)
 }
 
 // stopRequests notifies entries to send no more requests.
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -40,6 +40,7 @@
 // world simulates an engine with its agent and the source of its weights.
 type world struct {
 	t      *testing.T
+	loader *loader.Loader
 	mirror *feed.Mirror
 	cache  *cache.Cache
 	head   state.Revision
@@ -49,6 +50,7 @@
 	staged  map[int][]byte
 	held    int
 	busy    bool
+	leaving bool
 	// running is the time that the engine needs to complete its current requests.
 	running time.Duration
 	// orders are the versions of accepted orders, rejected those of the others.
@@ -82,6 +84,7 @@
 		})
 		defer stop()
 		time.Sleep(2 * time.Second)
+		w.loader = l
 		if _, ok := l.Report(); !ok {
 			t.Error("the loader has no report on its engine")
 		}
@@ -181,7 +184,7 @@
 func (w *world) Status(context.Context) (engine.Status, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	s := engine.Status{Started: w.started, Busy: w.busy, OrderCount: w.orderCount(), TotalTokens: 100, Pace: 1}
+	s := engine.Status{Started: w.started, Busy: w.busy, OrderCount: w.orderCount(), Leaving: w.leaving, TotalTokens: 100, Pace: 1}
 	if w.held > 0 {
 		s.Held = []state.HeldVersion{{Model: writer, Version: w.held, Whole: true}}
 	}
@@ -520,3 +523,30 @@
 		return orderFate{arrivals: []time.Duration{0}, answered: true}
 	}
 }
+
+// TestEngineIsWatchedWhileAnOrderWaits has an engine begin to leave, and a version be released, while
+// an order gets no response.
+func TestEngineIsWatchedWhileAnOrderWaits(t *testing.T) {
+	play(t, 1, 0, func(w *world) {
+		ordered := make(chan struct{}, 9)
+		w.mutex.Lock()
+		w.fateOf = func() orderFate {
+			ordered <- struct{}{}
+			return orderFate{}
+		}
+		w.mutex.Unlock()
+		w.release(2)
+		<-ordered
+		w.release(3)
+		w.mutex.Lock()
+		w.leaving = true
+		w.mutex.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		if r, ok := w.loader.Report(); !ok || !r.Status.Leaving {
+			t.Errorf("after 100 ms: %+v %t", r.Status, ok)
+		}
+		if v, err := w.Manifest(t.Context(), w.Name(writer, 3)); err != nil || slices.Contains(w.cache.Held(v), false) {
+			t.Errorf("the next version isn't fetched after 100 ms: %v", err)
+		}
+	})
+}
--- a/agent/internal/loader/order.go
+++ b/agent/internal/loader/order.go
@@ -9,42 +9,95 @@
 
 	"currantport.example/core/clocks"
 	"currantport.example/core/engine"
+	"currantport.example/core/shell"
 )
 
-// openOrder is an order without a response, which the engine may still accept. Until it can't, the
-// staged pieces must be those of its version.
+// openOrder is an order that the engine may still accept: it is waiting for its response, or has got
+// none. Until then, the staged pieces must be those of its version.
 type openOrder struct {
 	target targetVersion
 	// expected is the order count at which the engine accepts it.
 	expected uint64
+	// call is the call that waits for a response, or nil.
+	call *orderCall
+	// isLost is set once a call has ended without a response.
+	isLost bool
 	// started is the start of the engine process that may accept it, once isBound is set. Before,
-	// no status has been read since the order was given up, and the engine may have restarted.
+	// no status has been read since the last call ended, and the engine may have restarted.
 	started time.Time
 	isBound bool
 }
 
-// orderLoad orders the engine to load a version. While an order is open, it is that order again: as
-// all of them expect the same order count, at most one is accepted.
-func (l *Loader) orderLoad(ctx context.Context, t targetVersion) {
+// orderCall is a call that orders the engine to load a version. It runs beside the rounds of the
+// loader, so that the status is read while it waits.
+type orderCall struct {
+	engine   engine.Local
+	target   targetVersion
+	expected uint64
+	// done is closed when ack and err are set.
+	done chan struct{}
+	ack  engine.Ack
+	err  error
+	// stop ends the call and waits for that.
+	stop func()
+}
+
+func startOrder(e engine.Local, t targetVersion, expected uint64) *orderCall {
+	g := shell.NewGroup()
+	c := &orderCall{engine: e, target: t, expected: expected, done: make(chan struct{}), stop: g.Stop}
+	g.Go(c.run)
+	return c
+}
+
+func (c *orderCall) run(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	expected := l.status.OrderCount
-	ack, err := l.options.Engine.Load(ctx, t.model, t.version, expected)
+	defer close(c.done)
+	c.ack, c.err = c.engine.Load(ctx, c.target.model, c.target.version, c.expected)
+}
+
+// orderLoad orders the engine to load a version. While an order is open, it is that order again: as
+// all of them expect the same order count, at most one is accepted.
+func (l *Loader) orderLoad(t targetVersion) {
+	if l.open == nil {
+		l.open = &openOrder{target: t, expected: l.status.OrderCount}
+	}
+	l.open.call = startOrder(l.options.Engine, t, l.open.expected)
 	l.orders.Inc(1)
-	l.options.Log.Info("order", zap.String("model", t.model), zap.Int("version", t.version), zap.Uint64("count", expected), zap.String("ack", string(ack)),
-		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.releases[t].notBefore)), zap.Error(err))
-	var notStarted *engine.NotStartedError
-	switch {
-	case err != nil && !errors.As(err, &notStarted):
-		l.open = &openOrder{target: t, expected: expected}
-		l.retryAt = clocks.Now().Add(orderBackoff)
-	case err != nil || ack == engine.AckConflict || ack == engine.AckFenced:
-		l.retryAt = clocks.Now().Add(orderBackoff)
+}
+
+// endCall handles the end of the call of an order, if it has ended.
+func (l *Loader) endCall() {
+	if l.open == nil || l.open.call == nil {
+		return
+	}
+	o, c := l.open, l.open.call
+	select {
+	case <-c.done:
 	default:
+		return
+	}
+	c.stop()
+	o.call, o.isBound = nil, false
+	l.logOrder(c)
+	var notStarted *engine.NotStartedError
+	isRefused := errors.As(c.err, &notStarted) || c.ack == engine.AckConflict || c.ack == engine.AckFenced
+	if c.err == nil && !isRefused {
 		l.open, l.orderedAt = nil, clocks.Now()
+		return
+	}
+	l.retryAt = clocks.Now().Add(orderBackoff)
+	o.isLost = o.isLost || !isRefused
+	if !o.isLost {
+		l.open = nil
 	}
 }
 
+func (l *Loader) logOrder(c *orderCall) {
+	l.options.Log.Info("order", zap.String("model", c.target.model), zap.Int("version", c.target.version), zap.Uint64("count", c.expected), zap.String("ack", string(c.ack)),
+		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.releases[c.target].notBefore)), zap.Error(c.err))
+}
+
 // settleOrder drops the open order if the status shows that the engine can't accept it any more.
 func (l *Loader) settleOrder(s engine.Status) {
 	o := l.open
@@ -52,10 +105,24 @@
 		return
 	}
 	if s.OrderCount == o.expected && (!o.isBound || s.Started.Equal(o.started)) {
-		o.started, o.isBound = s.Started, true
+		o.started, o.isBound = s.Started, o.call == nil
 		return
 	}
+	l.stopCall()
 	l.open = nil
+	if s.OrderCount > o.expected {
+		l.orderedAt = clocks.Now()
+	}
 	l.options.Log.Info("order-settled", zap.String("model", o.target.model), zap.Int("version", o.target.version),
 		zap.Uint64("expected", o.expected), zap.Uint64("count", s.OrderCount), zap.Time("started", s.Started))
 }
+
+// stopCall ends the call of an order, if there is one.
+func (l *Loader) stopCall() {
+	if l.open == nil || l.open.call == nil {
+		return
+	}
+	l.open.call.stop()
+	l.logOrder(l.open.call)
+	l.open.call = nil
+}
