loader: open an engine again that waits for its slot

Requests are stopped before an order and resumed once the engine serves the best version that is complete. If the next version is complete by then, the engine waits for its slot instead, and stayed closed. It is opened when its slot is found to lie ahead.

TestEngineIsNotClosedWhileItWaitsForItsSlot was red, closed 2 s after the restart, and passes.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -360,6 +360,7 @@
 		return
 	}
 	if l.open == nil && len(l.status.Held) > 0 && now.Before(l.slot.Start(l.options.VersionTimeout)) {
+		l.setClosing(false)
 		return
 	}
 	if !l.stager.verify(ctx) {
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -550,3 +550,22 @@
 		}
 	})
 }
+
+// TestEngineIsNotClosedWhileItWaitsForItsSlot has an engine restart and load version 1 again while
+// version 2 arrives, for which it has the last slot.
+func TestEngineIsNotClosedWhileItWaitsForItsSlot(t *testing.T) {
+	play(t, 1, 5, func(w *world) {
+		w.mutex.Lock()
+		w.running, w.fetchTime[2] = time.Second, 300*time.Millisecond
+		w.mutex.Unlock()
+		w.release(2)
+		time.Sleep(100 * time.Millisecond)
+		w.crash()
+		time.Sleep(2 * time.Second)
+		if r, ok := w.loader.Report(); !ok || r.Closing || !r.Status.Holds(writer, 1) {
+			t.Errorf("after 2 s: %+v %t", r, ok)
+		}
+		time.Sleep(versionTimeout)
+		w.check(2, 1, 2)
+	})
+}
