fakes, soak: let orders take effect late, check that engines don't go back

With the new kind orders-late, engines respond to no order and take each 1 to 6 s later, unless they have restarted or hold another order count than the order expects. The check older fails if an order brings an engine back to an older version; weights already fails for pieces of two versions.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -31,6 +31,8 @@
 poison~poison~core/crash/crash.go~s/if r\.parts\.isQuarantined\(q\.Parts\) \{/if false {/~poison-part~6s
 innocent~innocent~core/crash/parts.go~s/(\) isQuarantined\(parts \[\]Fingerprint\) bool \{\n)/$1\tif len(t.convicted) > 0 { return true }\n/~poison-part~6s
 weights~weights~agent/internal/loader/stage.go~s/(func \(s \*stager\) verify\(ctx context\.Context\) bool \{\n)/$1\tif true { return true }\n/~release,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt~250ms
+outdated~older~platform/internal/bridge/engine.go~s/, Expected: &expected//~orders-late,release-series~1s
+unsettled~weights~agent/internal/loader/loader.go~s/if l\.open != nil \{\n\t\tl\.stager/if false {\n\t\tl.stager/; s/if l\.open == nil && len/if len/~orders-late,release-series~1s
 budget~budget~entry/internal/proxy/handler.go~s/return h\.budgetOf\(pool\)\.TrySpend\(clocks\.Now\(\), h\.options\.Entries\(\)\)/return true/~upstream-grey~100ms
 left~left~entry/internal/proxy~s/l\.run\(r\.Context\(\)\)/l.run(context.WithoutCancel(r.Context()))/; s/(if err := l\.stream\.writeEvent\(e, r\.HasBuffered\(\)\); err != nil) \{/$1 \&\& false {/~config
 held~held~entry/internal/proxy/handler.go~s/l\.deadline = l\.arrived\.Add\(timeoutOf\(&l\.call, l\.admission\.Route\)\)/l.deadline = l.arrived.Add(timeoutOf(\&l.call, l.admission.Route) + 1500*time.Millisecond)/~link-dark
--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -266,6 +266,9 @@
 			c.recordViolation("weights", "%s", e)
 		}
 	}
+	for _, r := range c.world.ledger.Returns() {
+		c.recordViolation("older", "%s", r)
+	}
 	runs := c.world.ledger.RunsFrom(0)
 	c.checkUnsolicited(all, runs)
 	c.checkBudget(all, runs)
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -102,6 +102,7 @@
 	{"upstream-endless", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamEndless, duration) }},
 	{"upstream-limit", func(i *injector, _ time.Duration) { i.limit(i.upstream()) }},
 	{"poison-part", func(i *injector, _ time.Duration) { i.poisonPart() }},
+	{"orders-late", func(i *injector, duration time.Duration) { i.delayOrders(duration) }},
 }
 
 // injector injects faults in the order determined by a seed.
@@ -448,6 +449,21 @@
 	group.Wait()
 }
 
+// delayOrders lets all engines take orders late for a while.
+func (i *injector) delayOrders(duration time.Duration) {
+	end := i.beginFault(string(fakes.UpstreamOrdersLate), "engines")
+	var group sync.WaitGroup
+	for _, m := range i.world.upstreams {
+		if m.isEngine && m.isStarted() {
+			group.Go(func() {
+				holdFault(&m.activeFaults, duration, func() { m.SetFault(fakes.UpstreamOrdersLate) }, func() { m.SetFault(fakes.UpstreamHealthy) })
+			})
+		}
+	}
+	group.Wait()
+	end()
+}
+
 // corruptStaged corrupts pieces that are staged at an engine.
 func (i *injector) corruptStaged(m *managedUpstream) {
 	i.world.timeline.add(Event{Name: "staged pieces corrupted", Subject: m.name})
