target: ignore load reports of the process before

An engine may restart under its id. A load report of the process before that arrived after the new row was taken for one of the new process, so that for up to 1.5 s requests went to an engine that serves nothing, or were given the deadline of another version.

Reports whose engine started before the row says are ignored. Both times are the one that the engine states. A report of a process that the row doesn't know yet still counts.

TestLoadReportOfTheProcessBeforeIsIgnored was red and passes.

--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -319,8 +319,8 @@
 	return all
 }
 
-// ReceiveLoadReport stores the load report of an upstream. Reports that arrive out of order
-// and those of unknown upstreams are ignored.
+// ReceiveLoadReport stores the load report of an upstream. Reports that arrive out of order,
+// those of unknown upstreams and those of an earlier process are ignored.
 func (f *Fleet) ReceiveLoadReport(now time.Time, id string, r LoadReport) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -328,6 +328,9 @@
 	if u == nil || u.report.Serial >= r.Serial && now.Sub(u.reportedAt) < loadReportTTL {
 		return
 	}
+	if !r.Started.IsZero() && r.Started.Before(u.row.Started) {
+		return
+	}
 	if r.Started.Equal(u.report.Started) {
 		for _, h := range r.Held {
 			f.logOlderVersion(now, u, "report", versionOf(u.report.Held, h.Model), h.Version)
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -573,3 +573,19 @@
 		f.Finish(at, target.OutcomeSuccess)
 	}
 }
+
+// TestLoadReportOfTheProcessBeforeIsIgnored restarts an engine under its id. A report of the process
+// before arrives late, and says that it serves a version.
+func TestLoadReportOfTheProcessBeforeIsIgnored(t *testing.T) {
+	w := newWorld(t, "e0")
+	u := engine(1, "d0", 2)
+	u.Started = start
+	w.publish(start, w.upstream(u))
+	u = engine(1, "d0", 0)
+	u.Started = start.Add(time.Second)
+	w.publish(start.Add(time.Second), w.upstream(u))
+	w.fleet.ReceiveLoadReport(start.Add(1100*time.Millisecond), "u1", target.LoadReport{Serial: 1, Started: start, Pace: 1, Held: heldVersion(2)})
+	if id, f := w.place(start.Add(1200*time.Millisecond), w.requirements()); id != "none, wait false" {
+		t.Errorf("an engine that serves nothing is taken for one of version %d: %s", f.Version, id)
+	}
+}
