loader: read pieces back that the engine may have replaced late

A call that stores a piece is given up after a second, and the engine may still store it. If another version is staged by then, the piece of the earlier one replaces that of the later one. Pieces are read back before an order, but not those that were verified within 1.5 s, so that an engine could load pieces of two versions.

The stager remembers the pieces of earlier versions whose storing got no response, until the engine restarts, and reads those back right before each order, also after the pause in which requests are stopped. What is stored between that and the acceptance of the order can't be told; nothing in a call that stores a piece says for which order it is.

TestPieceThatIsStoredLateIsReplacedBeforeLoad was red and passes for pieces late by 1.2 to 3 s.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -370,7 +370,9 @@
 	if len(l.status.Held) > 0 && !clocks.Sleep(ctx, closeDelay) {
 		return
 	}
-	l.orderLoad(t)
+	if l.stager.verify(ctx) {
+		l.orderLoad(t)
+	}
 }
 
 // stopRequests notifies entries to send no more requests.
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -64,8 +64,10 @@
 	// pieces of another version were staged, both by orders without a response.
 	older []int
 	mixed []int
-	// stageTime is the time that the engine takes to store a piece.
+	// stageTime is the time that the engine takes to store a piece, lateStage that for the next one,
+	// which gets no response.
 	stageTime time.Duration
+	lateStage time.Duration
 	// others is the number of other engines of the pool.
 	others int
 	// fetchTime is the time that the fetch of a version takes.
@@ -208,15 +210,25 @@
 	return bytes.Clone(w.staged[piece]), nil
 }
 
-func (w *world) Stage(_ context.Context, _ string, piece int, data []byte) error {
+func (w *world) Stage(ctx context.Context, _ string, piece int, data []byte) error {
 	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	stageTime := w.stageTime
+	stageTime, lateStage := w.stageTime, w.lateStage
+	w.lateStage = 0
 	w.mutex.Unlock()
+	if lateStage > 0 {
+		time.AfterFunc(lateStage, func() { w.store(piece, data) })
+		<-ctx.Done()
+		return ctx.Err()
+	}
 	time.Sleep(stageTime)
+	w.store(piece, data)
+	return nil
+}
+
+func (w *world) store(piece int, data []byte) {
 	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	w.staged[piece] = bytes.Clone(data)
-	return nil
 }
 
 // orderFate is what happens to an order on its way.
@@ -569,3 +581,20 @@
 		w.check(2, 1, 2)
 	})
 }
+
+// TestPieceThatIsStoredLateIsReplacedBeforeLoad has the engine store a piece of version 2 late, after
+// those of version 3 were staged. The fake engine fails the test if it is ordered to load it.
+func TestPieceThatIsStoredLateIsReplacedBeforeLoad(t *testing.T) {
+	for late := 1200 * time.Millisecond; late < 3*time.Second; late += 25 * time.Millisecond {
+		play(t, 1, 0, func(w *world) {
+			w.mutex.Lock()
+			w.stageTime, w.lateStage = 25*time.Millisecond, late
+			w.mutex.Unlock()
+			w.release(2)
+			time.Sleep(400 * time.Millisecond)
+			w.release(3)
+			time.Sleep(versionTimeout)
+			w.check(3, 3)
+		})
+	}
+}
--- a/agent/internal/loader/stage.go
+++ b/agent/internal/loader/stage.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,10 +28,14 @@
 	// verifiedAt is the time at which each piece of the target was last known to be staged
 	// and valid.
 	verifiedAt []time.Time
+	// lost holds the pieces of the target whose storing got no response. The engine may still store
+	// them, over a later piece; replaceable are those over which it may store one of another version.
+	lost        map[int]bool
+	replaceable map[int]bool
 }
 
 func newStager(o Options) (*stager, func()) {
-	s := &stager{options: o}
+	s := &stager{options: o, lost: make(map[int]bool), replaceable: make(map[int]bool)}
 	g := shell.NewGroup()
 	g.Go(s.loop)
 	return s, g.Stop
@@ -41,6 +47,8 @@
 	defer s.mutex.Unlock()
 	if s.target != t {
 		s.target, s.verifiedAt = t, nil
+		maps.Copy(s.replaceable, s.lost)
+		clear(s.lost)
 	}
 }
 
@@ -49,6 +57,8 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.verifiedAt = nil
+	clear(s.lost)
+	clear(s.replaceable)
 }
 
 // current returns the target and its version, which is nil while the manifest isn't cached.
@@ -90,6 +100,31 @@
 	}
 }
 
+// markLost records that storing a piece got no response.
+func (s *stager) markLost(t targetVersion, n int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.target == t {
+		s.lost[n] = true
+	} else {
+		s.replaceable[n] = true
+	}
+}
+
+// expired returns the pieces to read back before an order: those that were verified before the given
+// time, and those that may have been replaced since.
+func (s *stager) expired(since time.Time) []int {
+	all := s.unverified(since)
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for n := range s.replaceable {
+		if n < len(s.verifiedAt) && !slices.Contains(all, n) {
+			all = append(all, n)
+		}
+	}
+	return all
+}
+
 // loop stages pieces as they are added to the cache.
 func (s *stager) loop(ctx context.Context) {
 	t := time.NewTicker(stagePollInterval)
@@ -124,6 +159,7 @@
 	defer cancel()
 	if err := s.options.Engine.Stage(ctx, t.model, n, data); err != nil {
 		s.options.Log.Debug("stage-failed", zap.Int("piece", n), zap.Error(err))
+		s.markLost(t, n)
 		return false
 	}
 	s.markVerified(t, n)
@@ -144,7 +180,7 @@
 		return false
 	}
 	valid := true
-	for _, n := range s.unverified(clocks.Now().Add(-verifiedTTL)) {
+	for _, n := range s.expired(clocks.Now().Add(-verifiedTTL)) {
 		digest := v.Pieces[n].Digest
 		data, err := s.options.Engine.ReadStaged(ctx, t.model, n)
 		if err == nil && chunks.Verify(digest, data) {
