--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -41,6 +41,8 @@
 type world struct {
 	t      *testing.T
 	loader *loader.Loader
+	// stop ends the loader.
+	stop   func()
 	mirror *feed.Mirror
 	cache  *cache.Cache
 	head   state.Revision
@@ -80,20 +82,30 @@
 	synctest.Test(t, func(t *testing.T) {
 		w := &world{t: t, mirror: feed.NewMirror(), cache: cache.New(), held: held, started: time.Now(), others: others, staged: map[int][]byte{}, fetchTime: map[int]time.Duration{}}
 		w.release(max(held, 1))
-		l, stop := loader.New(loader.Options{
-			Pool: "minds", Address: engineAddress, Mirror: w.mirror, Engine: w, Cache: w.cache, Namer: w, Fetcher: w, VersionTimeout: versionTimeout,
-			Notify: func() {}, Scope: tally.NoopScope, Log: zap.NewNop(),
-		})
-		defer stop()
+		w.startLoader()
+		defer func() { w.stop() }()
 		time.Sleep(2 * time.Second)
-		w.loader = l
-		if _, ok := l.Report(); !ok {
+		if _, ok := w.loader.Report(); !ok {
 			t.Error("the loader has no report on its engine")
 		}
 		test(w)
 	})
 }
 
+func (w *world) startLoader() {
+	w.loader, w.stop = loader.New(loader.Options{
+		Pool: "minds", Address: engineAddress, Mirror: w.mirror, Engine: w, Cache: w.cache, Namer: w, Fetcher: w, VersionTimeout: versionTimeout,
+		Notify: func() {}, Scope: tally.NoopScope, Log: zap.NewNop(),
+	})
+}
+
+// restartLoader ends the agent and starts another one, which knows nothing.
+func (w *world) restartLoader() {
+	w.stop()
+	w.cache = cache.New()
+	w.startLoader()
+}
+
 // release publishes the pool, its engines and a version.
 func (w *world) release(version int) {
 	w.t.Helper()
@@ -598,3 +610,35 @@
 		})
 	}
 }
+
+// TestNewAgentDoesNotReplacePiecesOfAnOpenOrder restarts the agent while its order of version 2 may take
+// effect, and releases version 3.
+func TestNewAgentDoesNotReplacePiecesOfAnOpenOrder(t *testing.T) {
+	for late := time.Second; late <= 3*time.Second; late += 50 * time.Millisecond {
+		play(t, 1, 0, func(w *world) {
+			ordered, isFirst := make(chan struct{}), true
+			w.mutex.Lock()
+			w.stageTime = 50 * time.Millisecond
+			w.fateOf = func() orderFate {
+				if isFirst {
+					isFirst = false
+					close(ordered)
+					return orderFate{arrivals: []time.Duration{late}}
+				}
+				return orderFate{arrivals: []time.Duration{0}, answered: true}
+			}
+			w.mutex.Unlock()
+			w.release(2)
+			<-ordered
+			w.release(3)
+			time.Sleep(900 * time.Millisecond)
+			w.restartLoader()
+			time.Sleep(versionTimeout)
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			if len(w.mixed) > 0 || w.held != 3 {
+				t.Errorf("an order late by %v: versions %v were loaded with pieces of others, serves %d", late, w.mixed, w.held)
+			}
+		})
+	}
+}
