loader: log the versions of an engine only if their text changes

The number of layers isn't known to an agent right after its start, so that the same version counted as changed.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -25,7 +25,6 @@
 import (
 	"context"
 	"net/netip"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -289,8 +288,8 @@
 		l.orderedAt = time.Time{}
 		l.stager.reset()
 	}
-	if !slices.Equal(s.Held, l.status.Held) && !l.statusAt.IsZero() {
-		l.options.Log.Info("engine-version", zap.String("held", heldText(s.Held)), zap.String("before", heldText(l.status.Held)), zap.Uint64("count", s.OrderCount))
+	if held, before := heldText(s.Held), heldText(l.status.Held); held != before && !l.statusAt.IsZero() {
+		l.options.Log.Info("engine-version", zap.String("held", held), zap.String("before", before), zap.Uint64("count", s.OrderCount))
 	}
 	if s.Leaving && !l.status.Leaving {
 		l.options.Log.Info("engine-leaving", zap.Time("started", s.Started), zap.Int("active", s.Active))
