--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -39,6 +40,7 @@
 // world simulates an engine with its agent and the source of its weights.
 type world struct {
 	t      *testing.T
+	loader *loader.Loader
 	mirror *feed.Mirror
 	cache  *cache.Cache
 	head   state.Revision
@@ -48,6 +50,7 @@
 	staged  map[int][]byte
 	held    int
 	busy    bool
+	leaving bool
 	// running is the time that the engine needs to complete its current requests.
 	running time.Duration
 	// orders are the versions of accepted orders, rejected those of the others.
@@ -55,14 +58,16 @@
 	rejected []int
 	// ordersBefore is the number of orders before the last restart.
 	ordersBefore int
-	// losses are the delays after which the next orders take effect, which get no response.
-	losses []time.Duration
+	// fateOf decides what happens to an order. Nil means that each is answered at once.
+	fateOf func() orderFate
 	// older are the versions that the engine went back to, mixed those whose load began while
 	// pieces of another version were staged, both by orders without a response.
 	older []int
 	mixed []int
-	// stageTime is the time that the engine takes to store a piece.
+	// stageTime is the time that the engine takes to store a piece, lateStage that for the next one,
+	// which gets no response.
 	stageTime time.Duration
+	lateStage time.Duration
 	// others is the number of other engines of the pool.
 	others int
 	// fetchTime is the time that the fetch of a version takes.
@@ -81,6 +86,7 @@
 		})
 		defer stop()
 		time.Sleep(2 * time.Second)
+		w.loader = l
 		if _, ok := l.Report(); !ok {
 			t.Error("the loader has no report on its engine")
 		}
@@ -180,7 +186,7 @@
 func (w *world) Status(context.Context) (engine.Status, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	s := engine.Status{Started: w.started, Busy: w.busy, OrderCount: w.orderCount(), TotalTokens: 100, Pace: 1}
+	s := engine.Status{Started: w.started, Busy: w.busy, OrderCount: w.orderCount(), Leaving: w.leaving, TotalTokens: 100, Pace: 1}
 	if w.held > 0 {
 		s.Held = []state.HeldVersion{{Model: writer, Version: w.held, Whole: true}}
 	}
@@ -204,25 +210,43 @@
 	return bytes.Clone(w.staged[piece]), nil
 }
 
-func (w *world) Stage(_ context.Context, _ string, piece int, data []byte) error {
-	time.Sleep(w.stageTime)
+func (w *world) Stage(ctx context.Context, _ string, piece int, data []byte) error {
+	w.mutex.Lock()
+	stageTime, lateStage := w.stageTime, w.lateStage
+	w.lateStage = 0
+	w.mutex.Unlock()
+	if lateStage > 0 {
+		time.AfterFunc(lateStage, func() { w.store(piece, data) })
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	time.Sleep(stageTime)
+	w.store(piece, data)
+	return nil
+}
+
+func (w *world) store(piece int, data []byte) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.staged[piece] = bytes.Clone(data)
-	return nil
+}
+
+// orderFate is what happens to an order on its way.
+type orderFate struct {
+	// arrivals are the delays after which the engine receives it, or a copy of it.
+	arrivals []time.Duration
+	// answered is set if the response to the first arrival reaches the agent.
+	answered bool
 }
 
 func (w *world) Load(ctx context.Context, _ string, version int, expected uint64) (engine.Ack, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if len(w.losses) > 0 {
-		delay := w.losses[0]
-		w.losses = w.losses[1:]
-		time.AfterFunc(delay, func() { w.acceptLate(version, expected) })
+	if w.fateOf != nil {
+		fate, started := w.fateOf(), w.started
 		w.mutex.Unlock()
-		<-ctx.Done()
-		w.mutex.Lock()
-		return "", ctx.Err()
+		defer w.mutex.Lock()
+		return w.deliver(ctx, started, version, expected, fate)
 	}
 	if w.busy || expected != w.orderCount() {
 		w.rejected = append(w.rejected, version)
@@ -237,12 +261,35 @@
 	return engine.AckStarted, nil
 }
 
-// acceptLate takes an order that got no response.
-func (w *world) acceptLate(version int, expected uint64) {
+// deliver lets the engine that started then receive an order.
+func (w *world) deliver(ctx context.Context, started time.Time, version int, expected uint64, fate orderFate) (engine.Ack, error) {
+	acks := make(chan engine.Ack, len(fate.arrivals))
+	for _, delay := range fate.arrivals {
+		time.AfterFunc(delay, func() {
+			if ack, ok := w.receive(started, version, expected); ok && fate.answered {
+				acks <- ack
+			}
+		})
+	}
+	select {
+	case ack := <-acks:
+		return ack, nil
+	case <-ctx.Done():
+		return "", ctx.Err()
+	}
+}
+
+// receive handles an order that was sent to the engine that started then.
+func (w *world) receive(started time.Time, version int, expected uint64) (engine.Ack, bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.busy || expected != w.orderCount() || w.held == version {
-		return
+	switch {
+	case !w.started.Equal(started):
+		return "", false
+	case w.busy || expected != w.orderCount():
+		return engine.AckConflict, true
+	case w.held == version:
+		return engine.AckDone, true
 	}
 	for i := range pieceCount {
 		if !bytes.Equal(w.staged[i], pieceOf(version, i)) {
@@ -251,6 +298,7 @@
 		}
 	}
 	w.accept(version)
+	return engine.AckStarted, true
 }
 
 // orderCount returns the number of orders since the last restart. The caller holds the mutex.
@@ -367,7 +415,15 @@
 	t.Helper()
 	play(t, 1, 0, func(w *world) {
 		w.mutex.Lock()
-		w.losses, w.stageTime, w.fetchTime[3] = slices.Clone(delays), 50*time.Millisecond, 300*time.Millisecond
+		w.stageTime, w.fetchTime[3] = 50*time.Millisecond, 300*time.Millisecond
+		w.fateOf = func() orderFate {
+			if len(delays) == 0 {
+				return orderFate{arrivals: []time.Duration{0}, answered: true}
+			}
+			fate := orderFate{arrivals: delays[:1]}
+			delays = delays[1:]
+			return fate
+		}
 		w.mutex.Unlock()
 		w.release(2)
 		time.Sleep(500 * time.Millisecond)
@@ -419,3 +475,126 @@
 		w.check(3, 2, 3)
 	})
 }
+
+// TestEngineNeitherGoesBackNorMixesOverLostOrders loses, delays and doubles orders and their responses
+// for 20 s, while versions are released and the engine restarts.
+func TestEngineNeitherGoesBackNorMixesOverLostOrders(t *testing.T) {
+	for seed := range uint64(seedCount) {
+		random, fates := rand.New(rand.NewPCG(seed, 32)), rand.New(rand.NewPCG(seed, 33))
+		upTo := func(d time.Duration) time.Duration { return time.Duration(random.Int64N(int64(d))) }
+		play(t, 1, random.IntN(4), func(w *world) {
+			w.mutex.Lock()
+			w.stageTime, w.running = upTo(60*time.Millisecond), upTo(time.Second)
+			end := time.Now().Add(20 * time.Second)
+			w.fateOf = func() orderFate {
+				if time.Now().After(end) {
+					return orderFate{arrivals: []time.Duration{0}, answered: true}
+				}
+				return randomFate(fates)
+			}
+			w.mutex.Unlock()
+			newest := 1
+			for time.Now().Before(end) {
+				switch random.IntN(40) {
+				case 0:
+					w.crash()
+				case 1, 2, 3, 4, 5, 6, 7, 8:
+					newest++
+					w.mutex.Lock()
+					w.fetchTime[newest] = upTo(2 * time.Second)
+					w.mutex.Unlock()
+				}
+				w.release(newest)
+				time.Sleep(upTo(time.Second))
+			}
+			time.Sleep(versionTimeout)
+			w.mutex.Lock()
+			defer w.mutex.Unlock()
+			if len(w.older) > 0 || len(w.mixed) > 0 || w.held != newest {
+				t.Errorf("seed %d: went back to %v, mixed versions %v, serves %d, newest %d, orders %v", seed, w.older, w.mixed, w.held, newest, w.orders)
+			}
+		})
+	}
+}
+
+// seedCount is the number of plays of random faults.
+const seedCount = 200
+
+func randomFate(random *rand.Rand) orderFate {
+	late := func() time.Duration { return time.Duration(random.Int64N(int64(6 * time.Second))) }
+	switch random.IntN(6) {
+	case 0:
+		return orderFate{}
+	case 1:
+		return orderFate{arrivals: []time.Duration{0}}
+	case 2, 3:
+		return orderFate{arrivals: []time.Duration{late()}}
+	case 4:
+		return orderFate{arrivals: []time.Duration{0, late()}, answered: true}
+	default:
+		return orderFate{arrivals: []time.Duration{0}, answered: true}
+	}
+}
+
+// TestEngineIsWatchedWhileAnOrderWaits has an engine begin to leave, and a version be released, while
+// an order gets no response.
+func TestEngineIsWatchedWhileAnOrderWaits(t *testing.T) {
+	play(t, 1, 0, func(w *world) {
+		ordered := make(chan struct{}, 9)
+		w.mutex.Lock()
+		w.fateOf = func() orderFate {
+			ordered <- struct{}{}
+			return orderFate{}
+		}
+		w.mutex.Unlock()
+		w.release(2)
+		<-ordered
+		w.release(3)
+		w.mutex.Lock()
+		w.leaving = true
+		w.mutex.Unlock()
+		time.Sleep(100 * time.Millisecond)
+		if r, ok := w.loader.Report(); !ok || !r.Status.Leaving {
+			t.Errorf("after 100 ms: %+v %t", r.Status, ok)
+		}
+		if v, err := w.Manifest(t.Context(), w.Name(writer, 3)); err != nil || slices.Contains(w.cache.Held(v), false) {
+			t.Errorf("the next version isn't fetched after 100 ms: %v", err)
+		}
+	})
+}
+
+// TestEngineIsNotClosedWhileItWaitsForItsSlot has an engine restart and load version 1 again while
+// version 2 arrives, for which it has the last slot.
+func TestEngineIsNotClosedWhileItWaitsForItsSlot(t *testing.T) {
+	play(t, 1, 5, func(w *world) {
+		w.mutex.Lock()
+		w.running, w.fetchTime[2] = time.Second, 300*time.Millisecond
+		w.mutex.Unlock()
+		w.release(2)
+		time.Sleep(100 * time.Millisecond)
+		w.crash()
+		time.Sleep(2 * time.Second)
+		if r, ok := w.loader.Report(); !ok || r.Closing || !r.Status.Holds(writer, 1) {
+			t.Errorf("after 2 s: %+v %t", r, ok)
+		}
+		time.Sleep(versionTimeout)
+		w.check(2, 1, 2)
+	})
+}
+
+// TestPieceThatIsStoredLateIsReplacedBeforeLoad has the engine store a piece of version 2 late, after
+// those of version 3 were staged. The fake engine fails the test if it is ordered to load it.
+func TestPieceThatIsStoredLateIsReplacedBeforeLoad(t *testing.T) {
+	for late := 1200 * time.Millisecond; late < 3*time.Second; late += 25 * time.Millisecond {
+		play(t, 1, 0, func(w *world) {
+			w.mutex.Lock()
+			w.stageTime, w.lateStage = 25*time.Millisecond, late
+			w.mutex.Unlock()
+			w.release(2)
+			time.Sleep(400 * time.Millisecond)
+			w.release(3)
+			time.Sleep(versionTimeout)
+			w.check(3, 3)
+		})
+	}
+}
