state, target, loader: count releases that were replaced unseen

A process that applies its tables late, such as an agent whose engine doesn't respond to a query, sees only the last of the releases that its replica has received meanwhile. It counted the end of the version in use from that one, though the bound runs from the first that followed it: by 3 s too late in the test, at most by the time between the two looks.

Beyond that, the oldest that is held takes the earliest time of those before it. Entries and agents record all of them.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -201,7 +201,7 @@
 		return
 	}
 	if _, known := l.releases[t]; !known {
-		l.recordRelease(t)
+		l.recordReleases(t)
 	}
 	if l.slotTarget != t {
 		l.planSlot(t)
@@ -222,16 +222,22 @@
 	l.stager.setTarget(t)
 }
 
-// recordRelease records the earliest time at which a version may have been released. One for
-// which it isn't known, as at the start, counts as released a full VersionTimeout ago.
-func (l *Loader) recordRelease(t targetVersion) {
+// recordReleases records the earliest times at which a version, and those that it replaced unseen,
+// may have been released. One for which it isn't known, as at the start, counts as released a full
+// VersionTimeout ago.
+func (l *Loader) recordReleases(t targetVersion) {
 	now := clocks.Now()
-	at := l.options.Mirror.Snapshot().Release(t.model).NotBefore
-	if at.IsZero() {
-		at = now.Add(-l.options.VersionTimeout)
+	for _, r := range l.options.Mirror.Snapshot().Release(t.model).Since(0) {
+		v, at := targetVersion{model: r.Model, version: r.Version}, r.NotBefore
+		if _, known := l.releases[v]; known {
+			continue
+		}
+		if at.IsZero() {
+			at = now.Add(-l.options.VersionTimeout)
+		}
+		l.releases[v] = releaseTime{notBefore: at, seenAt: now}
+		l.options.Log.Info("release", zap.String("model", v.model), zap.Int("version", v.version), zap.Duration("age", now.Sub(at)))
 	}
-	l.releases[t] = releaseTime{notBefore: at, seenAt: now}
-	l.options.Log.Info("release", zap.String("model", t.model), zap.Int("version", t.version), zap.Duration("age", now.Sub(at)))
 }
 
 // nextLoad returns the version to load now, if there is one. Until the newest version is
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -280,6 +280,17 @@
 	})
 }
 
+func TestReleaseThatIsReplacedAtOnceIsLoadedInTime(t *testing.T) {
+	play(t, 1, 5, func(w *world) {
+		// The tables were last confirmed 4 s before the releases are seen.
+		time.Sleep(2 * time.Second)
+		w.release(2)
+		w.release(3)
+		time.Sleep(versionTimeout - 4*time.Second)
+		w.check(3, 3)
+	})
+}
+
 func TestRestartedEngineIsReloaded(t *testing.T) {
 	play(t, 1, 0, func(w *world) {
 		w.crash()
--- a/core/state/build.go
+++ b/core/state/build.go
@@ -83,7 +83,7 @@
 		return putRow(b.releases, name, value, func(value []byte) (Release, error) {
 			r, err := decodeRelease(value)
 			r.NotBefore = row.NotBefore
-			return r, err
+			return r.succeed(b.releases[name]), err
 		})
 	case KindUpstream:
 		return putRow(b.upstreams, name, value, decodeUpstream)
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -16,6 +16,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -174,6 +175,41 @@
 	// unknown. It precedes the publication by the time for which this process had no
 	// confirmation of its replica, so that bounds counted from it hold however late it was seen.
 	NotBefore time.Time
+	// former holds the releases before this one, oldest first, at most maxFormer. Snapshots share
+	// it. The first one has the earliest time of all before it.
+	former []Release
+}
+
+// maxFormer bounds the releases of a model that a snapshot holds besides the current one.
+const maxFormer = 64
+
+// Since returns the known releases after a version, oldest first. The current one is the last.
+func (r Release) Since(version int) []Release {
+	var all []Release
+	for _, f := range r.former {
+		if f.Version > version {
+			all = append(all, f)
+		}
+	}
+	if r.Version > version {
+		all = append(all, r)
+	}
+	return all
+}
+
+// succeed returns the release with the one that it replaces as the last former one.
+func (r Release) succeed(replaced Release) Release {
+	for _, f := range replaced.Since(0) {
+		if f.Version < r.Version {
+			r.former = append(r.former, Release{Model: f.Model, Version: f.Version, NotBefore: f.NotBefore})
+		}
+	}
+	if dropped := len(r.former) - maxFormer; dropped > 0 {
+		earliest := slices.MinFunc(r.former[:dropped+1], func(a, b Release) int { return a.NotBefore.Compare(b.NotBefore) })
+		r.former = r.former[dropped:]
+		r.former[0].NotBefore = earliest.NotBefore
+	}
+	return r
 }
 
 // Upstream is a process that serves the requests of a pool.
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -141,6 +141,33 @@
 	}
 }
 
+// TestForgottenReleaseDoesNotProlongOlderVersions publishes more releases than a snapshot holds.
+func TestForgottenReleaseDoesNotProlongOlderVersions(t *testing.T) {
+	const count = 500
+	var b state.Builder
+	var s *state.Snapshot
+	at := func(version int) time.Time { return time.Unix(int64(version), 0) }
+	for v := 2; v <= count; v++ {
+		r := encodeRow(t, state.EncodeRelease, state.Release{Model: "m", Version: v})
+		r.NotBefore = at(v)
+		s, _ = b.Apply(state.Revision(v), []state.Row{r})
+		for _, older := range []int{1, v - 20, v - 1} {
+			if older < 1 {
+				continue
+			}
+			if next := s.Release("m").Since(older); len(next) == 0 || next[0].NotBefore.After(at(older+1)) {
+				t.Fatalf("version %d counts as replaced at %v after the release of %d", older, next, v)
+			}
+		}
+	}
+	if n := len(s.Release("m").Since(0)); n >= count/2 {
+		t.Errorf("%d of %d releases are kept", n, count)
+	}
+	if next := s.Release("m").Since(count - 10); len(next) != 10 || !next[0].NotBefore.Equal(at(count-9)) {
+		t.Errorf("recent releases: %v", next)
+	}
+}
+
 func TestRowsRoundTrip(t *testing.T) {
 	pool := &state.Pool{
 		Name: "p", MaxConnections: 5, Origin: &state.Origin{Address: netip.MustParseAddrPort("10.0.0.1:1"), Domain: "d", Rate: 1e6, MaxConnections: 4},
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -227,21 +227,24 @@
 	return known
 }
 
-// recordReleases records the releases of an engine's models that the snapshot adds.
+// recordReleases records the releases of an engine's models that the snapshot adds, also those that
+// were replaced before it was applied.
 func (f *Fleet) recordReleases(now time.Time, s *state.Snapshot, e *state.Engine) {
 	for _, m := range e.Models {
-		r := s.Release(m.Name)
+		current := s.Release(m.Name)
 		known := f.releases[m.Name]
-		switch {
-		case len(known) == 0:
+		if len(known) == 0 {
 			// The time of this release is unknown. The zero time means that the versions
 			// before it have already expired.
-			f.releases[m.Name] = []release{{version: r.Version}}
-		case known[len(known)-1].version < r.Version:
+			f.releases[m.Name] = []release{{version: current.Version}}
+			continue
+		}
+		for _, r := range current.Since(known[len(known)-1].version) {
 			f.options.Log.Info("release", zap.String("model", m.Name), zap.Int("version", r.Version), zap.Int("before", known[len(known)-1].version),
 				zap.Duration("age", now.Sub(r.NotBefore)))
-			f.releases[m.Name] = append(f.relevantReleases(now, known), release{version: r.Version, notBefore: r.NotBefore})
+			known = append(f.relevantReleases(now, known), release{version: r.Version, notBefore: r.NotBefore})
 		}
+		f.releases[m.Name] = known
 	}
 }
 
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -220,6 +220,28 @@
 	}
 }
 
+// TestReleaseBetweenTwoSnapshotsEndsOlderVersions publishes two releases before the entry applies
+// either.
+func TestReleaseBetweenTwoSnapshotsEndsOlderVersions(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(1, "d0", 1)), w.upstream(engine(2, "d0", 2)))
+	skipped := w.row(state.EncodeRelease(state.Release{Model: "m", Version: 2}))
+	skipped.NotBefore = start
+	w.revision++
+	w.builder.Apply(w.revision, []state.Row{skipped})
+	appliedAt := start.Add(3 * time.Second)
+	w.publish(appliedAt, w.row(state.EncodeRelease(state.Release{Model: "m", Version: 3})))
+	reqs := w.requirements()
+	reqs.Version = 1
+	if id, f := w.place(start.Add(versionTimeout-time.Second), reqs); f != nil {
+		t.Errorf("%s serves version 1 until %v after the release of version 2", id, f.StartDeadline.Sub(start))
+	}
+	reqs.Version = 2
+	if id, _ := w.place(start.Add(versionTimeout+time.Second), reqs); id != "u2" {
+		t.Errorf("version 2, which was replaced 6 s before: %s", id)
+	}
+}
+
 func TestReleaseBeforeStartTakesEffectAtOnce(t *testing.T) {
 	w := &world{t: t, fleet: target.New(target.Options{
 		Entries: func() []hosts.Host { return entries }, Regions: regions, VersionTimeout: versionTimeout, Random: func() float64 { return 0 }, Log: zap.NewNop(),
