feed, docs: show why a release after an outage counts as old as the outage

Two histories look the same to every process: the store is down and takes a release as it returns, or it refuses the processes while it takes one. A bound that is young in the first is too young in the second, so that TestReleaseAfterOutageIsNotAsOldAsTheOutage asks for what no bound can give that is never after the publication. Test and entry of KNOWN-RED.txt stay as they are.

TestReleaseDuringAnOutageIsNotYoungerThanItsPublication passes on the present code.

--- a/core/feed/bounds_test.go
+++ b/core/feed/bounds_test.go
@@ -32,6 +32,33 @@
 	})
 }
 
+// TestReleaseDuringAnOutageIsNotYoungerThanItsPublication has the platform refuse all processes while
+// it takes a release.
+func TestReleaseDuringAnOutageIsNotYoungerThanItsPublication(t *testing.T) {
+	const outage = 10 * time.Second
+	for _, after := range []time.Duration{0, time.Second, outage - 100*time.Millisecond} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(6)
+			all := append(slices.Clone(w.entries), w.addAgents(6, 3)...)
+			stop := w.startAll(all)
+			defer stop()
+			time.Sleep(5 * time.Second)
+			w.setCut(all, true)
+			time.Sleep(after)
+			w.platform.publish(2)
+			publishedAt := time.Now()
+			time.Sleep(outage - after)
+			w.setCut(all, false)
+			time.Sleep(5 * time.Second)
+			for _, h := range all {
+				if r := w.mirrors[h.Name].Snapshot().Release("m"); r.Version != 2 || r.NotBefore.After(publishedAt) {
+					t.Errorf("%s: version %d counts as published %v after it was", h.Name, r.Version, r.NotBefore.Sub(publishedAt))
+				}
+			}
+		})
+	}
+}
+
 // TestBoundIsNeverAfterThePublication publishes versions while entries lose and regain the
 // platform.
 func TestBoundIsNeverAfterThePublication(t *testing.T) {
