target, proxy: bound the start of requests that were sent before a release

A request that an engine had queued when a version was released could begin on the old version at any time up to the timeout of its route: 27 s after the release in the test, with a bound of 8 s. Only requests sent after the entry knew of the release had a deadline to start.

A release now sets that deadline for the requests that have had no first byte, and the attempt is withdrawn then like one that was sent later. A request that has begun keeps its time.

A response whose head comes only after more than 7.6 s can't be told from a queued request and is withdrawn too, as it was when sent after the release.

TestQueuedRequestIsWithdrawnAfterALaterRelease failed before for both routes; TestRequestThatHasBegunOutlivesALaterRelease guards the other side.

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -313,6 +313,7 @@
 		return l.connectFailed(ctx, f, err)
 	}
 	wd.reset(l.firstByteTimeout(f))
+	f.OnStartDeadline(wd.shorten)
 	a := calls.Attempt{Upstream: f.Row, Remaining: time.Until(l.deadline), LastEventID: l.stream.lastEventID}
 	if l.admission.Workspace != nil {
 		a.Workspace = l.admission.Workspace.Name
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,17 +46,36 @@
 // Error implements error.
 func (e declinedError) Error() string { return "declined with status " + strconv.Itoa(int(e)) }
 
-// watchdog cancels an attempt that makes no progress for too long.
+// watchdog cancels an attempt that makes no progress for too long. It is safe for concurrent use.
 type watchdog struct {
 	cancel  context.CancelFunc
-	timer   *time.Timer
 	expired atomic.Bool
+
+	mutex sync.Mutex
+	timer *time.Timer
+	end   time.Time
 }
 
 func newWatchdog(cancel context.CancelFunc) *watchdog { return &watchdog{cancel: cancel} }
 
 // reset restarts the timer.
 func (w *watchdog) reset(d time.Duration) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.set(d)
+}
+
+// shorten makes the timer expire at the given time if it would expire later.
+func (w *watchdog) shorten(end time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if end.Before(w.end) {
+		w.set(time.Until(end))
+	}
+}
+
+func (w *watchdog) set(d time.Duration) {
+	w.end = time.Now().Add(d)
 	if w.timer == nil {
 		w.timer = time.AfterFunc(d, w.run)
 		return
@@ -71,6 +91,8 @@
 func (w *watchdog) hasFired() bool { return w.expired.Load() }
 
 func (w *watchdog) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -46,7 +46,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				var waitedUntil atomic.Int64
 				begun := time.Now()
-				a := playReplacedVersion(t, path, func(_ io.Writer, v visit) {
+				a := playReplacedVersion(t, path, lateSending, func(_ io.Writer, v visit) {
 					<-v.ended
 					waitedUntil.Store(int64(time.Since(begun)))
 				})
@@ -62,7 +62,7 @@
 // until after that to complete the response.
 func TestRequestThatHasBegunOutlivesItsVersion(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		a := playReplacedVersion(t, "/once/", func(w io.Writer, v visit) {
+		a := playReplacedVersion(t, "/once/", lateSending, func(w io.Writer, v visit) {
 			time.Sleep(500 * time.Millisecond)
 			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: 4\r\n\r\nfi", v.id)
 			time.Sleep(time.Second)
@@ -74,9 +74,49 @@
 	})
 }
 
-// playReplacedVersion sends a request shortly before the entry stops using a version. The script is
-// that of the only engine, which serves it.
-func playReplacedVersion(t *testing.T, path string, script func(w io.Writer, v visit)) *httptest.ResponseRecorder {
+// TestQueuedRequestIsWithdrawnAfterALaterRelease releases a version while an engine's queue, which
+// doesn't move, holds a request.
+func TestQueuedRequestIsWithdrawnAfterALaterRelease(t *testing.T) {
+	const releasedAfter = 3 * time.Second
+	for _, path := range []string{"/long/", "/longflow/"} {
+		t.Run(strings.Trim(path, "/"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var waitedUntil atomic.Int64
+				begun := time.Now()
+				a := playReplacedVersion(t, path, -releasedAfter, func(_ io.Writer, v visit) {
+					<-v.ended
+					waitedUntil.Store(int64(time.Since(begun)))
+				})
+				if until := time.Duration(waitedUntil.Load()) - releasedAfter; until < versionTimeout/2 || until > versionTimeout {
+					t.Errorf("the engine may begin the request until %v after the release, status %d", until, a.Code)
+				}
+			})
+		})
+	}
+}
+
+// TestRequestThatHasBegunOutlivesALaterRelease has an engine begin a response before a version is
+// released, and take until after the end of the old one to complete it.
+func TestRequestThatHasBegunOutlivesALaterRelease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := playReplacedVersion(t, "/long/", -time.Second, func(w io.Writer, v visit) {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: 4\r\n\r\nfi", v.id)
+			time.Sleep(versionTimeout + 2*time.Second)
+			fmt.Fprint(w, "ne")
+		})
+		if a.Code != http.StatusOK || a.Body.String() != "fine" {
+			t.Errorf("status %d, %q", a.Code, a.Body.String())
+		}
+	})
+}
+
+// lateSending is how long after a release a request is sent shortly before the entry stops using the
+// version before.
+const lateSending = versionTimeout - 1400*time.Millisecond
+
+// playReplacedVersion sends a request at a time counted from the release of a version, or before it.
+// The script is that of the only engine, which serves the version before.
+func playReplacedVersion(t *testing.T, path string, sentAfter time.Duration, script func(w io.Writer, v visit)) *httptest.ResponseRecorder {
 	t.Helper()
 	w := &world{t: t, mirror: feed.NewMirror(), scope: tally.NewTestScope("", nil), script: script}
 	n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
@@ -102,15 +142,23 @@
 			rows[i].Revision = head
 		}
 		if _, err := w.mirror.Apply(feed.Update{Head: head, Rows: rows, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
-			t.Fatal(err)
+			t.Error(err)
 		}
 		fleet.ApplySnapshot(clocks.Now(), w.mirror.Snapshot())
 	}
 	w.publish(0)
 	apply(encoded(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{Slots: 4, Stride: 5, StepTime: 9 * time.Millisecond, PrefillRate: 19100, Models: []state.Model{{Name: "m"}}, Layers: 2}})),
 		encoded(state.EncodeUpstream(&state.Upstream{ID: "u0", Pool: "p", Address: address(0), Domain: "d", Slots: 4, Held: []state.HeldVersion{{Model: "m", Version: 1, Whole: true}}})))
-	apply(encoded(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
-	time.Sleep(versionTimeout - 1400*time.Millisecond)
+	for name, stream := range map[string]bool{"long": false, "longflow": true} {
+		apply(encoded(state.EncodeRoute(&state.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Stream: stream, Targets: []state.Target{{Pool: "p", Weight: 1}},
+			MaxAttempts: 1, Timeout: 30 * time.Second, Objective: 100 * time.Millisecond,
+		})))
+	}
+	release := time.AfterFunc(max(-sentAfter, 0), func() { apply(encoded(state.EncodeRelease(state.Release{Model: "m", Version: 2}))) })
+	defer release.Stop()
+	time.Sleep(max(sentAfter, 0))
+	synctest.Wait()
 	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
 	r.RequestURI, r.Header = path, http.Header{"Id": {"q"}, "Key": {"secret"}}
 	a := httptest.NewRecorder()
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -158,6 +158,9 @@
 	// from asksSince.
 	asks      chan struct{}
 	asksSince time.Time
+	// unbounded holds the requests that have not started as far as is known and have no deadline
+	// for it.
+	unbounded map[*InFlight]struct{}
 	// releases lists the versions of each model that this process has seen released, oldest
 	// first. Versions before the first one end no later than that one says.
 	releases map[string][]release
@@ -168,8 +171,8 @@
 	return &Fleet{
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
-		departed: recent.New[processKey, demands](maxDeparted),
-		limited:  make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
+		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
 	}
 }
 
@@ -239,12 +242,16 @@
 			f.releases[m.Name] = []release{{version: current.Version}}
 			continue
 		}
-		for _, r := range current.Since(known[len(known)-1].version) {
+		added := current.Since(known[len(known)-1].version)
+		for _, r := range added {
 			f.options.Log.Info("release", zap.String("model", m.Name), zap.Int("version", r.Version), zap.Int("before", known[len(known)-1].version),
 				zap.Duration("age", now.Sub(r.NotBefore)))
 			known = append(f.relevantReleases(now, known), release{version: r.Version, notBefore: r.NotBefore})
 		}
 		f.releases[m.Name] = known
+		if len(added) > 0 {
+			f.boundStarts()
+		}
 	}
 }
 
@@ -335,7 +342,7 @@
 	// ExactVersion is set if a response of any other version must be rejected.
 	ExactVersion bool
 	// StartDeadline is the time after which the request must not start on this version,
-	// or zero.
+	// or zero. It may be set once, by a later release, after OnStartDeadline was called.
 	StartDeadline time.Time
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
@@ -344,10 +351,13 @@
 	Running       int
 	LoadAge       time.Duration
 	model         string
+	minVersion    int
 	promptTokens  int
 	startedAt     time.Time
 	hasFirstEvent bool
 	isFinished    bool
+	// notify is called when StartDeadline is set after the choice.
+	notify func(end time.Time)
 }
 
 // startRequest counts a request that is about to be sent. The caller holds the mutex.
@@ -372,6 +382,38 @@
 	r.upstream.observed[r.model] = v
 }
 
+// OnStartDeadline has a function called if a release sets a deadline to the start of the request after
+// the choice. The function must not call the fleet. It isn't called after RecordFirstEvent or Finish.
+func (r *InFlight) OnStartDeadline(notify func(end time.Time)) {
+	r.fleet.mutex.Lock()
+	defer r.fleet.mutex.Unlock()
+	if r.model == "" || !r.StartDeadline.IsZero() || r.hasFirstEvent || r.isFinished {
+		return
+	}
+	r.notify = notify
+	r.fleet.unbounded[r] = struct{}{}
+	r.boundStart()
+}
+
+// boundStart sets the deadline to start if there is one. The caller holds the mutex.
+func (r *InFlight) boundStart() {
+	end := r.fleet.startDeadline(r.model, r.minVersion)
+	if end.IsZero() {
+		return
+	}
+	delete(r.fleet.unbounded, r)
+	r.StartDeadline = end
+	r.notify(end)
+}
+
+// boundStarts sets the deadlines of the requests that were sent before a release. The caller holds the
+// mutex.
+func (f *Fleet) boundStarts() {
+	for r := range f.unbounded {
+		r.boundStart()
+	}
+}
+
 // RecordFirstEvent records the arrival of the first byte of the response. Further calls have
 // no effect.
 func (r *InFlight) RecordFirstEvent(now time.Time) {
@@ -381,6 +423,7 @@
 		return
 	}
 	r.hasFirstEvent = true
+	delete(r.fleet.unbounded, r)
 	r.upstream.unread -= r.promptTokens
 	r.upstream.health.RecordSuccess(now, now.Sub(r.startedAt))
 }
@@ -416,6 +459,7 @@
 		return
 	}
 	r.isFinished = true
+	delete(r.fleet.unbounded, r)
 	u := r.upstream
 	u.running--
 	if !r.hasFirstEvent {
