target, syncer: keep the message to other entries within a datagram

An entry tells the others of its region in one datagram where it has requests, which upstreams leave and which limits they named. The lists of loads and of leaving upstreams had no bound: with requests at 1500 upstreams while 2000 leave, a message had 70,660 bytes. Receivers read 16 KiB, so that such a message is lost whole, and sockets refuse more than 64 KiB. Other entries then knew nothing of that entry's loads, and went on sending to upstreams that leave until a row or a response told them.

A message now holds at most 384 loads, the highest ones, and 64 upstreams that leave, those first that were announced least often. 2000 upstreams are so announced within the two seconds for which it is repeated.

TestLeavingUpstreamsAreToldWhileTheFleetIsBusy failed before.

--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -185,14 +185,12 @@
 func (sy *Syncer) broadcastEntryLoads(ctx context.Context) {
 	for idle := false; ; {
 		to := sy.regionEntries()
-		now := clocks.Now()
-		loads, leaving := sy.options.Fleet.EntryLoads(now), sy.options.Fleet.AnnouncedLeaving(now)
-		limits := sy.options.Fleet.AnnouncedLimits(now, maxAnnouncedLimits)
-		news := len(loads) + len(leaving) + len(limits)
-		if news > 0 || !idle {
-			sy.sendEntryLoads(to, loads, leaving, limits)
+		m := EntryLoadMessage(clocks.Now(), sy.options.Self, sy.options.Fleet)
+		hasNews := len(m.Shares)+len(m.Leaving)+len(m.Limits) > 0
+		if hasNews || !idle {
+			sy.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Shares{Shares: m}}, to...)
 		}
-		idle = news == 0
+		idle = !hasNews
 		if !clocks.Sleep(ctx, EntryLoadInterval(len(to))) {
 			return
 		}
@@ -210,17 +208,18 @@
 	return all
 }
 
-func (sy *Syncer) sendEntryLoads(to []netip.AddrPort, loads []target.EntryLoad, leaving []target.LeavingUpstream, limits []target.UpstreamLimit) {
-	m := &wire.Shares{Name: string(sy.options.Self), Limits: EncodeLimits(limits)}
-	for _, l := range loads {
+// EntryLoadMessage returns what an entry tells the others of its region.
+func EntryLoadMessage(now time.Time, self hosts.Name, f *target.Fleet) *wire.Shares {
+	m := &wire.Shares{Name: string(self), Limits: EncodeLimits(f.AnnouncedLimits(now, maxAnnouncedLimits))}
+	for _, l := range f.EntryLoads(now) {
 		m.Shares = append(m.Shares, &wire.Share{
 			Upstream: l.Upstream, Running: uint32(l.Running), Unread: uint32(l.Unread), Held: uint32(l.Held.Milliseconds()),
 		})
 	}
-	for _, l := range leaving {
+	for _, l := range f.AnnouncedLeaving(now) {
 		m.Leaving = append(m.Leaving, &wire.LeavingUpstream{Upstream: l.ID, Started: startMicros(l.Started)})
 	}
-	sy.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Shares{Shares: m}}, to...)
+	return m
 }
 
 // ReceiveEntryLoads decodes the loads of another entry and passes them to the fleet.
--- a/entry/internal/syncer/syncer_test.go
+++ b/entry/internal/syncer/syncer_test.go
@@ -1,10 +1,19 @@
 package syncer_test
 
 import (
+	"fmt"
+	"net/netip"
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"currantport.example/core/hosts"
+	"currantport.example/core/state"
+	"currantport.example/core/wire"
 	"currantport.example/entry/internal/syncer"
+	"currantport.example/entry/internal/target"
 )
 
 // TestEntryLoadMessageRateIsBounded bounds the messages that an entry sends, for regions of any
@@ -21,3 +30,53 @@
 		}
 	}
 }
+
+// TestLeavingUpstreamsAreToldWhileTheFleetIsBusy has a failure domain of upstreams leave at once while
+// one entry has requests at all upstreams of a fleet. A datagram that is too long reaches no entry.
+func TestLeavingUpstreamsAreToldWhileTheFleetIsBusy(t *testing.T) {
+	const fleet, leavingCount, maxDatagramBytes = 12000, 2000, 16 << 10
+	const interval, announceTime = 40 * time.Millisecond, 2 * time.Second
+	start := time.Unix(1e9, 0)
+	var rows []state.Row
+	var leaving []target.LeavingUpstream
+	encode := func(r state.Row, err error) {
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows = append(rows, r)
+	}
+	encode(state.EncodePool(&state.Pool{Name: "s"}))
+	for i := range fleet {
+		u := &state.Upstream{ID: fmt.Sprintf("i-%010d", i), Pool: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Domain: "d0", Started: start}
+		encode(state.EncodeUpstream(u))
+		if i < leavingCount {
+			leaving = append(leaving, target.LeavingUpstream{ID: u.ID, Started: start})
+		}
+	}
+	var b state.Builder
+	snapshot, _ := b.Apply(1, rows)
+	newFleet := func() *target.Fleet {
+		f := target.New(target.Options{Entries: func() []hosts.Host { return nil }, Random: func() float64 { return 0.5 }, Log: zap.NewNop()})
+		f.ApplySnapshot(start, snapshot)
+		return f
+	}
+	sender, receiver := newFleet(), newFleet()
+	sender.ReceiveLeaving(start, "other", leaving)
+	for range 1500 {
+		f := sender.ChoosePlain(start, "s", nil)
+		f.RecordLimit(start, 100, true)
+		defer f.Finish(start, target.OutcomeSuccess)
+	}
+	for now := start; now.Before(start.Add(announceTime)); now = now.Add(interval) {
+		m := syncer.EntryLoadMessage(now, "e0", sender)
+		if n := proto.Size(&wire.Datagram{Body: &wire.Datagram_Shares{Shares: m}}); n > maxDatagramBytes {
+			t.Fatalf("a message of %d bytes, with %d loads, %d upstreams that leave, %d limits", n, len(m.Shares), len(m.Leaving), len(m.Limits))
+		}
+		syncer.ReceiveEntryLoads(receiver, m)
+	}
+	for _, l := range leaving {
+		if !receiver.IsLeaving(l.ID) {
+			t.Fatalf("%s isn't known to leave", l.ID)
+		}
+	}
+}
--- a/entry/internal/target/demands.go
+++ b/entry/internal/target/demands.go
@@ -1,7 +1,9 @@
 package target
 
 import (
+	"cmp"
 	"net/netip"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,6 +19,8 @@
 	// announceTime is how long an entry repeats that an upstream is leaving. Messages may be
 	// lost.
 	announceTime = 2 * time.Second
+	// maxAnnouncedLeaving bounds the upstreams in a message that others are told of.
+	maxAnnouncedLeaving = 64
 	// maxDeparted is the number of upstreams that are listed no more of which the demands are kept,
 	// above the size of a fleet.
 	maxDeparted = 16384
@@ -32,6 +36,8 @@
 	// leaving is set once the upstream has said that it is shutting down.
 	leaving   bool
 	leavingAt time.Time
+	// announcements is the number of messages that have told others of it.
+	announcements int
 	// heldUntil is the time until which the upstream wants no requests.
 	heldUntil time.Time
 	// limit is the limit that it has named, or nil if it never named one. InvalidLimit is the
@@ -132,16 +138,26 @@
 	Started time.Time
 }
 
-// AnnouncedLeaving returns the upstreams that have lately said that they are shutting down.
+// AnnouncedLeaving returns the upstreams that have lately said that they are shutting down, for one
+// message. If there are more than maxAnnouncedLeaving, these are the ones announced least often.
 func (f *Fleet) AnnouncedLeaving(now time.Time) []LeavingUpstream {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	var all []LeavingUpstream
+	var lately []*upstream
 	for _, u := range f.upstreams {
 		if u.demands.leaving && now.Sub(u.demands.leavingAt) < announceTime {
-			all = append(all, LeavingUpstream{ID: u.row.ID, Started: u.row.Started})
+			lately = append(lately, u)
 		}
 	}
+	if len(lately) > maxAnnouncedLeaving {
+		slices.SortFunc(lately, func(a, b *upstream) int { return cmp.Compare(a.demands.announcements, b.demands.announcements) })
+		lately = lately[:maxAnnouncedLeaving]
+	}
+	var all []LeavingUpstream
+	for _, u := range lately {
+		u.demands.announcements++
+		all = append(all, LeavingUpstream{ID: u.row.ID, Started: u.row.Started})
+	}
 	return all
 }
 
--- a/entry/internal/target/loads.go
+++ b/entry/internal/target/loads.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,6 +14,9 @@
 // sends several in that time.
 const entryLoadTTL = 400 * time.Millisecond
 
+// maxEntryLoads bounds the loads in a report, which is a single datagram.
+const maxEntryLoads = 384
+
 // EntryLoad is the load of one entry at one engine.
 type EntryLoad struct {
 	// Upstream is HashOf of the engine's id.
@@ -34,8 +39,8 @@
 // HashOf returns the hash that identifies an engine in an EntryLoad.
 func HashOf(id string) uint64 { return xxhash.Sum64String(id) }
 
-// EntryLoads returns the load of this entry at all upstreams where it has requests in progress or
-// is kept back.
+// EntryLoads returns the load of this entry at the upstreams where it has requests in progress or is
+// kept back, at most maxEntryLoads. If there are more, these are the ones with most requests.
 func (f *Fleet) EntryLoads(now time.Time) []EntryLoad {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -47,7 +52,13 @@
 			})
 		}
 	}
-	return all
+	if len(all) <= maxEntryLoads {
+		return all
+	}
+	slices.SortFunc(all, func(a, b EntryLoad) int {
+		return cmp.Or(cmp.Compare(b.Running, a.Running), cmp.Compare(b.Held, a.Held), cmp.Compare(a.Upstream, b.Upstream))
+	})
+	return all[:maxEntryLoads]
 }
 
 // ReceiveEntryLoads replaces the reported loads of another entry of the region and drops
