--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -281,3 +281,28 @@
 		}
 	})
 }
+
+// TestReplicaBehindForgottenDeletionsDropsTheRows has a source forget deletions that another replica
+// hasn't seen.
+func TestReplicaBehindForgottenDeletionsDropsTheRows(t *testing.T) {
+	const count = 9000
+	s, source, behind := newStore(release(2)), feed.NewMirror(), feed.NewMirror()
+	for i := range count {
+		s.write(upstreamRow(fmt.Sprint("u", i), firstStart, false))
+	}
+	s.read(t, source)
+	synctest.Test(t, func(t *testing.T) {
+		relay(t, source, behind)
+		for i := range count {
+			s.write(state.Row{Key: upstreamRow(fmt.Sprint("u", i), firstStart, false).Key})
+			if i%1000 == 0 {
+				s.read(t, source)
+			}
+		}
+		s.read(t, source)
+		relay(t, source, behind)
+		if n := len(behind.Snapshot().Upstreams("p")); n != 0 {
+			t.Errorf("%d of %d upstreams that were removed are still used", n, count)
+		}
+	})
+}
