syncer: ask for many limits in several messages

An entry asks the owner of limits in one datagram for all requests that wait. Receivers read 16 KiB, so that the asks of a large fleet would be lost whole and no request to those upstreams granted. Found by reading, not seen in a run of the programs.

A message now holds at most 100 asks; its grants fit into one too. TestAsksOfManyLimitsReachTheirOwner failed before the bound.

--- a/entry/internal/syncer/limits.go
+++ b/entry/internal/syncer/limits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"time"
 
 	"currantport.example/core/clocks"
@@ -16,6 +17,9 @@
 // maxAnnouncedLimits bounds the limits in an entry load message.
 const maxAnnouncedLimits = 32
 
+// maxAsks bounds the asks in a message, so that the grants fit into one too.
+const maxAsks = 100
+
 // asker asks the owners of limits for the requests that wait.
 type asker struct {
 	self  hosts.Name
@@ -32,7 +36,9 @@
 		}
 		for owner, asks := range a.fleet.TakeAsks(clocks.Now()) {
 			if m, ok := a.mesh.Find(owner); ok {
-				a.mesh.Send(&wire.Datagram{Body: &wire.Datagram_Asks{Asks: encodeAsks(a.self, asks)}}, m.Address)
+				for _, d := range AskMessages(a.self, asks) {
+					a.mesh.Send(d, m.Address)
+				}
 			}
 		}
 	}
@@ -82,6 +88,15 @@
 	}
 }
 
+// AskMessages returns the messages to one owner.
+func AskMessages(self hosts.Name, asks []target.Ask) []*wire.Datagram {
+	var all []*wire.Datagram
+	for part := range slices.Chunk(asks, maxAsks) {
+		all = append(all, &wire.Datagram{Body: &wire.Datagram_Asks{Asks: encodeAsks(self, part)}})
+	}
+	return all
+}
+
 func encodeAsks(self hosts.Name, asks []target.Ask) *wire.Asks {
 	m := &wire.Asks{Name: string(self)}
 	for _, a := range asks {
