--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -44,6 +44,9 @@
 	if ms, err := strconv.Atoi(r.Header.Get("Timeout")); err == nil {
 		c.Timeout = time.Duration(ms) * time.Millisecond
 	}
+	if c.Model = r.Header.Get("Model"); c.Model != "" {
+		c.Prompt = 10
+	}
 	if text := r.Header.Get("Parts"); text != "" {
 		c.PromptParts = strings.Split(text, ",")
 	}
@@ -108,6 +111,8 @@
 type world struct {
 	t       *testing.T
 	network *memnet.Network
+	conns   *conns.Pool
+	crashes *crash.Registry
 	fleet   *target.Fleet
 	handler *proxy.Handler
 	mirror  *feed.Mirror
@@ -128,6 +133,7 @@
 var entry = netip.MustParseAddr("10.0.0.1")
 
 var routes = []*state.Route{
+	{Name: "live", Prefix: "/live/", Stream: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
 	{Name: "once", Prefix: "/once/", MaxAttempts: 3, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "any", Prefix: "/any/", Idempotent: true, MaxAttempts: 2, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "flow", Prefix: "/flow/", Stream: true, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
@@ -166,13 +172,14 @@
 			stops = append(stops, func() { _ = l.Close() })
 		}
 		p, stop := conns.New(n.Dialer(entry), nil)
+		w.conns, w.crashes = p, crash.NewRegistry(zap.NewNop())
 		regions := map[hosts.Domain]hosts.Region{"d": "r"}
 		fleet := target.New(target.Options{
 			Entries: func() []hosts.Host { return nil }, Regions: regions, Place: hosts.Place{Region: "r"}, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
 		})
 		w.fleet = fleet
 		w.handler = proxy.New(proxy.Options{
-			Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: crash.NewRegistry(zap.NewNop()),
+			Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
 			Bounds:      proxy.Bounds{MaxKeyStaleness: 4 * time.Second, MaxMissStaleness: 2 * time.Second},
 			RetryLimits: limits, Entries: func() int { return 1 },
 			Random: func() float64 { return 0.5 }, Scope: w.scope, Log: log,
