proxy: abort a request that its client has abandoned

A client that closes its sending direction after its request, and goes on reading, got "200 OK" without a body and without a signature: the server cancels the context of the request when it reads the end of the connection, the handler gave the request up and returned, and the server completes the response of a handler that returns.

The end of the sending direction is all that an entry sees of a client that leaves, so that the request is still given up; the connection is aborted, which promises nothing. A response that was forwarded whole before is no longer aborted.

TestAbandonedRequestGetsNoSuccess was red for each kind of route (status 200).

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -264,12 +264,13 @@
 	}
 }
 
-// abandon ends a request whose client has disconnected.
+// abandon ends a request whose client has disconnected. A client that has closed only its sending
+// direction would get an empty success if the handler returned.
 func (l *lifecycle) abandon() {
 	if l.ending == "" {
 		l.ending = "left"
 	}
-	if l.stream.started {
+	if l.ending != endingAnswered {
 		panic(http.ErrAbortHandler)
 	}
 }
--- a/entry/internal/proxy/proxy_test.go
+++ b/entry/internal/proxy/proxy_test.go
@@ -193,6 +193,22 @@
 	}
 }
 
+// TestAbandonedRequestGetsNoSuccess ends the context of a request as a client does that closes only
+// its sending direction. The server responds with an empty success for a handler that returns.
+func TestAbandonedRequestGetsNoSuccess(t *testing.T) {
+	for _, path := range []string{"/once/x", "/any/x", "/flow/x"} {
+		play(t, 2, func(_ io.Writer, v visit) { <-v.ended }, func(w *world) {
+			ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+			defer cancel()
+			clientCtx, disconnect := context.WithCancel(context.Background())
+			context.AfterFunc(ctx, disconnect)
+			if a := w.request(clientCtx, path); !a.aborted {
+				t.Errorf("%s: status %d", path, a.Code)
+			}
+		})
+	}
+}
+
 // TestStaleReplicaRefusesKeys lets the replica become too stale to serve a key that may
 // have been revoked.
 func TestStaleReplicaRefusesKeys(t *testing.T) {
