proxy: respond to a request whose handling panics

The server closed the connection of such a request without a response, and logged a stack of many lines under another name. Its place at the upstream stayed counted for good.

The handler now logs one line, frees the place, and says that the outcome is unknown; if it had begun the response, the connection is aborted as before.

--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -87,6 +87,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l := &lifecycle{handler: h, writer: w, arrived: time.Now(), view: h.view()}
 	defer l.report()
+	defer l.contain()
 	var refusal *calls.Refusal
 	if l.call, refusal = h.options.ClientCodec.ParseRequest(r); refusal != nil {
 		l.refuse(refusal)
@@ -124,6 +125,7 @@
 func (f refuser) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l := &lifecycle{handler: f.handler, writer: w, arrived: time.Now(), view: f.handler.view()}
 	defer l.report()
+	defer l.contain()
 	var refusal *calls.Refusal
 	if l.call, refusal = f.handler.options.ClientCodec.ParseRequest(r); refusal == nil {
 		refusal = calls.NotRun(calls.ReasonLeaving, drainingRetryAfter, "the entry is stopping")
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -275,6 +275,23 @@
 	}
 }
 
+// contain ends a request whose handling has panicked. It is deferred.
+func (l *lifecycle) contain() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(cause)
+	}
+	l.handler.options.Log.Error("handler-panicked", zap.String("id", string(l.call.ID)), zap.Any("cause", cause), zap.Stack("stack"))
+	if l.status != 0 {
+		l.ending = endingBroken
+		panic(http.ErrAbortHandler)
+	}
+	l.refuse(calls.Unknown(calls.ReasonLost, 0, "the handler failed"))
+}
+
 func (l *lifecycle) refuse(r *calls.Refusal) {
 	l.ending, l.refusal = string(r.Outcome), r
 	l.status = calls.StatusOf(r)
@@ -290,6 +307,8 @@
 		l.handler.recordRequest(l.pool.Name)
 	}
 	l.survived, l.sentAt = false, clocks.Now()
+	// Counts only if the exchange panics.
+	defer f.Finish(l.sentAt, target.OutcomeNeutral)
 	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -37,6 +37,9 @@
 type codec struct{}
 
 func (codec) ParseRequest(r *http.Request) (calls.Call, *calls.Refusal) {
+	if r.Header.Get("Panic") != "" {
+		panic("parse")
+	}
 	c := calls.Call{
 		ID: calls.ID(r.Header.Get("Id")), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI,
 		Credential: r.Header.Get("Key"), LastEventID: r.Header.Get("After"), Header: http.Header{"Id": r.Header["Id"]},
@@ -71,6 +74,9 @@
 }
 
 func (codec) ClassifyResponse(_ *calls.Call, status int, h http.Header) calls.Reply {
+	if h.Get("Panic") != "" {
+		panic("classify")
+	}
 	r := calls.Reply{Kind: calls.ReplyAnswered, Success: status < 300, Leaving: h.Get("Leaving") != ""}
 	switch {
 	case h.Get("Not-Run") != "":
@@ -95,6 +101,11 @@
 
 func (codec) ResponseHeader(h http.Header) http.Header { return h.Clone() }
 
+// brokenWriter panics when a part of the body is written.
+type brokenWriter struct{ http.ResponseWriter }
+
+func (brokenWriter) Write([]byte) (int, error) { panic("write") }
+
 // visit is a request that an upstream received.
 type visit struct {
 	upstream, number int
@@ -118,6 +129,8 @@
 	mirror  *feed.Mirror
 	script  func(w io.Writer, v visit)
 	scope   tally.TestScope
+	// wrap replaces the writer of responses, or is nil.
+	wrap func(r http.ResponseWriter) http.ResponseWriter
 
 	// scripts counts the visits in progress.
 	scripts sync.WaitGroup
@@ -254,7 +267,11 @@
 			}
 		}
 	}()
-	w.handler.ServeHTTP(a, r)
+	var writer http.ResponseWriter = a
+	if w.wrap != nil {
+		writer = w.wrap(writer)
+	}
+	w.handler.ServeHTTP(writer, r)
 	return a
 }
 
