shell: survive a hangup at any time

SIGHUP announces new settings. A program receives it once it watches its settings file, until its parts stop; before and after that the signal ended the process at once, with all its requests.

TestHangupEndsNoProgram was red: the test process ended with "signal: hangup".

--- a/core/shell/shell.go
+++ b/core/shell/shell.go
@@ -170,6 +170,10 @@
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	defer signal.Stop(signals)
+	// Without a receiver, a hangup before the settings file is watched, or after that, ends the process.
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(hangups)
 	trigger := &ShutdownTrigger{requested: make(chan struct{}, 1)}
 	app := fx.New(components, fx.Supply(trigger), fx.StopTimeout(shutdownTimeout), fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }))
 	if err := app.Start(ctx); err != nil {
--- a/core/shell/shell_test.go
+++ b/core/shell/shell_test.go
@@ -70,11 +70,32 @@
 
 func signalSelf(t *testing.T) {
 	t.Helper()
-	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+	sendSelf(t, syscall.SIGTERM)
+}
+
+func sendSelf(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := syscall.Kill(os.Getpid(), s); err != nil {
 		t.Fatal(err)
 	}
 }
 
+// TestHangupEndsNoProgram sends SIGHUP while nothing watches the settings, as at the start and in a
+// shutdown.
+func TestHangupEndsNoProgram(t *testing.T) {
+	p := &component{started: make(chan struct{}), release: make(chan struct{})}
+	code := start(p)
+	for range 3 {
+		sendSelf(t, syscall.SIGHUP)
+	}
+	signalSelf(t)
+	sendSelf(t, syscall.SIGHUP)
+	close(p.release)
+	if got := <-code; got != int(shell.ExitOK) || !p.stopped.Load() {
+		t.Errorf("exit code %d, stopped %t", got, p.stopped.Load())
+	}
+}
+
 func TestFirstSignalStopsGracefully(t *testing.T) {
 	for range 500 {
 		p := &component{started: make(chan struct{}), release: make(chan struct{})}
