httpd: keep a connection through any series of limit changes

A connection that was accepted while the limits changed three times in a row was closed without a response: it is handed to the server with the current limits, which may be replaced meanwhile, and after three tries it was given up. The client may have sent its request by then.

It is now handed over until the whole server closes.

--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -134,15 +134,16 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		if !s.dispatch(c) {
+		if !s.dispatch(ctx, c) {
 			_ = c.Close()
 		}
 	}
 }
 
-// dispatch hands a connection to the current server, which may be replaced meanwhile.
-func (s *Server) dispatch(c net.Conn) bool {
-	for range 3 {
+// dispatch hands a connection to the current server, which may be replaced meanwhile. It returns
+// false if this server is closed.
+func (s *Server) dispatch(ctx context.Context, c net.Conn) bool {
+	for ctx.Err() == nil {
 		s.mutex.Lock()
 		l := s.listener
 		s.mutex.Unlock()
--- a/entry/internal/httpd/httpd_test.go
+++ b/entry/internal/httpd/httpd_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,3 +131,23 @@
 		}
 	})
 }
+
+// TestSeriesOfLimitChangesDropsNoConnection has clients connect while the limits change many times.
+func TestSeriesOfLimitChangesDropsNoConnection(t *testing.T) {
+	play(t, func(s *httpd.Server, connect func() *client) {
+		flap := func() {
+			for n := range 20 {
+				s.SetLimits(state.Limits{HeaderBytes: 4096 + n, IdleTimeout: 2 * time.Second})
+				runtime.Gosched()
+			}
+		}
+		for i := range 500 {
+			go flap()
+			c := connect()
+			if status, _, err := c.request(); err != nil || status != http.StatusOK {
+				t.Errorf("%d: %d, %v", i, status, err)
+			}
+			_ = c.conn.Close()
+		}
+	})
+}
