httpd: forget servers without connections

Now a replaced server is dropped with its last connection, and the heap stays within the test's 1 MiB.

--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -65,17 +65,16 @@
 
 	mutex  sync.Mutex
 	limits state.Limits
-	// current serves new connections. servers holds it and all earlier ones.
-	current  *http.Server
-	listener *connListener
-	servers  []*http.Server
-	group    *shell.Group
+	// current serves new connections. servers holds it and the earlier ones that still have some.
+	current *connServer
+	servers map[*connServer]struct{}
+	group   *shell.Group
 }
 
 // New starts accepting connections. The clean-up function closes the server and all
 // connections at once.
 func New(o Options) (*Server, func()) {
-	s := &Server{options: o, group: shell.NewGroup()}
+	s := &Server{options: o, servers: make(map[*connServer]struct{}), group: shell.NewGroup()}
 	s.replaceServer()
 	s.group.Go(s.run)
 	return s, s.close
@@ -113,13 +112,14 @@
 	if l.IdleTimeout > 0 {
 		h.IdleTimeout = l.IdleTimeout + idleSlack
 	}
-	if s.listener != nil {
-		s.listener.stop()
+	if s.current != nil {
+		s.current.listener.stop()
 	}
-	s.listener = newConnListener(s.options.Listener.Addr())
-	s.current = h
-	s.servers = append(s.servers, h)
-	s.group.Go((&acceptor{server: h, listener: s.listener, log: s.options.Log}).run)
+	c := &connServer{owner: s, http: h, listener: newConnListener(s.options.Listener.Addr()), isServing: true}
+	h.ConnState = c.countConns
+	s.current = c
+	s.servers[c] = struct{}{}
+	s.group.Go(c.run)
 }
 
 // run accepts connections and hands them to the current server.
@@ -145,7 +145,7 @@
 func (s *Server) dispatch(ctx context.Context, c net.Conn) bool {
 	for ctx.Err() == nil {
 		s.mutex.Lock()
-		l := s.listener
+		l := s.current.listener
 		s.mutex.Unlock()
 		if l.deliver(c) {
 			return true
@@ -257,24 +257,54 @@
 func (s *Server) close() {
 	_ = s.options.Listener.Close()
 	s.mutex.Lock()
-	for _, h := range s.servers {
-		_ = h.Close()
+	for c := range s.servers {
+		_ = c.http.Close()
 	}
-	s.listener.stop()
+	s.current.listener.stop()
 	s.mutex.Unlock()
 	s.group.Stop()
 }
 
-// acceptor runs one HTTP server.
-type acceptor struct {
-	server   *http.Server
+// connServer serves the connections that were accepted under the same limits.
+type connServer struct {
+	owner    *Server
+	http     *http.Server
 	listener *connListener
-	log      *zap.Logger
+	// isServing is set until the server takes no more connections. The owner's mutex guards it and
+	// conns, the number of open connections.
+	isServing bool
+	conns     int
+}
+
+func (c *connServer) run(context.Context) {
+	if err := c.http.Serve(c.listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		c.owner.options.Log.Error("server-failed", zap.Error(err))
+	}
+	c.owner.mutex.Lock()
+	defer c.owner.mutex.Unlock()
+	c.isServing = false
+	c.forgetUnused()
+}
+
+// countConns is called when the state of a connection changes.
+func (c *connServer) countConns(_ net.Conn, state http.ConnState) {
+	if state != http.StateNew && state != http.StateClosed && state != http.StateHijacked {
+		return
+	}
+	c.owner.mutex.Lock()
+	defer c.owner.mutex.Unlock()
+	if state == http.StateNew {
+		c.conns++
+		return
+	}
+	c.conns--
+	c.forgetUnused()
 }
 
-func (a *acceptor) run(context.Context) {
-	if err := a.server.Serve(a.listener); err != nil && !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
-		a.log.Error("server-failed", zap.Error(err))
+// forgetUnused drops a replaced server without connections. The caller holds the mutex.
+func (c *connServer) forgetUnused() {
+	if !c.isServing && c.conns == 0 {
+		delete(c.owner.servers, c)
 	}
 }
 
--- a/entry/internal/httpd/httpd_test.go
+++ b/entry/internal/httpd/httpd_test.go
@@ -151,3 +151,29 @@
 		}
 	})
 }
+
+// TestLimitChangesDoNotPileUp changes the limits as often as configurations change in half a day.
+func TestLimitChangesDoNotPileUp(t *testing.T) {
+	const changes, maxGrowth = 17500, 1 << 20
+	play(t, func(s *httpd.Server, connect func() *client) {
+		kept := connect()
+		heap := func() uint64 {
+			synctest.Wait()
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			return m.HeapAlloc
+		}
+		before := heap()
+		for n := range changes {
+			s.SetLimits(state.Limits{HeaderBytes: 4096 + n})
+			synctest.Wait()
+		}
+		if after := heap(); after > before+maxGrowth {
+			t.Errorf("the heap grew by %d KiB", (after-before)>>10)
+		}
+		if status, _, err := kept.request(); err != nil || status != http.StatusOK {
+			t.Errorf("a connection from before: %d, %v", status, err)
+		}
+	})
+}
