soak: count requests without a response beside a configuration

No check counted them one by one: "lost" allows three cut requests in a run and doesn't look at configurations, and the configurations of the soak never changed the limits.

"unanswered" counts each request in progress within 3 s of a configuration, or of a change of its entry's settings, that was read and ended without a response, unless its client left, its upstream or entry was disturbed, or seven tenths of its timeout had passed. Every second configuration has another idle limit. The mutant that closes the connections of the server before when the limits change is red (lost:1,unanswered:713).

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -36,6 +36,7 @@
 held~held~entry/internal/proxy/handler.go~s/l\.deadline = l\.arrived\.Add\(timeoutOf\(&l\.call, l\.admission\.Route\)\)/l.deadline = l.arrived.Add(timeoutOf(\&l.call, l.admission.Route) + 1500*time.Millisecond)/~link-dark
 stop~stop~entry/internal/httpd/httpd.go~s/(start := time\.Now\(\)\n\ts\.draining)/return 0\n\t$1/~entry-stop
 lost~lost~entry/internal/proxy/handler.go~s/(l\.run\(r\.Context\(\)\)\n)/$1\tif l.arrived.UnixNano()%20 == 0 { panic(http.ErrAbortHandler) }\n/~config
+unanswered~unanswered~entry/internal/httpd/httpd.go~s/(\t\ts\.current\.listener\.stop\(\)\n)(\t\}\n\tc := )/$1\t\tgo func(h *http.Server) { _ = h.Close() }(s.current.http)\n$2/~config
 recover~recover~core/feed/mirror.go~s/m\.confirmedAt\.Store\(&u\.ConfirmedAt\)/m.confirmedAt.CompareAndSwap(nil, \&u.ConfirmedAt)/~config
 leaving~leaving~entry/internal/target/choose.go~s/ && !u\.demands\.leaving//~upstream-leave
 holds~holds~entry/internal/target/choose.go~s/ && !u\.demands\.isHeld\(now\)//~upstream-held~300ms
--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -275,6 +275,7 @@
 	c.checkCanceled(all)
 	c.checkTimeouts(all)
 	c.checkShutdowns(all)
+	c.checkUnanswered(all)
 	c.checkDenied(all)
 	c.checkRecovery(all, servedSince)
 }
--- a/stand/internal/soak/operator.go
+++ b/stand/internal/soak/operator.go
@@ -140,7 +140,10 @@
 	c := fakes.Config{
 		// Versions increase in steps of different size.
 		Version: int64(3*g.number + g.number%2),
-		Limits:  state.Limits{HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second, IdleTimeout: 20 * time.Second},
+		Limits: state.Limits{
+			HeaderBytes: 16 << 10, BodyBytes: 1 << 20, HeaderTimeout: 5 * time.Second,
+			IdleTimeout: 20*time.Second + time.Duration(g.number%2)*time.Second,
+		},
 		Pools: []state.Pool{
 			{Name: poolMinds, MaxConnections: maxConnections, Engine: engineRow()},
 			{Name: poolDesk, MaxConnections: maxConnections},
