proxy: refuse a body that comes too late as not run

A proper request whose body wasn't whole by its timeout was denied as malformed (400), which tells its client never to send it again.

TestBodyThatIsLateIsNotRun was red for each kind of route.

--- a/entry/internal/proxy/change_test.go
+++ b/entry/internal/proxy/change_test.go
@@ -15,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"currantport.example/core/calls"
 	"currantport.example/core/clocks"
 	"currantport.example/core/feed"
 	"currantport.example/core/state"
@@ -416,3 +417,26 @@
 	return append(rows, encoded(state.EncodeWorkspace(&state.Workspace{Name: "harbour", Keys: []string{"secret"}})),
 		encoded(state.EncodePool(&state.Pool{Name: "p"})), encoded(state.EncodeLimits(state.Limits{})))
 }
+
+// TestBodyThatIsLateIsNotRun has a client send half of a body until the timeout of the route.
+func TestBodyThatIsLateIsNotRun(t *testing.T) {
+	for _, path := range kinds {
+		play(t, 1, halves, func(w *world) {
+			front := w.serve()
+			defer front.stop()
+			conn := front.dial()
+			defer func() { _ = conn.Close() }()
+			text := wholeRequest(path, "first")
+			fmt.Fprint(conn, text[:len(text)-2])
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Errorf("%s: %v", path, err)
+				return
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusGatewayTimeout || response.Header.Get("Outcome") != string(calls.OutcomeNotRun) {
+				t.Errorf("%s: status %d, %s", path, response.StatusCode, response.Header.Get("Outcome"))
+			}
+		})
+	}
+}
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -21,6 +21,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -190,6 +191,9 @@
 	if errors.As(err, &tooLarge) {
 		return calls.NotRun(calls.ReasonTooLarge, 0, "the body is too long")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return calls.NotRun(calls.ReasonDeadline, 0, "the body came too late")
+	}
 	if err != nil {
 		return calls.NotRun(calls.ReasonBadRequest, 0, "the body can't be read")
 	}
