--- a/entry/internal/httpd/httpd_test.go
+++ b/entry/internal/httpd/httpd_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -130,3 +131,49 @@
 		}
 	})
 }
+
+// TestSeriesOfLimitChangesDropsNoConnection has clients connect while the limits change many times.
+func TestSeriesOfLimitChangesDropsNoConnection(t *testing.T) {
+	play(t, func(s *httpd.Server, connect func() *client) {
+		flap := func() {
+			for n := range 20 {
+				s.SetLimits(state.Limits{HeaderBytes: 4096 + n, IdleTimeout: 2 * time.Second})
+				runtime.Gosched()
+			}
+		}
+		for i := range 500 {
+			go flap()
+			c := connect()
+			if status, _, err := c.request(); err != nil || status != http.StatusOK {
+				t.Errorf("%d: %d, %v", i, status, err)
+			}
+			_ = c.conn.Close()
+		}
+	})
+}
+
+// TestLimitChangesDoNotPileUp changes the limits as often as configurations change in half a day.
+func TestLimitChangesDoNotPileUp(t *testing.T) {
+	const changes, maxGrowth = 17500, 1 << 20
+	play(t, func(s *httpd.Server, connect func() *client) {
+		kept := connect()
+		heap := func() uint64 {
+			synctest.Wait()
+			runtime.GC()
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			return m.HeapAlloc
+		}
+		before := heap()
+		for n := range changes {
+			s.SetLimits(state.Limits{HeaderBytes: 4096 + n})
+			synctest.Wait()
+		}
+		if after := heap(); after > before+maxGrowth {
+			t.Errorf("the heap grew by %d KiB", (after-before)>>10)
+		}
+		if status, _, err := kept.request(); err != nil || status != http.StatusOK {
+			t.Errorf("a connection from before: %d, %v", status, err)
+		}
+	})
+}
