proxy: wait for a silent upstream where no other can take the request

Callers of streams that can't be resumed lost them when a sound engine fell silent for longer than 1.2 s (three event gaps) and went on: the entry canceled the attempt and aborted the response, although nothing could follow it. The same hit resumable streams and idempotent requests with no attempt, no retry in the budget or no other upstream left, idempotent ones after two objectives already (502, outcome unknown).

Ruled out: the crash probe (a silent engine's system accepts the connection), the quarantine (a canceled attempt leaves no mark) and the client's timeout.

The watchdog now gives an attempt up before its limit only if another upstream admits the request and a retry can be taken from the budget, which it reserves; otherwise it asks again after the same time. The limit is the deadline, and the start deadline of a replaced version for what hasn't begun.

--- a/core/tries/tries.go
+++ b/core/tries/tries.go
@@ -110,8 +110,8 @@
 		}
 		return a.finalStep()
 	}
+	retry := a.MayRetry(now) && trySpend()
 	a.runs++
-	retry := a.route.IsRetryable() && hasTime && a.runs < a.route.MaxAttempts && trySpend()
 	switch {
 	case retry:
 		return StepRetry
@@ -123,6 +123,11 @@
 	return StepUnknown
 }
 
+// MayRetry reports whether a retry may follow an attempt in progress that may have run the request.
+func (a *Attempts) MayRetry(now time.Time) bool {
+	return a.route.IsRetryable() && a.deadline.Sub(now) >= minRemaining && a.runs+1 < a.route.MaxAttempts
+}
+
 // finalStep returns how a request ends whose last attempt did not run.
 func (a *Attempts) finalStep() Step {
 	if a.runs > 0 {
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -64,6 +65,8 @@
 	// lastFailure is an upstream's failure response, which is forwarded if no other attempt
 	// succeeds.
 	lastFailure *bufferedResponse
+	// retryReserved is set while a retry was taken from the budget that hasn't begun.
+	retryReserved atomic.Bool
 	// isRetry is true if the client was refused before.
 	isRetry bool
 	// counted is true once the first attempt has been counted.
@@ -131,7 +134,9 @@
 	}
 }
 
-func (l *lifecycle) trySpend() bool { return l.handler.trySpend(l.pool.Name) }
+func (l *lifecycle) trySpend() bool {
+	return l.retryReserved.Swap(false) || l.handler.trySpend(l.pool.Name)
+}
 
 // acquireUpstream chooses an upstream. If no engine has free capacity it waits for a short
 // while.
@@ -139,10 +144,7 @@
 	if l.pool == nil && !l.choosePool() {
 		return nil, calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the route's pools aren't listed")
 	}
-	reqs := target.Requirements{
-		Pool: l.pool, Model: l.call.Model, PromptTokens: l.call.Prompt, Version: l.stream.version, Exclude: l.attempted,
-		MaxEventGap: l.admission.Route.MaxEventGap,
-	}
+	reqs := l.requirements()
 	l.isRetry = l.handler.timeouts.IsRetry(l.admission.Route.Name, &l.call)
 	until := l.arrived.Add(l.objective() / capacityWaitDivisor)
 	var grant target.GrantRequest
@@ -173,6 +175,14 @@
 	}
 }
 
+// requirements returns what the request needs from its next upstream.
+func (l *lifecycle) requirements() target.Requirements {
+	return target.Requirements{
+		Pool: l.pool, Model: l.call.Model, PromptTokens: l.call.Prompt, Version: l.stream.version, Exclude: l.attempted,
+		MaxEventGap: l.admission.Route.MaxEventGap,
+	}
+}
+
 // choose assigns the request to an upstream. If the engines that could serve it are full, it
 // returns the time after which one may not be.
 func (l *lifecycle) choose(now time.Time, reqs target.Requirements) (*target.InFlight, time.Duration) {
@@ -292,7 +302,7 @@
 	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	wd := newWatchdog(cancel)
+	wd := newWatchdog(l, cancel)
 	defer wd.stop()
 	result, outcome, err := l.exchange(ctx, f, wd)
 	switch {
@@ -312,7 +322,7 @@
 	if err != nil {
 		return l.connectFailed(ctx, f, err)
 	}
-	wd.reset(l.firstByteTimeout(f))
+	wd.reset(l.firstByteTimeout(f), l.startLimit(f))
 	a := calls.Attempt{Upstream: f.Row, Remaining: time.Until(l.deadline), LastEventID: l.stream.lastEventID}
 	if l.admission.Workspace != nil {
 		a.Workspace = l.admission.Workspace.Name
@@ -441,13 +451,19 @@
 	}
 }
 
-// firstByteTimeout returns how long to wait for the first byte of a response.
+// startLimit returns the time by which a response must have begun.
+func (l *lifecycle) startLimit(f *target.InFlight) time.Time {
+	if !f.StartDeadline.IsZero() && f.StartDeadline.Before(l.deadline) {
+		return f.StartDeadline
+	}
+	return l.deadline
+}
+
+// firstByteTimeout returns how long to wait for the first byte of a response before another
+// upstream is tried.
 func (l *lifecycle) firstByteTimeout(f *target.InFlight) time.Duration {
-	remaining := time.Until(l.deadline)
+	remaining := time.Until(l.startLimit(f))
 	route := l.admission.Route
-	if !f.StartDeadline.IsZero() {
-		remaining = min(remaining, time.Until(f.StartDeadline))
-	}
 	if !route.IsRetryable() {
 		return remaining
 	}
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -8,7 +8,6 @@
 	"io"
 	"net/http"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"currantport.example/core/calls"
@@ -25,7 +24,7 @@
 	maxBufferedBytes = 256 << 10
 	copyBufferBytes  = 32 << 10
 	// gapTimeoutFactor is the number of maximum event gaps after which a silent stream is
-	// moved to another engine, and minGapTimeout the minimum of that time.
+	// moved to another engine if one can resume it, and minGapTimeout the minimum of that time.
 	gapTimeoutFactor = 3
 	minGapTimeout    = 1200 * time.Millisecond
 	// survivalTime is how long after the first event of a stream its upstream counts as having
@@ -45,37 +44,6 @@
 // Error implements error.
 func (e declinedError) Error() string { return "declined with status " + strconv.Itoa(int(e)) }
 
-// watchdog cancels an attempt that makes no progress for too long.
-type watchdog struct {
-	cancel  context.CancelFunc
-	timer   *time.Timer
-	expired atomic.Bool
-}
-
-func newWatchdog(cancel context.CancelFunc) *watchdog { return &watchdog{cancel: cancel} }
-
-// reset restarts the timer.
-func (w *watchdog) reset(d time.Duration) {
-	if w.timer == nil {
-		w.timer = time.AfterFunc(d, w.run)
-		return
-	}
-	w.timer.Reset(d)
-}
-
-func (w *watchdog) run() {
-	w.expired.Store(true)
-	w.cancel()
-}
-
-func (w *watchdog) hasFired() bool { return w.expired.Load() }
-
-func (w *watchdog) stop() {
-	if w.timer != nil {
-		w.timer.Stop()
-	}
-}
-
 // bufferedResponse is a response of which the beginning, usually all of it, was read.
 type bufferedResponse struct {
 	status int
@@ -107,7 +75,9 @@
 	f.RecordFirstEvent(clocks.Now())
 	if !l.admission.Route.IsRetryable() {
 		// The upstream has begun the request, so that only the deadline bounds it.
-		wd.reset(time.Until(l.deadline))
+		wd.reset(time.Until(l.deadline), l.deadline)
+	} else {
+		wd.extend(l.deadline)
 	}
 	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header)}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
@@ -246,7 +216,7 @@
 			l.status = response.Status
 			l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), cmp.Or(reply.Version, f.Version))
 		}
-		wd.reset(l.gapTimeout())
+		wd.reset(l.gapTimeout(), l.deadline)
 		l.recordEvent()
 		if err := l.stream.writeEvent(e, r.HasBuffered()); err != nil {
 			l.ending = "unwritten"
@@ -290,7 +260,7 @@
 	return tries.ResultLost, target.OutcomeFailed, err
 }
 
-// gapTimeout returns how long to wait for the next event.
+// gapTimeout returns how long to wait for the next event before another engine resumes the stream.
 func (l *lifecycle) gapTimeout() time.Duration {
 	if gap := l.admission.Route.MaxEventGap; gap > 0 {
 		return max(gapTimeoutFactor*gap, minGapTimeout)
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -132,6 +132,8 @@
 	{Name: "any", Prefix: "/any/", Idempotent: true, MaxAttempts: 2, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "flow", Prefix: "/flow/", Stream: true, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
 	{Name: "rush", Prefix: "/rush/", Stream: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond},
+	{Name: "many", Prefix: "/many/", Stream: true, Resumable: true, MaxAttempts: 5, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
+	{Name: "gush", Prefix: "/gush/", Stream: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
 	{Name: "open", Prefix: "/open/", Idempotent: true, Anonymous: true, MaxAttempts: 1, Timeout: time.Second},
 }
 
@@ -200,7 +202,7 @@
 		if err != nil {
 			w.t.Fatal(err)
 		}
-		r.Revision = 1
+		r.Revision = w.mirror.Head() + 1
 		rows = append(rows, r)
 	}
 	add(state.EncodeLimits(state.Limits{}))
@@ -213,7 +215,7 @@
 	for i := range upstreams {
 		add(state.EncodeUpstream(&state.Upstream{ID: fmt.Sprintf("u%d", i), Pool: "p", Address: address(i), Domain: "d"}))
 	}
-	if _, err := w.mirror.Apply(feed.Update{Head: 1, Rows: rows, Full: true, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
+	if _, err := w.mirror.Apply(feed.Update{Head: w.mirror.Head() + 1, Rows: rows, Full: true, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
 		w.t.Fatal(err)
 	}
 }
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -64,17 +64,11 @@
 func (f *Fleet) ChooseEngine(now time.Time, reqs Requirements) (*InFlight, time.Duration) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	all := f.candidates(now, reqs)
-	if len(all) == 0 {
+	best, all := f.bestEngine(now, reqs)
+	switch {
+	case len(all) == 0:
 		return nil, 0
-	}
-	var best *candidate
-	for i := range all {
-		if c := &all[i]; admits(reqs, c.load, f.reserve(c.upstream, reqs.Pool.Engine.Slots)) && (best == nil || c.cost < best.cost) {
-			best = c
-		}
-	}
-	if best == nil {
+	case best == nil:
 		return nil, f.retryDelay(reqs.Pool.Engine, all)
 	}
 	r := f.startRequest(now, best.upstream, reqs.Model, reqs.PromptTokens)
@@ -84,6 +78,27 @@
 	return r, 0
 }
 
+// HasEngine reports whether an engine admits the request.
+func (f *Fleet) HasEngine(now time.Time, reqs Requirements) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	best, _ := f.bestEngine(now, reqs)
+	return best != nil
+}
+
+// bestEngine returns all engines that serve the request's model, and the one with the lowest cost
+// among those that admit it, or nil.
+func (f *Fleet) bestEngine(now time.Time, reqs Requirements) (*candidate, []candidate) {
+	all := f.candidates(now, reqs)
+	var best *candidate
+	for i := range all {
+		if c := &all[i]; admits(reqs, c.load, f.reserve(c.upstream, reqs.Pool.Engine.Slots)) && (best == nil || c.cost < best.cost) {
+			best = c
+		}
+	}
+	return best, all
+}
+
 // retryDelay estimates the time until an engine has free capacity.
 func (f *Fleet) retryDelay(e *state.Engine, all []candidate) time.Duration {
 	excess, rate := 0, 0.0
@@ -221,7 +236,7 @@
 	var best *upstream
 	lowest := 0.0
 	for _, u := range f.pools[pool] {
-		if !u.isOffered(now) || slices.Contains(exclude, u.row.ID) || !u.demands.limit.allows(f, now) {
+		if !f.isEligible(now, u, exclude) {
 			continue
 		}
 		c := f.plainCost(now, u)
@@ -237,6 +252,20 @@
 	return r
 }
 
+// isEligible reports whether a request that was already tried at the excluded upstreams may be sent
+// to one of a plain service.
+func (f *Fleet) isEligible(now time.Time, u *upstream, exclude []string) bool {
+	return u.isOffered(now) && !slices.Contains(exclude, u.row.ID) && u.demands.limit.allows(f, now)
+}
+
+// HasPlain reports whether an upstream of a plain service that accepts connections can take a
+// request. Exclude lists the ids of upstreams that were already tried.
+func (f *Fleet) HasPlain(now time.Time, pool string, exclude []string) bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return slices.ContainsFunc(f.pools[pool], func(u *upstream) bool { return f.isEligible(now, u, exclude) && !u.health.IsDown(now) })
+}
+
 const (
 	// plainRemoteCost is how many fewer requests in progress of this entry an upstream in
 	// another region must have to be chosen.
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -10,7 +10,7 @@
 dir=$(cd "$dir" && pwd)
 # name~check~file~expression of perl~kinds of faults, joined by commas~mean time between faults
 mutants=$(cat <<'END'
-once~once~core/tries/tries.go~s/retry := a\.route\.IsRetryable\(\) && /retry := /~upstream-lossy
+once~once~core/tries/tries.go~s/return a\.route\.IsRetryable\(\) && /return /~upstream-lossy
 refused~refused~core/tries/tries.go~s/return StepUnknown\n}\n\n/return StepRefuse\n}\n\n/~upstream-lossy
 partial~answer~entry/internal/proxy/response.go~s/return l\.streamLost\(ctx, f, err\)/return l.finishStream(response, reply, e)/~upstream-lossy
 resume~answer~entry/internal/proxy~s/LastEventID: l\.stream\.lastEventID\}/LastEventID: l.call.LastEventID}/; s/return err != nil \|\| next > last/return true || err != nil || next > last/~upstream-lossy
