soak: let sound upstreams stand still, and lose power at the end

Three kinds of faults let an upstream stand still for 0.8 to 2 s: alone (upstream-stall), in series (upstream-stalls), and over the end of the time of a replaced version (release-stall). They excuse nothing: the event has no subject, so that all checks count on.

lost no longer counts a request that reached the timeout of its route while its upstream stood still.

--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -52,6 +52,8 @@
 	poisons []*poisonPart
 	// limits are the times for which upstreams named a limit.
 	limits []namedLimit
+	// stalls are the times for which upstreams stood still.
+	stalls []*stallPeriod
 	// unchecked are requests that have ended but may still run, in the order of their end.
 	unchecked []*sentRequest
 	requests  []*sentRequest
@@ -272,6 +274,7 @@
 	c.checkDemands(all, runs)
 	c.checkLimits(all, runs)
 	c.checkPoison(all, runs)
+	c.checkStalls(all)
 	c.checkCanceled(all)
 	c.checkTimeouts(all)
 	c.checkShutdowns(all)
--- a/stand/internal/soak/checks.go
+++ b/stand/internal/soak/checks.go
@@ -207,7 +207,8 @@
 		}
 		runs := c.world.ledger.RunsOf(s.ID)
 		delivered := len(runs) > 0 || s.endedAt.Sub(s.sentAt) > deliveryTime
-		if !delivered || c.upstreamDisturbed(s, runs) {
+		// Silence of an upstream doesn't prolong the timeout of the route.
+		if !delivered || c.upstreamDisturbed(s, runs) || s.endedAt.Sub(s.sentAt) >= routeTimeout && c.waited(s, runs) {
 			continue
 		}
 		at := c.world.timeline.offset(s.sentAt)
--- a/stand/internal/soak/command.go
+++ b/stand/internal/soak/command.go
@@ -60,7 +60,7 @@
 	f.IntVar(&c.options.Size.Engines, "engines", 6, "number of engines, each with an agent")
 	f.IntVar(&c.options.Size.Services, "services", 3, "number of services of each plain pool")
 	f.IntVar(&c.options.Size.Clients, "callers", 24, "number of clients")
-	f.StringVar(&c.options.FaultKinds, "only", "", "kinds of faults to inject, separated by commas; empty means all")
+	f.StringVar(&c.options.FaultKinds, "only", "", "kinds of faults to inject, separated by commas; empty means all; power comes last")
 }
 
 // Execute implements subcommands.Command. It returns a failure if a run could not be
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -41,6 +41,10 @@
 	eventGracefulStop = "graceful stop"
 	eventDrain        = "drain"
 	eventSettings     = "settings"
+	eventCrash        = "crash"
+	eventPoisonCrash  = "poison crash"
+	eventLeave        = "leave"
+	eventPower        = "power"
 	// eventStoreLink begins the names of the faults of the link of a process to the store.
 	eventStoreLink = "store-"
 )
@@ -102,6 +106,9 @@
 	{"upstream-endless", func(i *injector, duration time.Duration) { i.breakUpstream(fakes.UpstreamEndless, duration) }},
 	{"upstream-limit", func(i *injector, _ time.Duration) { i.limit(i.upstream()) }},
 	{"poison-part", func(i *injector, _ time.Duration) { i.poisonPart() }},
+	{"upstream-stall", func(i *injector, _ time.Duration) { i.stall(i.upstream()) }},
+	{"upstream-stalls", func(i *injector, _ time.Duration) { i.stallSeries() }},
+	{"release-stall", func(i *injector, _ time.Duration) { i.releaseStalled() }},
 }
 
 // injector injects faults in the order determined by a seed.
@@ -113,6 +120,8 @@
 	startedSpares int
 	// kinds are the kinds to choose from.
 	kinds []fault
+	// losesPower is set if power is lost at the end of the run.
+	losesPower bool
 	// restoring is locked while the store is copied and restored.
 	restoring sync.Mutex
 	// storeFaults and originFaults count the active faults of each.
@@ -126,10 +135,15 @@
 func newInjector(w *world, r *rand.Rand) (*injector, error) {
 	i := &injector{world: w, random: r, kinds: faults}
 	if w.options.FaultKinds == "" {
+		i.losesPower = w.options.Seed%powerInterval == 0
 		return i, nil
 	}
 	i.kinds = nil
 	for name := range strings.SplitSeq(w.options.FaultKinds, ",") {
+		if name == powerFault {
+			i.losesPower = true
+			continue
+		}
 		index := slices.IndexFunc(faults, func(f fault) bool { return f.name == name })
 		if index < 0 {
 			return nil, fmt.Errorf("unknown kind of fault %q", name)
@@ -143,7 +157,7 @@
 // for their end.
 func (i *injector) run(ctx context.Context, group *sync.WaitGroup) {
 	end := time.Now().Add(i.world.options.Duration)
-	for time.Now().Before(end) && ctx.Err() == nil {
+	for len(i.kinds) > 0 && time.Now().Before(end) && ctx.Err() == nil {
 		f, duration := i.next()
 		group.Go(func() { f.run(i, duration) })
 		clocks.Sleep(ctx, time.Duration(i.randomN(int64(2*i.world.options.FaultInterval))))
@@ -293,7 +307,7 @@
 		return
 	}
 	defer m.release()
-	end := i.beginFault("crash", m.name)
+	end := i.beginFault(eventCrash, m.name)
 	m.proxy.refuse()
 	m.Crash()
 	expire := time.AfterFunc(registrationTTL, m.Deregister)
@@ -331,7 +345,7 @@
 		return
 	}
 	defer m.release()
-	end := i.beginFault("leave", m.name)
+	end := i.beginFault(eventLeave, m.name)
 	m.Leave()()
 	i.start(m)
 	end()
--- a/stand/internal/soak/poison.go
+++ b/stand/internal/soak/poison.go
@@ -92,7 +92,7 @@
 		return false
 	}
 	p.recordCrash()
-	end := i.beginFault("poison crash", m.name)
+	end := i.beginFault(eventPoisonCrash, m.name)
 	m.proxy.refuse()
 	group.Go(func() {
 		defer m.release()
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -121,6 +121,9 @@
 	var group sync.WaitGroup
 	i.run(ctx, &group)
 	group.Wait()
+	if i.losesPower {
+		i.losePower()
+	}
 	w.timeline.add(Event{Name: "end of the faults"})
 	clocks.Sleep(ctx, recoveryTime)
 	servedSince := time.Now()
