proxy: show what an engine that falls silent begins of a replaced version

The entry withdraws at 7.6 s of 8 what hasn't begun on a replaced version. An engine that is silent just then reads the end of the connection only after it goes on, and may begin its queue first, so that the bound is the cut-off, 1.3 s before the end, alone.

Ruled out: the deadline in the request (it would cut off what had begun in time, and counts from when the engine reads it); load reports (the agent repeats the last status for a second).

The margin isn't changed.

--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -74,9 +74,50 @@
 	})
 }
 
+// queueTime is how long a request waits for its first token at an engine that isn't silent.
+const queueTime = 250 * time.Millisecond
+
+func TestEngineSilentForASecondBeginsNothingOnAReplacedVersion(t *testing.T) {
+	playSilentEngine(t, time.Second)
+}
+
+func TestEngineSilentForTwoSecondsBeginsNothingOnAReplacedVersion(t *testing.T) {
+	playSilentEngine(t, 1500*time.Millisecond)
+	playSilentEngine(t, 2*time.Second)
+}
+
+// playSilentEngine sends requests until the cut-off to an engine that falls silent when one arrives,
+// and begins it before it notices that the connection has ended meanwhile.
+func playSilentEngine(t *testing.T, silence time.Duration) {
+	t.Helper()
+	for sentAt := versionTimeout - 1600*time.Millisecond; sentAt < versionTimeout; sentAt += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			released := time.Now()
+			playReplacedVersionAt(t, "/once/", sentAt, func(w io.Writer, v visit) {
+				time.Sleep(silence + queueTime)
+				if begun := time.Since(released); begun > versionTimeout {
+					t.Errorf("silent for %v: a request sent %v after the release began after %v", silence, sentAt, begun)
+				}
+				good(w, v.id, "ok")
+			})
+		})
+	}
+}
+
 // playReplacedVersion sends a request shortly before the entry stops using a version. The script is
 // that of the only engine, which serves it.
 func playReplacedVersion(t *testing.T, path string, script func(w io.Writer, v visit)) *httptest.ResponseRecorder {
+	t.Helper()
+	a, sent := playReplacedVersionAt(t, path, versionTimeout-1400*time.Millisecond, script)
+	if !sent {
+		t.Errorf("the request was not sent: %d", a.Code)
+	}
+	return a
+}
+
+// playReplacedVersionAt sends a request at a time after the release, and reports whether the entry
+// sent it on.
+func playReplacedVersionAt(t *testing.T, path string, sentAt time.Duration, script func(w io.Writer, v visit)) (*httptest.ResponseRecorder, bool) {
 	t.Helper()
 	w := &world{t: t, mirror: feed.NewMirror(), scope: tally.NewTestScope("", nil), script: script}
 	n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
@@ -110,7 +151,7 @@
 	apply(encoded(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{Slots: 4, Stride: 5, StepTime: 9 * time.Millisecond, PrefillRate: 19100, Models: []state.Model{{Name: "m"}}, Layers: 2}})),
 		encoded(state.EncodeUpstream(&state.Upstream{ID: "u0", Pool: "p", Address: address(0), Domain: "d", Slots: 4, Held: []state.HeldVersion{{Model: "m", Version: 1, Whole: true}}})))
 	apply(encoded(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
-	time.Sleep(versionTimeout - 1400*time.Millisecond)
+	time.Sleep(sentAt)
 	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
 	r.RequestURI, r.Header = path, http.Header{"Id": {"q"}, "Key": {"secret"}}
 	a := httptest.NewRecorder()
@@ -119,15 +160,13 @@
 		w.handler.ServeHTTP(a, r)
 	}()
 	synctest.Wait()
-	if len(w.received()) == 0 {
-		t.Errorf("the request was not sent: %d", a.Code)
-	}
+	sent := len(w.received()) > 0
 	stop()
 	_ = l.Close()
 	n.Kill(address(0).Addr())
 	w.scripts.Wait()
 	synctest.Wait()
-	return a
+	return a, sent
 }
 
 func encoded(r state.Row, err error) state.Row {
