--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -90,7 +90,7 @@
 // and begins it before it notices that the connection has ended meanwhile.
 func playSilentEngine(t *testing.T, silence time.Duration) {
 	t.Helper()
-	for sentAt := versionTimeout - 1600*time.Millisecond; sentAt < versionTimeout; sentAt += 50 * time.Millisecond {
+	for sentAt := versionTimeout - 3*time.Second; sentAt < versionTimeout; sentAt += 50 * time.Millisecond {
 		synctest.Test(t, func(t *testing.T) {
 			released := time.Now()
 			playReplacedVersionAt(t, "/once/", sentAt, func(w io.Writer, v visit) {
