soak: count recovery of engines and plain services apart

After a loss of power plain services alone gave more than a quarter of all responses, so that engines that stayed empty weren't noticed.

--- a/stand/internal/soak/checks.go
+++ b/stand/internal/soak/checks.go
@@ -267,11 +267,18 @@
 	return first || s.sentAt.Sub(k.grantedAt) > applyLimit && c.world.timeline.undisturbed(k.grantedAt, s.endedAt, s.entry.name, subjectStore)
 }
 
-// checkRecovery checks that requests sent after a time are served again.
+// checkRecovery checks that requests sent after a time are served again, those to engines and those
+// to plain services.
 func (c *checker) checkRecovery(all []*sentRequest, since time.Time) {
+	for pool, isStream := range map[string]bool{poolMinds: true, poolDesk: false} {
+		c.checkRecoveryOf(pool, isStream, all, since)
+	}
+}
+
+func (c *checker) checkRecoveryOf(pool string, isStream bool, all []*sentRequest, since time.Time) {
 	n, served := 0, 0
 	for _, s := range all {
-		if s.sentAt.Before(since) || s.endedAt.IsZero() || !s.canceledAt.IsZero() || s.kind.name == "probe" || !s.key.revokedAt.IsZero() {
+		if s.kind.stream != isStream || s.sentAt.Before(since) || s.endedAt.IsZero() || !s.canceledAt.IsZero() || s.kind.name == "probe" || !s.key.revokedAt.IsZero() {
 			continue
 		}
 		n++
@@ -280,6 +287,6 @@
 		}
 	}
 	if n == 0 || float64(served) < minServedRatio*float64(n) {
-		c.recordViolation("recover", "%d of %d requests were served after the faults", served, n)
+		c.recordViolation("recover", "%d of %d requests to %s were served after the faults", served, n, pool)
 	}
 }
