--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -44,7 +44,7 @@
 limitforgotten~limits~entry/internal/target/limits.go~s/if s == nil \|\| !s\.limit\.IsSet\(\) \{/if s == nil || !s.limit.IsSet() || now.Sub(s.changedAt) > time.Second {/~upstream-limit~1s
 retained~revoked~core/feed/mirror.go~s/m\.retention\.beginEra\(now, active, platform\)/m.retention.rows = nil/~store-restore,config-revoke,config-revoke,config-revoke
 reload~reload~agent/internal/loader/loader.go~s/(\tif lost \{\n)/\tif lost \&\& !l.statusAt.IsZero() {\n\t\ts.Held = nil\n\t}\n$1/~upstream-stall,upstream-stalls,config
-quarantined~quarantined~entry/internal/proxy/lifecycle.go~s/(outcome = target\.OutcomeTimeout\n)/$1\t\tl.handler.options.Crashes.RecordLoss(l.identity, f.Row.ID, l.sentAt)\n\t\tl.handler.options.Crashes.RecordCrash(f.Row.ID, "silence")\n/~upstream-stall,upstream-stalls
+quarantined~quarantined~.~s/(outcome = target\.OutcomeTimeout\n)/$1\t\tl.handler.options.Crashes.RecordLoss(l.identity, f.Row.ID, l.sentAt)\n\t\tl.handler.options.Crashes.RecordCrash(f.Row.ID, "silence")\n/; s/(func \(r \*Registry\) RecordSurvival\(q Request\) \{\n)/$1\tif len(q.Parts) > 0 {\n\t\treturn\n\t}\n/~upstream-stall,upstream-stalls
 waited~waited~entry/internal/proxy/watchdog.go~s/ && !w\.lifecycle\.reserveRetry\(now, w\.reqs\)/ \&\& false/~upstream-stall,upstream-stalls
 power~recover~agent/internal/loader/loader.go~s/if !l\.stager\.isComplete\(t\) \|\| /if len(l.status.Held) == 0 || !l.stager.isComplete(t) || /~config,power
 memory~memory~entry/internal/proxy/handler.go~s/(l\.run\(r\.Context\(\)\)\n)/$1\tpart := make([]byte, 1<<20); for i := range part { part[i] = 1 }; kept.Store(l, part)\n/; s/\z/\nvar kept sync.Map\n/; s/"sync"\n//; s/import \(\n/import (\n\t"sync"\n/~config
