--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -114,9 +114,50 @@
 // version before.
 const lateSending = versionTimeout - 1400*time.Millisecond
 
-// playReplacedVersion sends a request at a time counted from the release of a version, or before it.
-// The script is that of the only engine, which serves the version before.
+// queueTime is how long a request waits for its first token at an engine that isn't silent.
+const queueTime = 250 * time.Millisecond
+
+func TestEngineSilentForASecondBeginsNothingOnAReplacedVersion(t *testing.T) {
+	playSilentEngine(t, time.Second)
+}
+
+func TestEngineSilentForTwoSecondsBeginsNothingOnAReplacedVersion(t *testing.T) {
+	playSilentEngine(t, 1500*time.Millisecond)
+	playSilentEngine(t, 2*time.Second)
+}
+
+// playSilentEngine sends requests until the cut-off to an engine that falls silent when one arrives,
+// and begins it before it notices that the connection has ended meanwhile.
+func playSilentEngine(t *testing.T, silence time.Duration) {
+	t.Helper()
+	for sentAt := versionTimeout - 3*time.Second; sentAt < versionTimeout; sentAt += 50 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			released := time.Now()
+			playReplacedVersionAt(t, "/once/", sentAt, func(w io.Writer, v visit) {
+				time.Sleep(silence + queueTime)
+				if begun := time.Since(released); begun > versionTimeout {
+					t.Errorf("silent for %v: a request sent %v after the release began after %v", silence, sentAt, begun)
+				}
+				good(w, v.id, "ok")
+			})
+		})
+	}
+}
+
+// playReplacedVersion sends a request as playReplacedVersionAt does, which the entry must send on.
 func playReplacedVersion(t *testing.T, path string, sentAfter time.Duration, script func(w io.Writer, v visit)) *httptest.ResponseRecorder {
+	t.Helper()
+	a, sent := playReplacedVersionAt(t, path, sentAfter, script)
+	if !sent {
+		t.Errorf("the request was not sent: %d", a.Code)
+	}
+	return a
+}
+
+// playReplacedVersionAt sends a request at a time counted from the release of a version, or before it,
+// and reports whether the entry sent it on. The script is that of the only engine, which serves the
+// version before.
+func playReplacedVersionAt(t *testing.T, path string, sentAfter time.Duration, script func(w io.Writer, v visit)) (*httptest.ResponseRecorder, bool) {
 	t.Helper()
 	w := &world{t: t, mirror: feed.NewMirror(), scope: tally.NewTestScope("", nil), script: script}
 	n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
@@ -167,15 +208,13 @@
 		w.handler.ServeHTTP(a, r)
 	}()
 	synctest.Wait()
-	if len(w.received()) == 0 {
-		t.Errorf("the request was not sent: %d", a.Code)
-	}
+	sent := len(w.received()) > 0
 	stop()
 	_ = l.Close()
 	n.Kill(address(0).Addr())
 	w.scripts.Wait()
 	synctest.Wait()
-	return a
+	return a, sent
 }
 
 func encoded(r state.Row, err error) state.Row {
