--- /dev/null
+++ b/entry/internal/proxy/watchdog.go
@@ -0,0 +1,137 @@
+package proxy
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"currantport.example/core/clocks"
+	"currantport.example/entry/internal/target"
+)
+
+// watchdog cancels an attempt whose upstream is silent for too long. A sound upstream may fall
+// silent and go on, so that it is only left early for another one that can take the request.
+type watchdog struct {
+	lifecycle *lifecycle
+	cancel    context.CancelFunc
+
+	mutex sync.Mutex
+	timer *time.Timer
+	// patience is how long to wait for progress, dueAt when it ends. At limit the attempt is
+	// canceled in any case.
+	patience time.Duration
+	dueAt    time.Time
+	limit    time.Time
+	// reqs are the requirements for the next upstream.
+	reqs    target.Requirements
+	expired bool
+	stopped bool
+}
+
+func newWatchdog(l *lifecycle, cancel context.CancelFunc) *watchdog {
+	return &watchdog{lifecycle: l, cancel: cancel}
+}
+
+// reset restarts the timer.
+func (w *watchdog) reset(patience time.Duration, limit time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.patience, w.limit, w.reqs = patience, limit, w.lifecycle.requirements()
+	w.arm()
+}
+
+// extend moves the limit, which no deadline to start the request bounds any more.
+func (w *watchdog) extend(limit time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.limit = limit
+}
+
+// shorten moves the limit to an earlier time. It may be called with the mutex of the fleet held.
+func (w *watchdog) shorten(limit time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !limit.Before(w.limit) {
+		return
+	}
+	w.limit = limit
+	if limit.Before(w.dueAt) {
+		w.schedule(limit)
+	}
+}
+
+// arm starts the timer. The caller holds the mutex.
+func (w *watchdog) arm() {
+	dueAt := time.Now().Add(w.patience)
+	if w.limit.Before(dueAt) {
+		dueAt = w.limit
+	}
+	w.schedule(dueAt)
+}
+
+func (w *watchdog) schedule(dueAt time.Time) {
+	w.dueAt = dueAt
+	if w.timer == nil {
+		w.timer = time.AfterFunc(time.Until(dueAt), w.run)
+		return
+	}
+	w.timer.Reset(time.Until(dueAt))
+}
+
+func (w *watchdog) run() {
+	now := time.Now()
+	w.mutex.Lock()
+	dueAt, isOver, reqs := w.dueAt, !now.Before(w.limit), w.reqs
+	isDue := !w.stopped && !now.Before(dueAt)
+	w.mutex.Unlock()
+	if !isDue {
+		return
+	}
+	// The fleet must not be called with the mutex held, since it calls shorten.
+	mayCancel := isOver || w.lifecycle.reserveRetry(now, reqs)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	switch {
+	case w.stopped || !w.dueAt.Equal(dueAt):
+	case mayCancel:
+		w.expired = true
+		w.cancel()
+	default:
+		w.arm()
+	}
+}
+
+func (w *watchdog) hasFired() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.expired
+}
+
+func (w *watchdog) stop() {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.stopped = true
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+}
+
+// reserveRetry reports whether another upstream can take the request at once, and takes the retry
+// from the budget.
+func (l *lifecycle) reserveRetry(now time.Time, reqs target.Requirements) bool {
+	if !l.attempts.MayRetry(now) {
+		return false
+	}
+	var available bool
+	fleet := l.handler.options.Fleet
+	if l.pool.Engine == nil {
+		available = fleet.HasPlain(clocks.Now(), l.pool.Name, reqs.Exclude)
+	} else {
+		available = fleet.HasEngine(clocks.Now(), reqs)
+	}
+	if !available || !l.handler.trySpend(l.pool.Name) {
+		return false
+	}
+	l.retryReserved.Store(true)
+	return true
+}
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -37,6 +37,9 @@
 type codec struct{}
 
 func (codec) ParseRequest(r *http.Request) (calls.Call, *calls.Refusal) {
+	if r.Header.Get("Panic") != "" {
+		panic("parse")
+	}
 	c := calls.Call{
 		ID: calls.ID(r.Header.Get("Id")), Method: r.Method, Host: r.Host, Path: r.URL.Path, Target: r.RequestURI,
 		Credential: r.Header.Get("Key"), LastEventID: r.Header.Get("After"), Header: http.Header{"Id": r.Header["Id"]},
@@ -44,6 +47,9 @@
 	if ms, err := strconv.Atoi(r.Header.Get("Timeout")); err == nil {
 		c.Timeout = time.Duration(ms) * time.Millisecond
 	}
+	if c.Model = r.Header.Get("Model"); c.Model != "" {
+		c.Prompt = 10
+	}
 	if text := r.Header.Get("Parts"); text != "" {
 		c.PromptParts = strings.Split(text, ",")
 	}
@@ -68,6 +74,9 @@
 }
 
 func (codec) ClassifyResponse(_ *calls.Call, status int, h http.Header) calls.Reply {
+	if h.Get("Panic") != "" {
+		panic("classify")
+	}
 	r := calls.Reply{Kind: calls.ReplyAnswered, Success: status < 300, Leaving: h.Get("Leaving") != ""}
 	switch {
 	case h.Get("Not-Run") != "":
@@ -92,6 +101,11 @@
 
 func (codec) ResponseHeader(h http.Header) http.Header { return h.Clone() }
 
+// brokenWriter panics when a part of the body is written.
+type brokenWriter struct{ http.ResponseWriter }
+
+func (brokenWriter) Write([]byte) (int, error) { panic("write") }
+
 // visit is a request that an upstream received.
 type visit struct {
 	upstream, number int
@@ -108,11 +122,15 @@
 type world struct {
 	t       *testing.T
 	network *memnet.Network
+	conns   *conns.Pool
+	crashes *crash.Registry
 	fleet   *target.Fleet
 	handler *proxy.Handler
 	mirror  *feed.Mirror
 	script  func(w io.Writer, v visit)
 	scope   tally.TestScope
+	// wrap replaces the writer of responses, or is nil.
+	wrap func(r http.ResponseWriter) http.ResponseWriter
 
 	// scripts counts the visits in progress.
 	scripts sync.WaitGroup
@@ -128,10 +146,13 @@
 var entry = netip.MustParseAddr("10.0.0.1")
 
 var routes = []*state.Route{
+	{Name: "live", Prefix: "/live/", Stream: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
 	{Name: "once", Prefix: "/once/", MaxAttempts: 3, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "any", Prefix: "/any/", Idempotent: true, MaxAttempts: 2, Timeout: 3 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "flow", Prefix: "/flow/", Stream: true, Resumable: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
 	{Name: "rush", Prefix: "/rush/", Stream: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond},
+	{Name: "many", Prefix: "/many/", Stream: true, Resumable: true, MaxAttempts: 5, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
+	{Name: "gush", Prefix: "/gush/", Stream: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
 	{Name: "open", Prefix: "/open/", Idempotent: true, Anonymous: true, MaxAttempts: 1, Timeout: time.Second},
 }
 
@@ -166,13 +187,14 @@
 			stops = append(stops, func() { _ = l.Close() })
 		}
 		p, stop := conns.New(n.Dialer(entry), nil)
+		w.conns, w.crashes = p, crash.NewRegistry(zap.NewNop())
 		regions := map[hosts.Domain]hosts.Region{"d": "r"}
 		fleet := target.New(target.Options{
 			Entries: func() []hosts.Host { return nil }, Regions: regions, Place: hosts.Place{Region: "r"}, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
 		})
 		w.fleet = fleet
 		w.handler = proxy.New(proxy.Options{
-			Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: crash.NewRegistry(zap.NewNop()),
+			Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
 			Bounds:      proxy.Bounds{MaxKeyStaleness: 4 * time.Second, MaxMissStaleness: 2 * time.Second},
 			RetryLimits: limits, Entries: func() int { return 1 },
 			Random: func() float64 { return 0.5 }, Scope: w.scope, Log: log,
@@ -200,7 +222,7 @@
 		if err != nil {
 			w.t.Fatal(err)
 		}
-		r.Revision = 1
+		r.Revision = w.mirror.Head() + 1
 		rows = append(rows, r)
 	}
 	add(state.EncodeLimits(state.Limits{}))
@@ -213,7 +235,7 @@
 	for i := range upstreams {
 		add(state.EncodeUpstream(&state.Upstream{ID: fmt.Sprintf("u%d", i), Pool: "p", Address: address(i), Domain: "d"}))
 	}
-	if _, err := w.mirror.Apply(feed.Update{Head: 1, Rows: rows, Full: true, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
+	if _, err := w.mirror.Apply(feed.Update{Head: w.mirror.Head() + 1, Rows: rows, Full: true, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
 		w.t.Fatal(err)
 	}
 }
@@ -247,7 +269,11 @@
 			}
 		}
 	}()
-	w.handler.ServeHTTP(a, r)
+	var writer http.ResponseWriter = a
+	if w.wrap != nil {
+		writer = w.wrap(writer)
+	}
+	w.handler.ServeHTTP(writer, r)
 	return a
 }
 
