target: keep the deadline of an engine that declines a newer version

Callers could get a response of a version that was replaced over 8 s ago. An engine that went back to version 1, and whose row or load report said so before it declined a request for version 2, was taken for one of a version later than 2, since the highest declined version counted. Requests for it then named no version and had no time by which to start.

Cause: a declined version was taken for a lower bound of what the engine serves.

Change: after the backoff an engine that states an older version than the declined one counts as serving that older one. Only one that states the declined version itself counts as later.

TestRejectionAfterGoingBackKeepsTheDeadlineOfItsVersion was red 9.2 to 9.7 s after the release by row and by report, and is green; the package's tests are green.

--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -377,8 +377,8 @@
 }
 
 // servedVersion returns the version of a model that the upstream serves, or zero if it
-// serves none. It returns unknownVersion if responses show that it serves a later one than
-// the newest report or row says.
+// serves none. It returns unknownVersion if it has declined a request for the version that it was
+// last observed to serve, and so serves a later one.
 func (u *upstream) servedVersion(now time.Time, model string) int {
 	held, stated := u.row.Held, statedVersion{since: u.rowHeldSince, receivedAt: u.rowHeldSince}
 	if u.hasReport(now) {
@@ -396,6 +396,9 @@
 			return v
 		case now.Sub(observed.rejectedAt) < mismatchBackoff:
 			return 0
+		case v < observed.rejected:
+			// The engine may have gone back.
+			return v
 		}
 		return unknownVersion
 	}
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -611,3 +611,34 @@
 		t.Errorf("an engine that serves nothing is taken for one of version %d: %s", f.Version, id)
 	}
 }
+
+// TestRejectionAfterGoingBackKeepsTheDeadlineOfItsVersion has an engine return to version 1. The row
+// or the load report that says so overtakes the response that declines a request for version 2.
+func TestRejectionAfterGoingBackKeepsTheDeadlineOfItsVersion(t *testing.T) {
+	for name, hasReports := range map[string]bool{"row": false, "report": true} {
+		w := newWorld(t, "e0")
+		serial := uint64(0)
+		observe := func(after time.Duration, version int) {
+			if serial++; hasReports {
+				w.fleet.ReceiveLoadReport(start.Add(after), "u1", target.LoadReport{Serial: serial, Pace: 1, Held: heldVersion(version)})
+				return
+			}
+			w.publish(start.Add(after), w.upstream(engine(1, "d0", version)))
+		}
+		w.publish(start, w.upstream(engine(1, "d0", 1)), w.row(state.EncodeRelease(state.Release{Model: "m", Version: 1})))
+		w.publish(start, w.row(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
+		observe(7900*time.Millisecond, 2)
+		_, f := w.place(start.Add(8*time.Second), w.requirements())
+		if f == nil || f.Version != 2 {
+			t.Fatalf("%s: before the engine goes back: %+v", name, f)
+		}
+		observe(8100*time.Millisecond, 1)
+		f.Finish(start.Add(8200*time.Millisecond), target.OutcomeMismatch)
+		observe(9*time.Second, 1)
+		for after := 8300 * time.Millisecond; after < 9800*time.Millisecond; after += 100 * time.Millisecond {
+			if id, f := w.place(start.Add(after), w.requirements()); f != nil {
+				t.Errorf("%s: %v after version 1 was replaced: %s as version %d, to start before %v", name, after, id, f.Version, f.StartDeadline)
+			}
+		}
+	}
+}
