proxy: look again soon for another upstream in place of a silent one

A stream whose upstream had been silent for 1.2 s while no other could take it moved 2.4 s after its last event at the earliest, when its client had left: the next look came after the whole patience again.

Change: after the patience the entry looks every 200 ms. The number of looks doesn't touch the retry budget, which is asked only once another upstream is there.

TestSilentStreamMovesSoonAfterAnotherUpstreamIsBack was red (2.404 s, at most 1.9 s allowed) and is green.

--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -10,6 +10,10 @@
 	"currantport.example/entry/internal/target"
 )
 
+// recheckInterval is the time between two looks for another upstream in place of one that has been
+// silent for too long. Clients leave a stream soon after that.
+const recheckInterval = 200 * time.Millisecond
+
 // watchdog cancels an attempt whose upstream is silent for too long. A sound upstream may fall
 // silent and go on, so that it is only left early for another one that can take the request.
 type watchdog struct {
@@ -41,7 +45,7 @@
 	defer w.mutex.Unlock()
 	w.patience, w.limit = patience, limit
 	w.attempts, w.reqs = *w.lifecycle.attempts, w.lifecycle.requirements()
-	w.arm()
+	w.arm(patience)
 }
 
 // extend moves the limit, which no deadline to start the request bounds any more.
@@ -65,8 +69,8 @@
 }
 
 // arm starts the timer. The caller holds the mutex.
-func (w *watchdog) arm() {
-	dueAt := time.Now().Add(w.patience)
+func (w *watchdog) arm(patience time.Duration) {
+	dueAt := time.Now().Add(patience)
 	if w.limit.Before(dueAt) {
 		dueAt = w.limit
 	}
@@ -101,7 +105,7 @@
 		w.expired = true
 		w.cancel()
 	default:
-		w.arm()
+		w.arm(min(w.patience, recheckInterval))
 	}
 }
 
