fleet: let a query of the same instant end before the test looks

TestLoadedVersionIsDetected failed in 2 of 60 runs with the race detector and in 1 of about 60 without, always for the first upstream of 6: the upstreams are queried each 2 s, among others at 20.0 and 22.0 s, the version is loaded at 20.0 s and the test looked at 22.0 s, in no fixed order with the query of that instant (traced by the times of the queries). The test now looks once all that happens at 22.0 s has happened. The bound stays at 2 s.

--- a/entry/internal/fleet/fleet_test.go
+++ b/entry/internal/fleet/fleet_test.go
@@ -352,6 +352,8 @@
 				n := i * 9 % count
 				w.agents[n].set(func(r *wire.LoadReply) { r.Version, r.Manifest = "one", manifest })
 				time.Sleep(limit)
+				// A query may be due at this very instant.
+				synctest.Wait()
 				chosen := w.chosenCounts()
 				if name := w.roster.all[n].Name; len(chosen) != 1 || chosen[name] == 0 {
 					t.Errorf("%s of %d has loaded the version, %d upstreams are chosen", name, count, len(chosen))
