proxy: reserve the place before a silent stream is given up

All streams of an engine fall silent at one moment, so that their watchdogs fire together; each saw that another engine had a place, and all but the first found none after they had been canceled.

The watchdog now chooses the next upstream itself, and the attempt is handed over; where there is none the stream waits on. A place that isn't needed is released at the end of the request.

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -65,8 +65,9 @@
 	// lastFailure is an upstream's failure response, which is forwarded if no other attempt
 	// succeeds.
 	lastFailure *bufferedResponse
-	// retryReserved is set while a retry was taken from the budget that hasn't begun.
-	retryReserved atomic.Bool
+	// reserved is the next attempt if it was chosen, and its retry taken from the budget, before the
+	// last one was given up.
+	reserved atomic.Pointer[target.InFlight]
 	// isRetry is true if the client was refused before.
 	isRetry bool
 	// counted is true once the first attempt has been counted.
@@ -95,6 +96,7 @@
 	l.stream = streamWriter{writer: l.writer, lastEventID: l.call.LastEventID}
 	l.identity = crash.NewRequest(l.call.Target, l.call.Credential, l.call.Body, l.call.PromptParts)
 	l.attempts = tries.New(route, l.deadline)
+	defer l.releaseReserved()
 	ctx, cancel := context.WithDeadline(ctx, l.deadline)
 	defer cancel()
 	if l.handler.options.Crashes.IsQuarantined(l.identity) {
@@ -135,12 +137,15 @@
 }
 
 func (l *lifecycle) trySpend() bool {
-	return l.retryReserved.Swap(false) || l.handler.trySpend(l.pool.Name)
+	return l.reserved.Load() != nil || l.handler.trySpend(l.pool.Name)
 }
 
 // acquireUpstream chooses an upstream. If no engine has free capacity it waits for a short
 // while.
 func (l *lifecycle) acquireUpstream(ctx context.Context) (*target.InFlight, *calls.Refusal) {
+	if f := l.reserved.Swap(nil); f != nil {
+		return f, nil
+	}
 	if l.pool == nil && !l.choosePool() {
 		return nil, calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the route's pools aren't listed")
 	}
--- a/entry/internal/proxy/silence_test.go
+++ b/entry/internal/proxy/silence_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"currantport.example/core/budget"
@@ -100,3 +103,33 @@
 		}
 	})
 }
+
+// TestStreamsOfASilentEngineDontMoveToOnePlace has more streams at a silent engine than the other one
+// takes.
+func TestStreamsOfASilentEngineDontMoveToOnePlace(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w, apply, stop := newEngineWorld(t, 2, func(w io.Writer, v visit) {
+			begin(w, v.id)
+			if v.after == "" {
+				event(w, numbered(1))
+				time.Sleep(1500 * time.Millisecond)
+			}
+			event(w, numbered(2))
+			time.Sleep(time.Second)
+			end(w)
+		})
+		defer stop()
+		apply(engineRow(0))
+		var group sync.WaitGroup
+		for i := range 4 {
+			group.Go(func() {
+				if a := w.request(context.Background(), "/flow/x", "Id", fmt.Sprint(i)); a.aborted || a.Body.String() != numbered(1)+numbered(2) {
+					t.Errorf("aborted %t, %d, %q", a.aborted, a.Code, a.Body)
+				}
+			})
+		}
+		time.Sleep(time.Second)
+		apply(engineRow(1))
+		group.Wait()
+	})
+}
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -88,8 +88,8 @@
 	}
 }
 
-// reserveRetry reports whether another upstream can take the request at once, and takes the retry
-// from the budget.
+// reserveRetry reports whether another upstream can take the request at once, takes the retry from
+// the budget and reserves the place. All streams of a silent upstream look for one at a time.
 func (l *lifecycle) reserveRetry(now time.Time, reqs target.Requirements) bool {
 	if !l.attempts.MayRetry(now) {
 		return false
@@ -104,6 +104,17 @@
 	if !available || !l.handler.trySpend(l.pool.Name) {
 		return false
 	}
-	l.retryReserved.Store(true)
+	f, _ := l.choose(clocks.Now(), reqs)
+	if f == nil {
+		return false
+	}
+	l.reserved.Store(f)
 	return true
 }
+
+// releaseReserved ends a reserved attempt that isn't needed.
+func (l *lifecycle) releaseReserved() {
+	if f := l.reserved.Swap(nil); f != nil {
+		f.Finish(clocks.Now(), target.OutcomeNeutral)
+	}
+}
--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
@@ -118,14 +119,39 @@
 // playReplacedVersionAt sends a request at a time after the release, and reports whether the entry
 // sent it on.
 func playReplacedVersionAt(t *testing.T, path string, sentAt time.Duration, script func(w io.Writer, v visit)) (*httptest.ResponseRecorder, bool) {
+	t.Helper()
+	w, apply, stop := newEngineWorld(t, 1, script)
+	apply(engineRow(0))
+	apply(encoded(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
+	time.Sleep(sentAt)
+	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
+	r.RequestURI, r.Header = path, http.Header{"Id": {"q"}, "Key": {"secret"}}
+	a := httptest.NewRecorder()
+	func() {
+		defer func() { _ = recover() }()
+		w.handler.ServeHTTP(a, r)
+	}()
+	synctest.Wait()
+	sent := len(w.received()) > 0
+	stop()
+	return a, sent
+}
+
+// newEngineWorld returns an entry before engines that follow a script, of which none is listed yet, a
+// function that applies rows, and one that stops all.
+func newEngineWorld(t *testing.T, engines int, script func(w io.Writer, v visit)) (*world, func(rows ...state.Row), func()) {
 	t.Helper()
 	w := &world{t: t, mirror: feed.NewMirror(), scope: tally.NewTestScope("", nil), script: script}
 	n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
-	l, err := n.Listen(address(0))
-	if err != nil {
-		t.Fatal(err)
+	var listeners []net.Listener
+	for i := range engines {
+		l, err := n.Listen(address(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go (&upstream{world: w, number: i, listener: l}).run()
+		listeners = append(listeners, l)
 	}
-	go (&upstream{world: w, listener: l}).run()
 	p, stop := conns.New(n.Dialer(netip.MustParseAddr("10.0.0.1")), nil)
 	fleet := target.New(target.Options{
 		Entries: func() []hosts.Host { return nil }, Regions: map[hosts.Domain]hosts.Region{"d": "r"}, Place: hosts.Place{Region: "r"},
@@ -148,25 +174,21 @@
 		fleet.ApplySnapshot(clocks.Now(), w.mirror.Snapshot())
 	}
 	w.publish(0)
-	apply(encoded(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{Slots: 4, Stride: 5, StepTime: 9 * time.Millisecond, PrefillRate: 19100, Models: []state.Model{{Name: "m"}}, Layers: 2}})),
-		encoded(state.EncodeUpstream(&state.Upstream{ID: "u0", Pool: "p", Address: address(0), Domain: "d", Slots: 4, Held: []state.HeldVersion{{Model: "m", Version: 1, Whole: true}}})))
-	apply(encoded(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
-	time.Sleep(sentAt)
-	r := httptest.NewRequest(http.MethodPost, "http://h"+path, strings.NewReader("body"))
-	r.RequestURI, r.Header = path, http.Header{"Id": {"q"}, "Key": {"secret"}}
-	a := httptest.NewRecorder()
-	func() {
-		defer func() { _ = recover() }()
-		w.handler.ServeHTTP(a, r)
-	}()
-	synctest.Wait()
-	sent := len(w.received()) > 0
-	stop()
-	_ = l.Close()
-	n.Kill(address(0).Addr())
-	w.scripts.Wait()
-	synctest.Wait()
-	return a, sent
+	apply(encoded(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{Slots: 4, Stride: 5, StepTime: 9 * time.Millisecond, PrefillRate: 19100, Models: []state.Model{{Name: "m"}}, Layers: 2}})))
+	return w, apply, func() {
+		stop()
+		for i, l := range listeners {
+			_ = l.Close()
+			n.Kill(address(i).Addr())
+		}
+		w.scripts.Wait()
+		synctest.Wait()
+	}
+}
+
+// engineRow returns the row of an engine that serves version 1.
+func engineRow(i int) state.Row {
+	return encoded(state.EncodeUpstream(&state.Upstream{ID: fmt.Sprint("u", i), Pool: "p", Address: address(i), Domain: "d", Slots: 4, Held: []state.HeldVersion{{Model: "m", Version: 1, Whole: true}}}))
 }
 
 func encoded(r state.Row, err error) state.Row {
