--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -17,7 +17,9 @@
 //
 // Staged pieces may become corrupt, an engine may restart and lose its versions, a newer
 // version may be released at any time. So each round compares the status that the engine
-// reports with the released version, and no other state of the engine is kept.
+// reports with the released version. No other state of the engine is kept, except that an order
+// without a response may take effect later. It expects the engine's order count, as each order
+// does, and until that count is another, the same version stays staged and is ordered again.
 package loader
 
 import (
@@ -111,12 +113,16 @@
 	served  tally.Histogram
 	fetcher *weightFetcher
 	stager  *stager
-	// slotTarget is the version to which slot belongs.
+	// slotTarget is the version to which slot belongs, slotHeld the one that the engine served when
+	// it was planned, or zero.
 	slotTarget targetVersion
+	slotHeld   int
 	slot       RolloutSlot
 	// orderedAt is the time of the last order, or zero if its load has ended.
 	orderedAt time.Time
 	retryAt   time.Time
+	// open is the order that the engine may still accept, or nil.
+	open *openOrder
 	// releases holds when each version was released.
 	releases map[targetVersion]releaseTime
 	// retained holds the version for which all others were dropped from the cache.
@@ -141,6 +147,7 @@
 	g.Go(l.run)
 	return l, func() {
 		g.Stop()
+		l.stopCall()
 		stopStager()
 		stopFetcher()
 	}
@@ -193,6 +200,7 @@
 }
 
 func (l *Loader) round(ctx context.Context) {
+	l.endCall()
 	if !l.pollStatus(ctx) {
 		return
 	}
@@ -201,9 +209,9 @@
 		return
 	}
 	if _, known := l.releases[t]; !known {
-		l.recordRelease(t)
+		l.recordReleases(t)
 	}
-	if l.slotTarget != t {
+	if held := l.heldVersion(t.model); l.slotTarget != t || held != 0 && held < l.slotHeld {
 		l.planSlot(t)
 	}
 	l.fetcher.setTarget(t)
@@ -211,6 +219,11 @@
 		l.resumeRequests(t)
 		return
 	}
+	if l.open != nil {
+		l.stager.setTarget(l.open.target)
+		l.advance(ctx, l.open.target)
+		return
+	}
 	if next, ok := l.nextLoad(t); ok {
 		l.stager.setTarget(next)
 		l.advance(ctx, next)
@@ -222,16 +235,22 @@
 	l.stager.setTarget(t)
 }
 
-// recordRelease records the earliest time at which a version may have been released. One for
-// which it isn't known, as at the start, counts as released a full VersionTimeout ago.
-func (l *Loader) recordRelease(t targetVersion) {
+// recordReleases records the earliest times at which a version, and those that it replaced unseen,
+// may have been released. One for which it isn't known, as at the start, counts as released a full
+// VersionTimeout ago.
+func (l *Loader) recordReleases(t targetVersion) {
 	now := clocks.Now()
-	at := l.options.Mirror.Snapshot().Release(t.model).NotBefore
-	if at.IsZero() {
-		at = now.Add(-l.options.VersionTimeout)
+	for _, r := range l.options.Mirror.Snapshot().Release(t.model).Since(0) {
+		v, at := targetVersion{model: r.Model, version: r.Version}, r.NotBefore
+		if _, known := l.releases[v]; known {
+			continue
+		}
+		if at.IsZero() {
+			at = now.Add(-l.options.VersionTimeout)
+		}
+		l.releases[v] = releaseTime{notBefore: at, seenAt: now}
+		l.options.Log.Info("release", zap.String("model", v.model), zap.Int("version", v.version), zap.Duration("age", now.Sub(at)))
 	}
-	l.releases[t] = releaseTime{notBefore: at, seenAt: now}
-	l.options.Log.Info("release", zap.String("model", t.model), zap.Int("version", t.version), zap.Duration("age", now.Sub(at)))
 }
 
 // nextLoad returns the version to load now, if there is one. Until the newest version is
@@ -275,10 +294,14 @@
 		l.orderedAt = time.Time{}
 		l.stager.reset()
 	}
+	if held, before := heldText(s.Held), heldText(l.status.Held); held != before && !l.statusAt.IsZero() {
+		l.options.Log.Info("engine-version", zap.String("held", held), zap.String("before", before), zap.Uint64("count", s.OrderCount))
+	}
 	if s.Leaving && !l.status.Leaving {
 		l.options.Log.Info("engine-leaving", zap.Time("started", s.Started), zap.Int("active", s.Active))
 		l.options.Notify()
 	}
+	l.settleOrder(s)
 	l.status, l.statusAt = s, clocks.Now()
 	return true
 }
@@ -297,7 +320,7 @@
 
 // planSlot computes the roll-out slot of the engine for a version.
 func (l *Loader) planSlot(t targetVersion) {
-	l.slotTarget, l.orderedAt = t, time.Time{}
+	l.slotTarget, l.slotHeld, l.orderedAt = t, l.heldVersion(t.model), time.Time{}
 	s := l.options.Mirror.Snapshot()
 	release := l.earliestMissing(t)
 	l.slot = NewRolloutSlot(release.notBefore, release.seenAt, t.model, t.version, l.row(l.status.Started), s.Upstreams(l.options.Pool))
@@ -317,19 +340,23 @@
 }
 
 // holdsOrNewer reports whether the engine serves the version or a newer one.
-func (l *Loader) holdsOrNewer(t targetVersion) bool {
+func (l *Loader) holdsOrNewer(t targetVersion) bool { return l.heldVersion(t.model) >= t.version }
+
+// heldVersion returns the version of a model that the engine serves, or zero.
+func (l *Loader) heldVersion(model string) int {
+	version := 0
 	for _, h := range l.status.Held {
-		if h.Model == t.model && h.Version >= t.version {
-			return true
+		if h.Model == model {
+			version = max(version, h.Version)
 		}
 	}
-	return false
+	return version
 }
 
 // advance takes the next step towards serving the version.
 func (l *Loader) advance(ctx context.Context, t targetVersion) {
 	now := clocks.Now()
-	if l.status.Busy || !l.orderedAt.IsZero() && now.Sub(l.orderedAt) < orderBackoff {
+	if l.open != nil && l.open.call != nil || l.status.Busy || !l.orderedAt.IsZero() && now.Sub(l.orderedAt) < orderBackoff {
 		return
 	}
 	// The load of an earlier order has ended, and the engine doesn't serve the version.
@@ -337,7 +364,8 @@
 	if !l.stager.isComplete(t) || now.Before(l.retryAt) {
 		return
 	}
-	if len(l.status.Held) > 0 && now.Before(l.slot.Start(l.options.VersionTimeout)) {
+	if l.open == nil && len(l.status.Held) > 0 && now.Before(l.slot.Start(l.options.VersionTimeout)) {
+		l.setClosing(false)
 		return
 	}
 	if !l.stager.verify(ctx) {
@@ -347,21 +375,9 @@
 	if len(l.status.Held) > 0 && !clocks.Sleep(ctx, closeDelay) {
 		return
 	}
-	l.orderLoad(ctx, t)
-}
-
-func (l *Loader) orderLoad(ctx context.Context, t targetVersion) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	ack, err := l.options.Engine.Load(ctx, t.model, t.version)
-	l.orders.Inc(1)
-	l.options.Log.Info("order", zap.String("model", t.model), zap.Int("version", t.version), zap.String("ack", string(ack)),
-		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.releases[t].notBefore)), zap.Error(err))
-	if err != nil || ack == engine.AckConflict || ack == engine.AckFenced {
-		l.retryAt = clocks.Now().Add(orderBackoff)
-		return
+	if l.stager.verify(ctx) {
+		l.orderLoad(t)
 	}
-	l.orderedAt = clocks.Now()
 }
 
 // stopRequests notifies entries to send no more requests.
@@ -377,7 +393,7 @@
 	}
 	l.orderedAt = time.Time{}
 	l.setClosing(false)
-	if l.fetcher.progressOf(t).Done() && !l.retained[t] {
+	if l.fetcher.progressOf(t).Done() && !l.retained[t] && l.open == nil {
 		l.retained = map[targetVersion]bool{t: true}
 		l.fetcher.retain(t)
 	}
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -21,6 +21,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -87,6 +88,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l := &lifecycle{handler: h, writer: w, arrived: time.Now(), view: h.view()}
 	defer l.report()
+	defer l.contain()
 	var refusal *calls.Refusal
 	if l.call, refusal = h.options.ClientCodec.ParseRequest(r); refusal != nil {
 		l.refuse(refusal)
@@ -124,6 +126,7 @@
 func (f refuser) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l := &lifecycle{handler: f.handler, writer: w, arrived: time.Now(), view: f.handler.view()}
 	defer l.report()
+	defer l.contain()
 	var refusal *calls.Refusal
 	if l.call, refusal = f.handler.options.ClientCodec.ParseRequest(r); refusal == nil {
 		refusal = calls.NotRun(calls.ReasonLeaving, drainingRetryAfter, "the entry is stopping")
@@ -188,6 +191,9 @@
 	if errors.As(err, &tooLarge) {
 		return calls.NotRun(calls.ReasonTooLarge, 0, "the body is too long")
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return calls.NotRun(calls.ReasonDeadline, 0, "the body came too late")
+	}
 	if err != nil {
 		return calls.NotRun(calls.ReasonBadRequest, 0, "the body can't be read")
 	}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -279,16 +279,34 @@
 	}
 }
 
-// abandon ends a request whose client has disconnected.
+// abandon ends a request whose client has disconnected. A client that has closed only its sending
+// direction would get an empty success if the handler returned.
 func (l *lifecycle) abandon() {
 	if l.ending == "" {
 		l.ending = "left"
 	}
-	if l.stream.started {
+	if l.ending != endingAnswered {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// contain ends a request whose handling has panicked. It is deferred.
+func (l *lifecycle) contain() {
+	cause := recover()
+	if cause == nil {
+		return
+	}
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(cause)
+	}
+	l.handler.options.Log.Error("handler-panicked", zap.String("id", string(l.call.ID)), zap.Any("cause", cause), zap.Stack("stack"))
+	if l.status != 0 {
+		l.ending = endingBroken
+		panic(http.ErrAbortHandler)
+	}
+	l.refuse(calls.Unknown(calls.ReasonLost, 0, "the handler failed"))
+}
+
 func (l *lifecycle) refuse(r *calls.Refusal) {
 	l.ending, l.refusal = string(r.Outcome), r
 	l.status = calls.StatusOf(r)
@@ -304,6 +322,8 @@
 		l.handler.recordRequest(l.pool.Name)
 	}
 	l.survived, l.sentAt = false, clocks.Now()
+	// Counts only if the exchange panics.
+	defer f.Finish(l.sentAt, target.OutcomeNeutral)
 	outer := ctx
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -328,6 +348,7 @@
 		return l.connectFailed(ctx, f, err)
 	}
 	wd.reset(l.firstByteTimeout(f), l.startLimit(f))
+	f.OnStartDeadline(wd.shorten)
 	a := calls.Attempt{Upstream: f.Row, Remaining: time.Until(l.deadline), LastEventID: l.stream.lastEventID}
 	if l.admission.Workspace != nil {
 		a.Workspace = l.admission.Workspace.Name
@@ -352,7 +373,7 @@
 	case calls.ReplyMismatched:
 		return tries.ResultLost, target.OutcomeFailed, errMismatched
 	}
-	f.RecordVersion(reply.Version)
+	f.RecordVersion(clocks.Now(), reply.Version)
 	if l.admission.Route.Stream && reply.Success {
 		return l.forwardStream(ctx, f, wd, response, reply)
 	}
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -6,9 +6,14 @@
 	"time"
 
 	"currantport.example/core/clocks"
+	"currantport.example/core/tries"
 	"currantport.example/entry/internal/target"
 )
 
+// recheckInterval is the time between two looks for another upstream in place of one that has been
+// silent for too long. Clients leave a stream soon after that.
+const recheckInterval = 200 * time.Millisecond
+
 // watchdog cancels an attempt whose upstream is silent for too long. A sound upstream may fall
 // silent and go on, so that it is only left early for another one that can take the request.
 type watchdog struct {
@@ -22,10 +27,12 @@
 	patience time.Duration
 	dueAt    time.Time
 	limit    time.Time
-	// reqs are the requirements for the next upstream.
-	reqs    target.Requirements
-	expired bool
-	stopped bool
+	// attempts and reqs are the retry state and the requirements for the next upstream. They are
+	// copies, since the attempt may end while another upstream is looked for.
+	attempts tries.Attempts
+	reqs     target.Requirements
+	expired  bool
+	stopped  bool
 }
 
 func newWatchdog(l *lifecycle, cancel context.CancelFunc) *watchdog {
@@ -36,41 +43,70 @@
 func (w *watchdog) reset(patience time.Duration, limit time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.patience, w.limit, w.reqs = patience, limit, w.lifecycle.requirements()
-	w.arm()
+	w.patience, w.limit = patience, limit
+	w.attempts, w.reqs = *w.lifecycle.attempts, w.lifecycle.requirements()
+	w.arm(patience)
 }
 
-// extend moves the limit.
+// extend moves the limit, which no deadline to start the request bounds any more.
 func (w *watchdog) extend(limit time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.limit = limit
 }
 
+// shorten moves the limit to an earlier time. It may be called with the mutex of the fleet held.
+func (w *watchdog) shorten(limit time.Time) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !limit.Before(w.limit) {
+		return
+	}
+	w.limit = limit
+	if limit.Before(w.dueAt) {
+		w.schedule(limit)
+	}
+}
+
 // arm starts the timer. The caller holds the mutex.
-func (w *watchdog) arm() {
-	d := min(w.patience, time.Until(w.limit))
-	w.dueAt = time.Now().Add(d)
+func (w *watchdog) arm(patience time.Duration) {
+	dueAt := time.Now().Add(patience)
+	if w.limit.Before(dueAt) {
+		dueAt = w.limit
+	}
+	w.schedule(dueAt)
+}
+
+func (w *watchdog) schedule(dueAt time.Time) {
+	w.dueAt = dueAt
 	if w.timer == nil {
-		w.timer = time.AfterFunc(d, w.run)
+		w.timer = time.AfterFunc(time.Until(dueAt), w.run)
 		return
 	}
-	w.timer.Reset(d)
+	w.timer.Reset(time.Until(dueAt))
 }
 
 func (w *watchdog) run() {
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
 	now := time.Now()
-	if w.stopped || now.Before(w.dueAt) {
+	w.mutex.Lock()
+	dueAt, isOver, attempts, reqs := w.dueAt, !now.Before(w.limit), w.attempts, w.reqs
+	isDue := !w.stopped && !now.Before(dueAt)
+	w.mutex.Unlock()
+	if !isDue {
 		return
 	}
-	if now.Before(w.limit) && !w.lifecycle.reserveRetry(now, w.reqs) {
-		w.arm()
-		return
+	// The fleet must not be called with the mutex held, since it calls shorten.
+	mayCancel := isOver || attempts.MayRetry(now) && w.lifecycle.reserveRetry(reqs)
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	switch {
+	case w.stopped || !w.dueAt.Equal(dueAt):
+	case mayCancel:
+		w.expired = true
+		w.cancel()
+	default:
+		w.arm(min(w.patience, recheckInterval))
 	}
-	w.expired = true
-	w.cancel()
 }
 
 func (w *watchdog) hasFired() bool {
@@ -90,10 +126,7 @@
 
 // reserveRetry reports whether another upstream can take the request at once, takes the retry from
 // the budget and reserves the place. All streams of a silent upstream look for one at a time.
-func (l *lifecycle) reserveRetry(now time.Time, reqs target.Requirements) bool {
-	if !l.attempts.MayRetry(now) {
-		return false
-	}
+func (l *lifecycle) reserveRetry(reqs target.Requirements) bool {
 	var available bool
 	fleet := l.handler.options.Fleet
 	if l.pool.Engine == nil {
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -17,6 +17,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 
 	"currantport.example/core/health"
 	"currantport.example/core/hosts"
+	"currantport.example/core/recent"
 	"currantport.example/core/state"
 	"currantport.example/core/timing"
 )
@@ -31,9 +33,14 @@
 const (
 	// loadReportTTL is how long a load report is valid. Agents send several in that time.
 	loadReportTTL = 1500 * time.Millisecond
+	// maxReportAge bounds the age of the status in a load report that arrives.
+	maxReportAge = time.Second
 	// mismatchBackoff is how long an engine that rejected a request for its version gets no
 	// requests. It is busy loading a version, or its next load report states the new one.
 	mismatchBackoff = time.Second
+	// versionLogInterval is the shortest time between two log lines of an upstream about a return
+	// to an older version.
+	versionLogInterval = time.Second
 	// unknownVersion stands for a version later than those that the entry knows. It keeps
 	// engines usable for an entry that reaches neither the platform nor the agents.
 	unknownVersion = -1
@@ -68,6 +75,10 @@
 
 	report     LoadReport
 	reportedAt time.Time
+	// reportHeldSince is when the first load report with the versions of the last one arrived,
+	// rowHeldSince the same for the row.
+	reportHeldSince time.Time
+	rowHeldSince    time.Time
 	// assigned is set for engines that are assigned to this entry.
 	assigned bool
 	// remoteEntries is the number of entries of other regions that the engine is assigned
@@ -90,21 +101,68 @@
 
 	// observed is what the engine's responses say about its versions, by model.
 	observed map[string]observedVersions
+	// versionLoggedAt is the time of the last log line about a return to an older version.
+	versionLoggedAt time.Time
 }
 
 // observedVersions are the versions of one model that an engine's responses have confirmed
-// or ruled out. An engine never returns to an older version while its process runs.
+// or ruled out.
 type observedVersions struct {
-	// served is the newest version that it has responded with.
-	served int
+	// served is the version of the newest response, or zero. The engine served it at some time
+	// from servedSince, when the request was sent, to servedAt.
+	served      int
+	servedSince time.Time
+	servedAt    time.Time
 	// rejected is the newest version for which it declined a request because it serves
 	// another one; rejectedAt is the time of the last such response.
 	rejected   int
 	rejectedAt time.Time
 }
 
-// maxReleases bounds the remembered releases of a model.
-const maxReleases = 8
+// record records the version of a response to a request that was sent at the given time. Of two
+// responses that overtook each other, the older version counts, since it has to be left earlier.
+func (o *observedVersions) record(now, sentAt time.Time, version int) {
+	if version == 0 {
+		return
+	}
+	if sentAt.Before(o.servedSince) {
+		o.served = min(o.served, version)
+	} else {
+		o.served, o.servedSince = version, sentAt
+	}
+	o.servedAt = now
+	if version <= o.rejected && sentAt.After(o.rejectedAt) {
+		o.rejected = 0
+	}
+}
+
+// statedVersion is the version of a model by the load reports of an engine, or by its row.
+type statedVersion struct {
+	version int
+	// since is when it was first received, receivedAt when it was last.
+	since      time.Time
+	receivedAt time.Time
+}
+
+// isAfter reports whether the engine served the version at a later time than the given one.
+func (s statedVersion) isAfter(t time.Time) bool {
+	return s.since.After(t) || s.receivedAt.Add(-maxReportAge).After(t)
+}
+
+// newest returns the version that was observed last, or the older one where that is undecided.
+func (o *observedVersions) newest(s statedVersion) int {
+	switch {
+	case o.served == 0 || s.isAfter(o.servedAt):
+		return s.version
+	case s.receivedAt.Before(o.servedSince):
+		return o.served
+	}
+	return min(s.version, o.served)
+}
+
+// maxReleases bounds the remembered releases of a model. Beyond it, the versions before those
+// that are remembered count as expired.
+const maxReleases = 64
 
 // release is a version and the earliest time at which it may have been released. The time is
 // zero for the version that was current at the start of the process.
@@ -141,11 +199,11 @@
 	entryLoads map[hosts.Name]entryLoadReport
 	// departed holds the demands of upstreams that are listed no more, since they may only
 	// have lapsed.
-	departed departedDemands
+	departed *recent.Map[processKey, demands]
 	// limited are the upstreams that have named a limit, by id.
 	limited map[string]*upstream
 	// unlistedLimits are limits of upstreams that aren't listed, as other entries told them.
-	unlistedLimits map[string]UpstreamLimit
+	unlistedLimits *recent.Map[string, UpstreamLimit]
 	// limitedReturns is the time, by pool, at which the next client should return that is
 	// refused because of limits.
 	limitedReturns map[string]time.Time
@@ -155,8 +213,11 @@
 	// from asksSince.
 	asks      chan struct{}
 	asksSince time.Time
-	// releases lists the versions of each model that this process has seen released,
-	// oldest first.
+	// unbounded holds the requests that have not started as far as is known and have no deadline
+	// for it.
+	unbounded map[*InFlight]struct{}
+	// releases lists the versions of each model that this process has seen released, oldest
+	// first. Versions before the first one end no later than that one says.
 	releases map[string][]release
 }
 
@@ -165,7 +226,8 @@
 	return &Fleet{
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
-		limited: make(map[string]*upstream), unlistedLimits: make(map[string]UpstreamLimit), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
+		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
 	}
 }
 
@@ -180,7 +242,7 @@
 	used := make(map[netip.AddrPort]bool)
 	for _, p := range s.Pools() {
 		for _, row := range s.Upstreams(p.Name) {
-			u := f.updateUpstream(before[row.ID], row)
+			u := f.updateUpstream(now, before[row.ID], row)
 			f.upstreams[row.ID] = u
 			if u.demands.limit != nil {
 				f.limited[row.ID] = u
@@ -192,10 +254,8 @@
 			f.recordReleases(now, s, p.Engine)
 		}
 	}
-	for id := range f.unlistedLimits {
-		if u := f.upstreams[id]; u != nil {
-			f.applyUnlisted(now, u)
-		}
+	for _, u := range f.upstreams {
+		f.applyUnlisted(now, u)
 	}
 	f.assign()
 	f.assignLimits(now)
@@ -203,7 +263,7 @@
 	var removed []netip.AddrPort
 	for id, u := range before {
 		if next := f.upstreams[id]; next == nil || !next.row.SameProcess(u.row) {
-			f.departed.keep(now, u)
+			f.keepDemands(now, u)
 		}
 		if !used[u.row.Address] {
 			removed = append(removed, u.row.Address)
@@ -214,37 +274,63 @@
 
 // updateUpstream returns the known state with the new row, or a fresh state if the row is
 // that of another process.
-func (f *Fleet) updateUpstream(known *upstream, row *state.Upstream) *upstream {
+func (f *Fleet) updateUpstream(now time.Time, known *upstream, row *state.Upstream) *upstream {
 	if known == nil || !known.row.SameProcess(row) {
-		return &upstream{row: row, demands: f.departed.take(row), observed: make(map[string]observedVersions)}
+		return &upstream{row: row, rowHeldSince: now, demands: f.takeDemands(row), observed: make(map[string]observedVersions)}
 	}
 	if known.row.Draining != row.Draining {
 		f.options.Log.Info("upstream-draining", zap.String("upstream", row.ID), zap.Bool("draining", row.Draining))
 	}
+	if !slices.Equal(known.row.Held, row.Held) {
+		known.rowHeldSince = now
+	}
 	known.row = row
 	return known
 }
 
-// recordReleases records the releases of an engine's models that the snapshot adds.
+// recordReleases records the releases of an engine's models that the snapshot adds, also those that
+// were replaced before it was applied.
 func (f *Fleet) recordReleases(now time.Time, s *state.Snapshot, e *state.Engine) {
 	for _, m := range e.Models {
-		r := s.Release(m.Name)
+		current := s.Release(m.Name)
 		known := f.releases[m.Name]
-		switch {
-		case len(known) == 0:
+		if len(known) == 0 {
 			// The time of this release is unknown. The zero time means that the versions
 			// before it have already expired.
-			f.releases[m.Name] = []release{{version: r.Version}}
-		case known[len(known)-1].version < r.Version:
+			f.releases[m.Name] = []release{{version: current.Version}}
+			continue
+		}
+		added := current.Since(known[len(known)-1].version)
+		for _, r := range added {
 			f.options.Log.Info("release", zap.String("model", m.Name), zap.Int("version", r.Version), zap.Int("before", known[len(known)-1].version),
 				zap.Duration("age", now.Sub(r.NotBefore)))
-			f.releases[m.Name] = append(known[max(len(known)-maxReleases+1, 0):], release{version: r.Version, notBefore: r.NotBefore})
+			known = append(f.relevantReleases(now, known), release{version: r.Version, notBefore: r.NotBefore})
+		}
+		f.releases[m.Name] = known
+		if len(added) > 0 {
+			f.boundStarts()
 		}
 	}
 }
 
-// ReceiveLoadReport stores the load report of an upstream. Reports that arrive out of order
-// and those of unknown upstreams are ignored.
+// relevantReleases returns the releases that bound the use of versions in the future, at most
+// maxReleases - 1. Those before the first one bound it to a time that isn't later.
+func (f *Fleet) relevantReleases(now time.Time, all []release) []release {
+	for len(all) > 1 && now.Sub(all[1].notBefore) >= f.options.VersionTimeout {
+		all = all[1:]
+	}
+	if len(all) < maxReleases {
+		return all
+	}
+	dropped := len(all) - maxReleases + 1
+	earliest := slices.MinFunc(all[:dropped+1], func(a, b release) int { return a.notBefore.Compare(b.notBefore) })
+	all = slices.Clone(all[dropped:])
+	all[0].notBefore = earliest.notBefore
+	return all
+}
+
+// ReceiveLoadReport stores the load report of an upstream. Reports that arrive out of order,
+// those of unknown upstreams and those of an earlier process are ignored.
 func (f *Fleet) ReceiveLoadReport(now time.Time, id string, r LoadReport) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -252,6 +338,17 @@
 	if u == nil || u.report.Serial >= r.Serial && now.Sub(u.reportedAt) < loadReportTTL {
 		return
 	}
+	if !r.Started.IsZero() && r.Started.Before(u.row.Started) {
+		return
+	}
+	if r.Started.Equal(u.report.Started) {
+		for _, h := range r.Held {
+			f.logOlderVersion(now, u, "report", versionOf(u.report.Held, h.Model), h.Version)
+		}
+	}
+	if u.reportedAt.IsZero() || !slices.Equal(r.Held, u.report.Held) {
+		u.reportHeldSince = now
+	}
 	u.report, u.reportedAt, u.sentSinceReport = r, now, 0
 	if r.Leaving && r.Started.Equal(u.row.Started) {
 		f.recordLeaving(now, u, "agent")
@@ -259,24 +356,49 @@
 	u.otherRunning = max(r.Running-u.running-u.regionRunning, 0)
 }
 
+// logOlderVersion logs that an engine was shown to serve an older version than before. Zero means
+// none.
+func (f *Fleet) logOlderVersion(now time.Time, u *upstream, source string, before, version int) {
+	if version == 0 || version >= before || now.Sub(u.versionLoggedAt) < versionLogInterval {
+		return
+	}
+	u.versionLoggedAt = now
+	f.options.Log.Warn("engine-version-older", zap.String("upstream", u.row.ID), zap.String("source", source), zap.Int("version", version), zap.Int("before", before))
+}
+
+// versionOf returns the held version of a model, or zero.
+func versionOf(held []state.HeldVersion, model string) int {
+	for _, h := range held {
+		if h.Model == model {
+			return h.Version
+		}
+	}
+	return 0
+}
+
 // servedVersion returns the version of a model that the upstream serves, or zero if it
-// serves none. It returns unknownVersion if responses show that it serves a later one than
-// the newest report or row says.
+// serves none. It returns unknownVersion if it has declined a request for the version that it was
+// last observed to serve, and so serves a later one.
 func (u *upstream) servedVersion(now time.Time, model string) int {
-	all := u.row.Held
+	held, stated := u.row.Held, statedVersion{since: u.rowHeldSince, receivedAt: u.rowHeldSince}
 	if u.hasReport(now) {
-		all = u.report.Held
+		held, stated = u.report.Held, statedVersion{since: u.reportHeldSince, receivedAt: u.reportedAt}
 	}
 	observed := u.observed[model]
-	for _, h := range all {
+	for _, h := range held {
 		if h.Model != model || !h.Whole {
 			continue
 		}
-		if v := max(h.Version, observed.served); v > observed.rejected {
+		stated.version = h.Version
+		v := observed.newest(stated)
+		switch {
+		case v > observed.rejected || stated.isAfter(observed.rejectedAt):
 			return v
-		}
-		if now.Sub(observed.rejectedAt) < mismatchBackoff {
+		case now.Sub(observed.rejectedAt) < mismatchBackoff:
 			return 0
+		case v < observed.rejected:
+			// The engine may have gone back.
+			return v
 		}
 		return unknownVersion
 	}
@@ -314,8 +436,10 @@
 	// ExactVersion is set if a response of any other version must be rejected.
 	ExactVersion bool
 	// StartDeadline is the time after which the request must not start on this version,
-	// or zero.
+	// or zero. It may be set once, by a later release, after OnStartDeadline was called.
 	StartDeadline time.Time
+	// Served is the version in the response, or zero.
+	Served int
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
 	// Running is the number of requests at the upstream before this one; LoadAge is the age
@@ -323,10 +447,13 @@
 	Running       int
 	LoadAge       time.Duration
 	model         string
+	minVersion    int
 	promptTokens  int
 	startedAt     time.Time
 	hasFirstEvent bool
 	isFinished    bool
+	// notify is called when StartDeadline is set after the choice.
+	notify func(end time.Time)
 }
 
 // startRequest counts a request that is about to be sent. The caller holds the mutex.
@@ -343,14 +470,48 @@
 }
 
 // RecordVersion records the version in the upstream's response. Zero means unknown.
-func (r *InFlight) RecordVersion(version int) {
+func (r *InFlight) RecordVersion(now time.Time, version int) {
 	r.fleet.mutex.Lock()
 	defer r.fleet.mutex.Unlock()
+	r.Served = version
 	v := r.upstream.observed[r.model]
-	v.served = max(v.served, version)
+	r.fleet.logOlderVersion(now, r.upstream, "response", max(v.served, r.Version), version)
+	v.record(now, r.startedAt, version)
 	r.upstream.observed[r.model] = v
 }
 
+// OnStartDeadline has a function called if a release sets a deadline to the start of the request after
+// the choice. The function must not call the fleet. It isn't called after RecordFirstEvent or Finish.
+func (r *InFlight) OnStartDeadline(notify func(end time.Time)) {
+	r.fleet.mutex.Lock()
+	defer r.fleet.mutex.Unlock()
+	if r.model == "" || !r.StartDeadline.IsZero() || r.hasFirstEvent || r.isFinished {
+		return
+	}
+	r.notify = notify
+	r.fleet.unbounded[r] = struct{}{}
+	r.boundStart()
+}
+
+// boundStart sets the deadline to start if there is one. The caller holds the mutex.
+func (r *InFlight) boundStart() {
+	end := r.fleet.startDeadline(r.model, r.minVersion)
+	if end.IsZero() {
+		return
+	}
+	delete(r.fleet.unbounded, r)
+	r.StartDeadline = end
+	r.notify(end)
+}
+
+// boundStarts sets the deadlines of the requests that were sent before a release. The caller holds the
+// mutex.
+func (f *Fleet) boundStarts() {
+	for r := range f.unbounded {
+		r.boundStart()
+	}
+}
+
 // RecordFirstEvent records the arrival of the first byte of the response. Further calls have
 // no effect.
 func (r *InFlight) RecordFirstEvent(now time.Time) {
@@ -360,6 +521,7 @@
 		return
 	}
 	r.hasFirstEvent = true
+	delete(r.fleet.unbounded, r)
 	r.upstream.unread -= r.promptTokens
 	r.upstream.health.RecordSuccess(now, now.Sub(r.startedAt))
 }
@@ -395,6 +557,7 @@
 		return
 	}
 	r.isFinished = true
+	delete(r.fleet.unbounded, r)
 	u := r.upstream
 	u.running--
 	if !r.hasFirstEvent {
--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -268,6 +268,9 @@
 			c.recordViolation("weights", "%s", e)
 		}
 	}
+	for _, r := range c.world.ledger.Returns() {
+		c.recordViolation("older", "%s", r)
+	}
 	runs := c.world.ledger.RunsFrom(0)
 	c.checkUnsolicited(all, runs)
 	c.checkBudget(all, runs)
@@ -278,6 +281,7 @@
 	c.checkCanceled(all)
 	c.checkTimeouts(all)
 	c.checkShutdowns(all)
+	c.checkUnanswered(all)
 	c.checkDenied(all)
 	c.checkRecovery(all, servedSince)
 }
