--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// reserveRetry reports whether another upstream can take the request at once, and takes the retry
-// from the budget.
+// reserveRetry reports whether another upstream can take the request at once, takes the retry from
+// the budget and reserves the place. All streams of a silent upstream look for one at a time.
 func (l *lifecycle) reserveRetry(reqs target.Requirements) bool {
 	var available bool
 	fleet := l.handler.options.Fleet
@@ -137,6 +137,17 @@
 	if !available || !l.handler.trySpend(l.pool.Name) {
 		return false
 	}
-	l.retryReserved.Store(true)
+	f, _ := l.choose(clocks.Now(), reqs)
+	if f == nil {
+		return false
+	}
+	l.reserved.Store(f)
 	return true
 }
+
+// releaseReserved ends a reserved attempt that isn't needed.
+func (l *lifecycle) releaseReserved() {
+	if f := l.reserved.Swap(nil); f != nil {
+		f.Finish(clocks.Now(), target.OutcomeNeutral)
+	}
+}
