proxy: release a reserved place if the silent upstream goes on

Found by reading: a place that the watchdog had reserved while the upstream went on was kept until the request ended, or was used for a later attempt without asking again whether that upstream still takes requests, so it could have been one that leaves or whose version has ended. It is now released at once. The choice of a plain upstream reads the excluded ones from the copy that the watchdog holds, not from the lifecycle, which may be adding one.

No test shows the case, whose window is the time between two lines of one function.

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -192,7 +192,7 @@
 // returns the time after which one may not be.
 func (l *lifecycle) choose(now time.Time, reqs target.Requirements) (*target.InFlight, time.Duration) {
 	if l.pool.Engine == nil {
-		return l.handler.options.Fleet.ChoosePlain(now, l.pool.Name, l.attempted), 0
+		return l.handler.options.Fleet.ChoosePlain(now, l.pool.Name, reqs.Exclude), 0
 	}
 	return l.handler.options.Fleet.ChooseEngine(now, reqs)
 }
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -97,16 +97,26 @@
 	}
 	// The fleet must not be called with the mutex held, since it calls shorten.
 	mayCancel := isOver || attempts.MayRetry(now) && w.lifecycle.reserveRetry(reqs)
+	if !w.finishCheck(dueAt, mayCancel) {
+		w.lifecycle.releaseReserved()
+	}
+}
+
+// finishCheck cancels the attempt or waits on. It returns false if the attempt has ended or made
+// progress since the check began.
+func (w *watchdog) finishCheck(dueAt time.Time, mayCancel bool) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	switch {
-	case w.stopped || !w.dueAt.Equal(dueAt):
-	case mayCancel:
+	if w.stopped || !w.dueAt.Equal(dueAt) {
+		return false
+	}
+	if mayCancel {
 		w.expired = true
 		w.cancel()
-	default:
-		w.arm(min(w.patience, recheckInterval))
+		return true
 	}
+	w.arm(min(w.patience, recheckInterval))
+	return true
 }
 
 func (w *watchdog) hasFired() bool {
