--- /dev/null
+++ b/entry/internal/proxy/demands.go
@@ -0,0 +1,51 @@
+package proxy
+
+import (
+	"go.uber.org/zap"
+
+	"currantport.example/core/calls"
+	"currantport.example/core/clocks"
+	"currantport.example/entry/internal/target"
+)
+
+// recordDemands records what a response says about further requests to its upstream.
+func (l *lifecycle) recordDemands(f *target.InFlight, reply calls.Reply) {
+	if reply.Kind == calls.ReplyMismatched {
+		return
+	}
+	if reply.Leaving && f.RecordLeaving(clocks.Now()) {
+		l.handler.metrics.countDemand("leaving", f.Row.ID)
+	}
+	if reply.RetryAfterInvalid != "" {
+		l.handler.options.Log.Warn("retry-after-invalid", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID),
+			zap.String("value", reply.RetryAfterInvalid[:min(len(reply.RetryAfterInvalid), maxLoggedValue)]))
+	}
+	if reply.RetryAfter > 0 {
+		l.handler.metrics.countDemand("held", f.Row.ID)
+		f.Hold(clocks.Now(), reply.RetryAfter)
+	}
+	l.recordLimit(f, reply)
+}
+
+// recordLimit records what a response says about the limit of its upstream. A response that the
+// request belongs elsewhere may come from another upstream.
+func (l *lifecycle) recordLimit(f *target.InFlight, reply calls.Reply) {
+	if reply.Kind == calls.ReplyMoved {
+		return
+	}
+	if reply.LimitInvalid != "" {
+		value := reply.LimitInvalid[:min(len(reply.LimitInvalid), maxLoggedValue)]
+		if f.RecordInvalidLimit(value) {
+			l.handler.options.Log.Warn("limit-invalid", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID), zap.String("value", value))
+		}
+		if !reply.Limited {
+			return
+		}
+	}
+	if f.RecordLimit(clocks.Now(), reply.Limit, reply.Limited) {
+		l.handler.metrics.countDemand("limit", f.Row.ID)
+	}
+}
+
+// maxLoggedValue bounds the part of an invalid header that is logged, in bytes.
+const maxLoggedValue = 64
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -147,20 +147,6 @@
 // isExcluded reports whether the request was already tried at the upstream.
 func isExcluded(reqs Requirements, u *upstream) bool { return slices.Contains(reqs.Exclude, u.row.ID) }
 
-// versionFor returns the version that would serve the request at an engine, or zero if it is
-// unknown, and the lowest that it can be. It returns false if that may not serve it.
-func (f *Fleet) versionFor(now time.Time, u *upstream, reqs Requirements) (version, minVersion int, ok bool) {
-	version = u.servedVersion(now, reqs.Model)
-	if version == 0 || reqs.Version != 0 && version != reqs.Version {
-		return 0, 0, false
-	}
-	minVersion = version
-	if version == unknownVersion {
-		version, minVersion = 0, u.observed[reqs.Model].rejected+1
-	}
-	return version, minVersion, f.mayServe(now, reqs.Model, minVersion)
-}
-
 // acceptsRequests reports whether the upstream accepts requests, according to its row, its
 // health and its last load report.
 func (u *upstream) acceptsRequests(now time.Time) bool {
@@ -194,36 +180,6 @@
 	return cost
 }
 
-// mayServe reports whether requests may still be sent to engines with the version. It turns
-// false versionCutoffMargin before the version's deadline.
-func (f *Fleet) mayServe(now time.Time, model string, version int) bool {
-	end := f.startDeadline(model, version)
-	return end.IsZero() || now.Before(end.Add(startDeadlineMargin-versionCutoffMargin))
-}
-
-// startDeadline returns the time after which no request may start on the version, or zero if
-// there is none. It lies startDeadlineMargin before the time by which engines must serve the
-// next released version.
-func (f *Fleet) startDeadline(model string, version int) time.Time {
-	if f.options.VersionTimeout == 0 {
-		return time.Time{}
-	}
-	for _, r := range f.releases[model] {
-		if r.version > version {
-			return r.notBefore.Add(f.options.VersionTimeout - startDeadlineMargin)
-		}
-	}
-	return time.Time{}
-}
-
-// newestVersion returns the last released version of a model, or zero.
-func (f *Fleet) newestVersion(model string) int {
-	if all := f.releases[model]; len(all) > 0 {
-		return all[len(all)-1].version
-	}
-	return 0
-}
-
 // isRemote reports whether the upstream is in another region.
 func (f *Fleet) isRemote(u *upstream) bool {
 	return f.options.Regions[hosts.Domain(u.row.Domain)] != f.options.Place.Region
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -105,72 +105,6 @@
 	versionLoggedAt time.Time
 }
 
-// observedVersions are the versions of one model that an engine's responses have confirmed
-// or ruled out.
-type observedVersions struct {
-	// served is the version of the newest response, or zero. The engine served it at some time
-	// from servedSince, when the request was sent, to servedAt.
-	served      int
-	servedSince time.Time
-	servedAt    time.Time
-	// rejected is the newest version for which it declined a request because it serves
-	// another one; rejectedAt is the time of the last such response.
-	rejected   int
-	rejectedAt time.Time
-}
-
-// record records the version of a response to a request that was sent at the given time. Of two
-// responses that overtook each other, the older version counts, since it has to be left earlier.
-func (o *observedVersions) record(now, sentAt time.Time, version int) {
-	if version == 0 {
-		return
-	}
-	if sentAt.Before(o.servedSince) {
-		o.served = min(o.served, version)
-	} else {
-		o.served, o.servedSince = version, sentAt
-	}
-	o.servedAt = now
-	if version <= o.rejected && sentAt.After(o.rejectedAt) {
-		o.rejected = 0
-	}
-}
-
-// statedVersion is the version of a model by the load reports of an engine, or by its row.
-type statedVersion struct {
-	version int
-	// since is when it was first received, receivedAt when it was last.
-	since      time.Time
-	receivedAt time.Time
-}
-
-// isAfter reports whether the engine served the version at a later time than the given one.
-func (s statedVersion) isAfter(t time.Time) bool {
-	return s.since.After(t) || s.receivedAt.Add(-maxReportAge).After(t)
-}
-
-// newest returns the version that was observed last, or the older one where that is undecided.
-func (o *observedVersions) newest(s statedVersion) int {
-	switch {
-	case o.served == 0 || s.isAfter(o.servedAt):
-		return s.version
-	case s.receivedAt.Before(o.servedSince):
-		return o.served
-	}
-	return min(s.version, o.served)
-}
-
-// maxReleases bounds the remembered releases of a model. Beyond it, the versions before those
-// that are remembered count as expired.
-const maxReleases = 64
-
-// release is a version and the earliest time at which it may have been released. The time is
-// zero for the version that was current at the start of the process.
-type release struct {
-	version   int
-	notBefore time.Time
-}
-
 // Options configure a Fleet.
 type Options struct {
 	// Self and Place identify this entry.
@@ -288,47 +222,6 @@
 	return known
 }
 
-// recordReleases records the releases of an engine's models that the snapshot adds, also those that
-// were replaced before it was applied.
-func (f *Fleet) recordReleases(now time.Time, s *state.Snapshot, e *state.Engine) {
-	for _, m := range e.Models {
-		current := s.Release(m.Name)
-		known := f.releases[m.Name]
-		if len(known) == 0 {
-			// The time of this release is unknown. The zero time means that the versions
-			// before it have already expired.
-			f.releases[m.Name] = []release{{version: current.Version}}
-			continue
-		}
-		added := current.Since(known[len(known)-1].version)
-		for _, r := range added {
-			f.options.Log.Info("release", zap.String("model", m.Name), zap.Int("version", r.Version), zap.Int("before", known[len(known)-1].version),
-				zap.Duration("age", now.Sub(r.NotBefore)))
-			known = append(f.relevantReleases(now, known), release{version: r.Version, notBefore: r.NotBefore})
-		}
-		f.releases[m.Name] = known
-		if len(added) > 0 {
-			f.boundStarts()
-		}
-	}
-}
-
-// relevantReleases returns the releases that bound the use of versions in the future, at most
-// maxReleases - 1. Those before the first one bound it to a time that isn't later.
-func (f *Fleet) relevantReleases(now time.Time, all []release) []release {
-	for len(all) > 1 && now.Sub(all[1].notBefore) >= f.options.VersionTimeout {
-		all = all[1:]
-	}
-	if len(all) < maxReleases {
-		return all
-	}
-	dropped := len(all) - maxReleases + 1
-	earliest := slices.MinFunc(all[:dropped+1], func(a, b release) int { return a.notBefore.Compare(b.notBefore) })
-	all = slices.Clone(all[dropped:])
-	all[0].notBefore = earliest.notBefore
-	return all
-}
-
 // ReceiveLoadReport stores the load report of an upstream. Reports that arrive out of order,
 // those of unknown upstreams and those of an earlier process are ignored.
 func (f *Fleet) ReceiveLoadReport(now time.Time, id string, r LoadReport) {
@@ -356,55 +249,6 @@
 	u.otherRunning = max(r.Running-u.running-u.regionRunning, 0)
 }
 
-// logOlderVersion logs that an engine was shown to serve an older version than before. Zero means
-// none.
-func (f *Fleet) logOlderVersion(now time.Time, u *upstream, source string, before, version int) {
-	if version == 0 || version >= before || now.Sub(u.versionLoggedAt) < versionLogInterval {
-		return
-	}
-	u.versionLoggedAt = now
-	f.options.Log.Warn("engine-version-older", zap.String("upstream", u.row.ID), zap.String("source", source), zap.Int("version", version), zap.Int("before", before))
-}
-
-// versionOf returns the held version of a model, or zero.
-func versionOf(held []state.HeldVersion, model string) int {
-	for _, h := range held {
-		if h.Model == model {
-			return h.Version
-		}
-	}
-	return 0
-}
-
-// servedVersion returns the version of a model that the upstream serves, or zero if it
-// serves none. It returns unknownVersion if it has declined a request for the version that it was
-// last observed to serve, and so serves a later one.
-func (u *upstream) servedVersion(now time.Time, model string) int {
-	held, stated := u.row.Held, statedVersion{since: u.rowHeldSince, receivedAt: u.rowHeldSince}
-	if u.hasReport(now) {
-		held, stated = u.report.Held, statedVersion{since: u.reportHeldSince, receivedAt: u.reportedAt}
-	}
-	observed := u.observed[model]
-	for _, h := range held {
-		if h.Model != model || !h.Whole {
-			continue
-		}
-		stated.version = h.Version
-		v := observed.newest(stated)
-		switch {
-		case v > observed.rejected || stated.isAfter(observed.rejectedAt):
-			return v
-		case now.Sub(observed.rejectedAt) < mismatchBackoff:
-			return 0
-		case v < observed.rejected:
-			// The engine may have gone back.
-			return v
-		}
-		return unknownVersion
-	}
-	return 0
-}
-
 // hasReport reports whether a valid load report is present.
 func (u *upstream) hasReport(now time.Time) bool {
 	return !u.reportedAt.IsZero() && now.Sub(u.reportedAt) < loadReportTTL
@@ -469,49 +313,6 @@
 	return r
 }
 
-// RecordVersion records the version in the upstream's response. Zero means unknown.
-func (r *InFlight) RecordVersion(now time.Time, version int) {
-	r.fleet.mutex.Lock()
-	defer r.fleet.mutex.Unlock()
-	r.Served = version
-	v := r.upstream.observed[r.model]
-	r.fleet.logOlderVersion(now, r.upstream, "response", max(v.served, r.Version), version)
-	v.record(now, r.startedAt, version)
-	r.upstream.observed[r.model] = v
-}
-
-// OnStartDeadline has a function called if a release sets a deadline to the start of the request after
-// the choice. The function must not call the fleet. It isn't called after RecordFirstEvent or Finish.
-func (r *InFlight) OnStartDeadline(notify func(end time.Time)) {
-	r.fleet.mutex.Lock()
-	defer r.fleet.mutex.Unlock()
-	if r.model == "" || !r.StartDeadline.IsZero() || r.hasFirstEvent || r.isFinished {
-		return
-	}
-	r.notify = notify
-	r.fleet.unbounded[r] = struct{}{}
-	r.boundStart()
-}
-
-// boundStart sets the deadline to start if there is one. The caller holds the mutex.
-func (r *InFlight) boundStart() {
-	end := r.fleet.startDeadline(r.model, r.minVersion)
-	if end.IsZero() {
-		return
-	}
-	delete(r.fleet.unbounded, r)
-	r.StartDeadline = end
-	r.notify(end)
-}
-
-// boundStarts sets the deadlines of the requests that were sent before a release. The caller holds the
-// mutex.
-func (f *Fleet) boundStarts() {
-	for r := range f.unbounded {
-		r.boundStart()
-	}
-}
-
 // RecordFirstEvent records the arrival of the first byte of the response. Further calls have
 // no effect.
 func (r *InFlight) RecordFirstEvent(now time.Time) {
