target: split exclusion from ranking, honor homes and evacuations

Ruled out: forwarding through entries of the home region, since no other process may get the body. Change: rows for homes, cold times and evacuations with their codecs and the platform's decoding; levels of urgency by pool; exclude.go says why an upstream may not take a request, rank.go compares the rest, plain.go chooses among plain services. Names given to clients prefer home regions. Messages get fields for cold limits, demand by level and release ages, which nothing sends yet.

--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -94,6 +94,10 @@
 	RetryAfterInvalid string
 	// Leaving is true if the upstream is shutting down.
 	Leaving bool
+	// ColdFor is how much longer the upstream is cold. HasCold is true if it says so, also that
+	// it isn't.
+	ColdFor time.Duration
+	HasCold bool
 	// Limited is true if the upstream names the number of requests a second that it takes
 	// from all entries together. Limit is that number, finite and not negative.
 	Limited bool
--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -39,17 +39,21 @@
 
 // The reasons why a request has no response.
 const (
-	ReasonBadRequest  Reason = "bad-request"
-	ReasonTooLarge    Reason = "too-large"
-	ReasonMediaType   Reason = "media-type"
-	ReasonNoRoute     Reason = "no-route"
-	ReasonNoPool      Reason = "no-pool"
-	ReasonNoUpstream  Reason = "no-upstream"
-	ReasonKeyMissing  Reason = "key-missing"
-	ReasonKeyReused   Reason = "key-reused"
-	ReasonOverload    Reason = "overload"
-	ReasonHeld        Reason = "held"
-	ReasonLimited     Reason = "limited"
+	ReasonBadRequest Reason = "bad-request"
+	ReasonTooLarge   Reason = "too-large"
+	ReasonMediaType  Reason = "media-type"
+	ReasonNoRoute    Reason = "no-route"
+	ReasonNoPool     Reason = "no-pool"
+	ReasonNoUpstream Reason = "no-upstream"
+	ReasonKeyMissing Reason = "key-missing"
+	ReasonKeyReused  Reason = "key-reused"
+	ReasonOverload   Reason = "overload"
+	ReasonHeld       Reason = "held"
+	ReasonLimited    Reason = "limited"
+	// ReasonHome is used if the home regions of a request have no upstream for it, ReasonEvacuated
+	// if its upstreams are all in evacuated failure domains.
+	ReasonHome        Reason = "home"
+	ReasonEvacuated   Reason = "evacuated"
 	ReasonDeadline    Reason = "deadline"
 	ReasonLeaving     Reason = "leaving"
 	ReasonStarting    Reason = "starting"
--- a/core/state/build.go
+++ b/core/state/build.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"currantport.example/core/hosts"
 )
 
 // Row is one published row. A nil value marks a deleted row.
@@ -26,6 +28,8 @@
 	KindConfig    = "config"
 	KindRelease   = "release"
 	KindUpstream  = "upstream"
+	// KindEvacuation is an evacuation; its name is the failure domain.
+	KindEvacuation = "evacuation"
 )
 
 // Builder builds snapshots from row changes. The zero value holds no rows. It isn't
@@ -36,6 +40,7 @@
 	workspaces map[string]*Workspace
 	releases   map[string]Release
 	upstreams  map[string]*Upstream
+	evacuated  map[string]Evacuation
 	limits     Limits
 	config     int64
 	configured bool
@@ -55,7 +60,7 @@
 	if b.routes == nil {
 		b.routes, b.pools = make(map[string]*Route), make(map[string]*Pool)
 		b.workspaces, b.releases = make(map[string]*Workspace), make(map[string]Release)
-		b.upstreams = make(map[string]*Upstream)
+		b.upstreams, b.evacuated = make(map[string]*Upstream), make(map[string]Evacuation)
 	}
 	var invalid []RowError
 	changed := make(map[string]bool)
@@ -87,6 +92,8 @@
 		})
 	case KindUpstream:
 		return putRow(b.upstreams, name, value, decodeUpstream)
+	case KindEvacuation:
+		return putRow(b.evacuated, name, value, decodeEvacuation)
 	case KindConfig:
 		if value == nil {
 			b.config = 0
@@ -127,6 +134,9 @@
 	if changed[KindRoute] {
 		s.routes, s.objectives = indexRoutes(b.routes), objectivesOf(b.routes)
 	}
+	if changed[KindRoute] || changed[KindWorkspace] {
+		s.levels = levelsOf(b.routes, b.workspaces)
+	}
 	if changed[KindPool] {
 		s.pools = make(map[string]*Pool, len(b.pools))
 		for _, p := range b.pools {
@@ -150,6 +160,12 @@
 	if changed[KindUpstream] {
 		s.upstreams = groupUpstreams(b.upstreams)
 	}
+	if changed[KindEvacuation] {
+		s.evacuated = make(map[hosts.Domain]bool, len(b.evacuated))
+		for _, e := range b.evacuated {
+			s.evacuated[e.Domain] = true
+		}
+	}
 	b.last = s
 	return &s
 }
--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -4,7 +4,10 @@
 	"encoding/json"
 	"errors"
 	"net/netip"
+	"slices"
 	"time"
+
+	"currantport.example/core/hosts"
 )
 
 var (
@@ -15,6 +18,8 @@
 	errTimes   = errors.New("times must not be negative")
 	errCounts  = errors.New("numbers must not be negative")
 	errAddress = errors.New("the address is invalid")
+	errHomes   = errors.New("a home region has no name")
+	errDomain  = errors.New("the row doesn't name its failure domain")
 	// errRevision is returned by NewRevision.
 	errRevision = errors.New("the era or the number of the revision is out of range")
 )
@@ -36,6 +41,7 @@
 	Attempts  int              `json:"attempts,omitempty"`
 	Priority  int              `json:"priority,omitempty"`
 	Anonymous bool             `json:"anonymous,omitempty"`
+	Homes     []hosts.Region   `json:"homes,omitempty"`
 }
 
 type targetDocument struct {
@@ -46,6 +52,8 @@
 type poolDocument struct {
 	Name        string          `json:"name"`
 	Connections int             `json:"connections,omitempty"`
+	Cold        int64           `json:"cold,omitempty"`
+	ColdRate    float64         `json:"coldrate,omitempty"`
 	Engine      *engineDocument `json:"engine,omitempty"`
 	Origin      *originDocument `json:"origin,omitempty"`
 }
@@ -81,9 +89,14 @@
 }
 
 type workspaceDocument struct {
-	Name     string   `json:"name"`
-	Keys     []string `json:"keys"`
-	Priority *int     `json:"priority,omitempty"`
+	Name     string         `json:"name"`
+	Keys     []string       `json:"keys"`
+	Priority *int           `json:"priority,omitempty"`
+	Homes    []hosts.Region `json:"homes,omitempty"`
+}
+
+type evacuationDocument struct {
+	Domain string `json:"domain"`
 }
 
 type limitsDocument struct {
@@ -107,6 +120,7 @@
 	Slots    int            `json:"slots,omitempty"`
 	Started  int64          `json:"started,omitempty"`
 	Held     []heldDocument `json:"held,omitempty"`
+	Cold     int64          `json:"cold,omitempty"`
 }
 
 type heldDocument struct {
@@ -127,7 +141,7 @@
 	r := &Route{
 		Name: d.Name, Host: d.Host, Prefix: d.Prefix, Idempotent: d.Repeat, Stream: d.Stream, Resumable: d.Resume,
 		Timeout: micros(d.Timeout), Objective: micros(d.Objective), MaxEventGap: micros(d.Gap),
-		MaxAttempts: max(d.Attempts, 1), Priority: d.Priority, Anonymous: d.Anonymous,
+		MaxAttempts: max(d.Attempts, 1), Priority: d.Priority, Anonymous: d.Anonymous, Homes: d.Homes,
 	}
 	for _, t := range d.Targets {
 		if t.Pool == "" || t.Weight <= 0 {
@@ -144,6 +158,8 @@
 		return nil, errTargets
 	case d.Timeout < 0 || d.Objective < 0 || d.Gap < 0:
 		return nil, errTimes
+	case slices.Contains(d.Homes, ""):
+		return nil, errHomes
 	}
 	return r, nil
 }
@@ -153,7 +169,7 @@
 	d := routeDocument{
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeat: r.Idempotent, Stream: r.Stream, Resume: r.Resumable,
 		Timeout: r.Timeout.Microseconds(), Objective: r.Objective.Microseconds(), Gap: r.MaxEventGap.Microseconds(),
-		Attempts: r.MaxAttempts, Priority: r.Priority, Anonymous: r.Anonymous,
+		Attempts: r.MaxAttempts, Priority: r.Priority, Anonymous: r.Anonymous, Homes: r.Homes,
 	}
 	for _, t := range r.Targets {
 		d.Targets = append(d.Targets, targetDocument(t))
@@ -166,11 +182,11 @@
 	if err := json.Unmarshal(value, &d); err != nil {
 		return nil, err
 	}
-	p := &Pool{Name: d.Name, MaxConnections: d.Connections}
+	p := &Pool{Name: d.Name, MaxConnections: d.Connections, Cold: micros(d.Cold), ColdRate: d.ColdRate}
 	if d.Name == "" {
 		return nil, errName
 	}
-	if d.Connections < 0 {
+	if d.Connections < 0 || d.Cold < 0 || d.ColdRate < 0 {
 		return nil, errCounts
 	}
 	var err error
@@ -206,7 +222,7 @@
 
 // EncodePool returns the row of a pool.
 func EncodePool(p *Pool) (Row, error) {
-	d := poolDocument{Name: p.Name, Connections: p.MaxConnections}
+	d := poolDocument{Name: p.Name, Connections: p.MaxConnections, Cold: p.Cold.Microseconds(), ColdRate: p.ColdRate}
 	if o := p.Origin; o != nil {
 		d.Origin = &originDocument{Address: o.Address.String(), Domain: o.Domain, Rate: o.Rate, Connections: o.MaxConnections}
 	}
@@ -232,7 +248,10 @@
 	if d.Name == "" {
 		return nil, errName
 	}
-	w := &Workspace{Name: d.Name, Keys: d.Keys}
+	if slices.Contains(d.Homes, "") {
+		return nil, errHomes
+	}
+	w := &Workspace{Name: d.Name, Keys: d.Keys, Homes: d.Homes}
 	if d.Priority != nil {
 		w.Priority, w.HasPriority = *d.Priority, true
 	}
@@ -241,7 +260,7 @@
 
 // EncodeWorkspace returns the row of a workspace.
 func EncodeWorkspace(w *Workspace) (Row, error) {
-	d := workspaceDocument{Name: w.Name, Keys: w.Keys}
+	d := workspaceDocument{Name: w.Name, Keys: w.Keys, Homes: w.Homes}
 	if w.HasPriority {
 		d.Priority = &w.Priority
 	}
@@ -321,7 +340,7 @@
 	if err != nil {
 		return nil, errAddress
 	}
-	u := &Upstream{ID: d.ID, Pool: d.Pool, Address: address, Domain: d.Domain, Draining: d.Draining, Slots: d.Slots}
+	u := &Upstream{ID: d.ID, Pool: d.Pool, Address: address, Domain: d.Domain, Draining: d.Draining, Slots: d.Slots, ColdFor: micros(max(d.Cold, 0))}
 	if d.Started > 0 {
 		u.Started = time.UnixMicro(d.Started)
 	}
@@ -335,6 +354,7 @@
 func EncodeUpstream(u *Upstream) (Row, error) {
 	d := upstreamDocument{
 		ID: u.ID, Pool: u.Pool, Address: u.Address.String(), Domain: u.Domain, Draining: u.Draining, Slots: u.Slots,
+		Cold: u.ColdFor.Microseconds(),
 	}
 	if !u.Started.IsZero() {
 		d.Started = u.Started.UnixMicro()
@@ -345,6 +365,25 @@
 	return encode(KindUpstream, u.Pool+"/"+u.ID, d)
 }
 
+func decodeEvacuation(value []byte) (Evacuation, error) {
+	var d evacuationDocument
+	if err := json.Unmarshal(value, &d); err != nil {
+		return Evacuation{}, err
+	}
+	if d.Domain == "" {
+		return Evacuation{}, errDomain
+	}
+	return Evacuation{Domain: hosts.Domain(d.Domain)}, nil
+}
+
+// EncodeEvacuation returns the row of an evacuation.
+func EncodeEvacuation(e Evacuation) (Row, error) {
+	if e.Domain == "" {
+		return Row{}, errDomain
+	}
+	return encode(KindEvacuation, string(e.Domain), evacuationDocument{Domain: string(e.Domain)})
+}
+
 func encode(kind, name string, document any) (Row, error) {
 	value, err := json.Marshal(document)
 	return Row{Key: kind + "/" + name, Value: value}, err
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"currantport.example/core/hosts"
 )
 
 // Snapshot is an immutable view of all rows at one revision. The zero value is an empty
@@ -23,6 +25,8 @@
 	releases   map[string]Release
 	upstreams  map[string][]*Upstream
 	objectives map[string]time.Duration
+	levels     map[string][]urgency
+	evacuated  map[hosts.Domain]bool
 }
 
 // Pool returns the pool with the name, or nil.
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -18,6 +18,8 @@
 	"net/netip"
 	"slices"
 	"time"
+
+	"currantport.example/core/hosts"
 )
 
 // Revision orders the published changes. Zero means none. It holds the era of the platform's
@@ -75,6 +77,8 @@
 	Priority int
 	// Anonymous means that requests need no API key.
 	Anonymous bool
+	// Homes are the regions whose upstreams may serve the requests. Empty means any.
+	Homes []hosts.Region
 }
 
 // IsRetryable reports whether a request that may already have run may be sent again.
@@ -93,6 +97,11 @@
 	// MaxConnections bounds the connections of all clients to one upstream. Zero means
 	// no bound.
 	MaxConnections int
+	// Cold is how long an upstream is cold after it has started during traffic. ColdRate is
+	// the number of requests per second that a cold upstream takes from all entries together.
+	// Zero means that upstreams are never cold.
+	Cold     time.Duration
+	ColdRate float64
 	// Engine is nil for pools of plain services.
 	Engine *Engine
 	// Origin is set if the pool serves weights and handles no requests.
@@ -157,6 +166,9 @@
 	// Priority overrides that of a route if HasPriority is set.
 	Priority    int
 	HasPriority bool
+	// Homes are the regions whose upstreams may serve the workspace's requests, in addition to
+	// the homes of their route. Empty means any.
+	Homes []hosts.Region
 }
 
 // Limits bound what a client may send. Zero means no bound.
@@ -227,6 +239,14 @@
 	Started time.Time
 	// Held are the model versions that an engine holds.
 	Held []HeldVersion
+	// ColdFor is how much longer the upstream was cold when it last wrote its row.
+	ColdFor time.Duration
+}
+
+// Evacuation asks that no new requests be sent to the upstreams of a failure domain. It holds
+// until its row is removed.
+type Evacuation struct {
+	Domain hosts.Domain
 }
 
 // HeldVersion is a version of a model that an engine holds.
--- a/entry/internal/naming/naming_test.go
+++ b/entry/internal/naming/naming_test.go
@@ -20,19 +20,25 @@
 func TestLocalServingEntriesAreChosen(t *testing.T) {
 	at := hosts.Place{Domain: "a", Region: "ra"}
 	for name, c := range map[string]struct {
-		all  []member.Member
-		want int
+		all   []member.Member
+		homes []hosts.Region
+		want  int
 	}{
 		"enough local ones": {[]member.Member{
 			entry(0, "a", hosts.StateLive, true), entry(1, "a", hosts.StateLive, true), entry(2, "b", hosts.StateLive, true),
-		}, 2},
+		}, nil, 2},
 		"one is draining": {[]member.Member{
 			entry(0, "a", hosts.StateLive, true), entry(1, "a", hosts.StateLeaving, true), entry(2, "b", hosts.StateLive, true),
-		}, 2},
-		"one isn't ready": {[]member.Member{entry(0, "a", hosts.StateLive, false), entry(2, "b", hosts.StateLive, true)}, 1},
-		"nobody":          {nil, 0},
+		}, nil, 2},
+		"one isn't ready": {[]member.Member{entry(0, "a", hosts.StateLive, false), entry(2, "b", hosts.StateLive, true)}, nil, 1},
+		"nobody":          {nil, nil, 0},
+		// A client that needs a second address is referred to the homes only.
+		"homes elsewhere": {[]member.Member{
+			entry(0, "a", hosts.StateLive, true), entry(1, "b", hosts.StateLive, true), entry(2, "c", hosts.StateLive, true),
+		}, []hosts.Region{"rb"}, 2},
+		"the only entries are outside the homes": {[]member.Member{entry(1, "b", hosts.StateLive, true)}, []hosts.Region{"rc"}, 1},
 	} {
-		if got := naming.Choose(c.all, at); len(got) != c.want {
+		if got := naming.Choose(c.all, at, c.homes); len(got) != c.want {
 			t.Errorf("%s: %v", name, got)
 		}
 	}
@@ -40,7 +46,7 @@
 	for i := range 100 {
 		many = append(many, entry(i, "a", hosts.StateLive, true))
 	}
-	if got := naming.Choose(many, at); len(got) != naming.MaxAddresses {
+	if got := naming.Choose(many, at, nil); len(got) != naming.MaxAddresses {
 		t.Errorf("%d addresses", len(got))
 	}
 }
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -158,13 +158,14 @@
 			reqs.Remaining = l.poolObjective() - time.Since(l.arrived)
 		}
 		now := clocks.Now()
+		reqs.Homes = l.homes()
 		f, full := l.choose(now, reqs)
 		if f != nil {
 			return f, nil
 		}
 		limited, hasLimited := l.handler.options.Fleet.AwaitLimited(now, reqs, &grant)
 		if full == 0 && !hasLimited {
-			return nil, l.refusalOfNone()
+			return nil, l.refusalOfNone(reqs)
 		}
 		next := capacityPollInterval
 		if full == 0 {
@@ -184,15 +185,31 @@
 func (l *lifecycle) requirements() target.Requirements {
 	return target.Requirements{
 		Pool: l.pool, Model: l.call.Model, PromptTokens: l.call.Prompt, Version: l.stream.version, Exclude: l.attempted,
-		MaxEventGap: l.admission.Route.MaxEventGap,
+		MaxEventGap: l.admission.Route.MaxEventGap, Homes: l.homes(),
 	}
 }
 
+// homes returns the regions that may serve the request. The configuration in force decides, and that
+// of the request's arrival where it no longer lists the route or the key.
+func (l *lifecycle) homes() state.Homes {
+	route, workspace := l.admission.Route, l.admission.Workspace
+	s := l.handler.options.Mirror.Snapshot()
+	if r := s.Match(l.call.Host, l.call.Path); r != nil && r.Name == route.Name {
+		route = r
+	}
+	if workspace != nil {
+		if w := s.Workspace(l.call.Credential); w != nil {
+			workspace = w
+		}
+	}
+	return state.HomesOf(route, workspace)
+}
+
 // choose assigns the request to an upstream. If the engines that could serve it are full, it
 // returns the time after which one may not be.
 func (l *lifecycle) choose(now time.Time, reqs target.Requirements) (*target.InFlight, time.Duration) {
 	if l.pool.Engine == nil {
-		return l.handler.options.Fleet.ChoosePlain(now, l.pool.Name, reqs.Exclude), 0
+		return l.handler.options.Fleet.ChoosePlain(now, reqs), 0
 	}
 	return l.handler.options.Fleet.ChooseEngine(now, reqs)
 }
@@ -200,7 +217,13 @@
 // refusalOfNone returns the refusal of a request for which there is no upstream. If the upstreams
 // have asked to be left alone, the client may return when the first of them takes requests again.
 // The times are spread, so that it isn't met by all of them at once.
-func (l *lifecycle) refusalOfNone() *calls.Refusal {
+func (l *lifecycle) refusalOfNone(reqs target.Requirements) *calls.Refusal {
+	switch l.handler.options.Fleet.SoleExclusion(clocks.Now(), reqs) {
+	case target.ExclusionHome:
+		return calls.NotRun(calls.ReasonHome, noUpstreamRetryAfter, "no upstream in the home regions of the request")
+	case target.ExclusionEvacuated:
+		return calls.NotRun(calls.ReasonEvacuated, noUpstreamRetryAfter, "the failure domains that could serve the request are evacuated")
+	}
 	hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), l.pool.Name)
 	if hold == 0 {
 		return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, "no upstream serves the request")
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -95,6 +95,7 @@
 	if !isDue {
 		return
 	}
+	reqs.Homes = w.lifecycle.homes()
 	// The fleet must not be called with the mutex held, since it calls shorten.
 	mayCancel := isOver || attempts.MayRetry(now) && w.lifecycle.reserveRetry(reqs)
 	if !w.finishCheck(dueAt, mayCancel) {
@@ -140,7 +141,7 @@
 	var available bool
 	fleet := l.handler.options.Fleet
 	if l.pool.Engine == nil {
-		available = fleet.HasPlain(clocks.Now(), l.pool.Name, reqs.Exclude)
+		available = fleet.HasPlain(clocks.Now(), reqs)
 	} else {
 		available = fleet.HasEngine(clocks.Now(), reqs)
 	}
--- a/entry/internal/syncer/syncer_test.go
+++ b/entry/internal/syncer/syncer_test.go
@@ -63,7 +63,7 @@
 	sender, receiver := newFleet(), newFleet()
 	sender.ReceiveLeaving(start, "other", leaving)
 	for range 1500 {
-		f := sender.ChoosePlain(start, "s", nil)
+		f := sender.ChoosePlain(start, toPlain())
 		f.RecordLimit(start, 100, true)
 		defer f.Finish(start, target.OutcomeSuccess)
 	}
@@ -80,3 +80,9 @@
 		}
 	}
 }
+
+// toPlain returns the requirements of a request to the plain service "s" that was already tried at
+// some upstreams.
+func toPlain(tried ...string) target.Requirements {
+	return target.Requirements{Pool: &state.Pool{Name: "s"}, Exclude: tried}
+}
--- a/entry/internal/target/crowd_test.go
+++ b/entry/internal/target/crowd_test.go
@@ -183,7 +183,7 @@
 func (c *crowd) serve(e *crowdEntry) {
 	var left []*waitingRequest
 	for _, q := range e.waiting {
-		if f := e.fleet.ChoosePlain(c.now, "s", nil); f != nil {
+		if f := e.fleet.ChoosePlain(c.now, toPlain()); f != nil {
 			c.send(e, f)
 			continue
 		}
--- a/entry/internal/target/demands_test.go
+++ b/entry/internal/target/demands_test.go
@@ -19,7 +19,7 @@
 }
 
 func (w *world) plainUpstream(now time.Time) string {
-	f := w.fleet.ChoosePlain(now, "s", nil)
+	f := w.fleet.ChoosePlain(now, toPlain())
 	if f == nil {
 		return "none"
 	}
@@ -33,7 +33,7 @@
 	w := newWorld(t, "e0")
 	u := plain(0, start)
 	w.publish(start, w.upstream(u))
-	f := w.fleet.ChoosePlain(start, "s", nil)
+	f := w.fleet.ChoosePlain(start, toPlain())
 	if !f.RecordLeaving(start) || f.RecordLeaving(start) {
 		t.Error("the first report isn't told from the second")
 	}
@@ -87,7 +87,7 @@
 	for _, w := range []*world{a, b} {
 		w.publish(start, w.upstream(u), w.upstream(e))
 	}
-	f := a.fleet.ChoosePlain(start, "s", nil)
+	f := a.fleet.ChoosePlain(start, toPlain())
 	f.RecordLeaving(start)
 	b.fleet.ReceiveLeaving(start, "e0", a.fleet.AnnouncedLeaving(start))
 	if got := b.plainUpstream(start); got != "none" {
@@ -114,7 +114,7 @@
 		v.publish(start, v.upstream(plain(0, start)), v.upstream(plain(1, start)))
 	}
 	for _, d := range []time.Duration{4 * time.Second, 2 * time.Second} {
-		f := w.fleet.ChoosePlain(start, "s", nil)
+		f := w.fleet.ChoosePlain(start, toPlain())
 		f.Hold(start, d)
 		f.Hold(start, d/2)
 		f.Finish(start, target.OutcomeShed)
@@ -144,7 +144,7 @@
 func TestHoldsOfHoursAreBounded(t *testing.T) {
 	w := newWorld(t, "e0")
 	w.publish(start, w.upstream(plain(0, start)))
-	f := w.fleet.ChoosePlain(start, "s", nil)
+	f := w.fleet.ChoosePlain(start, toPlain())
 	f.Hold(start, 24*time.Hour)
 	f.Finish(start, target.OutcomeShed)
 	if got := w.plainUpstream(start.Add(9 * time.Minute)); got != "none" {
@@ -182,7 +182,7 @@
 				listed[i] = true
 				w.publish(now, w.upstream(plain(i, started[i])))
 			}
-			f := w.fleet.ChoosePlain(now, "s", nil)
+			f := w.fleet.ChoosePlain(now, toPlain())
 			if f == nil {
 				continue
 			}
--- /dev/null
+++ b/entry/internal/target/exclude.go
@@ -0,0 +1,116 @@
+package target
+
+import (
+	"slices"
+	"time"
+
+	"currantport.example/core/hosts"
+)
+
+// Exclusion is the reason why an upstream may not take a request.
+type Exclusion string
+
+// The exclusions, in the order in which they are checked.
+const (
+	// ExclusionNone means that the upstream may take the request if it has room.
+	ExclusionNone Exclusion = ""
+	// ExclusionHome is an upstream outside the home regions of the request.
+	ExclusionHome Exclusion = "home"
+	// ExclusionEvacuated is an upstream of an evacuated failure domain.
+	ExclusionEvacuated Exclusion = "evacuated"
+	// ExclusionDraining is an upstream that is shutting down, by its row or by its own word.
+	ExclusionDraining Exclusion = "draining"
+	// ExclusionHeld is one that has asked for a pause.
+	ExclusionHeld Exclusion = "held"
+	// ExclusionTried is one to which the request was already sent.
+	ExclusionTried Exclusion = "tried"
+	// ExclusionDown is one that accepts no connections.
+	ExclusionDown Exclusion = "down"
+	// ExclusionClosed is an engine that is about to load another version.
+	ExclusionClosed Exclusion = "closed"
+	// ExclusionVersion is an engine without a version that may serve the request.
+	ExclusionVersion Exclusion = "version"
+	// ExclusionLimit is an upstream whose limit of requests per second is spent.
+	ExclusionLimit Exclusion = "limit"
+)
+
+// exclusion returns why the engine may not take the request. If it may, it also returns the version
+// that would serve the request, or zero if that is unknown, and the lowest that it can be.
+func (f *Fleet) exclusion(now time.Time, u *upstream, reqs Requirements) (version, minVersion int, reason Exclusion) {
+	version, minVersion, reason = f.standingExclusion(now, u, reqs)
+	if reason == ExclusionNone && !u.demands.limit.allows(f, now) {
+		reason = ExclusionLimit
+	}
+	return version, minVersion, reason
+}
+
+// standingExclusion is exclusion without the limit of requests per second, which passes by itself.
+func (f *Fleet) standingExclusion(now time.Time, u *upstream, reqs Requirements) (version, minVersion int, reason Exclusion) {
+	reason = f.commonExclusion(now, u, reqs)
+	switch {
+	case reason != ExclusionNone:
+		return 0, 0, reason
+	case u.health.IsDown(now):
+		return 0, 0, ExclusionDown
+	case u.hasReport(now) && u.report.Closed:
+		return 0, 0, ExclusionClosed
+	}
+	version, minVersion, ok := f.versionFor(now, u, reqs)
+	if !ok {
+		return 0, 0, ExclusionVersion
+	}
+	return version, minVersion, ExclusionNone
+}
+
+// plainExclusion returns why the upstream of a plain service may not take the request. One that
+// accepts no connections may, if there is no other.
+func (f *Fleet) plainExclusion(now time.Time, u *upstream, reqs Requirements) Exclusion {
+	if reason := f.commonExclusion(now, u, reqs); reason != ExclusionNone {
+		return reason
+	}
+	if !u.demands.limit.allows(f, now) {
+		return ExclusionLimit
+	}
+	return ExclusionNone
+}
+
+// commonExclusion returns the reasons that hold for engines and plain services alike.
+func (f *Fleet) commonExclusion(now time.Time, u *upstream, reqs Requirements) Exclusion {
+	domain := hosts.Domain(u.row.Domain)
+	switch {
+	case !reqs.Homes.Allows(f.options.Regions[domain]):
+		return ExclusionHome
+	case f.evacuated[domain]:
+		return ExclusionEvacuated
+	case u.row.Draining || u.demands.leaving:
+		return ExclusionDraining
+	case u.demands.isHeld(now):
+		return ExclusionHeld
+	case slices.Contains(reqs.Exclude, u.row.ID):
+		return ExclusionTried
+	}
+	return ExclusionNone
+}
+
+// isOffered reports whether the upstream wants requests from this entry: it doesn't leave, and
+// hasn't asked for a pause.
+func (u *upstream) isOffered(now time.Time) bool {
+	return !u.row.Draining && !u.demands.leaving && !u.demands.isHeld(now)
+}
+
+// SoleExclusion returns the home or evacuation bound that alone keeps the request from all upstreams of
+// its pool that could serve it otherwise, or ExclusionNone if there is another reason.
+func (f *Fleet) SoleExclusion(now time.Time, reqs Requirements) Exclusion {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	sole := ExclusionNone
+	for _, u := range f.pools[reqs.Pool.Name] {
+		switch reason := f.commonExclusion(now, u, reqs); {
+		case reason != ExclusionHome && reason != ExclusionEvacuated:
+			return ExclusionNone
+		case sole != ExclusionEvacuated:
+			sole = reason
+		}
+	}
+	return sole
+}
--- a/entry/internal/target/grants.go
+++ b/entry/internal/target/grants.go
@@ -88,17 +88,11 @@
 
 // couldServe reports whether nothing but a limit keeps the request from the upstream.
 func (f *Fleet) couldServe(now time.Time, u *upstream, reqs Requirements) bool {
-	if !u.isOffered(now) || isExcluded(reqs, u) {
-		return false
-	}
 	if reqs.Pool.Engine == nil {
-		return true
-	}
-	if !u.acceptsRequests(now) {
-		return false
+		return f.commonExclusion(now, u, reqs) == ExclusionNone
 	}
-	_, _, ok := f.versionFor(now, u, reqs)
-	return ok
+	_, _, reason := f.standingExclusion(now, u, reqs)
+	return reason == ExclusionNone
 }
 
 // ask notes that a request waits for the owner's grant. The caller holds the mutex.
--- a/entry/internal/target/limits_test.go
+++ b/entry/internal/target/limits_test.go
@@ -206,7 +206,7 @@
 	w := newWorld(t, "e0")
 	u := plain(0, start)
 	w.publish(start, w.upstream(u))
-	f := w.fleet.ChoosePlain(start, "s", nil)
+	f := w.fleet.ChoosePlain(start, toPlain())
 	f.RecordLimit(start, 0, true)
 	f.Finish(start, target.OutcomeSuccess)
 	expect := func(what, want string) {
@@ -228,21 +228,21 @@
 func TestResponseToAnEarlierRequestChangesNoLimit(t *testing.T) {
 	w := newWorld(t, "e0")
 	w.publish(start, w.upstream(plain(0, start)))
-	earlier := w.fleet.ChoosePlain(start, "s", nil)
-	f := w.fleet.ChoosePlain(start, "s", nil)
+	earlier := w.fleet.ChoosePlain(start, toPlain())
+	f := w.fleet.ChoosePlain(start, toPlain())
 	now := start.Add(time.Second)
 	f.RecordLimit(now, 1, true)
 	if earlier.RecordLimit(now, 0, false) {
 		t.Error("a response to a request of before ends the limit")
 	}
 	now = now.Add(10 * time.Second)
-	later := w.fleet.ChoosePlain(now, "s", nil)
+	later := w.fleet.ChoosePlain(now, toPlain())
 	if !later.RecordLimit(now, 0, false) || w.plainUpstream(now) == "none" {
 		t.Error("a later response doesn't end the limit")
 	}
 	other := newWorld(t, "e1")
 	other.publish(start, other.upstream(plain(0, start)))
-	o := other.fleet.ChoosePlain(start, "s", nil)
+	o := other.fleet.ChoosePlain(start, toPlain())
 	o.RecordLimit(start, 1, true)
 	other.fleet.ReceiveLimits(now, "e0", w.fleet.Limits(now, 1))
 	if other.plainUpstream(now) == "none" {
@@ -256,7 +256,7 @@
 	told, w := newWorld(t, "e1"), newWorld(t, "e0")
 	u := plain(0, start)
 	told.publish(start, told.upstream(u))
-	told.fleet.ChoosePlain(start, "s", nil).RecordLimit(start, 0, true)
+	told.fleet.ChoosePlain(start, toPlain()).RecordLimit(start, 0, true)
 	w.fleet.ReceiveLimits(start, "e1", told.fleet.Limits(start, 1))
 	w.publish(start, w.upstream(u))
 	if got := w.plainUpstream(start); got != "none" {
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -153,6 +153,8 @@
 	// releases lists the versions of each model that this process has seen released, oldest
 	// first. Versions before the first one end no later than that one says.
 	releases map[string][]release
+	// evacuated are the failure domains whose upstreams get no new requests.
+	evacuated map[hosts.Domain]bool
 }
 
 // New returns a fleet without upstreams.
@@ -170,6 +172,7 @@
 func (f *Fleet) ApplySnapshot(now time.Time, s *state.Snapshot) []netip.AddrPort {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	f.applyEvacuations(s)
 	before := f.upstreams
 	f.upstreams, f.pools = make(map[string]*upstream, len(before)), make(map[string][]*upstream)
 	clear(f.limited)
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -263,17 +263,17 @@
 	u := state.Upstream{ID: "x", Pool: "s", Address: netip.MustParseAddrPort("10.0.1.1:80"), Domain: "d0", Started: start}
 	w.publish(start, w.upstream(u))
 	for range 3 {
-		w.fleet.ChoosePlain(start, "s", nil).Finish(start, target.OutcomeConnectFailed)
+		w.fleet.ChoosePlain(start, toPlain()).Finish(start, target.OutcomeConnectFailed)
 	}
 	other := u
 	other.ID, other.Address = "y", netip.MustParseAddrPort("10.0.1.2:80")
 	w.publish(start, w.upstream(other))
-	if f := w.fleet.ChoosePlain(start, "s", nil); f.Row.ID != "y" {
+	if f := w.fleet.ChoosePlain(start, toPlain()); f.Row.ID != "y" {
 		t.Errorf("%s was chosen though it is down", f.Row.ID)
 	}
 	u.Started = start.Add(time.Second)
 	w.publish(start, w.upstream(u))
-	if f := w.fleet.ChoosePlain(start, "s", []string{"y"}); f.Row.ID != "x" || f.Running != 0 {
+	if f := w.fleet.ChoosePlain(start, toPlain("y")); f.Row.ID != "x" || f.Running != 0 {
 		t.Error("state of the previous process was kept")
 	}
 }
@@ -288,7 +288,7 @@
 	counts := make(map[string]int)
 	for range 300 {
 		now = now.Add(20 * time.Millisecond)
-		f := w.fleet.ChoosePlain(now, "s", nil)
+		f := w.fleet.ChoosePlain(now, toPlain())
 		counts[f.Row.ID]++
 		switch f.Row.ID {
 		case "s0":
@@ -315,3 +315,9 @@
 		t.Errorf("removed: %v", removed)
 	}
 }
+
+// toPlain returns the requirements of a request to the plain service "s" that was already tried at
+// some upstreams.
+func toPlain(tried ...string) target.Requirements {
+	return target.Requirements{Pool: &state.Pool{Name: "s"}, Exclude: tried}
+}
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -172,25 +172,26 @@
 // entry to the platform.
 type Directory struct {
 	settings Settings
+	mirror   *feed.Mirror
 	mesh     *mesh.Node
 	syncer   *syncer.Syncer
 }
 
-func newDirectory(s Settings, n *mesh.Node, sy *syncer.Syncer) *Directory {
-	return &Directory{settings: s, mesh: n, syncer: sy}
+func newDirectory(s Settings, m *feed.Mirror, n *mesh.Node, sy *syncer.Syncer) *Directory {
+	return &Directory{settings: s, mirror: m, mesh: n, syncer: sy}
 }
 
 // Ready reports whether the entry serves requests.
 func (d *Directory) Ready() bool { return d.syncer.IsReady() }
 
-// Addresses returns where a client in a failure domain should connect and for how long it may
-// cache the response. The list is empty if the entry isn't ready.
-func (d *Directory) Addresses(domain hosts.Domain) ([]netip.AddrPort, time.Duration) {
+// Addresses returns where a client of a host name in a failure domain should connect and for how
+// long it may cache the response. The list is empty if the entry isn't ready.
+func (d *Directory) Addresses(host string, domain hosts.Domain) ([]netip.AddrPort, time.Duration) {
 	if !d.Ready() {
 		return nil, 0
 	}
 	at := hosts.Place{Domain: domain, Region: d.settings.Regions[domain]}
-	return naming.Choose(d.mesh.Members(), at), d.settings.AddressTTL
+	return naming.Choose(d.mesh.Members(), at, d.mirror.Snapshot().HostHomes(host)), d.settings.AddressTTL
 }
 
 // startMeshServer serves the calls of other processes.
