feed: start entries from neighbors' rows

Cause: after a loss of power all entries list the platform's store at once. With 1,663 rows of configuration a list is some 4 Mbit; two regions get theirs over a link of 31 Mbit/s, shared with the gossip by which agents look for entries. Ruled out: slow loading (0.45 s from the plan to the version) and the store itself (27 ms beside it). Change: an entry without rows takes them from the nearest ready entry, whatever its rank; before one is known it waits for a delay that spreads the first reads, and abandons a read over a link between regions once a neighbor is ready. Entries that know no other one search each 100 ms as agents do, and a search asks the seeds in turn. Measured: feed.TestEntriesThatStartTogetherShareOneRead, 36 entries in three regions, reads of 140 ms: all ready after 0.5 s, 2 whole reads (before: 3.6 s and 36, red).

--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -282,6 +282,27 @@
 	})
 }
 
+// TestEntriesThatStartTogetherShareOneRead starts all entries at once, as after a loss of power. Where each
+// reads all rows over the link of its region, the link is shared by all of them and none is ready before
+// the time of as many reads.
+func TestEntriesThatStartTogetherShareOneRead(t *testing.T) {
+	const domains, perDomain, listTime = 3, 12, 140 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorldIn(domains*perDomain, domains)
+		w.readyStaleness, w.platform.listTime = 3*time.Second, listTime
+		startedAt := time.Now()
+		defer w.start()()
+		for len(w.ready()) < len(w.entries) && time.Since(startedAt) < 10*time.Second {
+			time.Sleep(20 * time.Millisecond)
+		}
+		took := time.Since(startedAt)
+		t.Logf("all ready after %s, %d whole reads, %d begun", took, w.platform.whole, w.platform.lists)
+		if took > perDomain*listTime/2 {
+			t.Errorf("all are ready after %s, want half of the time of %d reads", took, perDomain)
+		}
+	})
+}
+
 // TestReplicaBehindForgottenDeletionsDropsTheRows has a source forget deletions that another replica
 // hasn't seen.
 func TestReplicaBehindForgottenDeletionsDropsTheRows(t *testing.T) {
--- a/core/feed/follow.go
+++ b/core/feed/follow.go
@@ -37,6 +37,11 @@
 	substituteTime = 10 * time.Second
 	// idleInterval is the time until the sources are checked again if none is usable.
 	idleInterval = 100 * time.Millisecond
+	// startInterval is the same for a process without rows.
+	startInterval = 10 * time.Millisecond
+	// startTimeout is how long a process without rows prefers neighbors to other sources. Those that
+	// are listed as ready may have restarted and have no rows either.
+	startTimeout = 1500 * time.Millisecond
 )
 
 // FollowOptions configure a follower.
@@ -99,7 +104,7 @@
 			wait = idleInterval
 		}
 		if wait > 0 {
-			clocks.Sleep(ctx, min(wait, idleInterval))
+			clocks.Sleep(ctx, min(wait, f.checkInterval()))
 			continue
 		}
 		if f.pull(ctx, name) {
@@ -108,12 +113,29 @@
 	}
 }
 
+// checkInterval is the time until the sources are checked again.
+func (f *Follower) checkInterval() time.Duration {
+	if f.options.Mirror.Head() == 0 {
+		return startInterval
+	}
+	return idleInterval
+}
+
 // sources returns the usable sources, best first. An entry that has lost contact tries the
 // platform itself first, because it can't tell which other processes have lost contact too;
 // the entries of a failure domain do so one after the other, so that an outage of the
 // platform isn't answered by all of them. An agent does so only if no entry responds.
 func (f *Follower) sources() []hosts.Name {
-	f.orderSources(f.options.Entries())
+	entries := f.options.Entries()
+	if f.isStarting() {
+		if nearest, ok := f.options.Identity.NearestFirst(entries); ok {
+			return nearest
+		}
+		if f.isEarly() {
+			return nil
+		}
+	}
+	f.orderSources(entries)
 	if f.leads {
 		return f.platformFirst
 	}
@@ -130,6 +152,17 @@
 	return f.platformLast[:len(f.platformLast)-1]
 }
 
+// isStarting reports whether this process has no rows yet and hasn't looked for them for long.
+func (f *Follower) isStarting() bool {
+	return f.options.Mirror.Head() == 0 && clocks.Since(f.startedAt) < startTimeout
+}
+
+// isEarly reports whether an entry that has just started and knows no ready one of its region leaves the
+// first read over a link between regions to others.
+func (f *Follower) isEarly() bool {
+	return f.options.Identity.Role == hosts.RoleEntry && clocks.Since(f.startedAt) < f.options.Identity.StartDelay()
+}
+
 // orderSources updates the orders of the sources if the entries have changed. While none is ready,
 // the last order holds, unless this process has no rows yet: in an outage all would lead.
 func (f *Follower) orderSources(entries []hosts.Host) {
@@ -181,7 +214,16 @@
 	}
 	pulling, cancel := context.WithTimeout(ctx, LongPollTimeout+pullGrace)
 	defer cancel()
-	u, err := source.Pull(pulling, after, LongPollTimeout)
+	stop := f.abandonForNeighbor(cancel)
+	wait := LongPollTimeout
+	if f.isStarting() {
+		// A source without rows must respond at once.
+		wait = 0
+	}
+	u, err := source.Pull(pulling, after, wait)
+	if stop() {
+		return false
+	}
 	if err != nil {
 		f.recordFailure(ctx, name, err)
 		return false
--- a/core/feed/sources.go
+++ b/core/feed/sources.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -23,6 +24,9 @@
 	// backupDelay is the time between the entries of a failure domain, in the order of their
 	// ranks, to read the platform in place of the leader.
 	backupDelay = time.Second
+	// startSpread bounds StartDelay. It is some reads of all rows over a link between regions long,
+	// and short against the time that clients wait for an entry.
+	startSpread = 600 * time.Millisecond
 	// maxBackups is the number of entries behind the leader of each failure domain from which
 	// other entries may pull.
 	maxBackups = 1
@@ -55,6 +59,34 @@
 	return append(id.peers(entries, ranks), PlatformSource)
 }
 
+// NearestFirst returns the sources of an entry without rows, best first, and false if no ready entry
+// of its region has any: the ready entries by distance, whatever their rank, then the platform. All rows
+// of a large fleet are too long to be sent to each entry over a link between regions.
+func (id Identity) NearestFirst(entries []hosts.Host) ([]hosts.Name, bool) {
+	others := slices.DeleteFunc(slices.Clone(entries), func(h hosts.Host) bool { return h.Name == id.Self })
+	if id.Role != hosts.RoleEntry || !slices.ContainsFunc(others, func(h hosts.Host) bool { return id.distance(h.Place) < otherRegion }) {
+		return nil, false
+	}
+	slices.SortFunc(others, func(a, b hosts.Host) int {
+		return cmp.Or(cmp.Compare(id.distance(a.Place), id.distance(b.Place)), cmp.Compare(hosts.Score("feed "+string(id.Self), b.Name), hosts.Score("feed "+string(id.Self), a.Name)))
+	})
+	var names []hosts.Name
+	for _, h := range others {
+		names = append(names, h.Name)
+	}
+	return append(names, PlatformSource), true
+}
+
+// StartDelay returns how long an entry without rows that knows no ready entry of its region waits before
+// it reads the platform. Where all entries of a region start together, the first ones read it and the
+// others pull from these. The root makes the first delays lie further apart than the later ones, since
+// reads at the same time slow each other down.
+func (id Identity) StartDelay() time.Duration {
+	const scale = 1 << 20
+	share := float64(hosts.Score("start", id.Self)%scale) / scale
+	return time.Duration(math.Sqrt(share) * float64(startSpread))
+}
+
 // FallbackDelay returns how much longer than the first one an entry waits until it reads the
 // platform in place of the leader of its failure domain. The members are the live entries, ready
 // or not: in an outage none is ready in the end, and their order must stay.
@@ -98,6 +130,9 @@
 	return names
 }
 
+// otherRegion is the distance of places in other regions.
+const otherRegion = 2
+
 func (id Identity) distance(p hosts.Place) int {
 	switch {
 	case p.Domain == id.Place.Domain:
@@ -105,7 +140,7 @@
 	case p.Region == id.Place.Region:
 		return 1
 	}
-	return 2
+	return otherRegion
 }
 
 // ranksOf returns the rank of each entry in its failure domain. The leader has rank zero.
--- a/core/feed/world_test.go
+++ b/core/feed/world_test.go
@@ -28,6 +28,42 @@
 	// lists counts the pulls of all rows, readers the processes that made one.
 	lists   int
 	readers map[hosts.Name]int
+	// listTime is how long a pull of all rows takes alone over the link of a region. Pulls at the
+	// same time share the link. listing counts them by domain, whole those that ended.
+	listTime time.Duration
+	listing  map[hosts.Domain]int
+	whole    int
+}
+
+// list waits until all rows are transferred to a domain.
+func (p *platform) list(ctx context.Context, to hosts.Domain) error {
+	const step = 5 * time.Millisecond
+	p.mutex.Lock()
+	if p.listing == nil {
+		p.listing = make(map[hosts.Domain]int)
+	}
+	p.listing[to]++
+	left := p.listTime
+	p.mutex.Unlock()
+	defer func() {
+		p.mutex.Lock()
+		defer p.mutex.Unlock()
+		p.listing[to]--
+	}()
+	for left > 0 {
+		select {
+		case <-time.After(step):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		p.mutex.Lock()
+		left -= step / time.Duration(p.listing[to])
+		p.mutex.Unlock()
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.whole++
+	return nil
 }
 
 // restore begins an era with an earlier version.
@@ -75,8 +111,9 @@
 
 // platformSource is the platform as seen by one process.
 type platformSource struct {
-	world *world
-	self  hosts.Name
+	world  *world
+	self   hosts.Name
+	domain hosts.Domain
 }
 
 func (s *platformSource) Pull(ctx context.Context, after state.Revision, wait time.Duration) (feed.Update, error) {
@@ -90,6 +127,11 @@
 	}
 	changed, u := p.changed, p.update(after)
 	p.mutex.Unlock()
+	if after == 0 && p.listTime > 0 {
+		if err := p.list(ctx, s.domain); err != nil {
+			return feed.Update{}, err
+		}
+	}
 	if err := s.world.reach(ctx, s.self, feed.PlatformSource); err != nil {
 		return feed.Update{}, err
 	}
@@ -245,7 +287,7 @@
 			Entries: w.ready, Members: func() []hosts.Host { return w.entries }, FallbackTimeout: fallback, Scope: tally.NoopScope, Log: zap.NewNop(),
 			Source: func(name hosts.Name) (feed.Source, bool) {
 				if name == feed.PlatformSource {
-					return &platformSource{world: w, self: h.Name}, true
+					return &platformSource{world: w, self: h.Name, domain: h.Place.Domain}, true
 				}
 				return &peerSource{world: w, from: h.Name, to: name}, true
 			},
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -31,8 +31,9 @@
 const (
 	// GossipInterval is the time between two rounds of gossip.
 	GossipInterval = 300 * time.Millisecond
-	// SearchInterval is the time between two rounds of an observer that knows no ready entry. All
-	// of a fleet search at once when it starts, so it is no shorter.
+	// SearchInterval is the time between two rounds of an observer that knows no ready entry, and
+	// of an entry that knows no other one. All of a fleet search at once when it starts, so it is
+	// no shorter.
 	SearchInterval = 100 * time.Millisecond
 	// maxSearches is the number of such rounds. In a longer outage the queries of many observers
 	// would burden the entries.
@@ -116,8 +117,11 @@
 	rounds  int
 	// observerDelay is added to regionSilenceTimeout at an observer.
 	observerDelay time.Duration
-	// searches counts the rounds of an observer since it last knew a ready entry.
+	// searches counts the rounds of an observer since it last knew a ready entry, or those of an
+	// entry in which it knew no other one.
 	searches int
+	// firstSeed is the index of the seed with which a search begins.
+	firstSeed int
 	// lastQueried is the entry that an observer queried last.
 	lastQueried hosts.Name
 }
@@ -136,7 +140,12 @@
 
 // SetSeeds replaces the addresses that are contacted regularly, and always while no entry is
 // known.
-func (t *Table) SetSeeds(seeds []netip.AddrPort) { t.seeds = slices.Clone(seeds) }
+func (t *Table) SetSeeds(seeds []netip.AddrPort) {
+	t.seeds = slices.Clone(seeds)
+	if len(seeds) > 0 {
+		t.firstSeed = t.random.IntN(len(seeds))
+	}
+}
 
 // Self returns the local record.
 func (t *Table) Self() Member { return t.self }
@@ -198,6 +207,9 @@
 // An observer sends a query to one entry every few rounds.
 func (t *Table) NextMessages(now time.Time) []Message {
 	t.self.Heartbeat++
+	if t.isEntry && t.IsSearching(now) {
+		return t.searchMessages()
+	}
 	t.rounds++
 	t.dropExpired(now)
 	if !t.isEntry {
@@ -227,6 +239,16 @@
 	return append(all, t.heartbeats(sent)...)
 }
 
+// searchMessages returns the message of an entry that knows no other one. Search rounds aren't counted
+// among those for which the number of entries is assumed.
+func (t *Table) searchMessages() []Message {
+	t.searches++
+	if s, ok := t.nextSeed(); ok {
+		return []Message{{To: s, IncludeOthers: true}}
+	}
+	return nil
+}
+
 // Announcements returns the messages to send at once after the local state has changed.
 func (t *Table) Announcements() []Message { return t.heartbeats(nil) }
 
@@ -262,16 +284,25 @@
 			break
 		}
 	}
-	if s, ok := t.pickSeed(); ok && (len(all) == 0 || t.rounds%seedRounds == 0) {
-		all = append(all, Message{To: s})
+	if s, ok := t.pickSeed(); ok && len(all) > 0 && t.rounds%seedRounds == 0 {
+		return append(all, Message{To: s})
+	}
+	if s, ok := t.nextSeed(); ok && len(all) == 0 {
+		return []Message{{To: s}}
 	}
 	return all
 }
 
-// IsSearching reports whether an observer knows no ready entry, and hasn't for long. Its rounds then
-// follow each other at SearchInterval.
+// IsSearching reports whether an observer knows no ready entry, or an entry no other one, and hasn't
+// for long. Its rounds then follow each other at SearchInterval.
 func (t *Table) IsSearching(now time.Time) bool {
-	return !t.isEntry && t.searches < maxSearches && !t.knowsReady(now)
+	switch {
+	case t.searches >= maxSearches:
+		return false
+	case t.isEntry:
+		return len(t.others) == 0
+	}
+	return !t.knowsReady(now)
 }
 
 func (t *Table) knowsReady(now time.Time) bool {
@@ -329,6 +360,16 @@
 	return s, s != t.self.Address
 }
 
+// nextSeed returns the seeds one after the other, so that a search that can reach one of them in time
+// isn't lost to chance, and false where the process itself comes.
+func (t *Table) nextSeed() (netip.AddrPort, bool) {
+	if len(t.seeds) == 0 {
+		return netip.AddrPort{}, false
+	}
+	s := t.seeds[(t.firstSeed+t.searches)%len(t.seeds)]
+	return s, s != t.self.Address
+}
+
 // isSilent reports whether the entry must no longer be used.
 func (t *Table) isSilent(now time.Time, r record) bool {
 	limit := remoteSilenceTimeout + time.Duration(len(t.others))*silenceTimeoutPerEntry
