proxy: send clients of a starting entry back when engines may be up

Cause: most clients retry once. Ruled out: holding the requests in the entry; a client is told at once.

--- a/entry/internal/proxy/admit.go
+++ b/entry/internal/proxy/admit.go
@@ -28,8 +28,10 @@
 }
 
 const (
-	// startingRetryAfter is when to retry at a process that has no configuration yet.
-	startingRetryAfter = 500 * time.Millisecond
+	// startingRetryAfter is when to retry at a process that has no configuration yet, as far as the
+	// client's timeout allows. After a loss of power engines take longer to load their weights than
+	// entries to start, and most clients retry only once.
+	startingRetryAfter = 1500 * time.Millisecond
 	// staleRetryAfter is when to retry at a process whose replica is too stale.
 	staleRetryAfter = 700 * time.Millisecond
 )
--- a/entry/internal/proxy/bounds_test.go
+++ b/entry/internal/proxy/bounds_test.go
@@ -7,8 +7,11 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"currantport.example/core/budget"
 	"currantport.example/core/calls"
+	"currantport.example/core/feed"
 	"currantport.example/core/state"
 	"currantport.example/entry/internal/proxy"
 )
@@ -24,6 +27,28 @@
 	}
 }
 
+// TestStartingEntrySendsClientsBackLate checks when an entry without rows asks clients to return: most
+// return only once, and after a loss of power engines need longer than entries. No client can wait for
+// more than a third of its timeout.
+func TestStartingEntrySendsClientsBackLate(t *testing.T) {
+	for timeout, want := range map[string][2]time.Duration{
+		"6000": {1500 * time.Millisecond, 2 * time.Second}, "1500": {400 * time.Millisecond, 500 * time.Millisecond},
+	} {
+		play(t, 0, nil, func(w *world) {
+			w.mirror = feed.NewMirror()
+			w.handler = proxy.New(proxy.Options{
+				Mirror: w.mirror, Fleet: w.fleet, Conns: w.conns, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
+				Random: func() float64 { return 0.5 }, Scope: w.scope, Log: zap.NewNop(),
+			})
+			a := w.request(context.Background(), "/any/x", "Timeout", timeout)
+			wait, err := time.ParseDuration(a.Header().Get("Wait"))
+			if err != nil || wait < want[0] || wait > want[1] || a.Header().Get("Outcome") != string(calls.OutcomeNotRun) {
+				t.Errorf("timeout %s: return after %s, %v", timeout, wait, a.Header())
+			}
+		})
+	}
+}
+
 // TestRetriesStayWithinBudget sends requests to upstreams that all fail.
 func TestRetriesStayWithinBudget(t *testing.T) {
 	limits := budget.Limits{Ratio: 0.1, Slack: 5, Window: 10 * time.Second}
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -95,6 +95,9 @@
 		return
 	}
 	if l.admission, refusal = h.options.Bounds.Admit(l.view, &l.call); refusal != nil {
+		if refusal.Reason == calls.ReasonStarting {
+			refusal.RetryAfter = l.retryAfter(refusal.RetryAfter)
+		}
 		l.refuse(refusal)
 		return
 	}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -226,7 +226,7 @@
 	}
 	hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), l.pool.Name)
 	if hold == 0 {
-		return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, "no upstream serves the request")
+		return calls.NotRun(calls.ReasonNoUpstream, l.retryAfter(noUpstreamRetryAfter), "no upstream serves the request")
 	}
 	spread := time.Duration(l.handler.options.Random() * float64(holdSpread))
 	return calls.NotRun(calls.ReasonHeld, hold+spread, "the upstreams want no requests for a while")
