--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -40,7 +40,7 @@
 	// holdSpread is the time over which clients return that were refused because of holds.
 	holdSpread = time.Second
 	// noUpstreamRetryAfter is when to retry if no upstream is available.
-	noUpstreamRetryAfter = time.Second
+	noUpstreamRetryAfter = 1600 * time.Millisecond
 )
 
 // lifecycle is the state of one request.
