--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -40,7 +40,7 @@
 	// holdSpread is the time over which clients return that were refused because of holds.
 	holdSpread = time.Second
 	// noUpstreamRetryAfter is when to retry if no upstream is available.
-	noUpstreamRetryAfter = time.Second
+	noUpstreamRetryAfter = 1600 * time.Millisecond
 )
 
 // lifecycle is the state of one request.
@@ -226,7 +226,7 @@
 	}
 	hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), l.pool.Name)
 	if hold == 0 {
-		return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, "no upstream serves the request")
+		return calls.NotRun(calls.ReasonNoUpstream, l.retryAfter(noUpstreamRetryAfter), "no upstream serves the request")
 	}
 	spread := time.Duration(l.handler.options.Random() * float64(holdSpread))
 	return calls.NotRun(calls.ReasonHeld, hold+spread, "the upstreams want no requests for a while")
