target: limit requests to cold upstreams

An upstream that has just started crashes when all entries together send it more than the pool's cold rate allows. Rows, responses and starts now tell of cold times, and the owner of the upstream's limit spends the stricter of the limit that it names and of the cold rate. Asks and announced limits carry the time left.

Two owners at a time are kept apart by a delay after a change of the entries and by parts of the rate in a cut.

state.Upstream gets HasCold, so that a row that states zero can be told from one that says nothing.

--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -120,7 +120,7 @@
 	Slots    int            `json:"slots,omitempty"`
 	Started  int64          `json:"started,omitempty"`
 	Held     []heldDocument `json:"held,omitempty"`
-	Cold     int64          `json:"cold,omitempty"`
+	Cold     *int64         `json:"cold,omitempty"`
 }
 
 type heldDocument struct {
@@ -340,7 +340,10 @@
 	if err != nil {
 		return nil, errAddress
 	}
-	u := &Upstream{ID: d.ID, Pool: d.Pool, Address: address, Domain: d.Domain, Draining: d.Draining, Slots: d.Slots, ColdFor: micros(max(d.Cold, 0))}
+	u := &Upstream{ID: d.ID, Pool: d.Pool, Address: address, Domain: d.Domain, Draining: d.Draining, Slots: d.Slots}
+	if d.Cold != nil {
+		u.ColdFor, u.HasCold = micros(max(*d.Cold, 0)), true
+	}
 	if d.Started > 0 {
 		u.Started = time.UnixMicro(d.Started)
 	}
@@ -354,7 +357,10 @@
 func EncodeUpstream(u *Upstream) (Row, error) {
 	d := upstreamDocument{
 		ID: u.ID, Pool: u.Pool, Address: u.Address.String(), Domain: u.Domain, Draining: u.Draining, Slots: u.Slots,
-		Cold: u.ColdFor.Microseconds(),
+	}
+	if u.HasCold || u.ColdFor > 0 {
+		left := u.ColdFor.Microseconds()
+		d.Cold = &left
 	}
 	if !u.Started.IsZero() {
 		d.Started = u.Started.UnixMicro()
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -239,8 +239,10 @@
 	Started time.Time
 	// Held are the model versions that an engine holds.
 	Held []HeldVersion
-	// ColdFor is how much longer the upstream was cold when it last wrote its row.
+	// ColdFor is how much longer the upstream was cold when it last wrote its row. HasCold is set
+	// if the row states that time, also if it is zero.
 	ColdFor time.Duration
+	HasCold bool
 }
 
 // Evacuation asks that no new requests be sent to the upstreams of a failure domain. It holds
--- a/entry/internal/proxy/demands.go
+++ b/entry/internal/proxy/demands.go
@@ -27,12 +27,15 @@
 	l.recordLimit(f, reply)
 }
 
-// recordLimit records what a response says about the limit of its upstream. A response that the
+// recordLimit records what a response says about the limit of its upstream and its cold time. A response that the
 // request belongs elsewhere may come from another upstream.
 func (l *lifecycle) recordLimit(f *target.InFlight, reply calls.Reply) {
 	if reply.Kind == calls.ReplyMoved {
 		return
 	}
+	if reply.HasCold && f.RecordCold(clocks.Now(), reply.ColdFor) {
+		l.handler.metrics.countDemand("cold", f.Row.ID)
+	}
 	if reply.LimitInvalid != "" {
 		value := reply.LimitInvalid[:min(len(reply.LimitInvalid), maxLoggedValue)]
 		if f.RecordInvalidLimit(value) {
--- a/entry/internal/syncer/limits.go
+++ b/entry/internal/syncer/limits.go
@@ -70,7 +70,7 @@
 }
 
 func encodeLimit(l target.UpstreamLimit) *wire.Limit {
-	return &wire.Limit{Upstream: l.ID, Started: startMicros(l.Started), Rate: l.Limit.Rate, Serial: l.Limit.Serial}
+	return &wire.Limit{Upstream: l.ID, Started: startMicros(l.Started), Rate: l.Limit.Rate, Serial: l.Limit.Serial, Cold: coldMillis(l.Cold)}
 }
 
 // DecodeLimits returns the limits of a wire form.
@@ -85,9 +85,16 @@
 func decodeLimit(l *wire.Limit) target.UpstreamLimit {
 	return target.UpstreamLimit{
 		ID: l.GetUpstream(), Started: startTime(l.GetStarted()), Limit: quota.Limit{Rate: l.GetRate(), Serial: l.GetSerial()},
+		Cold: time.Duration(l.GetCold()) * time.Millisecond,
 	}
 }
 
+// coldMillis rounds a cold time up, so that none is shorter at its receiver.
+func coldMillis(d time.Duration) uint32 {
+	const most = 24 * time.Hour
+	return uint32((min(max(d, 0), most) + time.Millisecond - 1) / time.Millisecond)
+}
+
 // AskMessages returns the messages to one owner.
 func AskMessages(self hosts.Name, asks []target.Ask) []*wire.Datagram {
 	var all []*wire.Datagram
--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -1,6 +1,10 @@
 package target
 
-import "currantport.example/core/timing"
+import (
+	"time"
+
+	"currantport.example/core/timing"
+)
 
 const (
 	// lateReserveDivisor is the part of an engine's slots, as a divisor, that is reserved
@@ -43,9 +47,9 @@
 )
 
 // reserve returns the number of slots that this entry leaves free at an engine.
-func (f *Fleet) reserve(u *upstream, slots int) int {
+func (f *Fleet) reserve(now time.Time, u *upstream, slots int) int {
 	switch {
-	case u.assigned, u.ownsLimit():
+	case u.assigned, u.ownsLimit(now):
 		return 0
 	case f.isRemote(u):
 		return slots / remoteReserveDivisor
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -88,7 +88,7 @@
 	all := f.candidates(now, reqs)
 	var best *candidate
 	for i := range all {
-		if c := &all[i]; admits(reqs, c.load, f.reserve(c.upstream, reqs.Pool.Engine.Slots)) && (best == nil || c.cost < best.cost) {
+		if c := &all[i]; admits(reqs, c.load, f.reserve(now, c.upstream, reqs.Pool.Engine.Slots)) && (best == nil || c.cost < best.cost) {
 			best = c
 		}
 	}
--- /dev/null
+++ b/entry/internal/target/cold.go
@@ -0,0 +1,344 @@
+package target
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/hosts"
+	"currantport.example/core/quota"
+	"currantport.example/core/state"
+)
+
+const (
+	// maxCold bounds a cold time, so that a wrong value doesn't limit an upstream for good.
+	maxCold = time.Hour
+	// maxClockSkew is the difference between the clocks of hosts that the platform allows.
+	maxClockSkew = 5 * time.Second
+	// coldTail is how long the rate holds after the cold time. It is the span of the bound, so that
+	// each window with a cold moment is kept.
+	coldTail = time.Second
+	// Then the rate doubles each coldDoublingTime for coldRampTime, which raises it 256 times.
+	// Entries that all see an idle upstream would otherwise send at once.
+	coldDoublingTime = 250 * time.Millisecond
+	coldRampTime     = 2 * time.Second
+	// coldHop is what is taken off a cold time that was heard before it is passed on. Above the age
+	// of a message, it keeps entries from lengthening the time by telling each other. Below
+	// coldTail, it leaves the bound as it is.
+	coldHop = 300 * time.Millisecond
+	// coldJitter is the difference between two ends of a cold time that isn't news.
+	coldJitter = 200 * time.Millisecond
+	// takeoverDelay is how long after a change of the entries a new owner sends nothing to a cold
+	// upstream. It covers the span of the bound, grantTTL, and the time between the changes of the
+	// view at the former owner and at this entry.
+	takeoverDelay = 2 * time.Second
+	// goneTTL is how long an entry that is no longer live counts as known, as for its record.
+	goneTTL = time.Minute
+	// unlistedAskDelay is when to ask an owner again that doesn't list the upstream yet.
+	unlistedAskDelay = 100 * time.Millisecond
+)
+
+// The sources of cold times.
+const (
+	coldByRow      = "row"
+	coldByStart    = "start"
+	coldByResponse = "response"
+)
+
+// coldState is what an entry knows of the cold time of one process of an upstream. The zero value is
+// that of one that isn't known to be cold.
+type coldState struct {
+	// rate is the number of requests a second that a cold upstream of the pool takes, or zero if
+	// its upstreams are never cold.
+	rate float64
+	// own is the end of the cold time as the row, a response or the start of the process tells,
+	// heard the same as other entries tell.
+	own   time.Time
+	heard time.Time
+	// source is that of own.
+	source string
+	// changedAt is when either end was last changed by more than coldJitter.
+	changedAt time.Time
+	// spendFrom is the time from which this entry spends as the owner, share the part of the rate
+	// that it spends.
+	spendFrom time.Time
+	share     float64
+	// kept is the number of requests that had to wait for this upstream.
+	kept int
+	// isReported is set between the log lines for the begin and the end.
+	isReported bool
+}
+
+// until returns the end of the cold time.
+func (c *coldState) until() time.Time {
+	if c.heard.After(c.own) {
+		return c.heard
+	}
+	return c.own
+}
+
+// remaining returns the cold time to tell other entries.
+func (c *coldState) remaining(now time.Time) time.Duration {
+	return max(c.own.Sub(now), c.heard.Sub(now)-coldHop, 0)
+}
+
+// isToldByUpstream reports whether a response to this entry says that the upstream is cold.
+func (c *coldState) isToldByUpstream(now time.Time) bool {
+	return c.source == coldByResponse && now.Before(c.own)
+}
+
+// currentRate returns the rate because of the cold time, or zero if there is none.
+func (c *coldState) currentRate(now time.Time) float64 {
+	if c.rate == 0 || c.own.IsZero() && c.heard.IsZero() {
+		return 0
+	}
+	switch warm := now.Sub(c.until()) - coldTail; {
+	case warm <= 0:
+		return c.rate
+	case warm < coldRampTime:
+		return c.rate * math.Exp2(float64(warm)/float64(coldDoublingTime))
+	}
+	return 0
+}
+
+// isSet reports whether requests to the upstream are limited now.
+func (s *limitState) isSet(now time.Time) bool {
+	return s != nil && (s.limit.IsSet() || s.cold.currentRate(now) > 0)
+}
+
+// effectiveRate returns the stricter of the rate that the upstream has named and of its cold rate.
+func (s *limitState) effectiveRate(now time.Time) float64 {
+	cold := s.cold.currentRate(now)
+	if cold == 0 || s.limit.IsSet() && s.limit.Rate < cold {
+		return s.limit.Rate
+	}
+	return cold
+}
+
+// startDelay returns how long this entry may not spend yet as the owner.
+func (s *limitState) startDelay(now time.Time) time.Duration {
+	if s.cold.currentRate(now) == 0 {
+		return 0
+	}
+	return max(s.cold.spendFrom.Sub(now), 0)
+}
+
+// limitOf returns the state of the upstream's limit and creates it if necessary. The caller holds
+// the mutex.
+func (f *Fleet) limitOf(u *upstream) *limitState {
+	if u.demands.limit == nil {
+		u.demands.limit = &limitState{cold: coldState{rate: u.coldRate}}
+		if f.upstreams[u.row.ID] == u {
+			f.limited[u.row.ID] = u
+		}
+	}
+	return u.demands.limit
+}
+
+// setCold sets one of the ends of a cold time. The caller holds the mutex.
+func (f *Fleet) setCold(now time.Time, u *upstream, end *time.Time, until time.Time, source string) {
+	s := u.demands.limit
+	wasSet, before := s.cold.currentRate(now) > 0, s.cold.until()
+	*end = until
+	if change := s.cold.until().Sub(before).Abs(); change < coldJitter {
+		return
+	}
+	s.cold.changedAt = now
+	f.options.Metrics.Tagged(map[string]string{"source": coldSourceTag(source)}).Counter("upstream_cold").Inc(1)
+	f.options.Log.Info("upstream-cold", zap.String("upstream", u.row.ID), zap.Time("started", u.row.Started), zap.String("told", source),
+		zap.Duration("left", max(s.cold.until().Sub(now), 0)), zap.Time("until", s.cold.until()), zap.Float64("rate", s.cold.rate), zap.Int("running", u.running))
+	if wasSet || s.cold.currentRate(now) == 0 {
+		return
+	}
+	s.cold.isReported = true
+	if !s.limit.IsSet() {
+		s.isOwner = false
+	}
+	s.allotter.Reset(now)
+	s.grants, s.deniedUntil, s.wanted = nil, time.Time{}, 0
+	f.assignLimit(now, u)
+}
+
+// coldSourceTag returns the source for a metric. Names of entries would make too many series.
+func coldSourceTag(source string) string {
+	switch source {
+	case coldByRow, coldByStart, coldByResponse:
+		return source
+	}
+	return "entry"
+}
+
+// setOwnCold records what the row, a response or the start of the process tells.
+func (f *Fleet) setOwnCold(now time.Time, u *upstream, left time.Duration, source string) {
+	if u.coldRate == 0 {
+		return
+	}
+	s := f.limitOf(u)
+	s.cold.source = source
+	f.setCold(now, u, &s.cold.own, now.Add(min(left, maxCold)), source)
+}
+
+// hearCold records what another entry tells. It only lengthens the time.
+func (f *Fleet) hearCold(now time.Time, u *upstream, left time.Duration, from string) {
+	if u.coldRate == 0 || left <= 0 {
+		return
+	}
+	s, until := f.limitOf(u), now.Add(min(left, maxCold))
+	if until.Sub(s.cold.until()) >= coldJitter {
+		f.setCold(now, u, &s.cold.heard, until, from)
+	}
+}
+
+// RecordCold records the cold time that a response states, which may be zero. It reports whether
+// that is news.
+func (r *InFlight) RecordCold(now time.Time, left time.Duration) bool {
+	f, u := r.fleet, r.upstream
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if u.coldRate == 0 || left <= 0 && u.demands.limit == nil {
+		return false
+	}
+	s := f.limitOf(u)
+	before := s.cold.changedAt
+	switch until := now.Add(min(left, maxCold)); {
+	case r.startedAt.After(before):
+		// The upstream's own word supersedes what was known when the request was sent.
+		if !s.cold.until().After(now) && left <= 0 {
+			return false
+		}
+		if s.cold.heard.After(until) {
+			s.cold.heard = until
+		}
+		f.setOwnCold(now, u, left, coldByResponse)
+	case until.After(s.cold.until()):
+		f.setOwnCold(now, u, left, coldByResponse)
+	}
+	return s.cold.changedAt != before
+}
+
+// applyColdRow records what a row tells of the cold time. Known is the state that the id had before and
+// last its row then, or nil. A row states the time that was left when it was written, so that it counts
+// only when it is new.
+func (f *Fleet) applyColdRow(now time.Time, u *upstream, p *state.Pool, known *upstream, last *state.Upstream) {
+	u.coldRate = 0
+	if p.ColdRate > 0 {
+		u.coldRate = quota.Clamp(p.ColdRate)
+	}
+	if s := u.demands.limit; s != nil {
+		s.cold.rate = u.coldRate
+	}
+	row := u.row
+	isNew := last == nil || !last.Started.Equal(row.Started) || row.Started.IsZero() && last.Address != row.Address
+	if !isNew && known != u && known.demands.limit != nil {
+		// The process is listed under another address.
+		f.applyColdTime(now, u, known.demands.limit.cold.until().Sub(now), coldByRow)
+	}
+	switch {
+	case u.coldRate == 0 || !isNew && hasSameValue(last, row):
+	case row.ColdFor > 0:
+		f.applyColdTime(now, u, row.ColdFor, coldByRow)
+	case row.HasCold && (hasStartedBefore(now, row, p) || !isNew && last.ColdFor > 0):
+		f.applyColdTime(now, u, 0, coldByRow)
+	case isNew && f.hasSnapshot:
+		f.applyColdTime(now, u, p.Cold, coldByStart)
+	}
+}
+
+// applyColdTime sets the cold time of a row. What a response has told may be newer than the row, which
+// only lengthens it then.
+func (f *Fleet) applyColdTime(now time.Time, u *upstream, left time.Duration, source string) {
+	known := time.Time{}
+	if s := u.demands.limit; s != nil {
+		known = s.cold.own
+		if s.cold.source == coldByResponse && !now.Add(left).After(known) {
+			return
+		}
+	}
+	if left > 0 || known.After(now) {
+		f.setOwnCold(now, u, left, source)
+	}
+}
+
+// hasStartedBefore reports whether the process started so long ago that it isn't cold because of its
+// start. The times are those of two hosts.
+func hasStartedBefore(now time.Time, row *state.Upstream, p *state.Pool) bool {
+	return !row.Started.IsZero() && now.Sub(row.Started) > p.Cold+maxClockSkew
+}
+
+// hasSameValue reports whether two rows of an upstream state the same.
+func hasSameValue(a, b *state.Upstream) bool {
+	if a == b {
+		return true
+	}
+	return a.SameProcess(b) && a.Pool == b.Pool && a.Domain == b.Domain && a.Draining == b.Draining && a.Slots == b.Slots &&
+		a.ColdFor == b.ColdFor && a.HasCold == b.HasCold && slices.Equal(a.Held, b.Held)
+}
+
+// countKept counts a request that no upstream could take but those that are kept back because they are
+// cold, once for each of these.
+func (f *Fleet) countKept(now time.Time, u *upstream, g *GrantRequest) {
+	if s := u.demands.limit; !g.isCounted && s.cold.currentRate(now) > 0 {
+		s.cold.kept++
+		f.options.Metrics.Counter("cold_kept").Inc(1)
+	}
+}
+
+// reportWarm logs the upstreams whose cold time has ended since the last call. The caller holds the
+// mutex.
+func (f *Fleet) reportWarm(now time.Time) {
+	for _, u := range f.limited {
+		if c := &u.demands.limit.cold; c.isReported && c.currentRate(now) == 0 {
+			f.options.Log.Info("upstream-warm", zap.String("upstream", u.row.ID), zap.Time("started", u.row.Started), zap.Time("until", c.until()), zap.Int("kept", c.kept))
+			c.isReported, c.kept = false, 0
+		}
+	}
+}
+
+// knownEntry is an entry that is or was live. GoneAt is zero while it is.
+type knownEntry struct {
+	region hosts.Region
+	goneAt time.Time
+}
+
+// updateShares recomputes the parts of cold rates that this entry would spend as an owner. The caller
+// holds the mutex.
+func (f *Fleet) updateShares(now time.Time) {
+	live := f.options.Entries()
+	isLive := make(map[hosts.Name]bool, len(live))
+	for _, h := range live {
+		isLive[h.Name] = true
+		f.seen[h.Name] = knownEntry{region: h.Place.Region}
+	}
+	liveIn, knownIn := make(map[hosts.Region]int), make(map[hosts.Region]int)
+	for name, e := range f.seen {
+		switch {
+		case isLive[name]:
+			liveIn[e.region]++
+		case e.goneAt.IsZero():
+			e.goneAt = now
+			f.seen[name] = e
+		case now.Sub(e.goneAt) > goneTTL:
+			delete(f.seen, name)
+			continue
+		}
+		knownIn[e.region]++
+	}
+	f.liveShare, f.regionShares = 1, make(map[hosts.Region]float64)
+	if known := max(len(f.seen), f.knownEntries); known > 0 {
+		f.liveShare = float64(max(len(live), 1)) / float64(known)
+	}
+	for r, n := range liveIn {
+		f.regionShares[r] = float64(n) / float64(knownIn[r])
+	}
+}
+
+// coldShare returns the part of the rate of cold upstreams of a region that this entry spends as the
+// owner. An entry that is cut off may still take itself for the owner beside another one.
+func (f *Fleet) coldShare(region hosts.Region) float64 {
+	if r, ok := f.regionShares[region]; ok {
+		return min(r, f.liveShare)
+	}
+	return f.liveShare
+}
--- a/entry/internal/target/grants.go
+++ b/entry/internal/target/grants.go
@@ -28,6 +28,8 @@
 	// upstream is the one whose owner was asked last, askedAt the time of that.
 	upstream *upstream
 	askedAt  time.Time
+	// isCounted is set once the request counts as kept back.
+	isCounted bool
 }
 
 // isPending reports whether the owner hasn't responded yet.
@@ -48,9 +50,10 @@
 	var unasked *upstream
 	for _, u := range f.pools[reqs.Pool.Name] {
 		s := u.demands.limit
-		if s == nil || !s.limit.IsSet() || !f.couldServe(now, u, reqs) {
+		if !s.isSet(now) || !f.couldServe(now, u, reqs) {
 			continue
 		}
+		f.countKept(now, u, g)
 		delay, isAsked := f.limitDelay(now, u, g)
 		if !found || delay < soonest {
 			soonest, found = delay, true
@@ -59,6 +62,7 @@
 			unasked = u
 		}
 	}
+	g.isCounted = true
 	if unasked != nil && (!g.isPending() || now.Sub(g.askedAt) >= askTimeout) {
 		g.upstream, g.askedAt = unasked, now
 		f.ask(unasked)
@@ -72,7 +76,7 @@
 	s := u.demands.limit
 	switch {
 	case s.isOwner:
-		return s.allotter.Wait(now, s.rate(f), f.options.Self), true
+		return max(s.startDelay(now), s.allotter.Wait(now, s.rate(f, now), f.options.Self)), true
 	case s.allows(f, now):
 		return 0, true
 	case now.Before(s.deniedUntil):
@@ -125,8 +129,8 @@
 	all := make(map[hosts.Name][]Ask)
 	for _, u := range f.limited {
 		s := u.demands.limit
-		if s.wanted > 0 && s.limit.IsSet() && !s.isOwner {
-			all[s.owner] = append(all[s.owner], Ask{Limit: u.currentLimit(), Count: min(s.wanted, maxAskCount), Stamp: now.Sub(f.asksSince)})
+		if s.wanted > 0 && s.isSet(now) && !s.isOwner {
+			all[s.owner] = append(all[s.owner], Ask{Limit: u.currentLimit(now), Count: min(s.wanted, maxAskCount), Stamp: now.Sub(f.asksSince)})
 		}
 		s.wanted = 0
 	}
@@ -144,33 +148,52 @@
 	Stamp time.Duration
 }
 
-// ReceiveAsks returns the grants for another entry. Upstreams that this entry doesn't list get none.
+// ReceiveAsks returns the grants for another entry. Upstreams that this entry doesn't list get none; for
+// one that is cold the response says when to ask again.
 func (f *Fleet) ReceiveAsks(now time.Time, from hosts.Name, asks []Ask) []Grant {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var all []Grant
 	for _, a := range asks {
 		u := f.mergeLimit(now, from, a.Limit)
-		if u == nil || u.demands.limit == nil {
-			continue
-		}
-		s := u.demands.limit
-		g := Grant{Limit: u.currentLimit(), Stamp: a.Stamp, Wait: refusedAskDelay}
-		if s.limit.IsSet() && s.isOwner && u.isOffered(now) {
-			g.Count, g.Wait = s.allotter.Take(now, s.rate(f), from, max(min(a.Count, maxAskCount), 1))
+		switch {
+		case u != nil && u.demands.limit != nil:
+			all = append(all, f.grant(now, u, from, a))
+		case u != nil && !a.Limit.Limit.IsSet() && a.Limit.Cold == 0 && u.isOffered(now):
+			// The asking entry keeps back after a cold time that is over and was never known here.
+			all = append(all, Grant{Limit: a.Limit, Count: max(min(a.Count, maxAskCount), 1), Stamp: a.Stamp})
+		case a.Limit.Cold > 0:
+			all = append(all, Grant{Limit: UpstreamLimit{ID: a.Limit.ID, Started: a.Limit.Started}, Stamp: a.Stamp, Wait: unlistedAskDelay})
 		}
-		all = append(all, g)
 	}
 	return all
 }
 
+// grant returns the response to an ask for an upstream with a limit. The caller holds the mutex.
+func (f *Fleet) grant(now time.Time, u *upstream, from hosts.Name, a Ask) Grant {
+	s := u.demands.limit
+	g := Grant{Limit: u.currentLimit(now), Stamp: a.Stamp, Wait: refusedAskDelay}
+	count := max(min(a.Count, maxAskCount), 1)
+	switch {
+	case !s.isOwner || !u.isOffered(now):
+	case s.startDelay(now) > 0:
+		g.Wait = s.startDelay(now)
+	case s.isSet(now):
+		g.Count, g.Wait = s.allotter.Take(now, s.rate(f, now), from, count)
+	case !a.Limit.Limit.IsSet() && !s.cold.until().IsZero():
+		// The asking entry takes it for cold a little longer than this one.
+		g.Count, g.Wait = count, 0
+	}
+	return g
+}
+
 // ReceiveGrants records the grants of an owner.
 func (f *Fleet) ReceiveGrants(now time.Time, grants []Grant) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	for _, g := range grants {
 		u := f.mergeLimit(now, "owner", g.Limit)
-		if u == nil || u.demands.limit == nil || !u.demands.limit.limit.IsSet() {
+		if u == nil || !u.demands.limit.isSet(now) {
 			continue
 		}
 		s := u.demands.limit
@@ -194,8 +217,8 @@
 	defer f.mutex.Unlock()
 	rate := 0.0
 	for _, u := range f.pools[pool] {
-		if s := u.demands.limit; s != nil && s.limit.IsSet() && u.isOffered(now) {
-			rate += s.limit.Rate
+		if s := u.demands.limit; s.isSet(now) && u.isOffered(now) {
+			rate += s.effectiveRate(now)
 		}
 	}
 	at := now.Add(soonest)
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -39,11 +39,17 @@
 	answeredAt  time.Time
 	// wanted is the number of requests for which the owner hasn't been asked yet.
 	wanted int
+	// cold is the cold time of the process. While it lasts, the cold rate is a limit too.
+	cold coldState
 }
 
 // rate returns the rate that this entry may spend as the owner. An entry that sees no majority of
-// the entries may be cut off from another owner, and uses its part.
-func (s *limitState) rate(f *Fleet) float64 {
+// the entries may be cut off from another owner, and uses its part. To a cold upstream each owner uses
+// its part.
+func (s *limitState) rate(f *Fleet, now time.Time) float64 {
+	if s.cold.currentRate(now) > 0 {
+		return s.effectiveRate(now) * s.cold.share
+	}
 	live := max(len(f.options.Entries()), 1)
 	if f.knownEntries > 1 && 2*live <= f.knownEntries {
 		return s.limit.Rate * float64(live) / float64(f.knownEntries)
@@ -53,11 +59,11 @@
 
 // allows reports whether a request may be sent now.
 func (s *limitState) allows(f *Fleet, now time.Time) bool {
-	if s == nil || !s.limit.IsSet() {
+	if !s.isSet(now) {
 		return true
 	}
 	if s.isOwner {
-		return s.allotter.Has(now, s.rate(f), f.options.Self)
+		return s.startDelay(now) == 0 && s.allotter.Has(now, s.rate(f, now), f.options.Self)
 	}
 	s.grants = slices.DeleteFunc(s.grants, func(until time.Time) bool { return !now.Before(until) })
 	return len(s.grants) > 0
@@ -66,18 +72,18 @@
 // spend uses a request that allows has found.
 func (s *limitState) spend(f *Fleet, now time.Time) {
 	switch {
-	case s == nil || !s.limit.IsSet():
+	case !s.isSet(now):
 	case s.isOwner:
-		s.allotter.Take(now, s.rate(f), f.options.Self, 1)
+		s.allotter.Take(now, s.rate(f, now), f.options.Self, 1)
 	case len(s.grants) > 0:
 		s.grants = s.grants[1:]
 	}
 }
 
 // ownsLimit reports whether this entry spends a limit of the upstream.
-func (u *upstream) ownsLimit() bool {
+func (u *upstream) ownsLimit(now time.Time) bool {
 	s := u.demands.limit
-	return s != nil && s.limit.IsSet() && s.isOwner
+	return s.isSet(now) && s.isOwner
 }
 
 // RecordLimit records what a response says about the limit of its upstream: the requests a second
@@ -122,14 +128,7 @@
 // setLimit replaces the limit of an upstream. Source says who told, for the log. The caller holds
 // the mutex.
 func (f *Fleet) setLimit(now time.Time, u *upstream, l quota.Limit, source string) {
-	s := u.demands.limit
-	if s == nil {
-		s = &limitState{}
-		u.demands.limit = s
-		if f.upstreams[u.row.ID] == u {
-			f.limited[u.row.ID] = u
-		}
-	}
+	s := f.limitOf(u)
 	f.options.Log.Info("upstream-limit", zap.String("upstream", u.row.ID), zap.Time("started", u.row.Started), zap.String("told", source),
 		zap.Float64("limit", l.Rate), zap.Float64("before", s.limit.Rate), zap.Uint64("serial", l.Serial), zap.Int("running", u.running))
 	s.limit, s.changedAt, s.isFirstHand = l, now, false
@@ -140,6 +139,7 @@
 
 // assignLimits recomputes the owners of all limits. The caller holds the mutex.
 func (f *Fleet) assignLimits(now time.Time) {
+	f.updateShares(now)
 	for _, u := range f.limited {
 		f.assignLimit(now, u)
 	}
@@ -150,7 +150,7 @@
 // with nothing saved up, since the last one may have spent just before.
 func (f *Fleet) assignLimit(now time.Time, u *upstream) {
 	s := u.demands.limit
-	if !s.limit.IsSet() {
+	if !s.isSet(now) {
 		return
 	}
 	region := f.options.Regions[hosts.Domain(u.row.Domain)]
@@ -164,8 +164,10 @@
 		}
 	}
 	isOwner := owner == f.options.Self || owner == ""
+	s.cold.share = f.coldShare(region)
 	if isOwner && !s.isOwner {
 		s.allotter.Reset(now)
+		s.cold.spendFrom = f.viewChangedAt.Add(takeoverDelay)
 	}
 	if owner != s.owner {
 		s.deniedUntil = time.Time{}
@@ -186,10 +188,13 @@
 	ID      string
 	Started time.Time
 	Limit   quota.Limit
+	// Cold is how much longer the process is cold, or zero.
+	Cold time.Duration
 }
 
-func (u *upstream) currentLimit() UpstreamLimit {
-	return UpstreamLimit{ID: u.row.ID, Started: u.row.Started, Limit: u.demands.limit.limit}
+func (u *upstream) currentLimit(now time.Time) UpstreamLimit {
+	s := u.demands.limit
+	return UpstreamLimit{ID: u.row.ID, Started: u.row.Started, Limit: s.limit, Cold: s.cold.remaining(now)}
 }
 
 // AnnouncedLimits returns at most the given number of limits that upstreams have lately named in
@@ -197,7 +202,10 @@
 func (f *Fleet) AnnouncedLimits(now time.Time, most int) []UpstreamLimit {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.collectLimits(most, func(s *limitState) bool { return s.isFirstHand && now.Sub(s.changedAt) < announceTime })
+	f.reportWarm(now)
+	return f.collectLimits(now, most, func(s *limitState) bool {
+		return s.isFirstHand && now.Sub(s.changedAt) < announceTime || s.cold.isToldByUpstream(now) && now.Sub(s.cold.changedAt) < announceTime
+	})
 }
 
 // Limits returns at most the given number of the limits that hold or have lately ended. If there
@@ -205,18 +213,20 @@
 func (f *Fleet) Limits(now time.Time, most int) []UpstreamLimit {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	return f.collectLimits(most, func(s *limitState) bool { return s.limit.IsSet() || now.Sub(s.changedAt) < endedLimitTTL })
+	return f.collectLimits(now, most, func(s *limitState) bool {
+		return s.limit.IsSet() || now.Sub(s.changedAt) < endedLimitTTL || s.cold.isToldByUpstream(now)
+	})
 }
 
 // collectLimits returns limits in the random order of a map. The caller holds the mutex.
-func (f *Fleet) collectLimits(most int, matches func(*limitState) bool) []UpstreamLimit {
+func (f *Fleet) collectLimits(now time.Time, most int, matches func(*limitState) bool) []UpstreamLimit {
 	var all []UpstreamLimit
 	for _, u := range f.limited {
 		if len(all) == most {
 			break
 		}
 		if matches(u.demands.limit) {
-			all = append(all, u.currentLimit())
+			all = append(all, u.currentLimit(now))
 		}
 	}
 	return all
@@ -238,7 +248,7 @@
 	}
 	u := f.upstreams[l.ID]
 	if u == nil {
-		f.keepUnlisted(l)
+		f.keepUnlisted(now, l)
 		return nil
 	}
 	if !u.row.Started.Equal(l.Started) {
@@ -251,22 +261,37 @@
 	if l.Limit.Supersedes(known) {
 		f.setLimit(now, u, l.Limit, string(from))
 	}
+	f.hearCold(now, u, l.Cold, string(from))
 	return u
 }
 
 // keepUnlisted keeps the limit of an upstream that isn't listed here. An entry that has just started
 // hears of limits before it has read the list.
-func (f *Fleet) keepUnlisted(l UpstreamLimit) {
+func (f *Fleet) keepUnlisted(now time.Time, l UpstreamLimit) {
+	next := unlistedLimit{UpstreamLimit: l, coldUntil: now.Add(l.Cold)}
 	known, ok := f.unlistedLimits.Get(l.ID)
-	if !ok || !known.Started.Equal(l.Started) || l.Limit.Supersedes(known.Limit) {
-		f.unlistedLimits.Put(l.ID, l)
+	if ok && known.Started.Equal(l.Started) {
+		if !l.Limit.Supersedes(known.Limit) {
+			next.Limit = known.Limit
+		}
+		if known.coldUntil.After(next.coldUntil) {
+			next.coldUntil = known.coldUntil
+		}
 	}
+	f.unlistedLimits.Put(l.ID, next)
+}
+
+// unlistedLimit is the limit of an upstream that isn't listed.
+type unlistedLimit struct {
+	UpstreamLimit
+	coldUntil time.Time
 }
 
 // applyUnlisted sets the limit that other entries told of an upstream before it was listed here.
 func (f *Fleet) applyUnlisted(now time.Time, u *upstream) {
 	if l, ok := f.unlistedLimits.Get(u.row.ID); ok {
 		f.unlistedLimits.Delete(u.row.ID)
-		f.mergeLimit(now, "unlisted", l)
+		l.Cold = max(l.coldUntil.Sub(now), 0)
+		f.mergeLimit(now, "unlisted", l.UpstreamLimit)
 	}
 }
--- a/entry/internal/target/rank.go
+++ b/entry/internal/target/rank.go
@@ -30,7 +30,7 @@
 	if f.isRemote(c.upstream) {
 		cost += crossRegionCost
 	}
-	if !c.upstream.assigned && !c.upstream.ownsLimit() {
+	if !c.upstream.assigned && !c.upstream.ownsLimit(now) {
 		cost += unassignedCost
 	}
 	if c.upstream.health.IsDegraded(now) {
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -21,6 +21,7 @@
 	"sync"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"currantport.example/core/health"
@@ -94,6 +95,10 @@
 	// entry nor the reported entry loads account for.
 	otherRunning int
 
+	// coldRate is the number of requests a second that a cold upstream of the pool takes, or zero
+	// if none is ever cold.
+	coldRate float64
+
 	// demands is what the process has asked of this entry.
 	demands demands
 	// heldElsewhereUntil is the time until which it wants no requests from another entry.
@@ -120,6 +125,8 @@
 	// Random returns a number in [0, 1).
 	Random func() float64
 	Log    *zap.Logger
+	// Metrics counts cold upstreams and the requests that they keep back. It may be nil.
+	Metrics tally.Scope
 }
 
 // Fleet is an entry's state of all upstreams. It is safe for concurrent use.
@@ -134,15 +141,24 @@
 	// departed holds the demands of upstreams that are listed no more, since they may only
 	// have lapsed.
 	departed *recent.Map[processKey, demands]
-	// limited are the upstreams that have named a limit, by id.
+	// limited are the upstreams that have named a limit or were cold, by id.
 	limited map[string]*upstream
 	// unlistedLimits are limits of upstreams that aren't listed, as other entries told them.
-	unlistedLimits *recent.Map[string, UpstreamLimit]
+	unlistedLimits *recent.Map[string, unlistedLimit]
 	// limitedReturns is the time, by pool, at which the next client should return that is
 	// refused because of limits.
 	limitedReturns map[string]time.Time
 	// knownEntries is the number of known entries, silent ones included.
 	knownEntries int
+	// seen are the entries that are live or lately were. liveShare is the part of the known entries
+	// that is live, regionShares the same by region.
+	seen         map[hosts.Name]knownEntry
+	liveShare    float64
+	regionShares map[hosts.Region]float64
+	// viewChangedAt is when the live entries last changed. It is that of the first snapshot at least.
+	viewChangedAt time.Time
+	// hasSnapshot is set once a snapshot with upstreams was applied. The first one has all rows.
+	hasSnapshot bool
 	// asks receives a value when the owner of a limit is to be asked. The stamps of asks count
 	// from asksSince.
 	asks      chan struct{}
@@ -159,11 +175,15 @@
 
 // New returns a fleet without upstreams.
 func New(o Options) *Fleet {
+	if o.Metrics == nil {
+		o.Metrics = tally.NoopScope
+	}
 	return &Fleet{
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
-		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, unlistedLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		seen: make(map[hosts.Name]knownEntry),
 	}
 }
 
@@ -176,11 +196,17 @@
 	before := f.upstreams
 	f.upstreams, f.pools = make(map[string]*upstream, len(before)), make(map[string][]*upstream)
 	clear(f.limited)
+	if !f.hasSnapshot {
+		f.viewChangedAt = now
+	}
 	used := make(map[netip.AddrPort]bool)
 	for _, p := range s.Pools() {
 		for _, row := range s.Upstreams(p.Name) {
-			u := f.updateUpstream(now, before[row.ID], row)
+			known := before[row.ID]
+			last := known.listedRow()
+			u := f.updateUpstream(now, known, row)
 			f.upstreams[row.ID] = u
+			f.applyColdRow(now, u, p, known, last)
 			if u.demands.limit != nil {
 				f.limited[row.ID] = u
 			}
@@ -191,6 +217,7 @@
 			f.recordReleases(now, s, p.Engine)
 		}
 	}
+	f.hasSnapshot = f.hasSnapshot || len(f.pools) > 0
 	for _, u := range f.upstreams {
 		f.applyUnlisted(now, u)
 	}
@@ -209,6 +236,14 @@
 	return removed
 }
 
+// listedRow returns the row of an upstream, or nil without one.
+func (u *upstream) listedRow() *state.Upstream {
+	if u == nil {
+		return nil
+	}
+	return u.row
+}
+
 // updateUpstream returns the known state with the new row, or a fresh state if the row is
 // that of another process.
 func (f *Fleet) updateUpstream(now time.Time, known *upstream, row *state.Upstream) *upstream {
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -88,9 +88,9 @@
 	return shell.WithCleanup(lc, p, stop)
 }
 
-func newFleet(s Settings, n *mesh.Node, log *zap.Logger) *target.Fleet {
+func newFleet(s Settings, n *mesh.Node, m parts.Metrics, log *zap.Logger) *target.Fleet {
 	return target.New(target.Options{
-		Self: s.Host, Entries: n.Entries, Place: s.Place, Regions: s.Regions, VersionTimeout: s.Bounds.VersionTimeout, Random: rand.Float64, Log: log,
+		Self: s.Host, Entries: n.Entries, Place: s.Place, Regions: s.Regions, VersionTimeout: s.Bounds.VersionTimeout, Random: rand.Float64, Log: log, Metrics: m.Scope,
 	})
 }
 
