target: test the bound of cold upstreams

The crowd model gets upstreams that are listed cold, become cold while they run, return together, and entries that are killed, cut off, paused or see another owner.

--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -178,7 +178,7 @@
 		},
 	}
 	up := &state.Upstream{
-		ID: "u", Pool: "p", Address: netip.MustParseAddrPort("10.0.0.2:2"), Domain: "d", Draining: true, Slots: 3,
+		ID: "u", Pool: "p", Address: netip.MustParseAddrPort("10.0.0.2:2"), Domain: "d", Draining: true, Slots: 3, ColdFor: 1500 * time.Millisecond, HasCold: true,
 		Started: time.UnixMilli(1789328621609), Held: []state.HeldVersion{{Model: "m", Version: 2, Whole: true}},
 	}
 	var b state.Builder
--- a/entry/internal/proxy/limits_test.go
+++ b/entry/internal/proxy/limits_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 
@@ -11,6 +12,9 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"currantport.example/core/calls"
+	"currantport.example/core/clocks"
+	"currantport.example/core/feed"
+	"currantport.example/core/state"
 	"currantport.example/core/trial"
 )
 
@@ -90,3 +94,39 @@
 		}
 	})
 }
+
+// TestColdTimeInAResponseIsKept guards against an entry that doesn't read in responses that an upstream is
+// cold, or that keeps it back for good.
+func TestColdTimeInAResponseIsKept(t *testing.T) {
+	var times []time.Time
+	var warm time.Time
+	play(t, 2, func(w io.Writer, v visit) {
+		if v.upstream == 0 {
+			times = append(times, time.Now())
+			answered(w, v.id, "Cold: "+max(time.Until(warm), 0).String())
+			return
+		}
+		good(w, v.id, "served")
+	}, func(w *world) {
+		pool := encoded(state.EncodePool(&state.Pool{Name: "p", Cold: 10 * time.Second, ColdRate: 2}))
+		pool.Revision = w.mirror.Head() + 1
+		if _, err := w.mirror.Apply(feed.Update{Head: pool.Revision, Rows: []state.Row{pool}, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
+			t.Fatal(err)
+		}
+		w.fleet.ApplySnapshot(clocks.Now(), w.mirror.Snapshot())
+		warm = time.Now().Add(5 * time.Second)
+		for range 400 {
+			if a := w.request(context.Background(), "/open/x"); a.Code != http.StatusOK {
+				t.Errorf("status %d though another upstream is warm", a.Code)
+			}
+			time.Sleep(25 * time.Millisecond)
+		}
+		cold := slices.DeleteFunc(slices.Clone(times), func(at time.Time) bool { return at.After(warm.Add(time.Second)) })
+		if most, allowed := trial.MostWithin(cold, time.Second), 3+limitSlack; most > allowed || len(cold) < 6 {
+			t.Errorf("%d requests in a second, allowed %d; %d while it was cold", most, allowed, len(cold))
+		}
+		if len(times)-len(cold) < 50 {
+			t.Errorf("%d requests after the cold time", len(times)-len(cold))
+		}
+	})
+}
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -90,6 +90,9 @@
 			r.RetryAfterInvalid = text
 		}
 	}
+	if left, err := time.ParseDuration(h.Get("Cold")); err == nil {
+		r.ColdFor, r.HasCold = left, true
+	}
 	if text := h.Get("Limit"); text != "" {
 		l, err := strconv.ParseFloat(text, 64)
 		if r.Limit, r.Limited = l, err == nil; err != nil {
--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -81,12 +81,12 @@
 
 // remaining returns the cold time to tell other entries.
 func (c *coldState) remaining(now time.Time) time.Duration {
-	return max(c.own.Sub(now), c.heard.Sub(now)-coldHop, 0)
+	return max(c.own.Sub(now), c.heard.Add(-coldHop).Sub(now), 0)
 }
 
-// isToldByUpstream reports whether a response to this entry says that the upstream is cold.
-func (c *coldState) isToldByUpstream(now time.Time) bool {
-	return c.source == coldByResponse && now.Before(c.own)
+// isKnownFrom reports whether this entry knows from one of the sources that the upstream is cold.
+func (c *coldState) isKnownFrom(now time.Time, sources ...string) bool {
+	return now.Before(c.own) && slices.Contains(sources, c.source)
 }
 
 // currentRate returns the rate because of the cold time, or zero if there is none.
@@ -218,10 +218,8 @@
 	return s.cold.changedAt != before
 }
 
-// applyColdRow records what a row tells of the cold time. Known is the state that the id had before and
-// last its row then, or nil. A row states the time that was left when it was written, so that it counts
-// only when it is new.
-func (f *Fleet) applyColdRow(now time.Time, u *upstream, p *state.Pool, known *upstream, last *state.Upstream) {
+// setColdRate sets the rate of cold upstreams of the pool.
+func (u *upstream) setColdRate(p *state.Pool) {
 	u.coldRate = 0
 	if p.ColdRate > 0 {
 		u.coldRate = quota.Clamp(p.ColdRate)
@@ -229,8 +227,14 @@
 	if s := u.demands.limit; s != nil {
 		s.cold.rate = u.coldRate
 	}
-	row := u.row
-	isNew := last == nil || !last.Started.Equal(row.Started) || row.Started.IsZero() && last.Address != row.Address
+}
+
+// applyColdRow records what a row tells of the cold time. Known is the state that the id had before and
+// last its row then, or nil. A row states the time that was left when it was written, so that it counts
+// only when it is new.
+func (f *Fleet) applyColdRow(now time.Time, u *upstream, p *state.Pool, known *upstream, last *state.Upstream) {
+	u.setColdRate(p)
+	row, isNew := u.row, isNewProcess(last, u.row)
 	if !isNew && known != u && known.demands.limit != nil {
 		// The process is listed under another address.
 		f.applyColdTime(now, u, known.demands.limit.cold.until().Sub(now), coldByRow)
@@ -239,7 +243,7 @@
 	case u.coldRate == 0 || !isNew && hasSameValue(last, row):
 	case row.ColdFor > 0:
 		f.applyColdTime(now, u, row.ColdFor, coldByRow)
-	case row.HasCold && (hasStartedBefore(now, row, p) || !isNew && last.ColdFor > 0):
+	case statesWarm(now, row, p) || !isNew && row.HasCold && last.ColdFor > 0:
 		f.applyColdTime(now, u, 0, coldByRow)
 	case isNew && f.hasSnapshot:
 		f.applyColdTime(now, u, p.Cold, coldByStart)
@@ -261,10 +265,15 @@
 	}
 }
 
-// hasStartedBefore reports whether the process started so long ago that it isn't cold because of its
-// start. The times are those of two hosts.
-func hasStartedBefore(now time.Time, row *state.Upstream, p *state.Pool) bool {
-	return !row.Started.IsZero() && now.Sub(row.Started) > p.Cold+maxClockSkew
+// isNewProcess reports whether the row is that of a process that the last row of the id, or nil, wasn't.
+func isNewProcess(last, row *state.Upstream) bool {
+	return last == nil || !last.Started.Equal(row.Started) || row.Started.IsZero() && last.Address != row.Address
+}
+
+// statesWarm reports whether the row states that a process isn't cold which started so long ago that it
+// isn't because of its start. The times are those of two hosts.
+func statesWarm(now time.Time, row *state.Upstream, p *state.Pool) bool {
+	return row.HasCold && !row.Started.IsZero() && now.Sub(row.Started) > p.Cold+maxClockSkew
 }
 
 // hasSameValue reports whether two rows of an upstream state the same.
--- /dev/null
+++ b/entry/internal/target/cold_test.go
@@ -0,0 +1,447 @@
+package target_test
+
+import (
+	"math"
+	"slices"
+	"testing"
+	"time"
+
+	"currantport.example/core/hosts"
+	"currantport.example/core/state"
+	"currantport.example/core/trial"
+	"currantport.example/entry/internal/target"
+)
+
+const (
+	// coldSpan is the span of the users' rule for cold upstreams, which has limitRatio and limitSlack.
+	coldSpan = time.Second
+	// coldTime is how long the upstream of a cold crowd is cold, settleTime the time before.
+	coldTime   = 8 * time.Second
+	settleTime = 3 * time.Second
+	// rowDelay bounds the time after which an entry has a row.
+	rowDelay = 200 * time.Millisecond
+)
+
+func allowedCold(rate float64) int {
+	return int(math.Floor(limitRatio*rate*coldSpan.Seconds())) + limitSlack
+}
+
+func neverLimited(time.Time) (float64, bool) { return 0, false }
+
+// newColdCrowd returns a crowd that knows its pool, in which no upstream is listed yet.
+func newColdCrowd(t testing.TB, seed uint64, entries int, rate float64) *crowd {
+	t.Helper()
+	c := newCrowd(t, seed, entries, neverLimited)
+	c.pool = &state.Pool{Name: "s", Cold: coldTime, ColdRate: rate}
+	c.rows = nil
+	for _, e := range c.members {
+		c.boot(e)
+	}
+	c.run(1, settleTime)
+	return c
+}
+
+// list lists the number of upstreams as cold from now on. StatesCold tells whether their rows say so.
+func (c *crowd) list(upstreams int, statesCold bool) {
+	c.rows, c.coldUntil = nil, c.now.Add(coldTime)
+	for i := range upstreams {
+		u := plain(i, c.now)
+		if statesCold {
+			u.ColdFor = coldTime
+		}
+		c.rows = append(c.rows, encode(c.t)(state.EncodeUpstream(&u)))
+	}
+	c.publish(c.rows...)
+}
+
+// publish brings rows to all entries, to each after another time.
+func (c *crowd) publish(rows ...state.Row) {
+	for _, e := range c.members {
+		c.messages = append(c.messages, message{at: c.now.Add(time.Duration(c.random.Int64N(int64(rowDelay)))), to: e, rows: rows})
+	}
+}
+
+// mostCold returns the most requests in coldSpan that has a cold moment.
+func (c *crowd) mostCold() int {
+	return trial.MostWithin(slices.DeleteFunc(slices.Clone(c.sent), func(at time.Time) bool { return !at.Before(c.coldUntil.Add(coldSpan)) }), coldSpan)
+}
+
+// usedCold returns the used part of the cold rate from a time on.
+func (c *crowd) usedCold(rate float64, from time.Time) float64 {
+	n := len(slices.DeleteFunc(slices.Clone(after(c.sent, from)), func(at time.Time) bool { return !at.Before(c.coldUntil) }))
+	return float64(n) / (rate * c.coldUntil.Sub(from).Seconds())
+}
+
+func coldDemand(rate float64) float64 { return max(3*rate, 20) }
+
+// TestColdUpstreamIsKeptToItsRate guards against entries that each spend the cold rate, a rate that is
+// hardly used, and a burst after the cold time.
+func TestColdUpstreamIsKeptToItsRate(t *testing.T) {
+	for _, entries := range []int{6, 34, 64, 100, 740} {
+		for _, rate := range []float64{2, 14, 100} {
+			c := newColdCrowd(t, 1, entries, rate)
+			listed := c.now
+			c.list(1, entries%4 == 0)
+			c.run(coldDemand(rate), coldTime+3*time.Second)
+			most, used := c.mostCold(), c.usedCold(rate, listed.Add(time.Second))
+			if most > allowedCold(rate) {
+				t.Errorf("%d entries, %g a second: %d requests in %s, allowed %d", entries, rate, most, coldSpan, allowedCold(rate))
+			}
+			if used < 0.8 {
+				t.Errorf("%d entries, %g a second: %.2f of the rate is used", entries, rate, used)
+			}
+			t.Logf("entries=%d rate=%g most=%d allowed=%d used=%.2f asks=%.1f", entries, rate, most, allowedCold(rate), used, float64(c.askCount)/11)
+		}
+	}
+}
+
+// coldTroubles befall entries while the upstream is cold.
+var coldTroubles = map[string]func(c *crowd, owner *crowdEntry, demand float64){
+	"the owner is killed": func(c *crowd, owner *crowdEntry, demand float64) {
+		owner.pausedUntil = c.now.Add(time.Hour)
+		c.run(demand, 2*time.Second+7*tick)
+		for _, e := range c.members {
+			c.setView(e, without(c.entries, owner))
+			c.run(demand, tick)
+		}
+	},
+	"the owner is killed and back": func(c *crowd, owner *crowdEntry, demand float64) {
+		owner.pausedUntil = c.now.Add(300 * time.Millisecond)
+		c.run(demand, 300*time.Millisecond)
+		c.boot(owner)
+	},
+	"the owner is cut off": func(c *crowd, owner *crowdEntry, demand float64) {
+		c.isCut = func(from, to *crowdEntry) bool { return from == owner || to == owner }
+		c.run(demand, 2*time.Second)
+		for i, e := range c.members {
+			c.setView(e, without(c.entries, owner))
+			if i == len(c.members)/2 {
+				// The owner still takes the entries of other regions for live.
+				c.setView(owner, slices.DeleteFunc(slices.Clone(c.entries), func(h hosts.Host) bool { return h.Place == owner.host.Place && h.Name != owner.host.Name }))
+			}
+			c.run(demand, 100*time.Millisecond/time.Duration(len(c.members))+tick)
+		}
+	},
+	"another entry is cut off": func(c *crowd, _ *crowdEntry, demand float64) {
+		other := c.members[1]
+		c.isCut = func(from, to *crowdEntry) bool { return from == other || to == other }
+		c.run(demand, 2*time.Second)
+		for _, e := range c.members {
+			c.setView(e, without(c.entries, other))
+		}
+		c.setView(other, []hosts.Host{other.host})
+	},
+	"two entries take themselves for the owner": func(c *crowd, owner *crowdEntry, demand float64) {
+		for i, e := range c.members {
+			if i%2 == 1 && e != owner || i == 0 {
+				c.setView(e, without(c.entries, owner))
+			}
+		}
+		c.run(demand, time.Second)
+		for _, e := range c.members {
+			c.setView(e, c.entries)
+		}
+	},
+	"messages are lost": func(c *crowd, _ *crowdEntry, _ float64) { c.lost = 0.3 },
+	"the owner stands still": func(c *crowd, owner *crowdEntry, _ float64) {
+		owner.pausedUntil = c.now.Add(1500 * time.Millisecond)
+	},
+	"all entries are killed and back": func(c *crowd, _ *crowdEntry, _ float64) {
+		for _, e := range c.members {
+			c.boot(e)
+		}
+	},
+}
+
+// TestColdRateIsKeptInTrouble plays the troubles. The rule holds for all entries, also those that they
+// befall. It is red without takeoverDelay and without the parts of entries that see a part of the others.
+func TestColdRateIsKeptInTrouble(t *testing.T) {
+	for name, trouble := range coldTroubles {
+		for _, entries := range []int{6, 34} {
+			for _, rate := range []float64{2, 14, 100} {
+				for seed := range uint64(3) {
+					c := newColdCrowd(t, seed+1, entries, rate)
+					listed := c.now
+					c.list(1, true)
+					demand := coldDemand(rate)
+					c.run(demand, 1300*time.Millisecond)
+					trouble(c, c.owner(), demand)
+					c.run(demand, c.coldUntil.Add(2*coldSpan).Sub(c.now))
+					if most := c.mostCold(); most > allowedCold(rate) {
+						t.Errorf("%s, %d entries, %g a second: %d requests in %s, allowed %d", name, entries, rate, most, coldSpan, allowedCold(rate))
+					}
+					t.Logf("%s: entries=%d rate=%g most=%d allowed=%d used=%.2f", name, entries, rate, c.mostCold(), allowedCold(rate), c.usedCold(rate, listed.Add(time.Second)))
+				}
+			}
+		}
+	}
+}
+
+// TestNoBurstFollowsTheColdTime sends far more than the cold rate and checks the seconds in which the
+// upstream is warm again. Without a ramp all entries send what they have at once.
+func TestNoBurstFollowsTheColdTime(t *testing.T) {
+	const rate, demand = 14, 2000
+	c := newColdCrowd(t, 1, 34, rate)
+	c.list(1, true)
+	c.run(demand, coldTime+5*time.Second)
+	if most := c.mostCold(); most > allowedCold(rate) {
+		t.Errorf("%d requests in a window with a cold moment", most)
+	}
+	warm := after(c.sent, c.coldUntil.Add(coldSpan))
+	if n := trial.MostWithin(warm, 100*time.Millisecond); n > demand/5 {
+		t.Errorf("%d requests in 100 ms after the cold time", n)
+	}
+	first := slices.DeleteFunc(slices.Clone(warm), func(at time.Time) bool { return at.After(c.coldUntil.Add(coldSpan + 500*time.Millisecond)) })
+	if len(first) > 4*rate {
+		t.Errorf("%d requests in the first half second", len(first))
+	}
+	if last := after(c.sent, c.now.Add(-time.Second)); len(last) < demand*9/10 {
+		t.Errorf("%d requests in the last second, %d arrive", len(last), demand)
+	}
+}
+
+// TestDomainReturnsCold lists all upstreams of a failure domain at once, cold, while others are busy. The
+// bound is that of each upstream.
+func TestDomainReturnsCold(t *testing.T) {
+	const rate, upstreams = 2, 15
+	for _, entries := range []int{6, 34} {
+		c := newColdCrowd(t, 1, entries, rate)
+		c.list(upstreams, true)
+		listed := c.now
+		c.run(3*upstreams*rate, coldTime+time.Second)
+		all := 0
+		for id, sent := range c.sentTo {
+			if most := trial.MostWithin(sent, coldSpan); most > allowedCold(rate) {
+				t.Errorf("%d entries: %d requests to %s in %s, allowed %d", entries, most, id, coldSpan, allowedCold(rate))
+			}
+			all += len(sent)
+		}
+		if used := float64(all) / (upstreams * rate * c.now.Sub(listed).Seconds()); used < 0.8 {
+			t.Errorf("%d entries: %.2f of the rates is used", entries, used)
+		}
+	}
+}
+
+// TestUpstreamThatBecomesColdUnannounced has an upstream that was listed all along become cold, which
+// only its responses state. From half a second after the first of them the bound holds.
+func TestUpstreamThatBecomesColdUnannounced(t *testing.T) {
+	for _, entries := range []int{6, 34, 100} {
+		for _, rate := range []float64{2, 14, 100} {
+			c := newCrowd(t, 1, entries, neverLimited)
+			c.pool = &state.Pool{Name: "s", Cold: coldTime, ColdRate: rate}
+			for _, e := range c.members {
+				c.boot(e)
+			}
+			c.run(coldDemand(rate), settleTime)
+			c.coldUntil = c.now.Add(coldTime)
+			from := c.now
+			c.run(coldDemand(rate), coldTime+3*time.Second)
+			before := trial.MostWithin(after(c.sent, from), coldSpan)
+			c.sent = after(c.sent, from.Add(toldTime))
+			if most := c.mostCold(); most > allowedCold(rate) {
+				t.Errorf("%d entries, %g a second: %d requests in %s, allowed %d", entries, rate, most, coldSpan, allowedCold(rate))
+			}
+			t.Logf("entries=%d rate=%g most=%d allowed=%d unannounced=%d", entries, rate, c.mostCold(), allowedCold(rate), before)
+		}
+	}
+}
+
+// isCold reports whether the only upstream takes a single request of many at once.
+func (w *world) isCold(now time.Time) bool {
+	for range 20 {
+		if w.plainUpstream(now) == "none" {
+			return true
+		}
+	}
+	return false
+}
+
+const coldPoolTime = 10 * time.Second
+
+// newColdWorld returns the world of an entry with a pool of cold upstreams, with the upstream in its first
+// snapshot unless that is nil.
+func newColdWorld(t *testing.T, self hosts.Name, first *state.Upstream) *world {
+	w := newEmptyWorld(t, self, func() []hosts.Host { return entries })
+	rows := []state.Row{w.row(state.EncodePool(&state.Pool{Name: "s", Cold: coldPoolTime, ColdRate: 0.1}))}
+	if first != nil {
+		rows = append(rows, w.upstream(*first))
+	}
+	w.publish(start, rows...)
+	return w
+}
+
+func ptr[T any](v T) *T { return &v }
+
+// TestWhichProcessesAreCold checks which rows tell that an upstream is cold, and until when.
+func TestWhichProcessesAreCold(t *testing.T) {
+	const cold = coldPoolTime
+	end := cold + 3*time.Second
+	old, now := start.Add(-time.Hour), start
+	row := func(started time.Time, left time.Duration, states bool) state.Upstream {
+		u := plain(0, started)
+		u.ColdFor, u.HasCold = left, states
+		return u
+	}
+	draining := func(u state.Upstream) state.Upstream { u.Slots = 7; return u }
+	for _, c := range []struct {
+		name string
+		// first is in the first snapshot, rows come one second apart from then on.
+		first *state.Upstream
+		rows  []state.Upstream
+		// coldUntil is the time after the first snapshot until which the upstream is limited.
+		coldUntil time.Duration
+	}{
+		{"listed at the start of the entry without the field", ptr(row(now, 0, false)), nil, 0},
+		{"listed at the start of the entry, cold", ptr(row(now, cold, true)), nil, end},
+		{"new without the field", nil, []state.Upstream{row(now, 0, false)}, time.Second + end},
+		{"new without the field, old", nil, []state.Upstream{row(old, 0, false)}, time.Second + end},
+		{"new, states zero, just started", nil, []state.Upstream{row(now, 0, true)}, time.Second + end},
+		{"new, states zero, old", nil, []state.Upstream{row(old, 0, true)}, 0},
+		{"new, states less", nil, []state.Upstream{row(now, 4*time.Second, true)}, time.Second + 7*time.Second},
+		{"the same value again", ptr(row(now, cold, true)), []state.Upstream{row(now, cold, true), row(now, cold, true)}, end},
+		{"another value", ptr(row(now, cold, true)), []state.Upstream{draining(row(now, cold, true))}, time.Second + end},
+		{"listed all along, then cold", ptr(row(old, 0, true)), []state.Upstream{row(old, cold, true)}, time.Second + end},
+		{"listed all along, another row without the field", ptr(row(old, 0, false)), []state.Upstream{draining(row(old, 0, false))}, 0},
+		{"the start changes", ptr(row(old, 0, false)), []state.Upstream{row(now, 0, false)}, time.Second + end},
+		{"states zero in the end", ptr(row(now, cold, true)), []state.Upstream{row(now, 0, true)}, time.Second + 3*time.Second},
+		{"a clock five seconds ahead", nil, []state.Upstream{row(now.Add(5*time.Second), 0, true)}, time.Second + end},
+		{"a clock five seconds behind", nil, []state.Upstream{row(now.Add(-5*time.Second), 0, true)}, time.Second + end},
+	} {
+		w := newColdWorld(t, "e0", c.first)
+		for i, u := range c.rows {
+			w.publish(start.Add(time.Duration(i+1)*time.Second), w.upstream(u))
+		}
+		last := start.Add(time.Duration(len(c.rows)) * time.Second)
+		if got := w.isCold(last); got != (c.coldUntil > 0) {
+			t.Errorf("%s: cold at first: %t", c.name, got)
+		}
+		if c.coldUntil > 0 && (!w.isCold(start.Add(c.coldUntil-100*time.Millisecond)) || w.isCold(start.Add(c.coldUntil+time.Millisecond))) {
+			t.Errorf("%s: not cold for %s", c.name, c.coldUntil)
+		}
+	}
+}
+
+// coldOwner returns the entry that owns the limit of the first upstream, and another one of its region.
+func coldOwner() (owner, other hosts.Name) {
+	if hosts.Score("limit u0", "e0") > hosts.Score("limit u0", "e1") {
+		return "e0", "e1"
+	}
+	return "e1", "e0"
+}
+
+// TestOwnerLearnsOfTheColdTimeByAnAsk has an entry ask an owner that knows of no cold time, with and
+// without the upstream in its list. An ask without a response keeps the upstream unused for half a second.
+func TestOwnerLearnsOfTheColdTimeByAnAsk(t *testing.T) {
+	owner, other := coldOwner()
+	u := plain(0, start)
+	told := newColdWorld(t, other, ptr(u))
+	told.fleet.ChoosePlain(start, toPlain()).RecordCold(start, coldPoolTime)
+	for _, isListed := range []bool{true, false} {
+		w := newColdWorld(t, owner, nil)
+		if isListed {
+			w = newColdWorld(t, owner, ptr(u))
+		}
+		now := start.Add(3 * time.Second)
+		var g target.GrantRequest
+		told.fleet.AwaitLimited(now, toPlain(), &g)
+		asks := told.fleet.TakeAsks(now)[owner]
+		if len(asks) != 1 || asks[0].Limit.Cold != coldPoolTime-3*time.Second {
+			t.Fatalf("asks: %+v", asks)
+		}
+		if grants := w.fleet.ReceiveAsks(now, other, asks); len(grants) != 1 || grants[0].Count == 0 && grants[0].Wait == 0 {
+			t.Errorf("listed %t: grants %+v", isListed, grants)
+		}
+		w.publish(now, w.upstream(u))
+		if !w.isCold(now) {
+			t.Errorf("listed %t: the owner doesn't take the upstream for cold", isListed)
+		}
+	}
+}
+
+// TestHeardColdTimesDontGrow lets entries tell each other of a cold time for its whole length, each
+// message 250 ms old. Passed on as it was heard, the time would never end.
+func TestHeardColdTimesDontGrow(t *testing.T) {
+	const age = 250 * time.Millisecond
+	owner, other := coldOwner()
+	u := plain(0, start)
+	a, b, first := newColdWorld(t, owner, ptr(u)), newColdWorld(t, other, ptr(u)), newColdWorld(t, "f0", ptr(u))
+	first.fleet.ChoosePlain(start, toPlain()).RecordCold(start, coldPoolTime)
+	for _, w := range []*world{a, b} {
+		w.fleet.ReceiveLimits(start.Add(age), "f0", first.fleet.Limits(start, 1))
+	}
+	now := start.Add(age)
+	for ; now.Before(start.Add(coldPoolTime + 4*time.Second)); now = now.Add(2 * age) {
+		var g target.GrantRequest
+		b.fleet.AwaitLimited(now, toPlain(), &g)
+		grants := a.fleet.ReceiveAsks(now.Add(age), other, b.fleet.TakeAsks(now)[owner])
+		b.fleet.ReceiveGrants(now.Add(2*age), grants)
+	}
+	if a.isCold(now) || b.isCold(now) {
+		t.Error("the upstream is still taken for cold")
+	}
+}
+
+// TestResponsesCorrectTheColdTime checks that the upstream's own word ends a cold time, but not that of a
+// response to a request of before.
+func TestResponsesCorrectTheColdTime(t *testing.T) {
+	owner, _ := coldOwner()
+	w := newColdWorld(t, owner, ptr(plain(0, start)))
+	earlier, f := w.fleet.ChoosePlain(start, toPlain()), w.fleet.ChoosePlain(start, toPlain())
+	at := func(s float64) time.Time { return start.Add(time.Duration(s * float64(time.Second))) }
+	if !f.RecordCold(at(1), 2*coldPoolTime) || earlier.RecordCold(at(1.5), 0) || !w.isCold(at(2)) {
+		t.Error("a response to a request of before ends the cold time")
+	}
+	later := w.fleet.ChoosePlain(at(15), toPlain())
+	if later == nil || !later.RecordCold(at(15.1), 0) || !w.isCold(at(18)) || w.isCold(at(18.2)) {
+		t.Error("a later response doesn't end the cold time")
+	}
+}
+
+// TestStricterLimitHolds names a limit at a cold upstream, once below the cold rate and once above.
+func TestStricterLimitHolds(t *testing.T) {
+	for _, named := range []float64{2, 50} {
+		const rate = 14
+		c := newColdCrowd(t, 1, 34, rate)
+		c.named = always(named)
+		c.list(1, true)
+		c.run(200, coldTime+10*time.Second)
+		strictest := min(named, rate)
+		if most := c.mostCold(); most > allowedCold(strictest) {
+			t.Errorf("%g a second named: %d requests in %s, allowed %d", named, most, coldSpan, allowedCold(strictest))
+		}
+		if most := trial.MostWithin(c.sent, limitSpan); most > allowed(named) {
+			t.Errorf("%g a second named: %d requests in %s, allowed %d", named, most, limitSpan, allowed(named))
+		}
+		if used := float64(len(after(c.sent, c.now.Add(-5*time.Second)))) / 5 / named; used < 0.75 {
+			t.Errorf("%g a second named: %.2f of it is used after the cold time", named, used)
+		}
+	}
+}
+
+// TestWithoutColdTimesDecisionsAreTheSame plays entries with a pool whose upstreams may be cold, none of
+// which is, and with one that has no cold time.
+func TestWithoutColdTimesDecisionsAreTheSame(t *testing.T) {
+	cold := state.Pool{Cold: coldTime, ColdRate: 2}
+	for seed := range uint64(3) {
+		var sent [][]time.Time
+		var served []outcome
+		for _, p := range []state.Pool{{}, cold} {
+			p.Name = "s"
+			c := newCrowd(t, seed, 24, func(now time.Time) (float64, bool) { return 20, now.Sub(start) > 3*time.Second })
+			c.pool = &p
+			for _, e := range c.members {
+				c.boot(e)
+			}
+			c.run(100, 10*time.Second)
+			sent = append(sent, c.sent)
+			q := p
+			q.Name, q.Engine = "p", engineSpec
+			b := newSimulationOf(t, seed, 6, 8, &q)
+			b.run(150, 5*time.Second)
+			served = append(served, b.outcome(func(*request) bool { return true }))
+		}
+		if !slices.EqualFunc(sent[0], sent[1], time.Time.Equal) || served[0] != served[1] || served[0].total == 0 {
+			t.Errorf("seed %d: %d and %d requests, %+v and %+v", seed, len(sent[0]), len(sent[1]), served[0], served[1])
+		}
+	}
+}
--- a/entry/internal/target/crowd_test.go
+++ b/entry/internal/target/crowd_test.go
@@ -32,14 +32,17 @@
 
 // crowd is a number of entries of two regions before one plain upstream that names a limit.
 type crowd struct {
-	t        testing.TB
-	random   *rand.Rand
-	entries  []hosts.Host
-	members  []*crowdEntry
-	pool     *state.Pool
-	row      state.Row
-	messages []message
-	now      time.Time
+	t       testing.TB
+	random  *rand.Rand
+	entries []hosts.Host
+	members []*crowdEntry
+	pool    *state.Pool
+	// rows are those of the upstreams. ColdUntil is when they are warm, or zero if they say nothing of
+	// that.
+	rows      []state.Row
+	coldUntil time.Time
+	messages  []message
+	now       time.Time
 	// named returns the limit that the upstream names at a time.
 	named func(now time.Time) (float64, bool)
 	// lost is the share of the messages that are lost. IsCut reports whether those between two
@@ -49,6 +52,7 @@
 	// sent are the times of the requests at the upstream, counted those of entries for which the
 	// rule holds.
 	sent, counted []time.Time
+	sentTo        map[string][]time.Time
 	// refused counts the requests that weren't sent; messageCount and askCount count messages.
 	refused, messageCount, askCount int
 }
@@ -57,7 +61,10 @@
 type crowdEntry struct {
 	host    hosts.Host
 	fleet   *target.Fleet
-	waiting []*waitingRequest
+	builder *state.Builder
+	// revision is that of the last snapshot.
+	revision state.Revision
+	waiting  []*waitingRequest
 	// view are the entries that it takes for live.
 	view        []hosts.Host
 	told        time.Time
@@ -75,13 +82,15 @@
 	at      time.Time
 	to      *crowdEntry
 	deliver func(now time.Time, f *target.Fleet)
+	// rows are rows for the entry, in place of a message.
+	rows []state.Row
 }
 
 func newCrowd(t testing.TB, seed uint64, entries int, named func(time.Time) (float64, bool)) *crowd {
 	t.Helper()
-	c := &crowd{t: t, random: rand.New(rand.NewPCG(seed, 1)), pool: &state.Pool{Name: "s"}, now: start, named: named}
+	c := &crowd{t: t, random: rand.New(rand.NewPCG(seed, 1)), pool: &state.Pool{Name: "s"}, now: start, named: named, sentTo: make(map[string][]time.Time)}
 	u := plain(0, start)
-	c.row = encode(t)(state.EncodeUpstream(&u))
+	c.rows = []state.Row{encode(t)(state.EncodeUpstream(&u))}
 	for i := range entries {
 		c.entries = append(c.entries, hosts.Host{Name: hosts.Name(fmt.Sprintf("e%d", i)), Place: hosts.Place{Region: hosts.Region(fmt.Sprintf("r%d", i%2))}})
 	}
@@ -95,19 +104,25 @@
 
 // boot starts the process of an entry anew.
 func (c *crowd) boot(e *crowdEntry) {
-	var builder state.Builder
-	snapshot, rowErrors := builder.Apply(1, []state.Row{encode(c.t)(state.EncodePool(c.pool)), c.row})
-	if len(rowErrors) > 0 {
-		c.t.Fatal(rowErrors)
-	}
 	e.fleet = target.New(target.Options{
 		Self: e.host.Name, Place: e.host.Place, Entries: func() []hosts.Host { return e.view }, Regions: regions, Random: c.random.Float64, Log: zap.NewNop(),
 	})
 	e.fleet.SetKnownEntries(len(c.entries))
-	e.fleet.ApplySnapshot(c.now, snapshot)
+	e.builder = &state.Builder{}
+	c.apply(e, append([]state.Row{encode(c.t)(state.EncodePool(c.pool))}, c.rows...)...)
 	e.waiting, e.told = nil, time.Time{}
 }
 
+// apply applies rows at an entry.
+func (c *crowd) apply(e *crowdEntry, rows ...state.Row) {
+	e.revision++
+	snapshot, rowErrors := e.builder.Apply(e.revision, rows)
+	if len(rowErrors) > 0 {
+		c.t.Fatal(rowErrors)
+	}
+	e.fleet.ApplySnapshot(c.now, snapshot)
+}
+
 // owner returns the entry that owns the limit.
 func (c *crowd) owner() *crowdEntry {
 	best := c.members[0]
@@ -175,6 +190,10 @@
 			c.messages = append(c.messages, m)
 			continue
 		}
+		if m.rows != nil {
+			c.apply(m.to, m.rows...)
+			continue
+		}
 		m.deliver(c.now, m.to.fleet)
 	}
 }
@@ -201,6 +220,7 @@
 func (c *crowd) send(e *crowdEntry, f *target.InFlight) {
 	limit, isLimited := c.named(c.now)
 	c.sent = append(c.sent, c.now)
+	c.sentTo[f.Row.ID] = append(c.sentTo[f.Row.ID], c.now)
 	if !e.told.IsZero() && c.now.Sub(e.told) >= toldTime && !e.isExcused {
 		c.counted = append(c.counted, c.now)
 	}
@@ -208,6 +228,9 @@
 		e.told = c.now
 	}
 	f.RecordLimit(c.now, limit, isLimited)
+	if !c.coldUntil.IsZero() {
+		f.RecordCold(c.now, max(c.coldUntil.Sub(c.now), 0))
+	}
 	f.Finish(c.now, target.OutcomeSuccess)
 }
 
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -204,7 +204,7 @@
 	defer f.mutex.Unlock()
 	f.reportWarm(now)
 	return f.collectLimits(now, most, func(s *limitState) bool {
-		return s.isFirstHand && now.Sub(s.changedAt) < announceTime || s.cold.isToldByUpstream(now) && now.Sub(s.cold.changedAt) < announceTime
+		return s.isFirstHand && now.Sub(s.changedAt) < announceTime || s.cold.isKnownFrom(now, coldByResponse) && now.Sub(s.cold.changedAt) < announceTime
 	})
 }
 
@@ -214,7 +214,7 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	return f.collectLimits(now, most, func(s *limitState) bool {
-		return s.limit.IsSet() || now.Sub(s.changedAt) < endedLimitTTL || s.cold.isToldByUpstream(now)
+		return s.limit.IsSet() || now.Sub(s.changedAt) < endedLimitTTL || s.cold.isKnownFrom(now, coldByResponse, coldByStart)
 	})
 }
 
--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -119,14 +119,21 @@
 
 func newSimulation(t testing.TB, seed uint64, entries, engines int) *simulation {
 	t.Helper()
-	b := &simulation{random: rand.New(rand.NewPCG(seed, 1)), pool: &state.Pool{Name: "p", Engine: engineSpec}}
+	return newSimulationOf(t, seed, entries, engines, &state.Pool{Name: "p", Engine: engineSpec})
+}
+
+// newSimulationOf returns a simulation with the pool, whose upstreams state that they aren't cold if it
+// has a cold time.
+func newSimulationOf(t testing.TB, seed uint64, entries, engines int, p *state.Pool) *simulation {
+	t.Helper()
+	b := &simulation{random: rand.New(rand.NewPCG(seed, 1)), pool: p}
 	for i := range entries {
 		b.entries = append(b.entries, hosts.Host{Name: hosts.Name(fmt.Sprintf("e%d", i)), Place: hosts.Place{Region: hosts.Region(fmt.Sprintf("r%d", i%2))}})
 	}
 	rows := []state.Row{encode(t)(state.EncodePool(b.pool))}
 	for i := range engines {
 		u := engine(i, fmt.Sprintf("d%d", i%2), 1)
-		u.Slots = engineSpec.Slots
+		u.Slots, u.HasCold = engineSpec.Slots, p.Cold > 0
 		rows = append(rows, encode(t)(state.EncodeUpstream(&u)))
 		b.engines = append(b.engines, &simEngine{id: u.ID, stepEnds: start})
 	}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -157,7 +157,7 @@
 	regionShares map[hosts.Region]float64
 	// viewChangedAt is when the live entries last changed. It is that of the first snapshot at least.
 	viewChangedAt time.Time
-	// hasSnapshot is set once a snapshot with upstreams was applied. The first one has all rows.
+	// hasSnapshot is set once a snapshot with pools was applied. The first one has all rows.
 	hasSnapshot bool
 	// asks receives a value when the owner of a limit is to be asked. The stamps of asks count
 	// from asksSince.
@@ -217,7 +217,7 @@
 			f.recordReleases(now, s, p.Engine)
 		}
 	}
-	f.hasSnapshot = f.hasSnapshot || len(f.pools) > 0
+	f.hasSnapshot = f.hasSnapshot || len(s.Pools()) > 0
 	for _, u := range f.upstreams {
 		f.applyUnlisted(now, u)
 	}
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -36,16 +36,21 @@
 
 // newWorldOf returns the world of an entry of the first region, with the given live entries.
 func newWorldOf(t *testing.T, self hosts.Name, entries func() []hosts.Host) *world {
-	w := &world{t: t, fleet: target.New(target.Options{
-		Self: self, Place: hosts.Place{Region: "r0", Domain: "d0"}, Entries: entries, Regions: regions,
-		VersionTimeout: versionTimeout, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
-	})}
+	w := newEmptyWorld(t, self, entries)
 	w.publish(start, w.row(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{
 		Slots: 4, Stride: 5, StepTime: 9 * time.Millisecond, PrefillRate: 19100, PromptTokens: 1000, OutputTokens: 90, Models: []state.Model{{Name: "m"}}, Layers: 2,
 	}})), w.row(state.EncodePool(&state.Pool{Name: "s"})))
 	return w
 }
 
+// newEmptyWorld is newWorldOf before the first snapshot.
+func newEmptyWorld(t *testing.T, self hosts.Name, entries func() []hosts.Host) *world {
+	return &world{t: t, fleet: target.New(target.Options{
+		Self: self, Place: hosts.Place{Region: "r0", Domain: "d0"}, Entries: entries, Regions: regions,
+		VersionTimeout: versionTimeout, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
+	})}
+}
+
 func (w *world) row(r state.Row, err error) state.Row {
 	w.t.Helper()
 	if err != nil {
