target: let a new owner of a cold upstream spend a part of the rate

Cause: after a loss of power all upstreams are cold and all entries are new owners. Ruled out: no delay, with which two owners exceed the bound. Change: for 2 s a new owner spends 0.35 of the rate, which stays within the bound beside the whole rate of a former one and what both have saved up. The part of an entry that sees others is by the entries that it has seen; the assumed number holds for one that sees none.

--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -30,10 +30,13 @@
 	coldHop = 300 * time.Millisecond
 	// coldJitter is the difference between two ends of a cold time that isn't news.
 	coldJitter = 200 * time.Millisecond
-	// takeoverDelay is how long after a change of the entries a new owner sends nothing to a cold
-	// upstream. It covers the span of the bound, grantTTL, and the time between the changes of the
-	// view at the former owner and at this entry.
-	takeoverDelay = 2 * time.Second
+	// takeoverTime is how long after a change of the entries a new owner sends only takeoverShare of
+	// the rate to a cold upstream. It covers the span of the bound, grantTTL, and the time between the
+	// changes of the view at the former owner and at this entry. The rate of the former owner, that
+	// share and what both have saved up stay within the bound. After a loss of power all
+	// upstreams are cold and all owners are new, so that nothing at all would be too little.
+	takeoverTime  = 2 * time.Second
+	takeoverShare = 0.35
 	// goneTTL is how long an entry that is no longer live counts as known, as for its record.
 	goneTTL = time.Minute
 	// unlistedAskDelay is when to ask an owner again that doesn't list the upstream yet.
@@ -61,9 +64,9 @@
 	source string
 	// changedAt is when either end was last changed by more than coldJitter.
 	changedAt time.Time
-	// spendFrom is the time from which this entry spends as the owner, share the part of the rate
-	// that it spends.
-	spendFrom time.Time
+	// wholeFrom is the time from which this entry spends more than takeoverShare as the owner, share
+	// the part of the rate that it spends then.
+	wholeFrom time.Time
 	share     float64
 	// kept is the number of requests that had to wait for this upstream.
 	kept int
@@ -117,12 +120,12 @@
 	return cold
 }
 
-// startDelay returns how long this entry may not spend yet as the owner.
-func (s *limitState) startDelay(now time.Time) time.Duration {
-	if s.cold.currentRate(now) == 0 {
-		return 0
+// currentShare returns the part of the cold rate that this entry spends as the owner.
+func (c *coldState) currentShare(now time.Time) float64 {
+	if now.Before(c.wholeFrom) {
+		return c.share * takeoverShare
 	}
-	return max(s.cold.spendFrom.Sub(now), 0)
+	return c.share
 }
 
 // limitOf returns the state of the upstream's limit and creates it if necessary. The caller holds
@@ -334,8 +337,13 @@
 		}
 		knownIn[e.region]++
 	}
+	// An entry that sees no other one may have just started or be cut off.
+	known := len(f.seen)
+	if len(live) <= 1 {
+		known = max(known, f.knownEntries)
+	}
 	f.liveShare, f.regionShares = 1, make(map[hosts.Region]float64)
-	if known := max(len(f.seen), f.knownEntries); known > 0 {
+	if known > 0 {
 		f.liveShare = float64(max(len(live), 1)) / float64(known)
 	}
 	for r, n := range liveIn {
--- a/entry/internal/target/grants.go
+++ b/entry/internal/target/grants.go
@@ -76,7 +76,7 @@
 	s := u.demands.limit
 	switch {
 	case s.isOwner:
-		return max(s.startDelay(now), s.allotter.Wait(now, s.rate(f, now), f.options.Self)), true
+		return s.allotter.Wait(now, s.rate(f, now), f.options.Self), true
 	case s.allows(f, now):
 		return 0, true
 	case now.Before(s.deniedUntil):
@@ -176,8 +176,6 @@
 	count := max(min(a.Count, maxAskCount), 1)
 	switch {
 	case !s.isOwner || !u.isOffered(now):
-	case s.startDelay(now) > 0:
-		g.Wait = s.startDelay(now)
 	case s.isSet(now):
 		g.Count, g.Wait = s.allotter.Take(now, s.rate(f, now), from, count)
 	case !a.Limit.Limit.IsSet() && !s.cold.until().IsZero():
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -48,7 +48,7 @@
 // its part.
 func (s *limitState) rate(f *Fleet, now time.Time) float64 {
 	if s.cold.currentRate(now) > 0 {
-		return s.effectiveRate(now) * s.cold.share
+		return s.effectiveRate(now) * s.cold.currentShare(now)
 	}
 	live := max(len(f.options.Entries()), 1)
 	if f.knownEntries > 1 && 2*live <= f.knownEntries {
@@ -63,7 +63,7 @@
 		return true
 	}
 	if s.isOwner {
-		return s.startDelay(now) == 0 && s.allotter.Has(now, s.rate(f, now), f.options.Self)
+		return s.allotter.Has(now, s.rate(f, now), f.options.Self)
 	}
 	s.grants = slices.DeleteFunc(s.grants, func(until time.Time) bool { return !now.Before(until) })
 	return len(s.grants) > 0
@@ -167,7 +167,7 @@
 	s.cold.share = f.coldShare(region)
 	if isOwner && !s.isOwner {
 		s.allotter.Reset(now)
-		s.cold.spendFrom = f.viewChangedAt.Add(takeoverDelay)
+		s.cold.wholeFrom = f.viewChangedAt.Add(takeoverTime)
 	}
 	if owner != s.owner {
 		s.deniedUntil = time.Time{}
