target: count a takeover by region, spend more on new processes

Change: only the live entries of the upstream's region count, for 1.5 s (the window, grants and the difference of views), and a process that was listed within that time gets 0.7 of the rate, since it has no former owner.

--- a/entry/internal/target/assign.go
+++ b/entry/internal/target/assign.go
@@ -13,7 +13,6 @@
 func (f *Fleet) Assign(now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	f.viewChangedAt = now
 	f.assign()
 	f.assignLimits(now)
 }
--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -35,8 +35,11 @@
 	// changes of the view at the former owner and at this entry. The rate of the former owner, that
 	// share and what both have saved up stay within the bound. After a loss of power all
 	// upstreams are cold and all owners are new, so that nothing at all would be too little.
-	takeoverTime  = 2 * time.Second
+	takeoverTime  = 1500 * time.Millisecond
 	takeoverShare = 0.35
+	// newShare is the same for a process that was listed within that time. It has no former owner,
+	// only entries with different views that take themselves for the owner at the same time.
+	newShare = 0.7
 	// goneTTL is how long an entry that is no longer live counts as known, as for its record.
 	goneTTL = time.Minute
 	// unlistedAskDelay is when to ask an owner again that doesn't list the upstream yet.
@@ -68,6 +71,8 @@
 	// the part of the rate that it spends then.
 	wholeFrom time.Time
 	share     float64
+	// listedAt is when a process that is new during traffic was first listed, or zero.
+	listedAt time.Time
 	// kept is the number of requests that had to wait for this upstream.
 	kept int
 	// isReported is set between the log lines for the begin and the end.
@@ -122,10 +127,13 @@
 
 // currentShare returns the part of the cold rate that this entry spends as the owner.
 func (c *coldState) currentShare(now time.Time) float64 {
-	if now.Before(c.wholeFrom) {
-		return c.share * takeoverShare
+	switch {
+	case !now.Before(c.wholeFrom):
+		return c.share
+	case now.Sub(c.listedAt) < takeoverTime:
+		return c.share * newShare
 	}
-	return c.share
+	return c.share * takeoverShare
 }
 
 // limitOf returns the state of the upstream's limit and creates it if necessary. The caller holds
@@ -251,6 +259,9 @@
 	case isNew && f.hasSnapshot:
 		f.applyColdTime(now, u, p.Cold, coldByStart)
 	}
+	if s := u.demands.limit; s != nil && isNew && f.hasSnapshot {
+		s.cold.listedAt = now
+	}
 }
 
 // applyColdTime sets the cold time of a row. What a response has told may be newer than the row, which
@@ -349,6 +360,40 @@
 	for r, n := range liveIn {
 		f.regionShares[r] = float64(n) / float64(knownIn[r])
 	}
+	f.updateViews(now, live)
+}
+
+// regionView is the set of live entries of a region, as a hash of their names, and when it last changed.
+type regionView struct {
+	hash      uint64
+	changedAt time.Time
+}
+
+// updateViews records which regions' live entries have changed.
+func (f *Fleet) updateViews(now time.Time, live []hosts.Host) {
+	hashes := make(map[hosts.Region]uint64)
+	for _, h := range live {
+		hashes[h.Place.Region] ^= HashOf(string(h.Name))
+	}
+	for r := range f.regionViews {
+		if _, ok := hashes[r]; !ok {
+			delete(f.regionViews, r)
+		}
+	}
+	for r, hash := range hashes {
+		if v, ok := f.regionViews[r]; !ok || v.hash != hash {
+			f.regionViews[r] = regionView{hash: hash, changedAt: now}
+		}
+	}
+}
+
+// viewChangedAt returns when the live entries of a region last changed, or the current time if there are
+// none.
+func (f *Fleet) viewChangedAt(now time.Time, r hosts.Region) time.Time {
+	if v, ok := f.regionViews[r]; ok {
+		return v.changedAt
+	}
+	return now
 }
 
 // coldShare returns the part of the rate of cold upstreams of a region that this entry spends as the
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -167,7 +167,7 @@
 	s.cold.share = f.coldShare(region)
 	if isOwner && !s.isOwner {
 		s.allotter.Reset(now)
-		s.cold.wholeFrom = f.viewChangedAt.Add(takeoverTime)
+		s.cold.wholeFrom = f.viewChangedAt(now, region).Add(takeoverTime)
 	}
 	if owner != s.owner {
 		s.deniedUntil = time.Time{}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -155,8 +155,8 @@
 	seen         map[hosts.Name]knownEntry
 	liveShare    float64
 	regionShares map[hosts.Region]float64
-	// viewChangedAt is when the live entries last changed. It is that of the first snapshot at least.
-	viewChangedAt time.Time
+	// regionViews holds what is known of the live entries of each region.
+	regionViews map[hosts.Region]regionView
 	// hasSnapshot is set once a snapshot with pools was applied. The first one has all rows.
 	hasSnapshot bool
 	// asks receives a value when the owner of a limit is to be asked. The stamps of asks count
@@ -182,7 +182,7 @@
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
-		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, unlistedLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, unlistedLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), regionViews: make(map[hosts.Region]regionView), asks: make(chan struct{}, 1),
 		seen: make(map[hosts.Name]knownEntry),
 	}
 }
@@ -196,9 +196,6 @@
 	before := f.upstreams
 	f.upstreams, f.pools = make(map[string]*upstream, len(before)), make(map[string][]*upstream)
 	clear(f.limited)
-	if !f.hasSnapshot {
-		f.viewChangedAt = now
-	}
 	used := make(map[netip.AddrPort]bool)
 	for _, p := range s.Pools() {
 		for _, row := range s.Upstreams(p.Name) {
