target: spend more of the cold rate where load reports show an idle upstream

Cause: after a loss of power the rows that an entry reads first list processes as cold that have just started, so that they didn't count as new: 0.35 of the rate for 1.5 s. Change: a new owner gets 0.65 of the rate where the agent's last report shows next to no requests of others, as for new processes. Refusals because of limits state at least the time by which a return can be told from a first request.

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -176,7 +176,7 @@
 				return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(full), "the engines are full")
 			}
 			wait := l.handler.options.Fleet.LimitedRetryDelay(clocks.Now(), l.pool.Name, limited)
-			return nil, calls.NotRun(calls.ReasonLimited, max(wait, minRetryAfter), "the upstreams take no more requests a second")
+			return nil, calls.NotRun(calls.ReasonLimited, max(wait, l.shortestReturn()), "the upstreams take no more requests a second")
 		}
 	}
 }
@@ -254,15 +254,20 @@
 // first, from a first request. The times are spread, so that requests refused together
 // aren't retried together.
 func (l *lifecycle) retryAfter(wait time.Duration) time.Duration {
-	shortest, longest := minRetryAfter, maxRetryAfter
+	shortest, longest := l.shortestReturn(), maxRetryAfter
 	if timeout := l.call.Timeout; timeout > 0 {
-		shortest = max(shortest, time.Duration(timeoutSpreadRatio*float64(timeout)))
 		longest = min(longest, timeout/retriesPerTimeout)
 	}
 	spread := time.Duration(l.handler.options.Random() * float64(longest-shortest))
 	return min(max(wait, shortest)+max(spread, 0), max(longest, shortest))
 }
 
+// shortestReturn returns the shortest time after which a client may return, so that IsRetry can tell the
+// retry.
+func (l *lifecycle) shortestReturn() time.Duration {
+	return max(minRetryAfter, time.Duration(timeoutSpreadRatio*float64(l.call.Timeout)))
+}
+
 // choosePool draws one of the route's pools by weight.
 func (l *lifecycle) choosePool() bool {
 	var listed []state.Target
--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -37,9 +37,13 @@
 	// upstreams are cold and all owners are new, so that nothing at all would be too little.
 	takeoverTime  = 1500 * time.Millisecond
 	takeoverShare = 0.35
-	// newShare is the same for a process that was listed within that time. It has no former owner,
-	// only entries with different views that take themselves for the owner at the same time.
-	newShare = 0.7
+	// idleShare is the same where the former owner is known to have sent next to nothing in the window: the
+	// process was listed within that time, or the last load report, at most idleReportAge old, shows at
+	// most idleRatio of the rate as running. An engine runs a request for about a second. What remains is
+	// that two entries with different views take themselves for the owner.
+	idleShare     = 0.65
+	idleRatio     = 0.2
+	idleReportAge = 400 * time.Millisecond
 	// goneTTL is how long an entry that is no longer live counts as known, as for its record.
 	goneTTL = time.Minute
 	// unlistedAskDelay is when to ask an owner again that doesn't list the upstream yet.
@@ -71,8 +75,10 @@
 	// the part of the rate that it spends then.
 	wholeFrom time.Time
 	share     float64
-	// listedAt is when a process that is new during traffic was first listed, or zero.
+	// listedAt is when a process that is new during traffic was first listed, idleAt when the last load
+	// report came that shows next to no requests of others, or zero.
 	listedAt time.Time
+	idleAt   time.Time
 	// kept is the number of requests that had to wait for this upstream.
 	kept int
 	// isReported is set between the log lines for the begin and the end.
@@ -130,8 +136,8 @@
 	switch {
 	case !now.Before(c.wholeFrom):
 		return c.share
-	case now.Sub(c.listedAt) < takeoverTime:
-		return c.share * newShare
+	case now.Sub(c.listedAt) < takeoverTime, now.Sub(c.idleAt) < idleReportAge:
+		return c.share * idleShare
 	}
 	return c.share * takeoverShare
 }
@@ -259,11 +265,28 @@
 	case isNew && f.hasSnapshot:
 		f.applyColdTime(now, u, p.Cold, coldByStart)
 	}
+	f.recordListed(now, u, isNew)
+}
+
+// recordListed records when a process was first listed that is new during traffic.
+func (f *Fleet) recordListed(now time.Time, u *upstream, isNew bool) {
 	if s := u.demands.limit; s != nil && isNew && f.hasSnapshot {
 		s.cold.listedAt = now
 	}
 }
 
+// recordIdle records whether a load report shows next to no requests of other entries at a cold upstream.
+func (u *upstream) recordIdle(now time.Time, running int) {
+	s := u.demands.limit
+	switch {
+	case s == nil:
+	case float64(running-u.running) <= idleRatio*s.cold.rate:
+		s.cold.idleAt = now
+	default:
+		s.cold.idleAt = time.Time{}
+	}
+}
+
 // applyColdTime sets the cold time of a row. What a response has told may be newer than the row, which
 // only lengthens it then.
 func (f *Fleet) applyColdTime(now time.Time, u *upstream, left time.Duration, source string) {
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -282,6 +282,7 @@
 		f.recordLeaving(now, u, "agent")
 	}
 	u.otherRunning = max(r.Running-u.running-u.regionRunning, 0)
+	u.recordIdle(now, r.Running)
 }
 
 // hasReport reports whether a valid load report is present.
