level: admit and order requests by urgency

Requests to a pool whose routes differ in priority were admitted alike, and those with the longest objective were refused least.

The new package level holds the decisions: a reserve of slots by level that follows the requests that met no room in the region, a queue of the waiting requests by level and by turns of the workspaces, and least shares for kinds, workspaces and long prompts. Entry load messages carry the counts by level. Engines get the level as the priority of a request. Pools with one level take the same path as before.

First working version: thresholds aren't tuned and the tests of the decisions are missing.

--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -63,6 +63,10 @@
 	Version int
 	// LastEventID is the id of the last event that the client has received, or empty.
 	LastEventID string
+	// Priority is the urgency of the request for the engine, from 0 for the most urgent to 9.
+	// HasPriority is set if the requests of the pool differ in urgency.
+	Priority    int
+	HasPriority bool
 }
 
 // ReplyKind is what the head of an upstream's response says about the request.
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -50,6 +50,8 @@
 	Handler  http.Handler
 	// Refuse handles requests that arrive late in a shutdown.
 	Refuse http.Handler
+	// Refusing is called when a shutdown begins to refuse requests. It may be nil.
+	Refusing func()
 	// DrainTime is how long a server that shuts down still serves requests.
 	DrainTime time.Duration
 	// ShutdownTimeout bounds the whole shutdown.
@@ -235,6 +237,9 @@
 	s.draining.Store(true)
 	clocks.Sleep(ctx, s.options.DrainTime)
 	s.refusing.Store(true)
+	if s.options.Refusing != nil {
+		s.options.Refusing()
+	}
 	// Requests of clients that still use the address are refused during this wait, so that
 	// they go to another entry.
 	for s.InProgress() > 0 && ctx.Err() == nil && time.Since(start) < s.options.ShutdownTimeout {
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -74,6 +74,7 @@
 	metrics *metrics
 
 	timeouts Timeouts
+	queues   queues
 
 	mutex   sync.Mutex
 	budgets map[string]*budget.Budget
--- /dev/null
+++ b/entry/internal/proxy/levels.go
@@ -0,0 +1,266 @@
+package proxy
+
+import (
+	"context"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+
+	"currantport.example/core/calls"
+	"currantport.example/core/clocks"
+	"currantport.example/core/state"
+	"currantport.example/entry/internal/level"
+	"currantport.example/entry/internal/target"
+)
+
+// queues hold the waiting requests of the pools whose routes differ in priority. The zero value is
+// ready to use.
+type queues struct {
+	mutex sync.Mutex
+	pools map[string]*poolQueue
+	// ended is set once the entry stops.
+	ended atomic.Bool
+}
+
+// poolQueue is the queue of one pool.
+type poolQueue struct {
+	levels int
+
+	mutex sync.Mutex
+	queue *level.Queue
+}
+
+// of returns the queue of a pool. If the number of levels has changed, it is a new one; requests that
+// wait in the former one are placed from there.
+func (q *queues) of(pool string, levels int) *poolQueue {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.pools == nil {
+		q.pools = make(map[string]*poolQueue)
+	}
+	p := q.pools[pool]
+	if p == nil || p.levels != levels {
+		p = &poolQueue{levels: levels, queue: level.NewQueue(levels)}
+		q.pools[pool] = p
+	}
+	return p
+}
+
+// prune removes the queues of pools without levels.
+func (q *queues) prune(s *state.Snapshot, hasLevels func(pool string) bool) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	for pool := range q.pools {
+		if s.Pool(pool) == nil || !hasLevels(pool) {
+			delete(q.pools, pool)
+		}
+	}
+}
+
+func (p *poolQueue) add(now time.Time, r level.Request) *level.Ticket {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.queue.Add(now, r)
+}
+
+func (p *poolQueue) remove(t *level.Ticket) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	p.queue.Remove(t)
+}
+
+func (p *poolQueue) poll(now time.Time, t *level.Ticket, choose func(ahead []state.Homes) bool) level.Verdict {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.queue.Poll(now, t, choose)
+}
+
+// EndWaits refuses the requests that wait for an engine because of their level. Call it when the
+// entry takes no more requests.
+func (h *Handler) EndWaits() { h.queues.ended.Store(true) }
+
+// wait is the wait of one request for an engine, in the order of the levels.
+type wait struct {
+	lifecycle *lifecycle
+	queue     *poolQueue
+	ticket    *level.Ticket
+	started   time.Time
+	reqs      target.Requirements
+	grant     target.GrantRequest
+	// full is the time after which an engine may have room, limited that after which a limit
+	// allows a request.
+	full, limited time.Duration
+	hasLimited    bool
+}
+
+// acquireByLevel chooses an engine of a pool whose requests differ in urgency. If none has room it
+// waits in the queue of the pool.
+func (l *lifecycle) acquireByLevel(ctx context.Context, reqs target.Requirements) (*target.InFlight, *calls.Refusal) {
+	now := clocks.Now()
+	w := &wait{lifecycle: l, queue: l.handler.queues.of(l.pool.Name, reqs.Levels), started: now, reqs: reqs}
+	isFirst := !l.isRetry && len(l.attempted) == 0
+	r := level.Request{
+		Level: reqs.Level, Returned: reqs.Returned, Further: len(l.attempted) > 0, Kind: l.admission.Route.Name, Workspace: reqs.Workspace,
+		Prompt: reqs.PromptTokens, Bytes: len(l.call.Body), Homes: reqs.Homes, Group: groupOf(reqs),
+		Grace: l.objective() / capacityWaitDivisor, Until: w.until(now),
+	}
+	if w.ticket = w.queue.add(now, r); w.ticket == nil {
+		if isFirst {
+			l.handler.options.Fleet.RecordArrival(now, reqs, false)
+		}
+		return nil, w.refused(calls.NotRun(calls.ReasonOverload, l.retryAfter(maxRetryAfter), "too many requests wait"))
+	}
+	defer w.queue.remove(w.ticket)
+	f, refusal := w.poll(ctx, now)
+	if isFirst {
+		l.handler.options.Fleet.RecordArrival(now, reqs, f != nil)
+	}
+	for f == nil && refusal == nil {
+		next := capacityPollInterval
+		if w.hasLimited && w.full == 0 {
+			next = max(next, min(w.limited, l.objective()/capacityWaitDivisor))
+		}
+		if !clocks.Sleep(ctx, next) {
+			return nil, w.refused(calls.NotRun(calls.ReasonOverload, l.retryAfter(w.full), "the client left or the deadline passed before an engine had room"))
+		}
+		if refusal = w.interruption(); refusal == nil {
+			f, refusal = w.poll(ctx, clocks.Now())
+		}
+	}
+	if refusal != nil {
+		return nil, w.refused(refusal)
+	}
+	l.handler.metrics.countLevel(reqs, placedName(now, reqs, clocks.Now()))
+	l.handler.metrics.levelWait(reqs).RecordDuration(clocks.Since(now))
+	return f, nil
+}
+
+// until returns the time from which the request would be placed too late. Further attempts and
+// clients that return are late anyway and wait no longer than newcomers may.
+func (w *wait) until(now time.Time) time.Time {
+	l := w.lifecycle
+	waited := time.Since(l.arrived)
+	if l.isRetry || len(l.attempted) > 0 {
+		waited = 0
+	}
+	return now.Add(level.Patience(l.pool.Engine, l.objective()) - waited)
+}
+
+// groupOf returns what distinguishes requests that need other engines than others of the pool.
+func groupOf(r target.Requirements) string {
+	if r.Version == 0 && len(r.Exclude) == 0 {
+		return r.Model
+	}
+	return r.Model + " " + strconv.Itoa(r.Version) + " " + strings.Join(r.Exclude, " ")
+}
+
+// poll returns the engine if one was chosen, or the refusal once the wait is in vain.
+func (w *wait) poll(ctx context.Context, now time.Time) (*target.InFlight, *calls.Refusal) {
+	l := w.lifecycle
+	w.reqs.Homes, w.reqs.Exempt, w.reqs.Remaining = l.homes(), w.ticket.Exempt, 0
+	if !l.isRetry {
+		w.reqs.Remaining = min(l.objective()-time.Since(l.arrived), l.poolObjective())
+	}
+	var f *target.InFlight
+	polled := false
+	verdict := w.queue.poll(now, w.ticket, func(ahead []state.Homes) bool {
+		polled = true
+		w.reqs.Ahead = ahead
+		f, w.full = l.choose(now, w.reqs)
+		return f != nil
+	})
+	if f != nil {
+		return f, nil
+	}
+	if polled && w.full == 0 {
+		w.limited, w.hasLimited = l.handler.options.Fleet.AwaitLimited(now, w.reqs, &w.grant)
+		if !w.hasLimited {
+			return nil, l.refusalOfNone(w.reqs)
+		}
+	}
+	if verdict != level.Refused && ctx.Err() == nil {
+		return nil, nil
+	}
+	if w.full > 0 || !w.hasLimited {
+		return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(w.full), "the engines are full")
+	}
+	retry := l.handler.options.Fleet.LimitedRetryDelay(now, l.pool.Name, w.limited)
+	return nil, calls.NotRun(calls.ReasonLimited, max(retry, minRetryAfter), "the upstreams take no more requests a second")
+}
+
+// interruption returns a refusal if a waiting request may no longer be served: the configuration in
+// force has no such route, the key was revoked, or the entry stops.
+func (w *wait) interruption() *calls.Refusal {
+	l := w.lifecycle
+	if l.handler.queues.ended.Load() {
+		return calls.NotRun(calls.ReasonLeaving, drainingRetryAfter, "the entry is stopping")
+	}
+	v := l.handler.view()
+	a, refusal := l.handler.options.Bounds.Admit(v, &l.call)
+	switch {
+	case refusal != nil:
+		return refusal
+	case a.Route.Name != l.admission.Route.Name || !hasTarget(a.Route, l.pool.Name):
+		return calls.NotRun(calls.ReasonNoRoute, minRetryAfter, "the route has changed")
+	case v.State.Pool(l.pool.Name) == nil:
+		return calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the pool was removed")
+	}
+	return nil
+}
+
+func hasTarget(r *state.Route, pool string) bool {
+	for _, t := range r.Targets {
+		if t.Pool == pool {
+			return true
+		}
+	}
+	return false
+}
+
+// refused counts a refusal by level.
+func (w *wait) refused(r *calls.Refusal) *calls.Refusal {
+	l := w.lifecycle
+	result := "refused"
+	switch {
+	case l.isRetry:
+		result = "refused-twice"
+	case clocks.Since(w.started) > l.objective()/capacityWaitDivisor+capacityPollInterval:
+		result = "refused-waited"
+	}
+	l.handler.metrics.countLevel(w.reqs, result)
+	l.handler.metrics.levelWait(w.reqs).RecordDuration(clocks.Since(w.started))
+	return r
+}
+
+func placedName(started time.Time, reqs target.Requirements, now time.Time) string {
+	switch {
+	case reqs.Returned:
+		return "placed-returned"
+	case now.Sub(started) < capacityPollInterval:
+		return "placed"
+	}
+	return "placed-waited"
+}
+
+// countLevel counts the result of a request by its level.
+func (m *metrics) countLevel(reqs target.Requirements, result string) {
+	m.scope.Tagged(map[string]string{"level": strconv.Itoa(reqs.Level), "result": result}).Counter("level_requests").Inc(1)
+}
+
+func (m *metrics) levelWait(reqs target.Requirements) tally.Histogram {
+	buckets := tally.MustMakeExponentialDurationBuckets(minDuration, 2, durationBuckets)
+	return m.scope.Tagged(map[string]string{"level": strconv.Itoa(reqs.Level)}).Histogram("level_wait_seconds", buckets)
+}
+
+// levelFields are the fields of the log line of a request with a level.
+func (l *lifecycle) levelFields() []zap.Field {
+	if l.levels <= 1 {
+		return nil
+	}
+	return []zap.Field{zap.Int("level", l.level), zap.Float64("reserve", l.levelReserve)}
+}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -70,6 +70,10 @@
 	reserved atomic.Pointer[target.InFlight]
 	// isRetry is true if the client was refused before.
 	isRetry bool
+	// level is the urgency of the request among the levels of its pool, levelReserve the slots of
+	// each engine that were reserved against it.
+	level, levels int
+	levelReserve  float64
 	// counted is true once the first attempt has been counted.
 	counted bool
 	status  int
@@ -149,8 +153,11 @@
 	if l.pool == nil && !l.choosePool() {
 		return nil, calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the route's pools aren't listed")
 	}
-	reqs := l.requirements()
 	l.isRetry = l.handler.timeouts.IsRetry(l.admission.Route.Name, &l.call)
+	reqs := l.requirements()
+	if reqs.Levels > 1 && l.pool.Engine != nil {
+		return l.acquireByLevel(ctx, reqs)
+	}
 	until := l.arrived.Add(l.objective() / capacityWaitDivisor)
 	var grant target.GrantRequest
 	for {
@@ -183,10 +190,18 @@
 
 // requirements returns what the request needs from its next upstream.
 func (l *lifecycle) requirements() target.Requirements {
-	return target.Requirements{
+	r := target.Requirements{
 		Pool: l.pool, Model: l.call.Model, PromptTokens: l.call.Prompt, Version: l.stream.version, Exclude: l.attempted,
 		MaxEventGap: l.admission.Route.MaxEventGap, Homes: l.homes(),
 	}
+	l.level, l.levels = l.view.State.Urgency(l.pool.Name, l.admission.Route, l.admission.Workspace)
+	if l.levels > 1 {
+		r.Level, r.Levels, r.Returned = l.level, l.levels, l.isRetry
+	}
+	if l.admission.Workspace != nil {
+		r.Workspace = l.admission.Workspace.Name
+	}
+	return r
 }
 
 // homes returns the regions that may serve the request. The configuration in force decides, and that
@@ -379,6 +394,9 @@
 	if f.ExactVersion {
 		a.Version = f.Version
 	}
+	if l.levels > 1 && l.pool.Engine != nil {
+		a.Priority, a.HasPriority = l.level, true
+	}
 	response, err := conn.Do(ctx, l.handler.options.UpstreamCodec.BuildRequest(&l.call, a))
 	if err != nil {
 		return l.responseLost(ctx, f, err)
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -125,6 +125,7 @@
 		m.firstByte.RecordDuration(l.firstByte)
 		fields = append(fields, zap.Duration("first", l.firstByte), zap.Int("events", l.events), zap.Duration("pause", l.maxGap))
 	}
+	fields = append(fields, l.levelFields()...)
 	fields = append(fields, zap.Uint64("era", l.view.State.Revision.Era()), zap.Uint64("revision", l.view.State.Revision.Number()), zap.Duration("copyage", l.view.Staleness))
 	fields = append(fields, l.logFields...)
 	if l.status >= http.StatusInternalServerError || l.ending == endingBroken {
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -219,6 +219,7 @@
 	for _, l := range f.AnnouncedLeaving(now) {
 		m.Leaving = append(m.Leaving, &wire.LeavingUpstream{Upstream: l.ID, Started: startMicros(l.Started)})
 	}
+	m.Demands = EncodeDemands(f.Demands(now))
 	return m
 }
 
@@ -233,6 +234,7 @@
 	now := clocks.Now()
 	f.ReceiveEntryLoads(now, hosts.Name(m.Name), loads)
 	f.ReceiveLimits(now, hosts.Name(m.Name), DecodeLimits(m.Limits))
+	f.ReceiveDemands(now, hosts.Name(m.Name), DecodeDemands(m.Demands))
 	if len(m.Leaving) == 0 {
 		return
 	}
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -40,6 +40,13 @@
 	Levels int
 	// Workspace is the name of the workspace, or empty.
 	Workspace string
+	// Returned is set for a client that was refused before, if there are several levels.
+	Returned bool
+	// Exempt is set if the request counts as most urgent because of a least share.
+	Exempt bool
+	// Ahead are the homes of waiting requests that go before this one. A slot is left free for
+	// each at the engines that it may use.
+	Ahead []state.Homes
 }
 
 // candidate is an engine that may be chosen for a request.
@@ -65,7 +72,7 @@
 	case len(all) == 0:
 		return nil, 0
 	case best == nil:
-		return nil, f.retryDelay(reqs.Pool.Engine, all)
+		return nil, f.retryDelay(now, reqs, all)
 	}
 	r := f.startRequest(now, best.upstream, reqs.Model, reqs.PromptTokens)
 	r.Version, r.Predicted, r.Running = best.version, best.firstEvent, best.load.Running
@@ -86,20 +93,25 @@
 // among those that admit it, or nil.
 func (f *Fleet) bestEngine(now time.Time, reqs Requirements) (*candidate, []candidate) {
 	all := f.candidates(now, reqs)
+	levels := f.levelReserve(now, reqs)
 	var best *candidate
 	for i := range all {
-		if c := &all[i]; admits(reqs, c.load, f.reserve(c.upstream, reqs.Pool.Engine.Slots)) && (best == nil || c.cost < best.cost) {
+		c := &all[i]
+		reserve := f.reserve(c.upstream, reqs.Pool.Engine.Slots) + f.leveled(reqs, c.upstream, levels)
+		if admits(reqs, c.load, reserve) && (best == nil || c.cost < best.cost) {
 			best = c
 		}
 	}
 	return best, all
 }
 
-// retryDelay estimates the time until an engine has free capacity.
-func (f *Fleet) retryDelay(e *state.Engine, all []candidate) time.Duration {
+// retryDelay estimates the time until an engine has free capacity for the level of the request.
+func (f *Fleet) retryDelay(now time.Time, reqs Requirements, all []candidate) time.Duration {
+	e := reqs.Pool.Engine
+	levels := f.levelReserve(now, reqs)
 	excess, rate := 0, 0.0
 	for _, c := range all {
-		excess += max(c.load.Running-e.Slots+1, 0)
+		excess += max(c.load.Running+f.leveled(reqs, c.upstream, levels)-e.Slots+1, 0)
 		rate += timing.Rate(e, c.load.Pace)
 	}
 	return max(time.Duration(float64(excess)/rate*float64(time.Second)), minRetryDelay)
--- /dev/null
+++ b/entry/internal/target/levels.go
@@ -0,0 +1,95 @@
+package target
+
+import (
+	"math"
+	"time"
+
+	"currantport.example/core/hosts"
+	"currantport.example/entry/internal/level"
+)
+
+// PoolDemand is what lately arrived at an entry for a pool, by level.
+type PoolDemand struct {
+	// Pool is HashOf of the pool's name.
+	Pool   uint64
+	Counts level.Counts
+}
+
+// RecordArrival counts a first request to a pool with several levels, and whether it found room at
+// once.
+func (f *Fleet) RecordArrival(now time.Time, reqs Requirements, hasRoom bool) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	m := f.meters[reqs.Pool.Name]
+	if m == nil || m.Levels() != reqs.Levels {
+		m = level.NewMeter(reqs.Levels)
+		f.meters[reqs.Pool.Name] = m
+	}
+	m.RecordArrival(now, reqs.Level, hasRoom)
+}
+
+// Demands returns the counts of this entry, for one message.
+func (f *Fleet) Demands(now time.Time) []PoolDemand {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var all []PoolDemand
+	for pool, m := range f.meters {
+		if f.pools[pool] == nil {
+			delete(f.meters, pool)
+			continue
+		}
+		all = append(all, PoolDemand{Pool: HashOf(pool), Counts: m.Own(now)})
+	}
+	return all
+}
+
+// ReceiveDemands replaces the counts of another entry of the region. A pool for which this entry has
+// had no requests needs none.
+func (f *Fleet) ReceiveDemands(now time.Time, from hosts.Name, all []PoolDemand) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	for pool, m := range f.meters {
+		hash := HashOf(pool)
+		for _, d := range all {
+			if d.Pool == hash {
+				m.Receive(now, from, d.Counts)
+			}
+		}
+	}
+}
+
+// LevelReserve returns the slots of each engine that are reserved against the level of the request.
+func (f *Fleet) LevelReserve(now time.Time, reqs Requirements) float64 {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.levelReserve(now, reqs)
+}
+
+func (f *Fleet) levelReserve(now time.Time, reqs Requirements) float64 {
+	m := f.meters[reqs.Pool.Name]
+	if reqs.Levels <= 1 || m == nil || m.Levels() != reqs.Levels || reqs.Exempt {
+		return 0
+	}
+	at := reqs.Level
+	if reqs.Returned {
+		// A client that returns can only be late, so it counts as less urgent than newcomers of
+		// its level.
+		at++
+	}
+	return m.Reserves(now)[at] * float64(reqs.Pool.Engine.Slots)
+}
+
+// leveled returns the slots that the request leaves free at an engine for more urgent ones. A fraction
+// of a slot is reserved at that part of the engines, the same ones for all entries.
+func (f *Fleet) leveled(reqs Requirements, u *upstream, reserve float64) int {
+	if reqs.Levels <= 1 {
+		return 0
+	}
+	n := int(reserve + float64(HashOf(u.row.ID))/math.MaxUint64)
+	for _, h := range reqs.Ahead {
+		if h.Allows(f.options.Regions[hosts.Domain(u.row.Domain)]) {
+			n++
+		}
+	}
+	return n
+}
--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -48,6 +48,8 @@
 	retried              bool
 	inFlight             *target.InFlight
 	served               bool
+	// level orders the queue of the engine. It is zero if all are equal.
+	level int
 }
 
 // simEngine simulates an engine that works in steps. Each step processes the queued prompts
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -28,6 +28,7 @@
 	"currantport.example/core/recent"
 	"currantport.example/core/state"
 	"currantport.example/core/timing"
+	"currantport.example/entry/internal/level"
 )
 
 const (
@@ -155,6 +156,8 @@
 	releases map[string][]release
 	// evacuated are the failure domains whose upstreams get no new requests.
 	evacuated map[hosts.Domain]bool
+	// meters count the requests by level, by pool, of pools whose requests differ in urgency.
+	meters map[string]*level.Meter
 }
 
 // New returns a fleet without upstreams.
@@ -164,6 +167,7 @@
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
 		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		meters: make(map[string]*level.Meter),
 	}
 }
 
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -154,7 +154,7 @@
 		return nil, err
 	}
 	server, stop := httpd.New(httpd.Options{
-		Listener: l, Handler: handler, Refuse: handler.RefusalHandler(), Log: log,
+		Listener: l, Handler: handler, Refuse: handler.RefusalHandler(), Refusing: handler.EndWaits, Log: log,
 		DrainTime: min(drainTTLs*s.AddressTTL, s.ShutdownTimeout/2), ShutdownTimeout: s.ShutdownTimeout - shutdownReserve,
 	})
 	return shell.WithCleanup(lc, server, stop), nil
