--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -118,6 +118,8 @@
 	serial  uint64
 	// neverRefuse chooses engines by the same predictions, but admits every request.
 	neverRefuse bool
+	// hasLevels states one level and a workspace for each request.
+	hasLevels bool
 }
 
 func newSimulation(t testing.TB, seed uint64, entries, engines int) *simulation {
@@ -207,6 +209,9 @@
 	if !a.retried {
 		reqs.Remaining = objective - now.Sub(a.arrived)
 	}
+	if b.hasLevels {
+		reqs.Levels, reqs.Workspace, reqs.Returned = 1, "w", a.retried
+	}
 	if b.neverRefuse {
 		reqs.Remaining = time.Hour
 		reqs.Pool = &state.Pool{Name: "p", Engine: unbounded}
--- a/entry/internal/target/urgency_test.go
+++ b/entry/internal/target/urgency_test.go
@@ -392,6 +392,23 @@
 	}
 }
 
+// TestOneLevelChangesNoDecision runs an overload with and without what the proxy states of requests of
+// equal urgency, and with counts of another pool. It guards earlier deployments against this part.
+func TestOneLevelChangesNoDecision(t *testing.T) {
+	var results [2][]string
+	for i := range results {
+		b := newSimulation(t, 3, 4, 8)
+		b.hasLevels = i == 1
+		b.run(1.3*8*timing.Rate(engineSpec, 1), 10*time.Second)
+		for _, a := range b.all {
+			results[i] = append(results[i], fmt.Sprint(a.served, a.refused, a.firstEvent))
+		}
+	}
+	if !slices.Equal(results[0], results[1]) {
+		t.Error("requests of one level are treated otherwise")
+	}
+}
+
 // TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing compares the seconds of a burst with the same
 // ones without it.
 func TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing(t *testing.T) {
