--- a/entry/internal/proxy/levels_test.go
+++ b/entry/internal/proxy/levels_test.go
@@ -141,6 +141,9 @@
 		t.Run(name, func(t *testing.T) {
 			playLevels(t, c.laterPriority, func(w *world, _ func(rows ...state.Row), send func(context.Context, string) *leveledCall, done chan struct{}) {
 				all := []*leveledCall{send(context.Background(), "/later/x"), send(context.Background(), "/urgent/x")}
+				// Two requests that are sent at the same moment may arrive in any order.
+				done <- struct{}{}
+				time.Sleep(100 * time.Millisecond)
 				close(done)
 				time.Sleep(time.Second)
 				var got []string
--- a/entry/internal/target/urgency_test.go
+++ b/entry/internal/target/urgency_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"currantport.example/core/hosts"
 	"currantport.example/core/state"
 	"currantport.example/core/timing"
 	"currantport.example/entry/internal/level"
@@ -409,6 +410,40 @@
 	}
 }
 
+// TestReserveOfALevel guards against clients that return before newcomers of their level, or after
+// those of less urgent ones, and against reserves without levels.
+func TestReserveOfALevel(t *testing.T) {
+	m := newKindsModel(t, policyLevels, 0, 1, 1)
+	reqs := target.Requirements{Pool: m.pool, Levels: 3}
+	for l := range 3 {
+		for range 10 {
+			reqs.Level = l
+			m.fleets[0].RecordArrival(start, reqs, l > 1)
+		}
+	}
+	for _, c := range []struct {
+		level, levels      int
+		isReturned, exempt bool
+		want               float64
+	}{
+		{0, 3, false, false, 0}, {1, 3, false, false, 1.5}, {2, 3, false, false, 3},
+		{0, 3, true, false, 1.5}, {1, 3, true, false, 3}, {2, 3, true, false, 5},
+		{2, 3, false, true, 0}, {0, 1, true, false, 0}, {1, 2, false, false, 0},
+	} {
+		reqs.Level, reqs.Levels, reqs.Returned, reqs.Exempt = c.level, c.levels, c.isReturned, c.exempt
+		if got := m.fleets[0].LevelReserve(start, reqs); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%+v: %v slots", c, got)
+		}
+	}
+	reqs = target.Requirements{Pool: m.pool, Model: "m", Levels: 3, Remaining: time.Hour}
+	for region, want := range map[hosts.Region]bool{"r0": false, "elsewhere": true} {
+		reqs.Ahead = slices.Repeat([]state.Homes{state.HomesOf(&state.Route{Homes: []hosts.Region{region}}, nil)}, kindsSpec.Slots+1)
+		if got := m.fleets[0].HasEngine(start, reqs); got != want {
+			t.Errorf("%v though others wait for all slots in %s", got, region)
+		}
+	}
+}
+
 // TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing compares the seconds of a burst with the same
 // ones without it.
 func TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing(t *testing.T) {
