--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -186,7 +186,7 @@
 	for idle := false; ; {
 		to := sy.regionEntries()
 		m := EntryLoadMessage(clocks.Now(), sy.options.Self, sy.options.Fleet)
-		hasNews := len(m.Shares)+len(m.Leaving)+len(m.Limits) > 0
+		hasNews := len(m.Shares)+len(m.Leaving)+len(m.Limits)+len(m.Demands) > 0
 		if hasNews || !idle {
 			sy.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Shares{Shares: m}}, to...)
 		}
@@ -219,6 +219,7 @@
 	for _, l := range f.AnnouncedLeaving(now) {
 		m.Leaving = append(m.Leaving, &wire.LeavingUpstream{Upstream: l.ID, Started: startMicros(l.Started)})
 	}
+	m.Demands = EncodeDemands(f.Demands(now))
 	return m
 }
 
@@ -233,6 +234,7 @@
 	now := clocks.Now()
 	f.ReceiveEntryLoads(now, hosts.Name(m.Name), loads)
 	f.ReceiveLimits(now, hosts.Name(m.Name), DecodeLimits(m.Limits))
+	f.ReceiveDemands(now, hosts.Name(m.Name), DecodeDemands(m.Demands))
 	if len(m.Leaving) == 0 {
 		return
 	}
--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -29,6 +29,9 @@
 	e := reqs.Pool.Engine
 	free := e.Slots + e.Slots/queueDivisor - reserve - l.Running
 	switch {
+	case reqs.Levels > 1 && reqs.Returned:
+		// Its place among the levels decides, in levelReserve.
+		return free > 0
 	case timing.FirstEvent(e, l, e.PromptTokens) <= reqs.Remaining:
 		return free > 0
 	case timing.FirstEvent(e, timing.Load{}, e.PromptTokens) <= reqs.Remaining:
@@ -44,15 +47,22 @@
 	// of other entries become known only with a delay.
 	regionReserveDivisor = 5
 	remoteReserveDivisor = 3
+	// urgentReserveDivisor divides the former for the most urgent level. Fewer requests compete
+	// there, and a free slot of any engine of the region is worth more than one of the entry's
+	// own in a while. Without any reserve too many meet at the same engine and are late.
+	urgentReserveDivisor = 2
 )
 
 // reserve returns the number of slots that this entry leaves free at an engine.
-func (f *Fleet) reserve(now time.Time, u *upstream, slots int) int {
+func (f *Fleet) reserve(now time.Time, u *upstream, reqs Requirements) int {
+	slots := reqs.Pool.Engine.Slots
 	switch {
 	case u.assigned, u.ownsLimit(now):
 		return 0
 	case f.isRemote(u):
 		return slots / remoteReserveDivisor
+	case reqs.Levels > 1 && !reqs.Returned && (reqs.Level == 0 || reqs.Exempt):
+		return slots / regionReserveDivisor / urgentReserveDivisor
 	}
 	return slots / regionReserveDivisor
 }
--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -48,12 +48,15 @@
 	retried              bool
 	inFlight             *target.InFlight
 	served               bool
+	// level orders the queue of the engine. It is zero if all are equal.
+	level int
 }
 
 // simEngine simulates an engine that works in steps. Each step processes the queued prompts
 // and generates a stride of tokens for each request whose prompt was processed before.
 type simEngine struct {
 	id         string
+	spec       *state.Engine
 	batch      []*request
 	queue      []*request
 	stepEnds   time.Time
@@ -70,7 +73,7 @@
 	}
 	m.batch = slices.DeleteFunc(m.batch, func(a *request) bool {
 		if a.served && !slices.Contains(m.prefilling, a) {
-			a.outputTokens -= engineSpec.Stride
+			a.outputTokens -= m.spec.Stride
 		}
 		if a.served && a.outputTokens <= 0 {
 			a.inFlight.Finish(now, target.OutcomeSuccess)
@@ -78,7 +81,7 @@
 		}
 		return false
 	})
-	for len(m.batch) < engineSpec.Slots && len(m.queue) > 0 {
+	for len(m.batch) < m.spec.Slots && len(m.queue) > 0 {
 		m.batch, m.queue = append(m.batch, m.queue[0]), m.queue[1:]
 	}
 	m.begin(now)
@@ -94,10 +97,10 @@
 			continue
 		}
 		m.prefilling = append(m.prefilling, a)
-		took += timing.PrefillTime(engineSpec, a.prompt)
+		took += timing.PrefillTime(m.spec, a.prompt)
 	}
 	if generating > 0 || len(m.prefilling) > 0 {
-		took += time.Duration(engineSpec.Stride) * (engineSpec.StepTime + time.Duration(generating)*engineSpec.StepTimePerRequest)
+		took += time.Duration(m.spec.Stride) * (m.spec.StepTime + time.Duration(generating)*m.spec.StepTimePerRequest)
 	}
 	m.stepEnds = now.Add(max(took, tick))
 }
@@ -115,6 +118,8 @@
 	serial  uint64
 	// neverRefuse chooses engines by the same predictions, but admits every request.
 	neverRefuse bool
+	// hasLevels states one level and a workspace for each request.
+	hasLevels bool
 }
 
 func newSimulation(t testing.TB, seed uint64, entries, engines int) *simulation {
@@ -133,9 +138,9 @@
 	rows := []state.Row{encode(t)(state.EncodePool(b.pool))}
 	for i := range engines {
 		u := engine(i, fmt.Sprintf("d%d", i%2), 1)
-		u.Slots, u.HasCold = engineSpec.Slots, p.Cold > 0
+		u.Slots, u.HasCold = p.Engine.Slots, p.Cold > 0
 		rows = append(rows, encode(t)(state.EncodeUpstream(&u)))
-		b.engines = append(b.engines, &simEngine{id: u.ID, stepEnds: start})
+		b.engines = append(b.engines, &simEngine{id: u.ID, spec: p.Engine, stepEnds: start})
 	}
 	for _, e := range b.entries {
 		var builder state.Builder
@@ -206,6 +211,9 @@
 	if !a.retried {
 		reqs.Remaining = objective - now.Sub(a.arrived)
 	}
+	if b.hasLevels {
+		reqs.Levels, reqs.Workspace, reqs.Returned = 1, "w", a.retried
+	}
 	if b.neverRefuse {
 		reqs.Remaining = time.Hour
 		reqs.Pool = &state.Pool{Name: "p", Engine: unbounded}
