sched: probe an unavailable origin with few processes

Cause: after an outage every process requests each missing piece in its rank's turn, up to two at a time, so that up to 270 transfers share the origin's link. Each takes longer than its timeout of 1 to 2 s and is canceled: in the test's model of 79 and 220 processes the fleet isn't complete 50 s after the return of the origin.

Now two pieces are probed during an outage, and afterwards a window of pieces in order.

--- a/core/sched/requests.go
+++ b/core/sched/requests.go
@@ -78,6 +78,10 @@
 	if now.Before(s.originAvailableAt) {
 		return
 	}
+	if s.outage.met {
+		s.fetchFront(now)
+		return
+	}
 	for i := range s.pieces {
 		p := &s.pieces[i]
 		if s.originRequests >= originWindow {
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -95,7 +95,7 @@
 	// originBackoff is the backoff of the origin after a failure. It doubles with each
 	// consecutive failure, up to maxOriginBackoff.
 	originBackoff    = 100 * time.Millisecond
-	maxOriginBackoff = 300 * time.Millisecond
+	maxOriginBackoff = probeBackoff
 )
 
 // Piece is one piece of the version.
@@ -119,7 +119,9 @@
 	OriginRate float64
 	// ReleasedAt is the time at which the version was released, or zero if it isn't known.
 	ReleasedAt time.Time
-	Seed       uint64
+	// AfterOutage is set if the origin was unavailable before the start.
+	AfterOutage bool
+	Seed        uint64
 }
 
 // Kind is the kind of an action.
@@ -217,6 +219,7 @@
 	peerPieceTime time.Duration
 	// originPieceTime is the smoothed transfer time of a piece from the origin, or zero.
 	originPieceTime time.Duration
+	outage          outage
 	actions         []Action
 }
 
@@ -234,6 +237,10 @@
 			s.markHeld(i)
 		}
 	}
+	if o.AfterOutage {
+		s.beginOutage()
+		s.outage.current = false
+	}
 	return s
 }
 
@@ -251,9 +258,11 @@
 
 // markDiscovered records that a piece is held by some process.
 func (s *Scheduler) markDiscovered(now time.Time, i int) {
-	if !s.discovered[i] {
-		s.discovered[i], s.lastDiscovery = true, now
+	if s.discovered[i] {
+		return
 	}
+	s.endOutage(now, s.lastDiscovery)
+	s.discovered[i], s.lastDiscovery = true, now
 }
 
 func (s *Scheduler) peerOf(name hosts.Name) *peer {
@@ -314,7 +323,7 @@
 		s.emit(Action{Kind: KindCancel, Peer: r.peer, Piece: i})
 	}
 	if from == "" {
-		s.originFailures, s.originAvailableAt = 0, time.Time{}
+		s.originFailures, s.originAvailableAt, s.outage.corrupt = 0, time.Time{}, 0
 		s.originPieceTime = smooth(s.originPieceTime, took)
 		return
 	}
@@ -342,12 +351,7 @@
 		return
 	}
 	if from == "" {
-		backoff := min(originBackoff<<min(s.originFailures, 4), maxOriginBackoff)
-		if c == CauseCorrupt {
-			backoff = 0
-		}
-		s.originFailures++
-		s.originAvailableAt = now.Add(backoff/2 + time.Duration(s.random.Int64N(int64(backoff)+1)))
+		s.recordOriginFailure(now, c)
 		return
 	}
 	p := s.peers[from]
@@ -375,6 +379,20 @@
 	}
 }
 
+func (s *Scheduler) recordOriginFailure(now time.Time, c Cause) {
+	backoff := min(originBackoff<<min(s.originFailures, 4), maxOriginBackoff)
+	s.originFailures++
+	if c == CauseCorrupt {
+		if s.outage.corrupt++; s.outage.corrupt < maxCorruptPieces {
+			backoff = 0
+		}
+	}
+	if backoff > 0 {
+		s.beginOutage()
+	}
+	s.originAvailableAt = now.Add(backoff*3/4 + time.Duration(s.random.Int64N(int64(backoff)/2+1)))
+}
+
 // removeRequest removes a request that has ended and reports whether there was one.
 func (s *Scheduler) removeRequest(from hosts.Name, i int) bool {
 	at := slices.IndexFunc(s.pieces[i].requests, func(r request) bool { return r.peer == from })
@@ -422,6 +440,7 @@
 func (s *Scheduler) Decide(now time.Time) []Action {
 	if s.missing > 0 {
 		s.expireRequests(now)
+		s.detectSilence(now)
 		s.fetchFromOrigin(now)
 		s.fetchFromRemote(now)
 		s.fetchFromLocal(now)
--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -68,6 +68,8 @@
 	dead       bool
 	done       time.Duration
 	reportedAt time.Duration
+	// reported is the number of pieces in the last report.
+	reported int
 }
 
 // world simulates a fleet in virtual time.
@@ -258,7 +260,12 @@
 	for _, n := range w.nodes {
 		w.schedule(n)
 	}
-	for len(w.queue) > 0 && w.now < 30*time.Second {
+	return w.simulate(30 * time.Second)
+}
+
+// simulate runs the events until all live nodes are complete and returns the time.
+func (w *world) simulate(limit time.Duration) time.Duration {
+	for len(w.queue) > 0 && w.now < limit {
 		e := heap.Pop(&w.queue).(event)
 		w.now = e.at
 		e.run()
