sched: request the next pieces in order after an outage of the origin

Cause: after an outage each process requested two of all missing pieces at once. With 79 processes 120 transfers shared the origin's link, took longer than their timeouts and were canceled; each rank behind added more. The manifest was requested by every process every 0.3 s.

The takeovers of a piece now count the time that the link needs for the pieces that are due; a link that falls behind by two windows is treated like one after an outage; silent entries have no rank; requests for pieces that another process has got meanwhile are canceled. Reports are sent to the processes in turn instead of by the clock.

--- a/core/gather/manifest.go
+++ b/core/gather/manifest.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"time"
@@ -15,29 +16,32 @@
 
 // ensureManifest fetches the manifest of the version into the cache. The first rank
 // requests it from the origin; the others request it from a process that holds it, and
-// after a delay from the origin.
+// after a delay from the origin. While the origin is unavailable, the requests of each rank are
+// that delay apart, so that few processes probe it.
 func (s *session) ensureManifest(ctx context.Context) (*cache.Version, error) {
 	o := s.fetcher.options
 	startedAt := time.Now()
-	failures := 0
+	retryAt, failures := startedAt, 0
 	for {
 		if v, ok := o.Cache.Version(s.name); ok {
+			s.afterOutage = failures > 0 || time.Since(startedAt) > lateManifest
 			return v, nil
 		}
 		if time.Since(s.reportedAt) >= maxReportInterval {
 			s.report(true)
 		}
 		if at, ok := s.manifestHolder(); ok {
-			if v := s.manifestFromPeer(ctx, at); v != nil {
-				return v, nil
+			if s.manifestFromPeer(ctx, at) != nil {
+				continue
 			}
 		}
-		if time.Since(startedAt) >= time.Duration(s.manifestRank()+failures)*manifestTakeoverDelay {
-			v, err := s.manifestFromOrigin(ctx)
+		if time.Since(retryAt) >= time.Duration(s.manifestRank())*manifestTakeoverDelay {
+			_, err := s.manifestFromOrigin(ctx)
 			if err == nil {
-				return v, nil
+				continue
 			}
 			failures++
+			retryAt = time.Now().Add(manifestBackoff*3/4 + rand.N(manifestBackoff/2))
 			o.Log.Info("manifest-failed", zap.Error(err), zap.Int("failures", failures))
 		}
 		if !clocks.Sleep(ctx, manifestPollInterval) {
--- a/core/gather/session.go
+++ b/core/gather/session.go
@@ -34,6 +34,11 @@
 	// waits for the group before it.
 	maxManifestTakeovers = 2
 	manifestPollInterval = 20 * time.Millisecond
+	// manifestBackoff is the mean time between two requests of the first rank to an origin that
+	// is unavailable.
+	manifestBackoff = 200 * time.Millisecond
+	// lateManifest is the time after which a manifest shows that the origin was unavailable.
+	lateManifest = time.Second
 	// manifestTimeout bounds a request to another process for the manifest.
 	manifestTimeout = 700 * time.Millisecond
 	// corruptPieceLimit is the number of consecutive corrupt pieces, from any sources, that
@@ -74,6 +79,10 @@
 	// when a piece has arrived since.
 	reportedAt   time.Time
 	hasNewPieces bool
+	// cursor is the position of the next recipient of reports.
+	cursor int
+	// afterOutage is set if the origin was unavailable when the manifest was fetched.
+	afterOutage bool
 	// corruptPieces counts the corrupt pieces since the last valid one.
 	corruptPieces int
 	// refetchedAt is the time at which the manifest was last fetched again from the origin.
@@ -81,7 +90,10 @@
 }
 
 func newSession(f *Fetcher, name chunks.Digest) *session {
-	return &session{fetcher: f, name: name, events: rings.New[event](eventCapacity), transfers: make(map[transferKey]*transfer)}
+	return &session{
+		fetcher: f, name: name, events: rings.New[event](eventCapacity), transfers: make(map[transferKey]*transfer),
+		cursor: int(hosts.Score("report", f.options.Self.Name) % maxRecipients),
+	}
 }
 
 // receiveHoldings queues a report of another process. It is dropped when the ring is full;
@@ -146,7 +158,7 @@
 		released = o.ReleasedAt(s.name)
 	}
 	s.scheduler = sched.New(time.Now(), sched.Options{
-		Self: o.Self, Pieces: pieces, Held: func(i int) bool { return held[i] }, OriginRegion: region, OriginRate: rate, ReleasedAt: released, Seed: o.Seed,
+		Self: o.Self, Pieces: pieces, Held: func(i int) bool { return held[i] }, OriginRegion: region, OriginRate: rate, ReleasedAt: released, AfterOutage: s.afterOutage, Seed: o.Seed,
 	})
 	s.members, s.reportedAt = nil, time.Time{}
 }
@@ -261,8 +273,8 @@
 }
 
 // recipients returns the processes that get a report: the entries and the agents of the
-// same region, or in turn a part of them if there are many. Without entries, they include
-// the agents of all regions.
+// same region, or in turn a part of them if there are many. Turns by the clock would pass over
+// the same processes again and again. Without entries, they include the agents of all regions.
 func (s *session) recipients() []hosts.Host {
 	self := s.fetcher.options.Self
 	members := s.fetcher.options.Members()
@@ -273,7 +285,8 @@
 	if len(others) <= maxRecipients {
 		return others
 	}
-	start := int(time.Now().UnixNano()/int64(minReportInterval)) * maxRecipients % len(others)
+	start := s.cursor % len(others)
+	s.cursor += maxRecipients
 	return slices.Concat(others[start:], others[:start])[:maxRecipients]
 }
 
--- a/core/sched/outage.go
+++ b/core/sched/outage.go
@@ -1,8 +1,11 @@
 package sched
 
 import (
+	"maps"
 	"math"
 	"time"
+
+	"currantport.example/core/hosts"
 )
 
 // # After an outage of the origin
@@ -20,7 +23,7 @@
 	// Two pieces usually rank different processes first, one of which may be gone.
 	probeWindow = 2
 	// probeBackoff is the mean time between two probes of the first rank.
-	probeBackoff = 200 * time.Millisecond
+	probeBackoff = 150 * time.Millisecond
 	// silenceTimeout is the time without a newly discovered piece, while pieces are due, after
 	// which the origin counts as unavailable for a process that has sent it no request. Slow
 	// links extend it to silencePieceTimes transfer times.
@@ -32,9 +35,18 @@
 	// takeoverWindows is the number of transfer times of a window for which each rank waits for
 	// the one before it after an outage.
 	takeoverWindows = 2
+	// maxDueWindows is the number of windows of pieces that may be due at a time. A link that is
+	// further behind is slower than stated, and requests for all of them would time out.
+	maxDueWindows = 2
 	// maxCorruptPieces is the number of consecutive corrupt pieces after which the origin counts
 	// as unavailable.
 	maxCorruptPieces = 3
+	// rankOffset makes the first ranks wait for about as long as in other takeovers.
+	rankOffset = 3
+	// reportedTogether and reportInterval are the number of processes that get a report and the
+	// interval of the reports without news.
+	reportedTogether = 32
+	reportInterval   = 300 * time.Millisecond
 	// suspectedOutage is the time without a discovery after which a newly discovered piece ends
 	// the backoff of the origin.
 	suspectedOutage = 500 * time.Millisecond
@@ -48,6 +60,15 @@
 	current bool
 	// frontSince holds the time since which each piece is one of those to request next.
 	frontSince []time.Time
+	// silent holds the entries that have no rank, withoutEntries is set if nothing was heard from
+	// any entry, and checkedAt is when this was last checked.
+	silent         map[hosts.Name]bool
+	withoutEntries bool
+	checkedAt      time.Time
+	// discoveryInterval is the smoothed time between two pieces that were discovered.
+	discoveryInterval time.Duration
+	// timeouts counts the requests of this process to the origin that have timed out in a row.
+	timeouts int
 	// corrupt counts the corrupt pieces from the origin since the last valid one.
 	corrupt int
 }
@@ -65,29 +86,38 @@
 	if !s.outage.current {
 		return
 	}
-	s.outage.current = false
+	s.outage.current, s.outage.timeouts = false, 0
 	if now.Sub(previous) >= suspectedOutage {
 		s.originFailures, s.originAvailableAt = 0, time.Time{}
 		clear(s.outage.frontSince)
 	}
 }
 
-// detectSilence begins an outage if pieces are due and none is discovered.
-func (s *Scheduler) detectSilence(now time.Time) {
+// detectOutage recognizes without a request of this process that the origin is unavailable or
+// slower than stated, by the pieces that are due and that no process is known to hold.
+func (s *Scheduler) detectOutage(now time.Time) {
 	if s.outage.current {
 		return
 	}
-	timeout := max(silenceTimeout, silencePieceTimes*s.linkPieceTime())
-	if now.Sub(s.lastDiscovery) < timeout {
-		return
-	}
+	late, timeout := time.Duration(0), max(silenceTimeout, silencePieceTimes*s.linkPieceTime())
+	due := 0
 	for i, known := range s.discovered {
-		if !known && !s.pieces[i].held {
-			if now.Sub(s.dueAt(i, s.startedAt)) >= timeout {
-				s.beginOutage()
-			}
-			return
+		if known || s.pieces[i].held {
+			continue
+		}
+		since := now.Sub(s.dueAt(i, s.startedAt))
+		if since < 0 {
+			break
 		}
+		late = max(late, since)
+		due++
+	}
+	switch {
+	case late >= timeout && now.Sub(s.lastDiscovery) >= timeout:
+		s.beginOutage()
+	case !s.outage.met && s.options.OriginRate > 0 && due > maxDueWindows*s.frontWindow():
+		s.beginOutage()
+		s.outage.current = false
 	}
 }
 
@@ -97,12 +127,24 @@
 	return !p.held && p.localHolders == 0 && !s.hasRemoteHolder(now, i)
 }
 
-// linkPieceTime returns the time in which the link of the origin transmits a piece.
+// linkPieceTime returns the time in which the link of the origin transmits a piece: as stated, or
+// as observed if that is longer.
 func (s *Scheduler) linkPieceTime() time.Duration {
 	if s.options.OriginRate <= 0 || len(s.pieces) == 0 {
 		return s.originPieceTime
 	}
-	return time.Duration(float64(s.options.Pieces[0].Size) / s.options.OriginRate * float64(time.Second))
+	stated := time.Duration(float64(s.options.Pieces[0].Size) / s.options.OriginRate * float64(time.Second))
+	return max(stated, s.outage.discoveryInterval)
+}
+
+// recordDiscovery updates the observed time of a piece on the origin's link. A single gap, as the
+// takeover of a dead process leaves, counts little, and reports may bring several pieces at a time.
+func (s *Scheduler) recordDiscovery(now time.Time) {
+	const weight = 8
+	if !s.outage.current {
+		interval := min(now.Sub(s.lastDiscovery), 4*s.linkPieceTime())
+		s.outage.discoveryInterval += (interval - s.outage.discoveryInterval) / weight
+	}
 }
 
 // frontWindow returns the number of pieces that all processes together request at a time.
@@ -114,9 +156,27 @@
 	return probeWindow + int(math.Ceil(float64(reportDelay)/float64(took)))
 }
 
+// originTakeoverDelay returns the time for which each rank waits for the one before it. The link
+// of the origin needs a time for the pieces that are due; a piece isn't late before that. Without
+// this, a link that had lost 0.1 s was given pieces twice, which delayed the others until half of
+// them were.
+func (s *Scheduler) originTakeoverDelay(now time.Time) time.Duration {
+	due := 0
+	for i, known := range s.discovered {
+		if now.Before(s.dueAt(i, s.startedAt)) {
+			break
+		}
+		if !known && !s.pieces[i].held {
+			due++
+		}
+	}
+	return max(s.takeoverDelay(), takeoverWindows*time.Duration(due)*s.linkPieceTime())
+}
+
 // fetchFront requests those of the next pieces from the origin for which the turn of this
 // process has come.
 func (s *Scheduler) fetchFront(now time.Time) {
+	s.updateSilent(now)
 	window := s.frontWindow()
 	delay := max(s.takeoverDelay(), takeoverWindows*time.Duration(window)*s.linkPieceTime())
 	for i := range s.pieces {
@@ -131,20 +191,81 @@
 		if since.IsZero() {
 			*since = now
 		}
-		if len(p.requests) == 0 && p.originRank >= 0 && !now.Before(s.frontBase(i).Add(time.Duration(p.originRank)*delay)) {
+		rank, ok := s.frontRank(i)
+		if ok && len(p.requests) == 0 && !now.Before(s.frontBase(i, rank).Add(frontDelay(rank, delay))) {
 			s.startRequest(now, nil, i)
 		}
 	}
 }
 
+// cancelRepeated cancels the requests to the origin for pieces that a process is known to hold.
+func (s *Scheduler) cancelRepeated(now time.Time) {
+	for i := range s.pieces {
+		if !s.pieces[i].held && s.isRequested(i, "") && !s.isUnheld(now, i) {
+			s.removeRequest("", i)
+			s.emit(Action{Kind: KindCancel, Piece: i})
+		}
+	}
+}
+
+// frontRank returns the rank of this process for one of the next pieces, or false if it mustn't
+// request it.
+func (s *Scheduler) frontRank(i int) (int, bool) {
+	rank := s.pieces[i].originRank
+	if s.outage.current && s.options.Self.Role != hosts.RoleEntry {
+		rank = s.pieces[i].agentRank
+		if !s.outage.withoutEntries {
+			return 0, false
+		}
+	}
+	return rank, rank >= 0
+}
+
+// frontDelay returns the time for which a rank waits. It grows with the square of the rank, since
+// several ranks in a row are seldom gone while a slow origin would be given a piece by each.
+func frontDelay(rank int, delay time.Duration) time.Duration {
+	return time.Duration(rank) * time.Duration(rank+rankOffset) * delay / (rankOffset + 1)
+}
+
 // frontBase returns the time from which the takeover delays of one of the next pieces count.
-func (s *Scheduler) frontBase(i int) time.Time {
-	if s.pieces[i].originRank == 0 {
+func (s *Scheduler) frontBase(i, rank int) time.Time {
+	if rank == 0 {
 		return s.originAvailableAt
 	}
 	base := later(s.outage.frontSince[i], s.originAvailableAt)
-	if p := s.peers[s.pieces[i].predecessor]; p != nil && s.pieces[i].originRank == 1 {
+	if p := s.peers[s.pieces[i].predecessor]; p != nil && rank == 1 {
 		base = later(base, p.lastProgress)
 	}
 	return base
 }
+
+// updateSilent updates which entries have no rank because nothing was heard from them for as long
+// as their reports take in turn.
+func (s *Scheduler) updateSilent(now time.Time) {
+	if now.Before(s.outage.checkedAt.Add(silenceTimeout / 2)) {
+		return
+	}
+	s.outage.checkedAt = now
+	timeout := silenceTimeout + time.Duration(len(s.members)/reportedTogether)*reportInterval
+	silent, heard := make(map[hosts.Name]bool), false
+	for _, h := range s.members {
+		if h.Role != hosts.RoleEntry || h.Name == s.options.Self.Name {
+			continue
+		}
+		if p := s.peers[h.Name]; p == nil && now.Sub(s.startedAt) >= timeout || p != nil && now.Sub(p.heardAt) >= timeout {
+			silent[h.Name] = true
+		} else {
+			heard = true
+		}
+	}
+	// An agent doesn't hear from the entries of other regions, so that it can't tell which of
+	// them fetch the version.
+	s.outage.withoutEntries = !heard
+	if s.options.Self.Role != hosts.RoleEntry {
+		silent = nil
+	}
+	if !maps.Equal(silent, s.outage.silent) {
+		s.outage.silent = silent
+		s.computeRanks()
+	}
+}
--- a/core/sched/ranks.go
+++ b/core/sched/ranks.go
@@ -51,15 +51,22 @@
 	for i := range s.pieces {
 		key := s.options.Pieces[i].Key
 		s.pieces[i].originRank, s.pieces[i].predecessor = rankOf(key, s.options.Self.Name, originGroups)
+		s.pieces[i].agentRank, _ = rankOf(key, s.options.Self.Name, originGroups[2:])
 		s.pieces[i].regionRank, _ = rankOf(key, s.options.Self.Name, regionGroups)
 	}
 }
 
-// rankGroups returns the members in the order of their ranks: the entries that satisfy the
+// scoredMember is a member with the hash that its score for a piece is mixed from.
+type scoredMember struct {
+	name hosts.Name
+	hash uint64
+}
+
+// rankGroups returns the members in groups of descending rank: the entries that satisfy the
 // condition, then, if includeOthers is set, the other entries, and then the agents in the
-// same way.
-func (s *Scheduler) rankGroups(preferred func(h hosts.Host) bool, includeOthers bool) [][]hosts.Name {
-	all := make([][]hosts.Name, 4)
+// same way. Entries that are silent in an outage are left out.
+func (s *Scheduler) rankGroups(preferred func(h hosts.Host) bool, includeOthers bool) [][]scoredMember {
+	all := make([][]scoredMember, 4)
 	for _, h := range s.members {
 		at := 0
 		if !preferred(h) {
@@ -71,33 +78,48 @@
 		if h.Role != hosts.RoleEntry {
 			at += 2
 		}
-		all[at] = append(all[at], h.Name)
+		if includeOthers && s.outage.silent[h.Name] {
+			continue
+		}
+		all[at] = append(all[at], scoredMember{name: h.Name, hash: hosts.Score("rank", h.Name)})
 	}
 	return all
 }
 
 // rankOf returns the rank of a name within the groups and the name directly before it, or
 // -1 if no group has the name.
-func rankOf(key uint64, self hosts.Name, groups [][]hosts.Name) (int, hosts.Name) {
+func rankOf(key uint64, self hosts.Name, groups [][]scoredMember) (int, hosts.Name) {
 	rank, predecessor := 0, hosts.Name("")
 	for _, g := range groups {
 		if len(g) == 0 {
 			continue
 		}
-		order := slices.Clone(g)
-		slices.SortFunc(order, func(a, b hosts.Name) int { return cmp.Compare(scoreOf(key, b), scoreOf(key, a)) })
-		if r := slices.Index(order, self); r > 0 {
-			return rank + r, order[r-1]
-		} else if r == 0 {
-			return rank, predecessor
+		if at := slices.IndexFunc(g, func(m scoredMember) bool { return m.name == self }); at >= 0 {
+			before, last := countBefore(key, g, mix(key, g[at].hash))
+			if before > 0 {
+				predecessor = last
+			}
+			return rank + before, predecessor
 		}
 		rank += min(len(g), maxGroupTakeovers)
-		predecessor = order[0]
+		predecessor = slices.MaxFunc(g, func(a, b scoredMember) int { return cmp.Compare(mix(key, a.hash), mix(key, b.hash)) }).name
 	}
 	return -1, ""
 }
 
-func scoreOf(key uint64, name hosts.Name) uint64 { return mix(key, hosts.Score("rank", name)) }
+// countBefore returns the number of members with a higher score and the last of them.
+func countBefore(key uint64, group []scoredMember, score uint64) (int, hosts.Name) {
+	count, last, lowest := 0, hosts.Name(""), uint64(0)
+	for _, m := range group {
+		if x := mix(key, m.hash); x > score {
+			if count == 0 || x < lowest {
+				last, lowest = m.name, x
+			}
+			count++
+		}
+	}
+	return count, last
+}
 
 // mix combines two hashes into a uniformly distributed one.
 func mix(a, b uint64) uint64 {
--- a/core/sched/requests.go
+++ b/core/sched/requests.go
@@ -16,6 +16,9 @@
 				timeout = s.originTimeout()
 			}
 			if now.Sub(r.startedAt) >= timeout {
+				if r.peer == "" {
+					s.outage.timeouts++
+				}
 				s.emit(Action{Kind: KindCancel, Peer: r.peer, Piece: i})
 				s.RecordFailure(now, r.peer, i, CauseUnavailable)
 			}
@@ -27,10 +30,11 @@
 // request which the origin received during an outage doesn't delay the piece after it has
 // recovered.
 func (s *Scheduler) originTimeout() time.Duration {
+	shared := takeoverWindows * time.Duration(s.frontWindow()) * s.linkPieceTime()
 	if s.originPieceTime == 0 {
-		return initialOriginTimeout
+		return max(initialOriginTimeout<<min(s.outage.timeouts, maxOriginDoublings), shared)
 	}
-	return max(minOriginTimeout, timeoutPieceTimes*s.originPieceTime)
+	return max(minOriginTimeout, timeoutPieceTimes*s.originPieceTime, shared)
 }
 
 // dueAt returns the time at which a piece is due from the origin if its link is free from
@@ -75,6 +79,9 @@
 // fetchFromOrigin requests the pieces from the origin for which the turn of this process
 // has come.
 func (s *Scheduler) fetchFromOrigin(now time.Time) {
+	if s.outage.met {
+		s.cancelRepeated(now)
+	}
 	if now.Before(s.originAvailableAt) {
 		return
 	}
@@ -90,7 +97,7 @@
 		if p.held || len(p.requests) > 0 || p.originRank < 0 || p.localHolders > 0 || s.hasRemoteHolder(now, i) {
 			continue
 		}
-		if !now.Before(s.originBase(i).Add(time.Duration(p.originRank) * s.takeoverDelay())) {
+		if !now.Before(s.originBase(i).Add(time.Duration(p.originRank) * s.originTakeoverDelay(now))) {
 			s.startRequest(now, nil, i)
 		}
 	}
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -70,9 +70,11 @@
 	timeoutPieceTimes = 8
 	// minOriginTimeout is the same for the origin, which serves other processes in between.
 	// initialOriginTimeout applies until a piece has arrived from there, since many
-	// requests may have started at once.
+	// requests may have started at once. It doubles with each timeout, at most
+	// maxOriginDoublings times, for an origin that is slower than that.
 	minOriginTimeout     = time.Second
 	initialOriginTimeout = 2 * time.Second
+	maxOriginDoublings   = 2
 	// When at most endgamePieces are missing, a piece that takes longer than
 	// duplicatePieceTimes transfer times is requested from a second peer too.
 	duplicatePieceTimes = 2
@@ -176,6 +178,8 @@
 	// the origin and from another region. A negative rank means never.
 	originRank int
 	regionRank int
+	// agentRank is the originRank without regard to entries.
+	agentRank int
 	// predecessor is the member whose rank for the origin comes directly before the one of
 	// this process.
 	predecessor hosts.Name
@@ -194,8 +198,10 @@
 	pieceTime   time.Duration
 	availableAt time.Time
 	failures    int
-	// lastProgress is the time at which the peer last received a piece.
+	// lastProgress is the time at which the peer last received a piece, heardAt that of its last
+	// report.
 	lastProgress time.Time
+	heardAt      time.Time
 }
 
 // Scheduler is the state of one fetch. It must be used from one goroutine.
@@ -261,6 +267,7 @@
 	if s.discovered[i] {
 		return
 	}
+	s.recordDiscovery(now)
 	s.endOutage(now, s.lastDiscovery)
 	s.discovered[i], s.lastDiscovery = true, now
 }
@@ -286,7 +293,7 @@
 	if p == nil || len(held) != len(s.pieces) {
 		return
 	}
-	p.queue = queue
+	p.queue, p.heardAt = queue, now
 	s.setHoldings(now, p, held)
 }
 
@@ -323,7 +330,7 @@
 		s.emit(Action{Kind: KindCancel, Peer: r.peer, Piece: i})
 	}
 	if from == "" {
-		s.originFailures, s.originAvailableAt, s.outage.corrupt = 0, time.Time{}, 0
+		s.originFailures, s.originAvailableAt, s.outage.corrupt, s.outage.timeouts = 0, time.Time{}, 0, 0
 		s.originPieceTime = smooth(s.originPieceTime, took)
 		return
 	}
@@ -440,7 +447,7 @@
 func (s *Scheduler) Decide(now time.Time) []Action {
 	if s.missing > 0 {
 		s.expireRequests(now)
-		s.detectSilence(now)
+		s.detectOutage(now)
 		s.fetchFromOrigin(now)
 		s.fetchFromRemote(now)
 		s.fetchFromLocal(now)
