target: learn the age of a release from agents' load reports

Cause: an entry that starts after a release counted the older versions as ended. The age in the first rows from another process was dropped, because the replica had never been confirmed; a leader reads the platform, which states none.

Ruled out: waiting with readiness (clients use the entry's address for seconds). The first rows' ages are kept, agents state the ages of recent releases in load reports, and an entry requests a report from each agent as soon as it has rows.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -25,6 +25,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -160,6 +161,9 @@
 	Closing bool
 	// Row is the upstream row of the engine, or nil.
 	Row *state.Upstream
+	// Releases are those of the engine's model that still bound the use of a version and whose
+	// age is known.
+	Releases []state.Release
 }
 
 // Report returns the last status of the engine. The second result is false if the status is
@@ -167,10 +171,21 @@
 func (l *Loader) Report() (Report, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	r := Report{Status: l.status, Closing: l.closing, Row: l.row(l.status.Started)}
+	r := Report{Status: l.status, Closing: l.closing, Row: l.row(l.status.Started), Releases: l.recentReleases()}
 	return r, !l.statusAt.IsZero() && clocks.Since(l.statusAt) < callTimeout && r.Row != nil
 }
 
+// recentReleases returns the releases that still bound the use of a version.
+func (l *Loader) recentReleases() []state.Release {
+	t, ok := l.releasedVersion()
+	if !ok {
+		return nil
+	}
+	return slices.DeleteFunc(l.options.Mirror.Snapshot().Release(t.model).Since(0), func(r state.Release) bool {
+		return r.NotBefore.IsZero() || clocks.Since(r.NotBefore) >= l.options.VersionTimeout
+	})
+}
+
 // row returns the upstream row of the engine, or nil. After a restart, the engine may have
 // two rows for a while.
 func (l *Loader) row(started time.Time) *state.Upstream {
@@ -236,19 +251,20 @@
 }
 
 // recordReleases records the earliest times at which a version, and those that it replaced unseen,
-// may have been released. One for which it isn't known, as at the start, counts as released a full
-// VersionTimeout ago.
+// may have been released. One for which it isn't known, as it may be at the start, counts as
+// released a full VersionTimeout ago, and so does the first one if the engine lacks an earlier one
+// as well.
 func (l *Loader) recordReleases(t targetVersion) {
-	now := clocks.Now()
+	now, held, isFirst := clocks.Now(), l.heldVersion(t.model), len(l.releases) == 0
 	for _, r := range l.options.Mirror.Snapshot().Release(t.model).Since(0) {
 		v, at := targetVersion{model: r.Model, version: r.Version}, r.NotBefore
 		if _, known := l.releases[v]; known {
 			continue
 		}
-		if at.IsZero() {
+		if at.IsZero() || isFirst && held != 0 && held < v.version-1 {
 			at = now.Add(-l.options.VersionTimeout)
 		}
-		l.releases[v] = releaseTime{notBefore: at, seenAt: now}
+		l.releases[v], isFirst = releaseTime{notBefore: at, seenAt: now}, false
 		l.options.Log.Info("release", zap.String("model", v.model), zap.Int("version", v.version), zap.Duration("age", now.Sub(at)))
 	}
 }
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -334,6 +334,11 @@
 		// The tables were last confirmed 4 s before the release is seen.
 		time.Sleep(2 * time.Second)
 		w.release(2)
+		// Entries that start later learn the age from the report.
+		r, _ := w.loader.Report()
+		if len(r.Releases) != 1 || r.Releases[0].Version != 2 || clocks.Since(r.Releases[0].NotBefore) != 4*time.Second {
+			t.Errorf("releases in the report: %v", r.Releases)
+		}
 		time.Sleep(versionTimeout - 4*time.Second)
 		w.check(2, 2)
 	})
--- a/agent/internal/report/report.go
+++ b/agent/internal/report/report.go
@@ -89,7 +89,7 @@
 	}
 	_, known := r.subscriptions[i.Name]
 	r.subscriptions[i.Name] = subscription{address: from, receivedAt: clocks.Now(), frequent: i.Often}
-	if !known {
+	if !known || i.First {
 		r.Notify()
 	}
 }
@@ -162,6 +162,9 @@
 	for _, h := range s.Held {
 		l.Held = append(l.Held, &wire.HeldVersion{Model: h.Model, Version: uint32(h.Version), Whole: h.Whole})
 	}
+	for _, k := range e.Releases {
+		l.Releases = append(l.Releases, &wire.KnownRelease{Model: k.Model, Version: uint32(k.Version), Age: max(now.Sub(k.NotBefore).Microseconds(), 1)})
+	}
 	busy := s.Queued+s.Active > 0 || s.Busy || e.Closing
 	return &wire.Datagram{Body: &wire.Datagram_Load{Load: l}}, to, busy
 }
--- /dev/null
+++ b/agent/internal/report/report_test.go
@@ -0,0 +1,56 @@
+package report_test
+
+import (
+	"net/netip"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"currantport.example/agent/internal/loader"
+	"currantport.example/agent/internal/report"
+	"currantport.example/core/state"
+	"currantport.example/core/wire"
+)
+
+// agent is a source of reports on an idle engine, and the mesh that collects them.
+type agent struct {
+	released time.Time
+	sent     []*wire.LoadDigest
+}
+
+// Report implements report.Source.
+func (a *agent) Report() (loader.Report, bool) {
+	return loader.Report{Row: &state.Upstream{ID: "u1"}, Releases: []state.Release{{Model: "m", Version: 2, NotBefore: a.released}}}, true
+}
+
+// Send implements report.Mesh.
+func (a *agent) Send(d *wire.Datagram, to ...netip.AddrPort) {
+	if len(to) > 0 {
+		a.sent = append(a.sent, d.GetLoad())
+	}
+}
+
+// TestRestartedEntryLearnsReleasesAtOnce has an entry subscribe, and again after a restart. Without
+// the field First, the second report to an idle engine's subscriber came up to 1.2 s later.
+func TestRestartedEntryLearnsReleasesAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := &agent{released: time.Now()}
+		r := report.New()
+		defer r.Start(a, a)()
+		for range 2 {
+			time.Sleep(1500 * time.Millisecond)
+			a.sent = nil
+			r.ReceiveSubscription(netip.MustParseAddrPort("10.0.0.2:80"), &wire.Interest{Name: "e0", First: true})
+			time.Sleep(time.Millisecond)
+			synctest.Wait()
+			if len(a.sent) == 0 {
+				t.Error("no report right after the subscription")
+				continue
+			}
+			got := a.sent[0].Releases
+			if age := time.Since(a.released) - time.Millisecond; len(got) != 1 || got[0].Model != "m" || got[0].Version != 2 || got[0].Age != age.Microseconds() {
+				t.Errorf("releases %v, want version 2 of m after %v", got, age)
+			}
+		}
+	})
+}
--- a/core/feed/mirror.go
+++ b/core/feed/mirror.go
@@ -193,10 +193,13 @@
 // notBefore returns the earliest time at which a release may have been published that replaces
 // the active row: after this replica was last complete, or what its source knows.
 func (m *Mirror) notBefore(completeAt time.Time, r state.Row) time.Time {
-	if r.Value == nil || !state.IsRelease(r.Key) || completeAt.IsZero() {
+	if r.Value == nil || !state.IsRelease(r.Key) {
 		return time.Time{}
 	}
 	active := m.retention.active(r.Key, m.rows)
+	if completeAt.IsZero() {
+		return firstNotBefore(active, r)
+	}
 	switch versionOf(r) {
 	case versionOf(active):
 		// A restored store has it published again.
@@ -211,6 +214,18 @@
 	return completeAt
 }
 
+// firstNotBefore returns the same for a replica that was never confirmed, as at the start of the
+// process: what the source knows of the first release that the replica gets, or of the next one.
+func firstNotBefore(active, r state.Row) time.Time {
+	switch {
+	case active.Value == nil, versionOf(r) == versionOf(active)+1:
+		return r.NotBefore
+	case versionOf(r) == versionOf(active):
+		return active.NotBefore
+	}
+	return time.Time{}
+}
+
 // retainedNotBefore returns the same for a release of a former era, which the store has lost.
 func (m *Mirror) retainedNotBefore(r state.Row) time.Time {
 	switch {
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -32,6 +32,8 @@
 	// subscriptionInterval is the time between two subscription messages to an agent of this
 	// region, or to one whose engine the entry uses.
 	subscriptionInterval = time.Second
+	// firstSubscriptionDelay is the time in which the first rows are applied to the fleet.
+	firstSubscriptionDelay = 20 * time.Millisecond
 	// remoteSubscriptionRounds is the number of these intervals between two messages to any
 	// other agent.
 	remoteSubscriptionRounds = 2
@@ -264,13 +266,21 @@
 	t := time.NewTicker(subscriptionInterval)
 	defer t.Stop()
 	for round := 0; ; round++ {
-		for i, s := range sy.options.Fleet.Subscriptions(sy.options.Mirror.Snapshot()) {
-			if s.Frequent || (round+i)%remoteSubscriptionRounds == 0 {
+		changed := sy.options.Mirror.Changed()
+		all := sy.options.Fleet.Subscriptions(clocks.Now(), sy.options.Mirror.Snapshot())
+		for i, s := range all {
+			if s.Frequent || s.First || (round+i)%remoteSubscriptionRounds == 0 {
 				sy.subscribe(s)
 			}
 		}
+		if len(all) > 0 {
+			// Only an entry that has just started waits for its first rows.
+			changed = nil
+		}
 		select {
 		case <-t.C:
+		case <-changed:
+			clocks.Sleep(ctx, firstSubscriptionDelay)
 		case <-ctx.Done():
 			return
 		}
@@ -280,7 +290,7 @@
 func (sy *Syncer) subscribe(s target.Subscription) {
 	to := netip.AddrPortFrom(s.Row.Address.Addr(), uint16(sy.options.AgentPort))
 	sy.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Interest{Interest: &wire.Interest{
-		Name: string(sy.options.Self), Often: s.Frequent,
+		Name: string(sy.options.Self), Often: s.Frequent, First: s.First,
 	}}}, to)
 }
 
@@ -293,5 +303,8 @@
 	for _, h := range l.Held {
 		r.Held = append(r.Held, state.HeldVersion{Model: h.Model, Version: int(h.Version), Whole: h.Whole})
 	}
+	for _, k := range l.Releases {
+		r.Releases = append(r.Releases, target.StatedRelease{Model: k.Model, Version: int(k.Version), Age: time.Duration(k.Age) * time.Microsecond})
+	}
 	return r
 }
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -142,11 +142,14 @@
 	Row *state.Upstream
 	// Frequent requests reports at the short interval, for engines that the entry uses.
 	Frequent bool
+	// First is set until a report has been received.
+	First bool
 }
 
 // Subscriptions returns the engines whose load reports the entry wants: those of its region,
-// the remote ones assigned to it and those with requests in progress.
-func (f *Fleet) Subscriptions(s *state.Snapshot) []Subscription {
+// the remote ones assigned to it and those with requests in progress. The caller subscribes to
+// them at the given time or later.
+func (f *Fleet) Subscriptions(now time.Time, s *state.Snapshot) []Subscription {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	var all []Subscription
@@ -156,7 +159,10 @@
 		}
 		for _, u := range f.pools[p.Name] {
 			if !f.isRemote(u) || u.remoteAssigned || u.running > 0 {
-				all = append(all, Subscription{Row: u.row, Frequent: u.running > 0 || !f.isRemote(u)})
+				if u.subscribedAt.IsZero() {
+					u.subscribedAt = now
+				}
+				all = append(all, Subscription{Row: u.row, Frequent: u.running > 0 || !f.isRemote(u), First: u.reportedAt.IsZero()})
 			}
 		}
 	}
--- a/entry/internal/target/releases.go
+++ b/entry/internal/target/releases.go
@@ -27,9 +27,8 @@
 		current := s.Release(m.Name)
 		known := f.releases[m.Name]
 		if len(known) == 0 {
-			// The time of this release is unknown. The zero time means that the versions
-			// before it have already expired.
-			f.releases[m.Name] = []release{{version: current.Version}}
+			f.releases[m.Name] = firstReleases(current)
+			f.options.Log.Info("release-at-start", zap.String("model", m.Name), zap.Int("version", current.Version), zap.Bool("aged", !current.NotBefore.IsZero()))
 			continue
 		}
 		added := current.Since(known[len(known)-1].version)
@@ -45,6 +44,61 @@
 	}
 }
 
+// firstReleases returns the releases of a model when it is first seen. The times of those before
+// them are unknown. The zero time means that the versions before have already expired.
+func firstReleases(current state.Release) []release {
+	all := []release{{version: current.Since(0)[0].Version - 1}}
+	for _, r := range current.Since(0) {
+		all = append(all, release{version: r.Version, notBefore: r.NotBefore})
+	}
+	return all
+}
+
+// StatedRelease is a release as an agent states it.
+type StatedRelease struct {
+	Model   string
+	Version int
+	// Age is the longest time for which it may have been published when the report was sent.
+	Age time.Duration
+}
+
+// statedKey identifies a release.
+type statedKey struct {
+	model   string
+	version int
+}
+
+// reportTransit is the time by which a report may precede the subscription of this process: one that
+// was sent to a process before it at the same address.
+const reportTransit = 250 * time.Millisecond
+
+// recordStated records the releases that an agent states. A report may have waited before it was
+// received, but it was sent after this process had subscribed, so that its ages count from then on.
+// Only the first statement of an agent counts: by that rule, the later ones are older. The time is
+// one before which the agent knows that the version wasn't released, so one agent is enough. If
+// several differ, the earliest is used, so that a version is never used for too long.
+func (f *Fleet) recordStated(u *upstream, all []StatedRelease) {
+	if u.subscribedAt.IsZero() {
+		return
+	}
+	for _, r := range all {
+		k := statedKey{model: r.Model, version: r.Version}
+		newest := f.newestVersion(r.Model)
+		if r.Age <= 0 || r.Age > f.options.VersionTimeout || r.Version > newest || r.Version <= newest-maxReleases || u.stated[k] {
+			continue
+		}
+		if u.stated == nil {
+			u.stated = make(map[statedKey]bool)
+		}
+		u.stated[k] = true
+		at := u.subscribedAt.Add(-r.Age - reportTransit)
+		if known, ok := f.stated[k]; !ok || at.Before(known) {
+			f.stated[k] = at
+			f.options.Log.Info("release-stated", zap.String("model", r.Model), zap.Int("version", r.Version), zap.String("by", u.row.ID), zap.Time("after", at))
+		}
+	}
+}
+
 // relevantReleases returns the releases that bound the use of versions in the future, at most
 // maxReleases - 1. Those before the first one bound it to a time that isn't later.
 func (f *Fleet) relevantReleases(now time.Time, all []release) []release {
@@ -77,6 +131,9 @@
 	}
 	for _, r := range f.releases[model] {
 		if r.version > version {
+			if r.notBefore.IsZero() {
+				r.notBefore = f.stated[statedKey{model: model, version: version + 1}]
+			}
 			return r.notBefore.Add(f.options.VersionTimeout - startDeadlineMargin)
 		}
 	}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -62,12 +62,18 @@
 	Leaving bool
 	// Held lists the versions that the engine holds.
 	Held []state.HeldVersion
+	// Releases are those that the agent knows with their ages.
+	Releases []StatedRelease
 }
 
 // upstream is the state of one upstream.
 type upstream struct {
-	row    *state.Upstream
-	health health.Record
+	row *state.Upstream
+	// subscribedAt is when this process first subscribed to the load reports, or zero. stated holds
+	// the releases whose age the agent has stated since.
+	subscribedAt time.Time
+	stated       map[statedKey]bool
+	health       health.Record
 	// running and unread are the requests in progress and the prompt tokens without a first
 	// event that this entry has sent.
 	running int
@@ -153,6 +159,8 @@
 	// releases lists the versions of each model that this process has seen released, oldest
 	// first. Versions before the first one end no later than that one says.
 	releases map[string][]release
+	// stated holds the earliest times at which agents state that versions may have been released.
+	stated map[statedKey]time.Time
 	// evacuated are the failure domains whose upstreams get no new requests.
 	evacuated map[hosts.Domain]bool
 }
@@ -161,7 +169,7 @@
 func New(o Options) *Fleet {
 	return &Fleet{
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
-		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
+		releases: make(map[string][]release), stated: make(map[statedKey]time.Time), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
 		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
 	}
@@ -231,6 +239,9 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	u := f.upstreams[id]
+	if u != nil {
+		f.recordStated(u, r.Releases)
+	}
 	if u == nil || u.report.Serial >= r.Serial && now.Sub(u.reportedAt) < loadReportTTL {
 		return
 	}
