loader: skip replaced versions that end before they are worth loading

Cause: an engine loaded a complete version although its end was near: at the cut-off it had served for less time than it was out of use, and the newest version waited for the load. The fetch of such a version went on for up to 8 s after the newer release, also in an outage of the origin.

The engine loads it only if it can serve for longer than loading takes, until the version's end or the expected arrival of the newest. The fetch ends by the same rule.

--- a/agent/internal/loader/fetcher.go
+++ b/agent/internal/loader/fetcher.go
@@ -214,6 +214,7 @@
 		newest, since := w.fetcher.currentTarget()
 		if newest != w.target && !finish.ShouldFinish(finish.Progress{
 			Held: p.Held, Total: p.Total, Version: w.target.version, Newest: newest.version, SinceRelease: clocks.Since(since),
+			Timeout: w.fetcher.options.VersionTimeout, LoadTime: w.fetcher.options.loadTime(newest.model),
 		}) {
 			w.cancel()
 			return
--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -126,6 +126,8 @@
 	open *openOrder
 	// releases holds when each version was released.
 	releases map[targetVersion]releaseTime
+	// skipped is the last complete version that wasn't loaded because it ends too early.
+	skipped targetVersion
 	// retained holds the version for which all others were dropped from the cache.
 	retained map[targetVersion]bool
 
@@ -271,23 +273,71 @@
 
 // nextLoad returns the version to load now, if there is one. Until the newest version is
 // complete, this is an earlier one that the engine lacks, but only if the newest isn't
-// expected before the deadline at which the engine must stop serving its current version.
+// expected before the deadline at which the engine must stop serving its current version, and if
+// the engine can serve with the earlier one for longer than loading it takes.
 func (l *Loader) nextLoad(t targetVersion) (targetVersion, bool) {
 	found, ok := l.fetcher.newestComplete(t.model)
 	if !ok || l.holdsOrNewer(found) {
 		return targetVersion{}, false
 	}
-	if found == t || len(l.status.Held) == 0 {
+	if found == t {
 		return found, true
 	}
 	now := clocks.Now()
+	start, end := now, l.endOf(found)
 	timeLeft, inProgress := l.fetcher.progressOf(t).TimeLeft(now)
-	if inProgress && !now.Add(timeLeft).After(l.slot.Deadline(l.options.VersionTimeout)) {
+	if inProgress && now.Add(timeLeft).Before(end) {
+		end = now.Add(timeLeft)
+	}
+	if len(l.status.Held) > 0 {
+		if inProgress && !now.Add(timeLeft).After(l.slot.Deadline(l.options.VersionTimeout)) {
+			return targetVersion{}, false
+		}
+		if s := l.slot.Start(l.options.VersionTimeout); s.After(start) {
+			start = s
+		}
+	}
+	if loadTime := l.options.loadTime(t.model); end.Sub(start) <= 2*loadTime {
+		l.logSkipped(found, end.Sub(start), loadTime)
 		return targetVersion{}, false
 	}
 	return found, true
 }
 
+// endOf returns the time after which the engine gets no requests for a version that was replaced.
+func (l *Loader) endOf(t targetVersion) time.Time {
+	end := clocks.Now().Add(unboundedLimit)
+	for other, r := range l.releases {
+		if other.model != t.model || other.version <= t.version {
+			continue
+		}
+		if at := (RolloutSlot{NotBefore: r.notBefore}).Deadline(l.options.VersionTimeout); at.Before(end) {
+			end = at
+		}
+	}
+	return end
+}
+
+// loadTime returns the time that the engine takes to load a version, or zero if it isn't known.
+func (o Options) loadTime(model string) time.Duration {
+	if p := o.Mirror.Snapshot().Pool(o.Pool); p != nil && p.Engine != nil {
+		for _, m := range p.Engine.Models {
+			if m.Name == model {
+				return m.LoadTime
+			}
+		}
+	}
+	return 0
+}
+
+// logSkipped logs once that a version is complete and isn't loaded.
+func (l *Loader) logSkipped(t targetVersion, left, loadTime time.Duration) {
+	if l.skipped != t {
+		l.skipped = t
+		l.options.Log.Info("load-skipped", zap.String("model", t.model), zap.Int("version", t.version), zap.Duration("left", left), zap.Duration("load", loadTime))
+	}
+}
+
 // pollStatus reads the status of the engine and reports whether that succeeded.
 func (l *Loader) pollStatus(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -344,6 +344,29 @@
 	})
 }
 
+// TestReplacedVersionIsLoadedOnlyForLongerThanLoadingTakes releases two versions while the pieces of
+// the second one don't arrive. An engine that loaded the first one right before the end of that
+// served neither while it loaded, and loaded the second one later.
+func TestReplacedVersionIsLoadedOnlyForLongerThanLoadingTakes(t *testing.T) {
+	for gap, want := range map[time.Duration][]int{2*loadTime - 50*time.Millisecond: {3}, 2*loadTime + 200*time.Millisecond: {2, 3}} {
+		play(t, 1, 5, func(w *world) {
+			confirm := func() {
+				if _, err := w.mirror.Apply(feed.Update{Head: w.head, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			w.fetchTime[3] = 2 * versionTimeout
+			confirm()
+			w.release(2)
+			time.Sleep(gap)
+			confirm()
+			w.release(3)
+			time.Sleep(3 * versionTimeout)
+			w.check(3, want...)
+		})
+	}
+}
+
 func TestReleaseThatIsReplacedAtOnceIsLoadedInTime(t *testing.T) {
 	play(t, 1, 5, func(w *world) {
 		// The tables were last confirmed 4 s before the releases are seen.
--- a/core/finish/finish.go
+++ b/core/finish/finish.go
@@ -12,6 +12,9 @@
 	// finishTimeout limits the continuation, for a version whose remaining pieces don't
 	// arrive.
 	finishTimeout = 8 * time.Second
+	// servedRatio is the share of the timeout for which engines get requests for a replaced
+	// version.
+	servedRatio = 0.8
 )
 
 // Progress is the progress of the fetch of a version when a newer one has been released.
@@ -24,6 +27,11 @@
 	Newest  int
 	// SinceRelease is the time since the newest version was released.
 	SinceRelease time.Duration
+	// Timeout is the time after its release within which the newest version must be served, and
+	// LoadTime that which an engine takes to load a version. Zero means that there is no limit,
+	// or that it isn't known.
+	Timeout  time.Duration
+	LoadTime time.Duration
 }
 
 // ShouldFinish reports whether the fetch continues.
@@ -32,6 +40,12 @@
 // engines must stop serving their current version at a fixed time, and a version that is
 // nearly complete can be served before the newest has arrived. An origin serves no more
 // than the two newest versions.
+//
+// The version must be complete early enough for an engine to serve with it for longer than loading
+// it takes. Otherwise its pieces delay those of the newest one when the origin returns.
 func ShouldFinish(p Progress) bool {
+	if p.Timeout > 0 && p.SinceRelease+2*p.LoadTime >= time.Duration(float64(p.Timeout)*servedRatio) {
+		return false
+	}
 	return p.Total > 0 && p.Newest == p.Version+1 && p.SinceRelease < finishTimeout && float64(p.Held) >= finishRatio*float64(p.Total)
 }
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -111,7 +111,7 @@
 	self := hosts.Host{Name: s.Host, Place: s.Place, Role: hosts.RoleEntry, State: hosts.StateLive, Address: s.MeshAddress}
 	p, stop := warmup.New(warmup.Options{
 		Self: self, Regions: s.Regions, Mirror: m, Cache: c, Mesh: n, Client: peers.Client, NewSource: o.NewWeights,
-		AgentPort: s.AgentPort, MaxBytes: int64(s.MaxPrefetchSize), Scope: metrics.Scope, Log: log,
+		AgentPort: s.AgentPort, MaxBytes: int64(s.MaxPrefetchSize), VersionTimeout: s.Bounds.VersionTimeout, Scope: metrics.Scope, Log: log,
 	})
 	h := syncer.LimitHandlers(f, n)
 	h.LoadReport = func(_ netip.AddrPort, l *wire.LoadDigest) {
--- a/entry/warmup/warmup.go
+++ b/entry/warmup/warmup.go
@@ -66,8 +66,11 @@
 	AgentPort int
 	// MaxBytes is the maximum size of a version that is fetched.
 	MaxBytes int64
-	Scope    tally.Scope
-	Log      *zap.Logger
+	// VersionTimeout is the time within which a released version must be served, or zero for no
+	// limit.
+	VersionTimeout time.Duration
+	Scope          tally.Scope
+	Log            *zap.Logger
 }
 
 // Prefetcher fetches versions and serves their pieces to agents.
@@ -236,7 +239,9 @@
 	if current.model != newest.model {
 		return false
 	}
-	progress := finish.Progress{Version: current.version, Newest: newest.version, SinceRelease: since}
+	progress := finish.Progress{
+		Version: current.version, Newest: newest.version, SinceRelease: since, Timeout: p.options.VersionTimeout, LoadTime: p.loadTime(newest.model),
+	}
 	if v, ok := p.options.Cache.Version(current.name); ok {
 		for _, held := range p.options.Cache.Held(v) {
 			progress.Total++
@@ -248,6 +253,21 @@
 	return finish.ShouldFinish(progress)
 }
 
+// loadTime returns the time that an engine takes to load a version, or zero if it isn't known.
+func (p *Prefetcher) loadTime(model string) time.Duration {
+	for _, pl := range p.options.Mirror.Snapshot().Pools() {
+		if pl.Engine == nil {
+			continue
+		}
+		for _, m := range pl.Engine.Models {
+			if m.Name == model {
+				return m.LoadTime
+			}
+		}
+	}
+	return 0
+}
+
 // nextTask returns a released version that hasn't been fetched.
 func (p *Prefetcher) nextTask() (task, bool) {
 	s := p.options.Mirror.Snapshot()
