--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -25,6 +25,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -125,6 +126,8 @@
 	open *openOrder
 	// releases holds when each version was released.
 	releases map[targetVersion]releaseTime
+	// skipped is the last complete version that wasn't loaded because it ends too early.
+	skipped targetVersion
 	// retained holds the version for which all others were dropped from the cache.
 	retained map[targetVersion]bool
 
@@ -160,6 +163,9 @@
 	Closing bool
 	// Row is the upstream row of the engine, or nil.
 	Row *state.Upstream
+	// Releases are those of the engine's model that still bound the use of a version and whose
+	// age is known.
+	Releases []state.Release
 }
 
 // Report returns the last status of the engine. The second result is false if the status is
@@ -167,10 +173,21 @@
 func (l *Loader) Report() (Report, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	r := Report{Status: l.status, Closing: l.closing, Row: l.row(l.status.Started)}
+	r := Report{Status: l.status, Closing: l.closing, Row: l.row(l.status.Started), Releases: l.recentReleases()}
 	return r, !l.statusAt.IsZero() && clocks.Since(l.statusAt) < callTimeout && r.Row != nil
 }
 
+// recentReleases returns the releases that still bound the use of a version.
+func (l *Loader) recentReleases() []state.Release {
+	t, ok := l.releasedVersion()
+	if !ok {
+		return nil
+	}
+	return slices.DeleteFunc(l.options.Mirror.Snapshot().Release(t.model).Since(0), func(r state.Release) bool {
+		return r.NotBefore.IsZero() || clocks.Since(r.NotBefore) >= l.options.VersionTimeout
+	})
+}
+
 // row returns the upstream row of the engine, or nil. After a restart, the engine may have
 // two rows for a while.
 func (l *Loader) row(started time.Time) *state.Upstream {
@@ -236,42 +253,91 @@
 }
 
 // recordReleases records the earliest times at which a version, and those that it replaced unseen,
-// may have been released. One for which it isn't known, as at the start, counts as released a full
-// VersionTimeout ago.
+// may have been released. One for which it isn't known, as it may be at the start, counts as
+// released a full VersionTimeout ago, and so does the first one if the engine lacks an earlier one
+// as well.
 func (l *Loader) recordReleases(t targetVersion) {
-	now := clocks.Now()
+	now, held, isFirst := clocks.Now(), l.heldVersion(t.model), len(l.releases) == 0
 	for _, r := range l.options.Mirror.Snapshot().Release(t.model).Since(0) {
 		v, at := targetVersion{model: r.Model, version: r.Version}, r.NotBefore
 		if _, known := l.releases[v]; known {
 			continue
 		}
-		if at.IsZero() {
+		if at.IsZero() || isFirst && held != 0 && held < v.version-1 {
 			at = now.Add(-l.options.VersionTimeout)
 		}
-		l.releases[v] = releaseTime{notBefore: at, seenAt: now}
+		l.releases[v], isFirst = releaseTime{notBefore: at, seenAt: now}, false
 		l.options.Log.Info("release", zap.String("model", v.model), zap.Int("version", v.version), zap.Duration("age", now.Sub(at)))
 	}
 }
 
 // nextLoad returns the version to load now, if there is one. Until the newest version is
 // complete, this is an earlier one that the engine lacks, but only if the newest isn't
-// expected before the deadline at which the engine must stop serving its current version.
+// expected before the deadline at which the engine must stop serving its current version, and if
+// the engine can serve with the earlier one for longer than loading it takes.
 func (l *Loader) nextLoad(t targetVersion) (targetVersion, bool) {
 	found, ok := l.fetcher.newestComplete(t.model)
 	if !ok || l.holdsOrNewer(found) {
 		return targetVersion{}, false
 	}
-	if found == t || len(l.status.Held) == 0 {
+	if found == t {
 		return found, true
 	}
 	now := clocks.Now()
+	start, end := now, l.endOf(found)
 	timeLeft, inProgress := l.fetcher.progressOf(t).TimeLeft(now)
-	if inProgress && !now.Add(timeLeft).After(l.slot.Deadline(l.options.VersionTimeout)) {
+	if inProgress && now.Add(timeLeft).Before(end) {
+		end = now.Add(timeLeft)
+	}
+	if len(l.status.Held) > 0 {
+		if inProgress && !now.Add(timeLeft).After(l.slot.Deadline(l.options.VersionTimeout)) {
+			return targetVersion{}, false
+		}
+		if s := l.slot.Start(l.options.VersionTimeout); s.After(start) {
+			start = s
+		}
+	}
+	if loadTime := l.options.loadTime(t.model); end.Sub(start) <= 2*loadTime {
+		l.logSkipped(found, end.Sub(start), loadTime)
 		return targetVersion{}, false
 	}
 	return found, true
 }
 
+// endOf returns the time after which the engine gets no requests for a version that was replaced.
+func (l *Loader) endOf(t targetVersion) time.Time {
+	end := clocks.Now().Add(unboundedLimit)
+	for other, r := range l.releases {
+		if other.model != t.model || other.version <= t.version {
+			continue
+		}
+		if at := (RolloutSlot{NotBefore: r.notBefore}).Deadline(l.options.VersionTimeout); at.Before(end) {
+			end = at
+		}
+	}
+	return end
+}
+
+// loadTime returns the time that the engine takes to load a version, or zero if it isn't known.
+func (o Options) loadTime(model string) time.Duration {
+	if p := o.Mirror.Snapshot().Pool(o.Pool); p != nil && p.Engine != nil {
+		for _, m := range p.Engine.Models {
+			if m.Name == model {
+				return m.LoadTime
+			}
+		}
+	}
+	return 0
+}
+
+// logSkipped logs once that a version is complete and isn't loaded.
+func (l *Loader) logSkipped(t targetVersion, left, loadTime time.Duration) {
+	if l.skipped != t {
+		l.skipped = t
+		l.options.Log.Info("load-skipped", zap.String("model", t.model), zap.Int("version", t.version), zap.Duration("left", left), zap.Duration("load", loadTime))
+	}
+}
+
 // pollStatus reads the status of the engine and reports whether that succeeded.
 func (l *Loader) pollStatus(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -334,11 +334,39 @@
 		// The tables were last confirmed 4 s before the release is seen.
 		time.Sleep(2 * time.Second)
 		w.release(2)
+		// Entries that start later learn the age from the report.
+		r, _ := w.loader.Report()
+		if len(r.Releases) != 1 || r.Releases[0].Version != 2 || clocks.Since(r.Releases[0].NotBefore) != 4*time.Second {
+			t.Errorf("releases in the report: %v", r.Releases)
+		}
 		time.Sleep(versionTimeout - 4*time.Second)
 		w.check(2, 2)
 	})
 }
 
+// TestReplacedVersionIsLoadedOnlyForLongerThanLoadingTakes releases two versions while the pieces of
+// the second one don't arrive. An engine that loaded the first one right before the end of that
+// served neither while it loaded, and loaded the second one later.
+func TestReplacedVersionIsLoadedOnlyForLongerThanLoadingTakes(t *testing.T) {
+	for gap, want := range map[time.Duration][]int{2*loadTime - 50*time.Millisecond: {3}, 2*loadTime + 200*time.Millisecond: {2, 3}} {
+		play(t, 1, 5, func(w *world) {
+			confirm := func() {
+				if _, err := w.mirror.Apply(feed.Update{Head: w.head, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			w.fetchTime[3] = 2 * versionTimeout
+			confirm()
+			w.release(2)
+			time.Sleep(gap)
+			confirm()
+			w.release(3)
+			time.Sleep(3 * versionTimeout)
+			w.check(3, want...)
+		})
+	}
+}
+
 func TestReleaseThatIsReplacedAtOnceIsLoadedInTime(t *testing.T) {
 	play(t, 1, 5, func(w *world) {
 		// The tables were last confirmed 4 s before the releases are seen.
