target: divide engines among entries by shares where entries outnumber them

Cause: where a region has more entries than engines, entries without one pay a cost and a reserve everywhere, all see the same engine free and overrun it. Ruled out: least known load, two random choices, load weighted by age, shares granted with the report, likely requests of others and random choice by free capacity over all engines of the region; each collides more than the assignment does (rivals_test.go). Change: the slots of a region's engines are divided equally among its entries; beyond its shares an entry uses engines of which few others make use. Active where entries outnumber engines or engines are evacuated; elsewhere decisions are the same.

--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -44,11 +44,13 @@
 
 // reserve returns the number of slots that this entry leaves free at an engine.
 func (f *Fleet) reserve(u *upstream, slots int) int {
-	switch {
-	case u.assigned, u.ownsLimit():
+	switch usage := f.usage(u); {
+	case usage == UsageOwn, u.ownsLimit():
 		return 0
-	case f.isRemote(u):
+	case usage == UsageRemote:
 		return slots / remoteReserveDivisor
+	case usage == UsageOther && u.even.active:
+		return slots / farReserveDivisor
 	}
 	return slots / regionReserveDivisor
 }
--- a/entry/internal/target/assign.go
+++ b/entry/internal/target/assign.go
@@ -1,7 +1,6 @@
 package target
 
 import (
-	"cmp"
 	"slices"
 	"time"
 
@@ -26,15 +25,16 @@
 			entries = append(entries, h.Name)
 		}
 	}
+	slices.Sort(entries)
 	f.assignLocal(entries)
+	f.assignShares(entries)
 	f.assignAllRemote()
 }
 
 // assignLocal assigns each engine of this region to one of the entries, which then knows most
 // of its load. Assignment is round-robin over the engines in hash order, so that the numbers
-// of engines per entry differ by at most one.
+// of engines per entry differ by at most one. The names are sorted.
 func (f *Fleet) assignLocal(entries []hosts.Name) {
-	slices.Sort(entries)
 	index := slices.Index(entries, f.options.Self)
 	for _, all := range f.pools {
 		var local []*upstream
@@ -44,10 +44,7 @@
 				local = append(local, u)
 			}
 		}
-		// The hash key must be the same in all entries, including those of other releases.
-		slices.SortFunc(local, func(a, b *upstream) int {
-			return cmp.Compare(hosts.Score("deal", hosts.Name(a.row.ID)), hosts.Score("deal", hosts.Name(b.row.ID)))
-		})
+		slices.SortFunc(local, byDeal)
 		for i, u := range local {
 			u.assigned = index >= 0 && i%len(entries) == index
 		}
--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -1,6 +1,7 @@
 package target_test
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -46,14 +47,23 @@
 	firstEvent           time.Duration
 	refused              bool
 	retried              bool
-	inFlight             *target.InFlight
+	inFlight             placement
 	served               bool
 }
 
+// placement is what an entry is told about the progress of a request.
+type placement interface {
+	RecordFirstEvent(now time.Time)
+	Finish(now time.Time, o target.Outcome)
+}
+
 // simEngine simulates an engine that works in steps. Each step processes the queued prompts
 // and generates a stride of tokens for each request whose prompt was processed before.
 type simEngine struct {
-	id         string
+	id string
+	// spec are the engine's figures; nil means engineSpec. A pace above 1 makes it slower.
+	spec       *state.Engine
+	pace       float64
 	batch      []*request
 	queue      []*request
 	stepEnds   time.Time
@@ -64,13 +74,14 @@
 	if now.Before(m.stepEnds) {
 		return
 	}
+	spec := cmp.Or(m.spec, engineSpec)
 	for _, a := range m.prefilling {
 		a.firstEvent, a.served = now.Sub(a.arrived), true
 		a.inFlight.RecordFirstEvent(now)
 	}
 	m.batch = slices.DeleteFunc(m.batch, func(a *request) bool {
 		if a.served && !slices.Contains(m.prefilling, a) {
-			a.outputTokens -= engineSpec.Stride
+			a.outputTokens -= spec.Stride
 		}
 		if a.served && a.outputTokens <= 0 {
 			a.inFlight.Finish(now, target.OutcomeSuccess)
@@ -78,13 +89,13 @@
 		}
 		return false
 	})
-	for len(m.batch) < engineSpec.Slots && len(m.queue) > 0 {
+	for len(m.batch) < spec.Slots && len(m.queue) > 0 {
 		m.batch, m.queue = append(m.batch, m.queue[0]), m.queue[1:]
 	}
-	m.begin(now)
+	m.begin(now, spec)
 }
 
-func (m *simEngine) begin(now time.Time) {
+func (m *simEngine) begin(now time.Time, spec *state.Engine) {
 	m.prefilling = nil
 	took := time.Duration(0)
 	generating := 0
@@ -94,11 +105,12 @@
 			continue
 		}
 		m.prefilling = append(m.prefilling, a)
-		took += timing.PrefillTime(engineSpec, a.prompt)
+		took += timing.PrefillTime(spec, a.prompt)
 	}
 	if generating > 0 || len(m.prefilling) > 0 {
-		took += time.Duration(engineSpec.Stride) * (engineSpec.StepTime + time.Duration(generating)*engineSpec.StepTimePerRequest)
+		took += time.Duration(spec.Stride) * (spec.StepTime + time.Duration(generating)*spec.StepTimePerRequest)
 	}
+	took = time.Duration(float64(took) * max(m.pace, 1))
 	m.stepEnds = now.Add(max(took, tick))
 }
 
--- a/entry/internal/target/rank.go
+++ b/entry/internal/target/rank.go
@@ -30,9 +30,7 @@
 	if f.isRemote(c.upstream) {
 		cost += crossRegionCost
 	}
-	if !c.upstream.assigned && !c.upstream.ownsLimit() {
-		cost += unassignedCost
-	}
+	cost += f.usageCost(c.upstream)
 	if c.upstream.health.IsDegraded(now) {
 		cost += degradedCost
 	}
--- /dev/null
+++ b/entry/internal/target/rivals_test.go
@@ -0,0 +1,407 @@
+package target_test
+
+import (
+	"cmp"
+	"fmt"
+	"math"
+	"os"
+	"slices"
+	"strings"
+	"strconv"
+	"testing"
+	"time"
+
+	"currantport.example/core/hosts"
+	"currantport.example/core/timing"
+	"currantport.example/entry/internal/target"
+)
+
+// rivalEngine is what an entry of a rival policy knows of an engine.
+type rivalEngine struct {
+	own, unread, sent int
+	report            target.LoadReport
+	reportedAt        time.Time
+	// others is the load that the entries of the region have told.
+	others, othersUnread int
+	// unknown is the part of the last report that nobody in the region accounts for.
+	unknown int
+	remote, usable       bool
+	assigned             bool
+	// share is the part of the engine's slots that belongs to the entry.
+	share float64
+	near bool
+	credit               float64
+}
+
+// rival chooses engines by another policy than the product, from the same information and with the same
+// admission.
+type rival struct {
+	herd    *herd
+	self    int
+	policy  string
+	engines []rivalEngine
+	told    map[hosts.Name][]target.EntryLoad
+	toldAt  map[hosts.Name]time.Time
+	// rate is the number of requests per second that the other entries of the region start, by their
+	// messages.
+	rate float64
+}
+
+// rivalPlacement is a request of a rival policy.
+type rivalPlacement struct {
+	engine *rivalEngine
+	unread int
+}
+
+func (p *rivalPlacement) RecordFirstEvent(time.Time) {
+	p.engine.unread -= p.unread
+	p.unread = 0
+}
+
+func (p *rivalPlacement) Finish(time.Time, target.Outcome) { p.engine.own-- }
+
+func newRival(policy string) func(h *herd, i int) chooser {
+	return func(h *herd, i int) chooser {
+		v := &rival{herd: h, self: i, policy: policy, engines: make([]rivalEngine, len(h.rows)), told: make(map[hosts.Name][]target.EntryLoad), toldAt: make(map[hosts.Name]time.Time)}
+		for k := range v.engines {
+			e := &v.engines[k]
+			e.remote = k%3 != i%3
+			ahead, key := 0, "guest "+h.rows[k].ID
+			for j := range h.hosts {
+				if j%3 != k%3 && hosts.Score(key, h.hosts[j].Name) > hosts.Score(key, h.hosts[i].Name) {
+					ahead++
+				}
+			}
+			e.usable = (!e.remote || ahead < 4) && !(h.evacuated && k%3 == 0)
+		}
+		v.deal()
+		return v
+	}
+}
+
+// deal assigns the engines of the region to its entries: in turn, or in proportion to the load that the
+// entries have told.
+func (v *rival) deal() {
+	var mine, order []int
+	for j := v.self % 3; j < len(v.herd.hosts); j += 3 {
+		mine = append(mine, j)
+	}
+	for k := v.self % 3; k < len(v.engines); k += 3 {
+		order = append(order, k)
+	}
+	weights, sum := make([]float64, len(mine)), 0.0
+	for i, j := range mine {
+		weights[i] = 1
+		if v.policy == "redealt" {
+			weights[i] = 0.5
+			for _, l := range v.told[v.herd.hosts[j].Name] {
+				weights[i] += float64(l.Running)
+			}
+			if j == v.self {
+				for k := range v.engines {
+					weights[i] += float64(v.engines[k].own)
+				}
+			}
+		}
+		sum += weights[i]
+	}
+	for _, k := range order {
+		ahead, key := 0, "guest "+v.herd.rows[k].ID
+		for _, j := range mine {
+			if hosts.Score(key, v.herd.hosts[j].Name) > hosts.Score(key, v.herd.hosts[v.self].Name) {
+				ahead++
+			}
+		}
+		v.engines[k].near = ahead < env("NEAR", 4)
+	}
+	if i := slices.Index(mine, v.self); strings.HasPrefix(v.policy, "frac") {
+		g, low := float64(len(order)), 0.0
+		for _, w := range weights[:i] {
+			low += w / sum
+		}
+		low, high := low*g, (low+weights[i]/sum)*g
+		for n, k := range order {
+			v.engines[k].share = max(min(high, float64(n+1))-max(low, float64(n)), 0)
+		}
+		return
+	}
+	for n, k := range order {
+		at, entry := (float64(n)+0.5)/float64(len(order))*sum, 0
+		for ; entry < len(mine)-1 && at > weights[entry]; entry++ {
+			at -= weights[entry]
+		}
+		v.engines[k].assigned = mine[entry] == v.self
+	}
+}
+
+// load returns the estimate of the policy.
+func (v *rival) load(now time.Time, k int) timing.Load {
+	e := &v.engines[k]
+	if v.policy == "oracle" {
+		return v.herd.exactLoad(k)
+	}
+	l := timing.Load{Running: e.own + e.others, Unread: e.unread + e.othersUnread, Pace: 1}
+	if !e.reportedAt.IsZero() {
+		l.Running, l.Pace = l.Running+e.unknown, e.report.Pace
+	}
+	if e.remote {
+		l.Running += e.sent * 3
+	}
+	if v.policy == "likely" && !e.remote {
+		local := len(v.engines) / 3
+		l.Running += int(v.rate*v.meanAge(now).Seconds()/float64(local) + v.herd.random.Float64())
+	}
+	return l
+}
+
+// exactLoad is the present load of an engine, which no entry knows.
+func (h *herd) exactLoad(k int) timing.Load {
+	m := h.engines[k]
+	l := timing.Load{Running: m.running(), Pace: max(m.pace, 1)}
+	for _, a := range slices.Concat(m.batch, m.queue) {
+		if !a.served {
+			l.Unread += a.prompt
+		}
+	}
+	return l
+}
+
+func (v *rival) meanAge(now time.Time) time.Duration {
+	sum := time.Duration(0)
+	for _, at := range v.toldAt {
+		sum += now.Sub(at)
+	}
+	return sum / time.Duration(max(len(v.toldAt), 1))
+}
+
+func env(name string, otherwise int) int {
+	if v, err := strconv.Atoi(os.Getenv(name)); err == nil {
+		return v
+	}
+	return otherwise
+}
+
+type rivalCandidate struct {
+	k    int
+	load timing.Load
+	cost float64
+}
+
+func (v *rival) choose(now time.Time, a *request) int {
+	reqs, slots := v.herd.requirements(now, a), v.herd.pool.Engine.Slots
+	var all []rivalCandidate
+	for k := range v.engines {
+		e := &v.engines[k]
+		if !e.usable {
+			continue
+		}
+		c := rivalCandidate{k: k, load: v.load(now, k)}
+		reserve := 0
+		if e.remote && v.policy != "oracle" {
+			reserve = slots / 3
+		}
+		c.cost = float64(timing.FirstEvent(v.herd.pool.Engine, c.load, a.prompt)) * (1 + 0.05*v.herd.random.Float64())
+		if e.remote {
+			c.cost += 60e6
+		}
+		if strings.HasPrefix(v.policy, "frac") && float64(e.own) >= e.share*float64(slots+1) {
+			c.cost += 250e6
+			reserve = max(reserve, slots/5)
+			if strings.Contains(v.policy, "w") && !e.remote {
+				free := float64(slots+1-reserve-c.load.Running)
+				c.cost = 250e6 + 100e6*v.herd.random.ExpFloat64()/max(free, 0.1)
+			}
+			if e.near || e.share > 0 {
+				reserve = env("NR", 2)
+			}
+			if strings.Contains(v.policy, "n") && e.share == 0 && !e.remote && !e.near {
+				if reserve = env("FR", 12); reserve >= 12 {
+					continue
+				}
+				c.cost += float64(env("FC", 50)) * 1e6
+			}
+			if e.remote {
+				reserve = env("RR", 4)
+			}
+		}
+		if (v.policy == "preferred" || v.policy == "redealt") && !e.assigned {
+			c.cost += 250e6
+			reserve = max(reserve, slots/5)
+		}
+		if rivalAdmits(reqs, c.load, reserve) {
+			all = append(all, c)
+		}
+	}
+	if len(all) == 0 {
+		return -1
+	}
+	return v.send(a, v.pick(now, all))
+}
+
+// rivalAdmits is the admission of the product.
+func rivalAdmits(reqs target.Requirements, l timing.Load, reserve int) bool {
+	e := reqs.Pool.Engine
+	free := e.Slots + e.Slots/8 - reserve - l.Running
+	switch {
+	case timing.FirstEvent(e, l, e.PromptTokens) <= reqs.Remaining:
+		return free > 0
+	case timing.FirstEvent(e, timing.Load{}, e.PromptTokens) <= reqs.Remaining:
+		return free > e.Slots/8
+	}
+	return free > e.Slots/3
+}
+
+func (v *rival) pick(now time.Time, all []rivalCandidate) int {
+	local := slices.DeleteFunc(slices.Clone(all), func(c rivalCandidate) bool { return v.engines[c.k].remote })
+	if len(local) == 0 {
+		local = all
+	}
+	random, slots := v.herd.random, float64(v.herd.pool.Engine.Slots)
+	switch v.policy {
+	case "two":
+		a, b := local[random.IntN(len(local))], local[random.IntN(len(local))]
+		if b.cost < a.cost {
+			return b.k
+		}
+		return a.k
+	case "aged":
+		mean := 0.0
+		for _, c := range local {
+			mean += c.cost / float64(len(local))
+		}
+		for i := range local {
+			w := math.Exp(-float64(now.Sub(v.engines[local[i].k].reportedAt)) / 400e6)
+			local[i].cost = w*local[i].cost + (1-w)*mean*(1+random.Float64())
+		}
+		all = local
+	case "shares":
+		most := slices.MaxFunc(local, func(a, b rivalCandidate) int { return cmp.Compare(v.engines[a.k].credit, v.engines[b.k].credit) })
+		if v.engines[most.k].credit > 0 {
+			return most.k
+		}
+	case "weighted":
+		weights, sum := make([]float64, len(local)), 0.0
+		for i, c := range local {
+			free := max(slots+1-float64(c.load.Running), 0.1)
+			weights[i] = free * free / math.Pow(max(c.load.Pace, 1), 2) / (1 + float64(c.load.Unread)/1000)
+			sum += weights[i]
+		}
+		at := random.Float64() * sum
+		for i, w := range weights {
+			if at -= w; at < 0 {
+				return local[i].k
+			}
+		}
+	}
+	return slices.MinFunc(all, func(a, b rivalCandidate) int { return cmp.Compare(a.cost, b.cost) }).k
+}
+
+func (v *rival) send(a *request, k int) int {
+	e := &v.engines[k]
+	e.own++
+	e.sent++
+	e.unread += a.prompt
+	e.credit--
+	a.inFlight = &rivalPlacement{engine: e, unread: a.prompt}
+	return k
+}
+
+func (v *rival) subscribes(_ time.Time, k int) bool { return v.engines[k].usable }
+
+func (v *rival) receiveReport(now time.Time, k int, r target.LoadReport) {
+	e := &v.engines[k]
+	e.report, e.reportedAt, e.sent = r, now, 0
+	e.unknown = max(r.Running-e.own-e.others, 0)
+	// The free slots are dealt to the entries of the region, the remainder in turn.
+	free, n := max(v.herd.pool.Engine.Slots+1-r.Running, 0), (v.herd.herdShape.entries+2)/3
+	e.credit = float64(free / n)
+	if (v.self/3+int(r.Serial)*5)%n < free%n {
+		e.credit++
+	}
+}
+
+func (v *rival) loads(time.Time) []target.EntryLoad {
+	var all []target.EntryLoad
+	for k, e := range v.engines {
+		if e.own > 0 {
+			all = append(all, target.EntryLoad{Upstream: uint64(k), Running: e.own, Unread: e.unread})
+		}
+	}
+	return all
+}
+
+func (v *rival) receiveLoads(now time.Time, from hosts.Name, all []target.EntryLoad) {
+	v.told[from], v.toldAt[from] = all, now
+	for k := range v.engines {
+		v.engines[k].others, v.engines[k].othersUnread = 0, 0
+	}
+	sum := 0
+	for _, t := range v.told {
+		for _, l := range t {
+			v.engines[l.Upstream].others += l.Running
+			v.engines[l.Upstream].othersUnread += l.Unread
+			sum += l.Running
+		}
+	}
+	// A request runs for about 1.1 s.
+	v.rate = float64(sum) / 1.1
+	if v.policy == "redealt" || strings.Contains(v.policy, "frac-d") {
+		v.deal()
+	}
+}
+
+// BenchmarkHerd prints the figures of the policies. HERD selects shapes and policies by substring.
+func BenchmarkHerd(b *testing.B) {
+	const seeds = 2
+	if os.Getenv("NOSLOW") != "" {
+		slowPace = 1
+	}
+	for range b.N {
+		for _, s := range herdShapes {
+			for _, p := range herdPolicies {
+				name := s.String() + " " + p.name
+				if slices.ContainsFunc(strings.Fields(os.Getenv("HERD")), func(w string) bool { return !strings.Contains(name, w) }) {
+					continue
+				}
+				var m herdFigures
+				for seed := range uint64(seeds) {
+					s.seed = seed
+					f := newHerd(b, s, p.new(b)).run(10 * time.Second)
+					m.inTime, m.late, m.refused = m.inTime+f.inTime/seeds, m.late+f.late/seeds, m.refused+f.refused/seeds
+					m.busiest, m.spread, m.idle, m.remote = m.busiest+f.busiest/seeds, m.spread+f.spread/seeds, m.idle+f.idle/seeds, m.remote+f.remote/seeds
+					m.p99, m.messages, m.bytes = m.p99+f.p99/seeds, m.messages+f.messages/seeds, m.bytes+f.bytes/seeds
+				}
+				fmt.Printf("%-26s %-9s intime=%.3f late=%.3f refused=%.3f p99=%4dms spread=%.2f busiest=%.2f idle=%.3f remote=%.3f msg/s=%.0f kB/s=%.0f\n", s, p.name,
+					m.inTime, m.late, m.refused, m.p99.Milliseconds(), m.spread, m.busiest, m.idle, m.remote, m.messages, m.bytes/1e3)
+			}
+		}
+	}
+}
+
+var herdShapes = func() []herdShape {
+	var all []herdShape
+	for _, s := range []herdShape{{spec: "A", entries: 6, engines: 36}, {spec: "A", entries: 34, engines: 45}, {spec: "B", entries: 64, engines: 34}, {spec: "A", entries: 100, engines: 150}} {
+		for _, load := range []float64{0.9, 1.2} {
+			for _, hot := range []float64{1, 1.4} {
+				s.load, s.hot = load, hot
+				all = append(all, s)
+			}
+		}
+	}
+	return all
+}()
+
+type herdPolicy struct {
+	name string
+	new  func(t testing.TB) func(h *herd, i int) chooser
+}
+
+var herdPolicies = func() []herdPolicy {
+	all := []herdPolicy{{"present", func(t testing.TB) func(*herd, int) chooser { return newProduct(t, func(o *target.Options) { o.EvenLoad = target.EvenNever }) }}}
+	all = append(all, herdPolicy{"even", func(t testing.TB) func(*herd, int) chooser { return newProduct(t, func(o *target.Options) { o.EvenLoad = target.EvenAlways }) }})
+	for _, p := range []string{"least", "preferred", "redealt", "two", "aged", "shares", "likely", "weighted", "oracle", "frac", "frac-w", "frac-n","frac-wn"} {
+		all = append(all, herdPolicy{p, func(testing.TB) func(*herd, int) chooser { return newRival(p) }})
+	}
+	return all
+}()
+
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -85,6 +85,8 @@
 	// to; remoteAssigned is set if this entry is one of them.
 	remoteEntries  int
 	remoteAssigned bool
+	// even is what this entry may use of the engine if its pool has even load.
+	even evenShare
 	// sentSinceReport is the number of requests sent since the last load report.
 	sentSinceReport int
 	// regionRunning and regionUnread are the loads that other entries of the region report.
@@ -117,6 +119,8 @@
 	// VersionTimeout is the time within which engines must serve a released version.
 	// Zero means no bound.
 	VersionTimeout time.Duration
+	// EvenLoad says in which pools the engines of the region are divided among its entries by shares.
+	EvenLoad EvenLoad
 	// Random returns a number in [0, 1).
 	Random func() float64
 	Log    *zap.Logger
@@ -155,6 +159,8 @@
 	releases map[string][]release
 	// evacuated are the failure domains whose upstreams get no new requests.
 	evacuated map[hosts.Domain]bool
+	// even are the pools with even load.
+	even map[string]bool
 }
 
 // New returns a fleet without upstreams.
@@ -163,7 +169,7 @@
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
-		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1), even: make(map[string]bool),
 	}
 }
 
