target: give entries of evacuated regions shares elsewhere, and widen use while slots are free

Change: the reserve at engines that aren't near follows the free part of the region's slots; entries of a region with far fewer engines than entries have shares in other regions, whose entries count three quarters of these as used.

--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -47,10 +47,10 @@
 	switch usage := f.usage(u); {
 	case usage == UsageOwn, u.ownsLimit():
 		return 0
+	case u.even.active && usage != UsageNear:
+		return f.farReserve(u, slots)
 	case usage == UsageRemote:
 		return slots / remoteReserveDivisor
-	case usage == UsageOther && u.even.active:
-		return slots / farReserveDivisor
 	}
 	return slots / regionReserveDivisor
 }
--- a/entry/internal/target/assign.go
+++ b/entry/internal/target/assign.go
@@ -27,8 +27,8 @@
 	}
 	slices.Sort(entries)
 	f.assignLocal(entries)
-	f.assignShares(entries)
 	f.assignAllRemote()
+	f.assignShares(entries)
 }
 
 // assignLocal assigns each engine of this region to one of the entries, which then knows most
--- a/entry/internal/target/balance.go
+++ b/entry/internal/target/balance.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -30,9 +31,18 @@
 	// farCost is added to unassignedCost for the other engines of the region. The sum is below the cost of an
 	// engine in another region that isn't assigned.
 	farCost = 30 * time.Millisecond
-	// farReserveDivisor is the part of the slots, as a divisor, that is left free there. With a third, up to 30
-	// entries of a region overrun the same engine in the model.
+	// farReserveDivisor is the part of the slots, as a divisor, that is left free there while slots are
+	// scarce. With a third, up to 30 entries of a region overrun the same engine in the model.
 	farReserveDivisor = 2
+	// maxFreeRatio is the free part of a region's slots from which they aren't scarce, so that an entry with
+	// much demand uses all engines alike. At minFreeRatio and below, far engines are used last.
+	maxFreeRatio = 0.25
+	minFreeRatio = 0.1
+	// maxCrowding is the number of entries per engine of a region, relative to the mean, above which some of its
+	// entries have their shares in other regions.
+	maxCrowding = 1.5
+	// guestUse is the part of their shares that entries of other regions are assumed to use.
+	guestUse = 0.75
 )
 
 // EvenLoad says which pools have even load.
@@ -49,6 +59,15 @@
 	EvenNever
 )
 
+// evenPool is the state of a pool with respect to even load.
+type evenPool struct {
+	active bool
+	// scarcity is 0 if many slots of the region are free, and 1 if hardly any are.
+	scarcity float64
+	// hasGuests is set if entries have shares in other regions.
+	hasGuests bool
+}
+
 // Usage is the relation of an entry to an engine that it uses.
 type Usage string
 
@@ -72,6 +91,8 @@
 	share float64
 	// near is set if this entry uses the engine when its shares are spent.
 	near bool
+	// guests is the part of the slots that belongs to entries of other regions.
+	guests float64
 }
 
 // wantsEvenLoad reports whether a pool needs even load: if the region has more entries than engines, so
@@ -97,34 +118,129 @@
 			local++
 		}
 	}
-	return evacuated || engines > 0 && entries > local
+	return evacuated || local > 0 && entries > local
 }
 
-// assignShares computes the shares of this entry in the engines of the region. The names of the entries are
-// sorted. The caller holds the mutex.
-func (f *Fleet) assignShares(entries []hosts.Name) {
-	index := slices.Index(entries, f.options.Self)
+// assignShares computes the shares of this entry in the engines of all regions, and which engines of its
+// own region it uses beyond them. The names of the region's entries are sorted. The caller holds the mutex.
+func (f *Fleet) assignShares(local []hosts.Name) {
 	for name, all := range f.pools {
-		active := index >= 0 && f.wantsEvenLoad(all, len(entries))
-		if f.even[name] != active {
-			f.even[name] = active
-			f.options.Log.Info("even-load", zap.String("pool", name), zap.Bool("active", active), zap.Int("entries", len(entries)), zap.Int("upstreams", len(all)))
+		active := slices.Contains(local, f.options.Self) && f.wantsEvenLoad(all, len(local))
+		if f.even[name].active != active {
+			f.options.Log.Info("even-load", zap.String("pool", name), zap.Bool("active", active), zap.Int("entries", len(local)), zap.Int("upstreams", len(all)))
 		}
-		var local []*upstream
+		f.even[name] = evenPool{active: active}
 		for _, u := range all {
 			u.even = evenShare{active: active}
-			if active && !f.isRemote(u) && !u.row.Draining && !f.evacuated[hosts.Domain(u.row.Domain)] {
-				local = append(local, u)
+		}
+		if active {
+			f.even[name] = evenPool{active: true, scarcity: 1, hasGuests: f.assignPoolShares(all, local)}
+		}
+	}
+}
+
+// assignPoolShares reports whether entries have shares in other regions.
+func (f *Fleet) assignPoolShares(all []*upstream, local []hosts.Name) bool {
+	regions, hasGuests := f.shareRegions(all)
+	for _, r := range regions {
+		slices.Sort(r.entries)
+		index := slices.Index(r.entries, f.options.Self)
+		slices.SortFunc(r.engines, byDeal)
+		width := float64(len(r.engines)) / float64(max(len(r.entries), 1))
+		low, high := float64(index)*width, float64(index+1)*width
+		for i, u := range r.engines {
+			if index >= 0 {
+				u.even.share = overlap(low, high, i)
+				u.remoteAssigned = u.remoteAssigned || f.isRemote(u) && u.even.share > 0
+			}
+			if !f.isRemote(u) {
+				u.even.guests = r.guestShare(i, width, local)
 			}
+			u.even.near = !f.isRemote(u) && f.isNear(u, local)
 		}
-		slices.SortFunc(local, byDeal)
-		engines, count := float64(len(local)), float64(len(entries))
-		low, high := float64(index)*engines/count, float64(index+1)*engines/count
-		for i, u := range local {
-			u.even.share = max(min(high, float64(i+1))-max(low, float64(i)), 0)
-			u.even.near = f.isNear(u, entries)
+	}
+	return hasGuests
+}
+
+// overlap returns the part of the interval of engine i, which is from i to i+1, that lies between low and high.
+func overlap(low, high float64, i int) float64 {
+	return max(min(high, float64(i+1))-max(low, float64(i)), 0)
+}
+
+// guestShare returns the part of engine i that belongs to entries that aren't local.
+func (r *shareRegion) guestShare(i int, width float64, local []hosts.Name) float64 {
+	share := 0.0
+	for j, e := range r.entries {
+		if !slices.Contains(local, e) {
+			share += overlap(float64(j)*width, float64(j+1)*width, i)
 		}
 	}
+	return share
+}
+
+// shareRegion is a region with the engines that take requests and the entries that share them.
+type shareRegion struct {
+	name    hosts.Region
+	entries []hosts.Name
+	engines []*upstream
+}
+
+// entriesPerEngine is infinite for a region without engines.
+func (r *shareRegion) entriesPerEngine() float64 {
+	return float64(len(r.entries)) / float64(len(r.engines))
+}
+
+// shareRegions returns the regions with the entries that share their engines. Entries of a region with
+// far fewer engines than entries, for example because its engines are evacuated, have their shares in
+// another region, and then hasGuests is set.
+func (f *Fleet) shareRegions(all []*upstream) (regions []*shareRegion, hasGuests bool) {
+	byName := make(map[hosts.Region]*shareRegion)
+	region := func(name hosts.Region) *shareRegion {
+		if byName[name] == nil {
+			byName[name] = &shareRegion{name: name}
+		}
+		return byName[name]
+	}
+	entries, engines := 0, 0
+	for _, h := range f.options.Entries() {
+		r := region(h.Place.Region)
+		r.entries = append(r.entries, h.Name)
+		entries++
+	}
+	for _, u := range all {
+		domain := hosts.Domain(u.row.Domain)
+		if u.row.Draining || f.evacuated[domain] {
+			continue
+		}
+		r := region(f.options.Regions[domain])
+		r.engines = append(r.engines, u)
+		engines++
+	}
+	if engines == 0 {
+		return nil, false
+	}
+	regions = slices.SortedFunc(maps.Values(byName), func(a, b *shareRegion) int { return cmp.Compare(a.name, b.name) })
+	mean := float64(entries) / float64(engines)
+	for _, r := range regions {
+		if r.entriesPerEngine() > maxCrowding*mean {
+			moveGuests(regions, r, mean)
+			hasGuests = true
+		}
+	}
+	return regions, hasGuests
+}
+
+// moveGuests moves entries of a region to those with the fewest entries per engine, until it has the mean.
+func moveGuests(regions []*shareRegion, from *shareRegion, mean float64) {
+	slices.SortFunc(from.entries, func(a, b hosts.Name) int { return cmp.Compare(hosts.Score("share", a), hosts.Score("share", b)) })
+	for keep := int(mean * float64(len(from.engines))); len(from.entries) > keep; {
+		to := slices.MinFunc(regions, func(a, b *shareRegion) int { return cmp.Compare(a.entriesPerEngine(), b.entriesPerEngine()) })
+		if to == from {
+			return
+		}
+		last := len(from.entries) - 1
+		to.entries, from.entries = append(to.entries, from.entries[last]), from.entries[:last]
+	}
 }
 
 // byDeal orders engines by hash. The hash key must be the same in all entries, including those of other
@@ -145,6 +261,28 @@
 	return ahead < maxNearEntries
 }
 
+// sumFreeSlots computes how much of the slots of the region's engines is free, as far as is known. The caller
+// holds the mutex.
+func (f *Fleet) sumFreeSlots(now time.Time) {
+	for name, p := range f.even {
+		if !p.active {
+			continue
+		}
+		free, slots := 0, 0
+		for _, u := range f.pools[name] {
+			if !f.isRemote(u) && u.isOffered(now) && !f.evacuated[hosts.Domain(u.row.Domain)] {
+				free += max(u.row.Slots-u.load(now).Running, 0)
+				slots += u.row.Slots
+			}
+		}
+		p.scarcity = 1
+		if slots > 0 {
+			p.scarcity = min(max((maxFreeRatio-float64(free)/float64(slots))/(maxFreeRatio-minFreeRatio), 0), 1)
+		}
+		f.even[name] = p
+	}
+}
+
 // hasFreeShare reports whether less than this entry's share of the engine is in use by it.
 func (u *upstream) hasFreeShare() bool {
 	places := u.row.Slots + u.row.Slots/queueDivisor
@@ -154,23 +292,44 @@
 // usage returns the relation of this entry to the engine.
 func (f *Fleet) usage(u *upstream) Usage {
 	switch {
+	case u.even.active && u.hasFreeShare(), !u.even.active && u.assigned:
+		return UsageOwn
 	case f.isRemote(u):
 		return UsageRemote
-	case u.even.active && u.hasFreeShare(), !u.even.active && u.assigned, u.ownsLimit():
-		return UsageOwn
 	case u.even.active && (u.even.near || u.even.share > 0):
 		return UsageNear
 	}
 	return UsageOther
 }
 
-// usageCost returns the cost of an engine that isn't this entry's own.
+// usageCost returns the cost of an engine that isn't this entry's own. A share in another region costs
+// more than other engines of this one, because bytes between regions are expensive.
 func (f *Fleet) usageCost(u *upstream) time.Duration {
 	switch usage := f.usage(u); {
-	case usage == UsageOwn, u.ownsLimit():
+	case u.ownsLimit(), usage == UsageOwn && !f.isRemote(u):
 		return 0
 	case usage == UsageOther && u.even.active:
-		return unassignedCost + farCost
+		return unassignedCost + time.Duration(f.even[u.row.Pool].scarcity*float64(farCost))
 	}
 	return unassignedCost
 }
+
+// farReserve returns the number of slots that this entry leaves free at an engine that is neither its own
+// nor near.
+func (f *Fleet) farReserve(u *upstream, slots int) int {
+	p := f.even[u.row.Pool]
+	switch {
+	case !f.isRemote(u):
+		low, high := float64(slots/regionReserveDivisor), float64(slots/farReserveDivisor)
+		return int(low + (high-low)*p.scarcity)
+	case p.hasGuests:
+		return slots / farReserveDivisor
+	}
+	return slots / remoteReserveDivisor
+}
+
+// guestRunning returns how many requests entries of other regions are assumed to run in their shares of the
+// engine. Load reports say so later than the entries of the region send theirs.
+func (u *upstream) guestRunning() int {
+	return int(guestUse * u.even.guests * float64(u.row.Slots))
+}
--- a/entry/internal/target/balance_test.go
+++ b/entry/internal/target/balance_test.go
@@ -17,7 +17,7 @@
 // engines. Earlier deployments are of that kind, and their requests must go where they went before.
 func TestEvenLoadIsInactiveWhereEveryEntryHasAnEngine(t *testing.T) {
 	for _, load := range []float64{0.9, 1.2} {
-		s := herdShape{spec: "A", entries: 6, engines: 12, load: load, hot: 1.4, seed: 3}
+		s := herdShape{spec: "A", entries: 6, servers: 12, load: load, hot: 1.4, seed: 3}
 		var traces [3][]int
 		for i, e := range []target.EvenLoad{target.EvenNever, target.EvenAuto, target.EvenAlways} {
 			h := newHerd(t, s, newEven(t, e))
@@ -37,7 +37,7 @@
 // engines that they all see free at the same time, unless the engines are shared.
 func TestEvenLoadWithMoreEntriesThanEngines(t *testing.T) {
 	for _, load := range []float64{0.9, 1.2} {
-		s := herdShape{spec: "B", entries: 64, engines: 34, load: load, hot: 1.4}
+		s := herdShape{spec: "B", entries: 64, servers: 34, load: load, hot: 1.4}
 		before := newHerd(t, s, newEven(t, target.EvenNever)).run(8 * time.Second)
 		now := newHerd(t, s, newEven(t, target.EvenAuto)).run(8 * time.Second)
 		if now.inTime < before.inTime+0.03 || now.late > 0.75*before.late || now.p99 > before.p99 {
--- a/entry/internal/target/herd_test.go
+++ b/entry/internal/target/herd_test.go
@@ -27,6 +27,8 @@
 	slowShare       = 7
 	herdWarmup      = 2 * time.Second
 	clientsPerEntry = 8
+	stepStart       = 4 * time.Second
+	stepEnd         = 7 * time.Second
 	// loadReportBytes and entryLoadBytes are the measured sizes of a load report and of one load in
 	// an entry load message, with the message's own bytes in messageBytes.
 	loadReportBytes, entryLoadBytes, messageBytes = 58, 18, 60
@@ -51,20 +53,26 @@
 // herdShape is one case of the model.
 type herdShape struct {
 	spec             string
-	entries, engines int
+	entries, servers int
 	// load is the demand relative to the capacity, hot the demand of the first region relative to
 	// that of the others.
 	load, hot float64
 	// evacuated is set if the engines of the first region get no requests.
 	evacuated bool
-	// steps are the times at which the first client of an entry starts and stops to send half of the
-	// region's demand.
+	// step is set if one entry gets half of the first region's requests from stepStart to stepEnd.
 	step bool
 	seed uint64
 }
 
 func (s herdShape) String() string {
-	return fmt.Sprintf("%s-%dto%d-load%.1f-hot%.1f", s.spec, s.entries, s.engines, s.load, s.hot)
+	name := fmt.Sprintf("%s-%dto%d-load%.1f-hot%.1f", s.spec, s.entries, s.servers, s.load, s.hot)
+	if s.step {
+		name += "-step"
+	}
+	if s.evacuated {
+		name += "-evac"
+	}
+	return name
 }
 
 // chooser is an entry's way of choosing engines.
@@ -85,6 +93,12 @@
 	weight        float64
 }
 
+// queueTurn is the direction in which a queue's length moves and its last extreme.
+type queueTurn struct {
+	up      bool
+	extreme int
+}
+
 type herdEvent struct {
 	at  time.Time
 	run func(now time.Time)
@@ -104,11 +118,11 @@
 	polls    []int
 	clients  []*herdClient
 	waiting  [][]*request
-	retries  []*request
 	all      []*request
 	events   []herdEvent
 	serial   uint64
 
+	turns []queueTurn
 	// trace lists the chosen engines in order.
 	trace     []int
 	slowEnds  time.Time
@@ -121,7 +135,10 @@
 type herdFigures struct {
 	inTime, late, refused, busiest, spread, idle, remote float64
 	p99                                                  time.Duration
-	messages, bytes                                      float64
+	// hotInTime is the share in time of the requests at the first entry, swings the number of turns of the
+	// queue lengths by half of the slots or more, for each engine and second.
+	hotInTime, swings float64
+	messages, bytes   float64
 }
 
 var herdRegions = map[hosts.Domain]hosts.Region{"d0": "r0", "d1": "r1", "d2": "r2"}
@@ -136,14 +153,14 @@
 			h.clients = append(h.clients, &herdClient{region: r, entry: i, weight: map[bool]float64{true: s.hot, false: 1}[r == 0]})
 		}
 	}
-	for i := range s.engines {
+	for i := range s.servers {
 		u := engine(i, fmt.Sprintf("d%d", i%3), 1)
 		u.Slots = h.pool.Engine.Slots
 		h.rows = append(h.rows, u)
 		h.engines = append(h.engines, &simEngine{id: u.ID, stepEnds: start.Add(time.Duration(h.random.Float64() * 40e6)), spec: h.pool.Engine})
 	}
-	h.status, h.polled, h.polls = make([]target.LoadReport, s.engines), make([]int, s.engines), make([]int, s.engines)
-	h.occupancy, h.waiting = make([]float64, s.engines), make([][]*request, s.entries)
+	h.status, h.polled, h.polls = make([]target.LoadReport, s.servers), make([]int, s.servers), make([]int, s.servers)
+	h.turns, h.occupancy, h.waiting = make([]queueTurn, s.servers), make([]float64, s.servers), make([][]*request, s.entries)
 	for i := range s.entries {
 		h.choosers = append(h.choosers, newChooser(h, i))
 	}
@@ -233,7 +250,7 @@
 
 // run plays the given time and returns the figures of what follows the warm-up.
 func (h *herd) run(span time.Duration) herdFigures {
-	rate := h.load * float64(h.herdShape.engines) * timing.Rate(h.pool.Engine, 1)
+	rate := h.load * float64(h.servers) * timing.Rate(h.pool.Engine, 1)
 	if h.evacuated {
 		rate *= 2.0 / 3
 	}
@@ -303,10 +320,15 @@
 			continue
 		}
 		if !now.Before(c.until) {
-			c.entry = c.region + 3*h.random.IntN((h.herdShape.entries-c.region+2)/3)
+			c.entry = c.region + 3*h.random.IntN((h.entries-c.region+2)/3)
 			c.until = now.Add(time.Second + time.Duration(h.random.Float64()*4e9))
 		}
-		h.waiting[c.entry] = append(h.waiting[c.entry], a)
+		entry := c.entry
+		if h.step && c.region == 0 && now.Sub(start) > stepStart && now.Sub(start) < stepEnd && h.random.IntN(2) == 0 {
+			entry = 0
+		}
+		a.hot = entry == 0
+		h.waiting[entry] = append(h.waiting[entry], a)
 		return
 	}
 }
@@ -375,7 +397,7 @@
 
 // exchange sends the entry loads at the interval of syncer.EntryLoadInterval.
 func (h *herd) exchange(now time.Time, i int) {
-	peers := h.herdShape.entries/3 - 1
+	peers := h.entries/3 - 1
 	interval := min(max(time.Duration(peers)*5*time.Millisecond, 40*time.Millisecond), 200*time.Millisecond)
 	for e, c := range h.choosers {
 		if (i+e*5)%int(interval/tick) != 0 {
@@ -383,7 +405,7 @@
 		}
 		all := c.loads(now)
 		h.after(now, entryLoadDelay, func(now time.Time) {
-			for o := e % 3; o < h.herdShape.entries; o += 3 {
+			for o := e % 3; o < h.entries; o += 3 {
 				if o != e {
 					h.choosers[o].receiveLoads(now, h.hosts[e].Name, all)
 				}
@@ -405,6 +427,7 @@
 		}
 		q := float64(m.running())
 		h.occupancy[k] += q
+		h.turn(k, m.running())
 		idle += max(m.spec.Slots-m.running(), 0)
 		waiting += max(m.running()-m.spec.Slots, 0)
 		sum, squares, n = sum+q, squares+q*q, n+1
@@ -414,23 +437,42 @@
 	h.measured.late++ // The number of samples, until figures replaces it.
 }
 
+// turn counts a change of direction of a queue's length by half of the slots or more.
+func (h *herd) turn(k, length int) {
+	t, half := &h.turns[k], h.pool.Engine.Slots/2
+	switch {
+	case t.up && length > t.extreme, !t.up && length < t.extreme:
+		t.extreme = length
+	case max(length-t.extreme, t.extreme-length) >= half:
+		t.up, t.extreme = !t.up, length
+		h.measured.swings++
+	}
+}
+
 func (h *herd) figures(span time.Duration) herdFigures {
 	f := h.measured
 	f.spread, f.idle, f.remote = f.spread/f.late, f.idle/f.late, f.remote/float64(max(h.samples, 1))
 	seconds := (span - herdWarmup).Seconds()
+	f.swings /= seconds * float64(h.servers)
 	f.messages, f.bytes = f.messages/seconds, f.bytes/seconds
-	total, inTime, late, refused := 0.0, 0.0, 0.0, 0.0
+	total, inTime, late, refused, hot := 0.0, 0.0, 0.0, 0.0, 0.0
 	var first []time.Duration
 	for _, a := range h.all {
 		if !a.served && !a.refused || a.arrived.Sub(start) < herdWarmup {
 			continue
 		}
 		total++
+		if a.hot {
+			hot++
+		}
 		switch {
 		case a.refused:
 			refused++
 		case a.firstEvent <= objective:
 			inTime++
+			if a.hot {
+				f.hotInTime++
+			}
 		default:
 			late++
 		}
@@ -438,6 +480,7 @@
 			first = append(first, a.firstEvent)
 		}
 	}
+	f.hotInTime /= max(hot, 1)
 	f.inTime, f.late, f.refused = inTime/total, late/total, refused/total
 	slices.Sort(first)
 	f.p99 = first[len(first)*99/100]
--- a/entry/internal/target/loads.go
+++ b/entry/internal/target/loads.go
@@ -92,4 +92,5 @@
 		u.regionRunning, u.regionUnread = s.Running, s.Unread
 		u.heldElsewhereUntil = now.Add(s.Held)
 	}
+	f.sumFreeSlots(now)
 }
--- a/entry/internal/target/rivals_test.go
+++ b/entry/internal/target/rivals_test.go
@@ -6,8 +6,8 @@
 	"math"
 	"os"
 	"slices"
-	"strings"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,13 +24,13 @@
 	// others is the load that the entries of the region have told.
 	others, othersUnread int
 	// unknown is the part of the last report that nobody in the region accounts for.
-	unknown int
-	remote, usable       bool
-	assigned             bool
+	unknown        int
+	remote, usable bool
+	assigned       bool
 	// share is the part of the engine's slots that belongs to the entry.
-	share float64
-	near bool
-	credit               float64
+	share  float64
+	near   bool
+	credit float64
 }
 
 // rival chooses engines by another policy than the product, from the same information and with the same
@@ -92,8 +92,8 @@
 	weights, sum := make([]float64, len(mine)), 0.0
 	for i, j := range mine {
 		weights[i] = 1
-		if v.policy == "redealt" {
-			weights[i] = 0.5
+		if v.policy == "redealt" || strings.Contains(v.policy, "frac-d") {
+			weights[i] = float64(env("W0", 1))
 			for _, l := range v.told[v.herd.hosts[j].Name] {
 				weights[i] += float64(l.Running)
 			}
@@ -208,7 +208,7 @@
 			c.cost += 250e6
 			reserve = max(reserve, slots/5)
 			if strings.Contains(v.policy, "w") && !e.remote {
-				free := float64(slots+1-reserve-c.load.Running)
+				free := float64(slots + 1 - reserve - c.load.Running)
 				c.cost = 250e6 + 100e6*v.herd.random.ExpFloat64()/max(free, 0.1)
 			}
 			if e.near || e.share > 0 {
@@ -313,7 +313,7 @@
 	e.report, e.reportedAt, e.sent = r, now, 0
 	e.unknown = max(r.Running-e.own-e.others, 0)
 	// The free slots are dealt to the entries of the region, the remainder in turn.
-	free, n := max(v.herd.pool.Engine.Slots+1-r.Running, 0), (v.herd.herdShape.entries+2)/3
+	free, n := max(v.herd.pool.Engine.Slots+1-r.Running, 0), (v.herd.entries+2)/3
 	e.credit = float64(free / n)
 	if (v.self/3+int(r.Serial)*5)%n < free%n {
 		e.credit++
@@ -369,10 +369,11 @@
 					f := newHerd(b, s, p.new(b)).run(10 * time.Second)
 					m.inTime, m.late, m.refused = m.inTime+f.inTime/seeds, m.late+f.late/seeds, m.refused+f.refused/seeds
 					m.busiest, m.spread, m.idle, m.remote = m.busiest+f.busiest/seeds, m.spread+f.spread/seeds, m.idle+f.idle/seeds, m.remote+f.remote/seeds
+					m.hotInTime, m.swings = m.hotInTime+f.hotInTime/seeds, m.swings+f.swings/seeds
 					m.p99, m.messages, m.bytes = m.p99+f.p99/seeds, m.messages+f.messages/seeds, m.bytes+f.bytes/seeds
 				}
-				fmt.Printf("%-26s %-9s intime=%.3f late=%.3f refused=%.3f p99=%4dms spread=%.2f busiest=%.2f idle=%.3f remote=%.3f msg/s=%.0f kB/s=%.0f\n", s, p.name,
-					m.inTime, m.late, m.refused, m.p99.Milliseconds(), m.spread, m.busiest, m.idle, m.remote, m.messages, m.bytes/1e3)
+				fmt.Printf("%-28s %-9s intime=%.3f late=%.3f refused=%.3f p99=%4dms spread=%.2f busiest=%.2f idle=%.3f remote=%.3f swings=%.2f hot=%.3f msg/s=%.0f kB/s=%.0f\n", s, p.name,
+					m.inTime, m.late, m.refused, m.p99.Milliseconds(), m.spread, m.busiest, m.idle, m.remote, m.swings, m.hotInTime, m.messages, m.bytes/1e3)
 			}
 		}
 	}
@@ -380,7 +381,7 @@
 
 var herdShapes = func() []herdShape {
 	var all []herdShape
-	for _, s := range []herdShape{{spec: "A", entries: 6, engines: 36}, {spec: "A", entries: 34, engines: 45}, {spec: "B", entries: 64, engines: 34}, {spec: "A", entries: 100, engines: 150}} {
+	for _, s := range []herdShape{{spec: "A", entries: 6, servers: 36}, {spec: "A", entries: 34, servers: 45}, {spec: "B", entries: 64, servers: 34}, {spec: "A", entries: 100, servers: 150}} {
 		for _, load := range []float64{0.9, 1.2} {
 			for _, hot := range []float64{1, 1.4} {
 				s.load, s.hot = load, hot
@@ -388,6 +389,12 @@
 			}
 		}
 	}
+	for _, s := range []herdShape{{spec: "B", entries: 64, servers: 34}, {spec: "A", entries: 34, servers: 45}} {
+		s.load, s.hot, s.step = 0.7, 1, true
+		all = append(all, s)
+		s.load, s.step, s.evacuated = 0.9, false, true
+		all = append(all, s)
+	}
 	return all
 }()
 
@@ -397,11 +404,14 @@
 }
 
 var herdPolicies = func() []herdPolicy {
-	all := []herdPolicy{{"present", func(t testing.TB) func(*herd, int) chooser { return newProduct(t, func(o *target.Options) { o.EvenLoad = target.EvenNever }) }}}
-	all = append(all, herdPolicy{"even", func(t testing.TB) func(*herd, int) chooser { return newProduct(t, func(o *target.Options) { o.EvenLoad = target.EvenAlways }) }})
-	for _, p := range []string{"least", "preferred", "redealt", "two", "aged", "shares", "likely", "weighted", "oracle", "frac", "frac-w", "frac-n","frac-wn"} {
+	all := []herdPolicy{{"present", func(t testing.TB) func(*herd, int) chooser {
+		return newProduct(t, func(o *target.Options) { o.EvenLoad = target.EvenNever })
+	}}}
+	all = append(all, herdPolicy{"even", func(t testing.TB) func(*herd, int) chooser {
+		return newProduct(t, func(o *target.Options) { o.EvenLoad = target.EvenAlways })
+	}})
+	for _, p := range []string{"least", "preferred", "redealt", "two", "aged", "shares", "likely", "weighted", "oracle", "frac", "frac-w", "frac-n", "frac-dn"} {
 		all = append(all, herdPolicy{p, func(testing.TB) func(*herd, int) chooser { return newRival(p) }})
 	}
 	return all
 }()
-
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -160,7 +160,7 @@
 	// evacuated are the failure domains whose upstreams get no new requests.
 	evacuated map[hosts.Domain]bool
 	// even are the pools with even load.
-	even map[string]bool
+	even map[string]evenPool
 }
 
 // New returns a fleet without upstreams.
@@ -169,7 +169,7 @@
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
-		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1), even: make(map[string]bool),
+		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1), even: make(map[string]evenPool),
 	}
 }
 
@@ -268,11 +268,11 @@
 // as this one, because their requests aren't reported yet.
 func (u *upstream) load(now time.Time) timing.Load {
 	l := timing.Load{Running: u.running + u.regionRunning, Unread: u.unread + u.regionUnread, Pace: 1}
-	if u.remoteAssigned {
+	if u.remoteAssigned && u.even.share == 0 {
 		l.Running += u.sentSinceReport * (u.remoteEntries - 1)
 	}
 	if u.hasReport(now) {
-		l.Running += u.otherRunning
+		l.Running += max(u.otherRunning, u.guestRunning())
 		l.Pace = u.report.Pace
 	}
 	return l
