--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -56,10 +56,12 @@
 // reserve returns the number of slots that this entry leaves free at an engine.
 func (f *Fleet) reserve(now time.Time, u *upstream, reqs Requirements) int {
 	slots := reqs.Pool.Engine.Slots
-	switch {
-	case u.assigned, u.ownsLimit(now):
+	switch usage := f.usage(u); {
+	case usage == UsageOwn, u.ownsLimit(now):
 		return 0
-	case f.isRemote(u):
+	case u.even.active && usage != UsageNear:
+		return f.farReserve(u, slots)
+	case usage == UsageRemote:
 		return slots / remoteReserveDivisor
 	case reqs.Levels > 1 && !reqs.Returned && (reqs.Level == 0 || reqs.Exempt):
 		return slots / regionReserveDivisor / urgentReserveDivisor
--- /dev/null
+++ b/entry/internal/target/balance.go
@@ -0,0 +1,335 @@
+package target
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/hosts"
+)
+
+// Even load
+//
+// In a pool with even load, the slots of the engines of a region are divided equally among its
+// entries: the entries, ordered by name, and the engines, ordered by hash, are laid out over the
+// same interval, so that an entry has a share in one engine or a few adjacent ones. An entry knows
+// without delay what it uses of its shares. Beyond them it uses engines that few other entries use
+// for the same purpose, then any. All entries compute the same shares without messages.
+//
+// It is designed for 6 to 100 entries and load reports that are 200 to 600 ms old, when an engine
+// starts 8 to 10 requests per second: entries that all choose among the same engines send several
+// requests to one of them before they learn of each other's.
+
+const (
+	// maxNearEntries is the number of entries of a region, besides those with a share, that use an
+	// engine before others. In the model, 2 leave too many slots idle, and 6 collide as often as
+	// they find room.
+	maxNearEntries = 4
+	// farCost is added to unassignedCost for the other engines of the region. The sum is below the cost of an
+	// engine in another region that isn't assigned.
+	farCost = 30 * time.Millisecond
+	// farReserveDivisor is the part of the slots, as a divisor, that is left free there while slots are
+	// scarce. With a third, up to 30 entries of a region overrun the same engine in the model.
+	farReserveDivisor = 2
+	// maxFreeRatio is the free part of a region's slots from which they aren't scarce, so that an entry with
+	// much demand uses all engines alike. At minFreeRatio and below, far engines are used last.
+	maxFreeRatio = 0.25
+	minFreeRatio = 0.1
+	// maxCrowding is the number of entries per engine of a region, relative to the mean, above which some of its
+	// entries have their shares in other regions.
+	maxCrowding = 1.5
+	// guestUse is the part of their shares that entries of other regions are assumed to use.
+	guestUse = 0.75
+)
+
+// EvenLoad says which pools have even load.
+type EvenLoad int
+
+// The values of EvenLoad.
+const (
+	// EvenAuto is for pools that need it: where the region has more entries than engines, or engines are
+	// evacuated.
+	EvenAuto EvenLoad = iota
+	// EvenAlways is for all pools.
+	EvenAlways
+	// EvenNever is for none.
+	EvenNever
+)
+
+// evenPool is the state of a pool with respect to even load.
+type evenPool struct {
+	active bool
+	// scarcity is 0 if many slots of the region are free, and 1 if hardly any are.
+	scarcity float64
+	// hasGuests is set if entries have shares in other regions.
+	hasGuests bool
+}
+
+// Usage is the relation of an entry to an engine that it uses.
+type Usage string
+
+// The usages. In a pool without even load, all but the assigned engines are other ones.
+const (
+	// UsageOwn is an assigned engine, or one where a share of this entry is free.
+	UsageOwn Usage = "own"
+	// UsageNear is an engine of the region that this entry uses when its shares are spent.
+	UsageNear Usage = "near"
+	// UsageOther is any other engine of the region.
+	UsageOther Usage = "other"
+	// UsageRemote is an engine of another region.
+	UsageRemote Usage = "remote"
+)
+
+// evenShare is what an entry may use of an engine of a pool with even load.
+type evenShare struct {
+	// active is set for the engines of pools with even load.
+	active bool
+	// share is the part of the engine's slots that belongs to this entry, from 0 to 1.
+	share float64
+	// near is set if this entry uses the engine when its shares are spent.
+	near bool
+	// guests is the part of the slots that belongs to entries of other regions.
+	guests float64
+}
+
+// wantsEvenLoad reports whether a pool needs even load: if the region has more entries than engines, so
+// that not every entry is assigned one, or if some engines are evacuated, so that those of other
+// failure domains serve their demand.
+func (f *Fleet) wantsEvenLoad(all []*upstream, entries int) bool {
+	switch f.options.EvenLoad {
+	case EvenAlways:
+		return true
+	case EvenNever:
+		return false
+	}
+	local, engines, evacuated := 0, 0, false
+	for _, u := range all {
+		if u.row.Slots == 0 {
+			continue
+		}
+		engines++
+		switch {
+		case f.evacuated[hosts.Domain(u.row.Domain)]:
+			evacuated = true
+		case !f.isRemote(u) && !u.row.Draining:
+			local++
+		}
+	}
+	return evacuated || local > 0 && entries > local
+}
+
+// assignShares computes the shares of this entry in the engines of all regions, and which engines of its
+// own region it uses beyond them. The names of the region's entries are sorted. The caller holds the mutex.
+func (f *Fleet) assignShares(local []hosts.Name) {
+	for name, all := range f.pools {
+		active := slices.Contains(local, f.options.Self) && f.wantsEvenLoad(all, len(local))
+		if f.even[name].active != active {
+			f.options.Log.Info("even-load", zap.String("pool", name), zap.Bool("active", active), zap.Int("entries", len(local)), zap.Int("upstreams", len(all)))
+		}
+		f.even[name] = evenPool{active: active}
+		for _, u := range all {
+			u.even = evenShare{active: active}
+		}
+		if active {
+			f.even[name] = evenPool{active: true, scarcity: 1, hasGuests: f.assignPoolShares(all, local)}
+		}
+	}
+}
+
+// assignPoolShares reports whether entries have shares in other regions.
+func (f *Fleet) assignPoolShares(all []*upstream, local []hosts.Name) bool {
+	regions, hasGuests := f.shareRegions(all)
+	for _, r := range regions {
+		slices.Sort(r.entries)
+		index := slices.Index(r.entries, f.options.Self)
+		slices.SortFunc(r.engines, byDeal)
+		width := float64(len(r.engines)) / float64(max(len(r.entries), 1))
+		low, high := float64(index)*width, float64(index+1)*width
+		for i, u := range r.engines {
+			if index >= 0 {
+				u.even.share = overlap(low, high, i)
+				u.remoteAssigned = u.remoteAssigned || f.isRemote(u) && u.even.share > 0
+			}
+			if !f.isRemote(u) {
+				u.even.guests = r.guestShare(i, width, local)
+			}
+			u.even.near = !f.isRemote(u) && f.isNear(u, local)
+		}
+	}
+	return hasGuests
+}
+
+// overlap returns the part of the interval of engine i, which is from i to i+1, that lies between low and high.
+func overlap(low, high float64, i int) float64 {
+	return max(min(high, float64(i+1))-max(low, float64(i)), 0)
+}
+
+// guestShare returns the part of engine i that belongs to entries that aren't local.
+func (r *shareRegion) guestShare(i int, width float64, local []hosts.Name) float64 {
+	share := 0.0
+	for j, e := range r.entries {
+		if !slices.Contains(local, e) {
+			share += overlap(float64(j)*width, float64(j+1)*width, i)
+		}
+	}
+	return share
+}
+
+// shareRegion is a region with the engines that take requests and the entries that share them.
+type shareRegion struct {
+	name    hosts.Region
+	entries []hosts.Name
+	engines []*upstream
+}
+
+// entriesPerEngine is infinite for a region without engines.
+func (r *shareRegion) entriesPerEngine() float64 {
+	return float64(len(r.entries)) / float64(len(r.engines))
+}
+
+// shareRegions returns the regions with the entries that share their engines. Entries of a region with
+// far fewer engines than entries, for example because its engines are evacuated, have their shares in
+// another region, and then hasGuests is set.
+func (f *Fleet) shareRegions(all []*upstream) (regions []*shareRegion, hasGuests bool) {
+	byName := make(map[hosts.Region]*shareRegion)
+	region := func(name hosts.Region) *shareRegion {
+		if byName[name] == nil {
+			byName[name] = &shareRegion{name: name}
+		}
+		return byName[name]
+	}
+	entries, engines := 0, 0
+	for _, h := range f.options.Entries() {
+		r := region(h.Place.Region)
+		r.entries = append(r.entries, h.Name)
+		entries++
+	}
+	for _, u := range all {
+		domain := hosts.Domain(u.row.Domain)
+		if u.row.Draining || f.evacuated[domain] {
+			continue
+		}
+		r := region(f.options.Regions[domain])
+		r.engines = append(r.engines, u)
+		engines++
+	}
+	if engines == 0 {
+		return nil, false
+	}
+	regions = slices.SortedFunc(maps.Values(byName), func(a, b *shareRegion) int { return cmp.Compare(a.name, b.name) })
+	mean := float64(entries) / float64(engines)
+	for _, r := range regions {
+		if r.entriesPerEngine() > maxCrowding*mean {
+			moveGuests(regions, r, mean)
+			hasGuests = true
+		}
+	}
+	return regions, hasGuests
+}
+
+// moveGuests moves entries of a region to those with the fewest entries per engine, until it has the mean.
+func moveGuests(regions []*shareRegion, from *shareRegion, mean float64) {
+	slices.SortFunc(from.entries, func(a, b hosts.Name) int { return cmp.Compare(hosts.Score("share", a), hosts.Score("share", b)) })
+	for keep := int(mean * float64(len(from.engines))); len(from.entries) > keep; {
+		to := slices.MinFunc(regions, func(a, b *shareRegion) int { return cmp.Compare(a.entriesPerEngine(), b.entriesPerEngine()) })
+		if to == from {
+			return
+		}
+		last := len(from.entries) - 1
+		to.entries, from.entries = append(to.entries, from.entries[last]), from.entries[:last]
+	}
+}
+
+// byDeal orders engines by hash. The hash key must be the same in all entries, including those of other
+// releases.
+func byDeal(a, b *upstream) int {
+	return cmp.Compare(hosts.Score("deal", hosts.Name(a.row.ID)), hosts.Score("deal", hosts.Name(b.row.ID)))
+}
+
+// isNear reports whether this entry is among the first by rendezvous rank for the engine.
+func (f *Fleet) isNear(u *upstream, entries []hosts.Name) bool {
+	key, ahead := "near "+u.row.ID, 0
+	score := hosts.Score(key, f.options.Self)
+	for _, e := range entries {
+		if e != f.options.Self && hosts.Score(key, e) > score {
+			ahead++
+		}
+	}
+	return ahead < maxNearEntries
+}
+
+// sumFreeSlots computes how much of the slots of the region's engines is free, as far as is known. The caller
+// holds the mutex.
+func (f *Fleet) sumFreeSlots(now time.Time) {
+	for name, p := range f.even {
+		if !p.active {
+			continue
+		}
+		free, slots := 0, 0
+		for _, u := range f.pools[name] {
+			if !f.isRemote(u) && u.isOffered(now) && !f.evacuated[hosts.Domain(u.row.Domain)] {
+				free += max(u.row.Slots-u.load(now).Running, 0)
+				slots += u.row.Slots
+			}
+		}
+		p.scarcity = 1
+		if slots > 0 {
+			p.scarcity = min(max((maxFreeRatio-float64(free)/float64(slots))/(maxFreeRatio-minFreeRatio), 0), 1)
+		}
+		f.even[name] = p
+	}
+}
+
+// hasFreeShare reports whether less than this entry's share of the engine is in use by it.
+func (u *upstream) hasFreeShare() bool {
+	places := u.row.Slots + u.row.Slots/queueDivisor
+	return float64(u.running) < u.even.share*float64(places)
+}
+
+// usage returns the relation of this entry to the engine.
+func (f *Fleet) usage(u *upstream) Usage {
+	switch {
+	case u.even.active && u.hasFreeShare(), !u.even.active && u.assigned:
+		return UsageOwn
+	case f.isRemote(u):
+		return UsageRemote
+	case u.even.active && (u.even.near || u.even.share > 0):
+		return UsageNear
+	}
+	return UsageOther
+}
+
+// usageCost returns the cost of an engine that isn't this entry's own. A share in another region costs
+// more than other engines of this one, because bytes between regions are expensive.
+func (f *Fleet) usageCost(now time.Time, u *upstream) time.Duration {
+	switch usage := f.usage(u); {
+	case u.ownsLimit(now), usage == UsageOwn && !f.isRemote(u):
+		return 0
+	case usage == UsageOther && u.even.active:
+		return unassignedCost + time.Duration(f.even[u.row.Pool].scarcity*float64(farCost))
+	}
+	return unassignedCost
+}
+
+// farReserve returns the number of slots that this entry leaves free at an engine that is neither its own
+// nor near.
+func (f *Fleet) farReserve(u *upstream, slots int) int {
+	p := f.even[u.row.Pool]
+	switch {
+	case !f.isRemote(u):
+		low, high := float64(slots/regionReserveDivisor), float64(slots/farReserveDivisor)
+		return int(low + (high-low)*p.scarcity)
+	case p.hasGuests:
+		return slots / farReserveDivisor
+	}
+	return slots / remoteReserveDivisor
+}
+
+// guestRunning returns how many requests entries of other regions are assumed to run in their shares of the
+// engine. Load reports say so later than the entries of the region send theirs.
+func (u *upstream) guestRunning() int {
+	return int(guestUse * u.even.guests * float64(u.row.Slots))
+}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -93,6 +93,8 @@
 	// to; remoteAssigned is set if this entry is one of them.
 	remoteEntries  int
 	remoteAssigned bool
+	// even is what this entry may use of the engine if its pool has even load.
+	even evenShare
 	// sentSinceReport is the number of requests sent since the last load report.
 	sentSinceReport int
 	// regionRunning and regionUnread are the loads that other entries of the region report.
@@ -129,6 +131,8 @@
 	// VersionTimeout is the time within which engines must serve a released version.
 	// Zero means no bound.
 	VersionTimeout time.Duration
+	// EvenLoad says in which pools the engines of the region are divided among its entries by shares.
+	EvenLoad EvenLoad
 	// Random returns a number in [0, 1).
 	Random func() float64
 	Log    *zap.Logger
@@ -182,6 +186,8 @@
 	evacuated map[hosts.Domain]bool
 	// meters count the requests by level, by pool, of pools whose requests differ in urgency.
 	meters map[string]*level.Meter
+	// even are the pools with even load.
+	even map[string]evenPool
 }
 
 // New returns a fleet without upstreams.
@@ -193,7 +199,7 @@
 		options: o, upstreams: make(map[string]*upstream), pools: make(map[string][]*upstream),
 		releases: make(map[string][]release), stated: make(map[statedKey]time.Time), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
-		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, unlistedLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), regionViews: make(map[hosts.Region]regionView), asks: make(chan struct{}, 1),
+		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, unlistedLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), regionViews: make(map[hosts.Region]regionView), even: make(map[string]evenPool), asks: make(chan struct{}, 1),
 		seen:   make(map[hosts.Name]knownEntry),
 		meters: make(map[string]*level.Meter),
 	}
@@ -310,11 +316,11 @@
 // as this one, because their requests aren't reported yet.
 func (u *upstream) load(now time.Time) timing.Load {
 	l := timing.Load{Running: u.running + u.regionRunning, Unread: u.unread + u.regionUnread, Pace: 1}
-	if u.remoteAssigned {
+	if u.remoteAssigned && u.even.share == 0 {
 		l.Running += u.sentSinceReport * (u.remoteEntries - 1)
 	}
 	if u.hasReport(now) {
-		l.Running += u.otherRunning
+		l.Running += max(u.otherRunning, u.guestRunning())
 		l.Pace = u.report.Pace
 	}
 	return l
--- a/entry/internal/target/urgency_test.go
+++ b/entry/internal/target/urgency_test.go
@@ -187,13 +187,15 @@
 	case policyLevels:
 		reqs := m.requirements(a, now)
 		reqs.Exempt = a.ticket.Exempt
+		var inFlight *target.InFlight
 		switch m.queues[a.entry].Poll(now, a.ticket, func(ahead []state.Homes) bool {
 			reqs.Ahead = ahead
-			a.inFlight, _ = f.ChooseEngine(now, reqs)
-			return a.inFlight != nil
+			inFlight, _ = f.ChooseEngine(now, reqs)
+			return inFlight != nil
 		}) {
 		case level.Placed:
-			m.send(a, m.engineOf(a.inFlight), a.inFlight, now)
+			a.inFlight = inFlight
+			m.send(a, m.engineOf(inFlight), inFlight, now)
 			return true
 		case level.Waiting:
 			return false
