target: log home conflicts, count exclusions and requests in evacuated domains

Operators couldn't see why a request found no upstream, nor whether an evacuation was complete. Anonymous routes have no conflicts with workspaces. Running requests are counted by failure domain, also of upstreams that are no longer listed.

SoonestHold counted pauses of upstreams outside the homes and in evacuated domains, so that a request was refused as held by an upstream that could never serve it.

--- a/core/state/places.go
+++ b/core/state/places.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"slices"
 
 	"currantport.example/core/hosts"
@@ -76,45 +77,75 @@
 // maxHomeConflicts bounds the result of HomeConflicts.
 const maxHomeConflicts = 32
 
+// homed are the rows that have homes, in order, so that the same conflicts are found each time.
+type homed struct {
+	routes     []*Route
+	workspaces []*Workspace
+	// groups are the workspaces by their homes. Many workspaces share few lists of regions.
+	groups [][]*Workspace
+}
+
+func homedOf(routes map[string]*Route, workspaces map[string]*Workspace) homed {
+	var h homed
+	for _, r := range routes {
+		if len(r.Homes) > 0 {
+			h.routes = append(h.routes, r)
+		}
+	}
+	for _, w := range workspaces {
+		if len(w.Homes) > 0 {
+			h.workspaces = append(h.workspaces, w)
+		}
+	}
+	slices.SortFunc(h.routes, func(a, b *Route) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(h.workspaces, func(a, b *Workspace) int { return cmp.Compare(a.Name, b.Name) })
+	for _, w := range h.workspaces {
+		i := slices.IndexFunc(h.groups, func(g []*Workspace) bool { return slices.Equal(g[0].Homes, w.Homes) })
+		if i < 0 {
+			h.groups = append(h.groups, []*Workspace{w})
+			continue
+		}
+		h.groups[i] = append(h.groups[i], w)
+	}
+	return h
+}
+
 // HomeConflicts returns routes and workspaces that name an unknown region, and pairs that have no
 // home region in common. At most 32 are returned, since they are meant for a log.
 func (s *Snapshot) HomeConflicts(isKnown func(hosts.Region) bool) []HomeConflict {
 	var all []HomeConflict
-	bound := make(map[string]*Workspace)
-	for _, w := range s.workspaces {
-		if len(w.Homes) > 0 {
-			bound[w.Name] = w
-		}
-	}
-	for _, w := range bound {
-		for _, r := range w.Homes {
-			if !isKnown(r) {
-				all = append(all, HomeConflict{Workspace: w.Name, Unknown: r})
+	for _, w := range s.homed.workspaces {
+		for _, h := range w.Homes {
+			if !isKnown(h) {
+				all = append(all, HomeConflict{Workspace: w.Name, Unknown: h})
 			}
 		}
 	}
-	for _, routes := range s.routes {
-		for _, r := range routes {
-			if len(r.Homes) > 0 {
-				all = append(all, conflictsOf(r, bound, isKnown)...)
-			}
-			if len(all) >= maxHomeConflicts {
-				return all[:maxHomeConflicts]
-			}
+	for _, r := range s.homed.routes {
+		if len(all) >= maxHomeConflicts {
+			break
 		}
+		all = append(all, s.homed.conflictsOf(r, isKnown)...)
 	}
-	return all
+	return all[:min(len(all), maxHomeConflicts)]
 }
 
-func conflictsOf(r *Route, bound map[string]*Workspace, isKnown func(hosts.Region) bool) []HomeConflict {
+func (h homed) conflictsOf(r *Route, isKnown func(hosts.Region) bool) []HomeConflict {
 	var all []HomeConflict
-	for _, h := range r.Homes {
-		if !isKnown(h) {
-			all = append(all, HomeConflict{Route: r.Name, Unknown: h})
+	for _, region := range r.Homes {
+		if !isKnown(region) {
+			all = append(all, HomeConflict{Route: r.Name, Unknown: region})
 		}
 	}
-	for _, w := range bound {
-		if HomesOf(r, w).IsNowhere() {
+	// Requests without a key have no workspace.
+	if r.Anonymous {
+		return all
+	}
+	for _, g := range h.groups {
+		if !HomesOf(r, g[0]).IsNowhere() {
+			continue
+		}
+		for _, w := range g[:min(len(g), maxHomeConflicts)] {
 			all = append(all, HomeConflict{Route: r.Name, Workspace: w.Name})
 		}
 	}
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -26,6 +26,7 @@
 	upstreams  map[string][]*Upstream
 	objectives map[string]time.Duration
 	levels     map[string][]urgency
+	homed      homed
 	evacuated  map[hosts.Domain]bool
 }
 
@@ -41,6 +42,28 @@
 	return all
 }
 
+// RouteNamed returns the route with the name, or nil.
+func (s *Snapshot) RouteNamed(name string) *Route {
+	for _, routes := range s.routes {
+		for _, r := range routes {
+			if r.Name == name {
+				return r
+			}
+		}
+	}
+	return nil
+}
+
+// WorkspaceNamed returns the workspace with the name, or nil if there is none with an API key.
+func (s *Snapshot) WorkspaceNamed(name string) *Workspace {
+	for _, w := range s.workspaces {
+		if w.Name == name {
+			return w
+		}
+	}
+	return nil
+}
+
 // Objective returns the shortest latency objective of the routes to the pool, or zero
 // if none has one.
 func (s *Snapshot) Objective(pool string) time.Duration { return s.objectives[pool] }
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -164,23 +164,31 @@
 			return f, nil
 		}
 		limited, hasLimited := l.handler.options.Fleet.AwaitLimited(now, reqs, &grant)
-		if full == 0 && !hasLimited {
-			return nil, l.refusalOfNone(reqs)
-		}
 		next := capacityPollInterval
 		if full == 0 {
 			next = max(next, limited)
 		}
-		if time.Now().Add(next).After(until) || !clocks.Sleep(ctx, capacityPollInterval) {
-			if full > 0 {
-				return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(full), "the engines are full")
-			}
-			wait := l.handler.options.Fleet.LimitedRetryDelay(clocks.Now(), l.pool.Name, limited)
-			return nil, calls.NotRun(calls.ReasonLimited, max(wait, minRetryAfter), "the upstreams take no more requests a second")
+		canWait := full > 0 || hasLimited
+		if !canWait || time.Now().Add(next).After(until) || !clocks.Sleep(ctx, capacityPollInterval) {
+			l.handler.metrics.countExclusions(l.handler.options.Fleet.Exclusions(clocks.Now(), reqs))
+			return nil, l.placementRefusal(reqs, full, limited, hasLimited)
 		}
 	}
 }
 
+// placementRefusal returns the refusal of a request that got no upstream. Full is the time after which
+// an engine may have room, or zero if none could serve it; limited is when a limit may let it pass.
+func (l *lifecycle) placementRefusal(reqs target.Requirements, full, limited time.Duration, hasLimited bool) *calls.Refusal {
+	switch {
+	case full > 0:
+		return calls.NotRun(calls.ReasonOverload, l.retryAfter(full), "the engines are full")
+	case hasLimited:
+		wait := l.handler.options.Fleet.LimitedRetryDelay(clocks.Now(), l.pool.Name, limited)
+		return calls.NotRun(calls.ReasonLimited, max(wait, minRetryAfter), "the upstreams take no more requests a second")
+	}
+	return l.refusalOfNone(reqs)
+}
+
 // requirements returns what the request needs from its next upstream.
 func (l *lifecycle) requirements() target.Requirements {
 	return target.Requirements{
@@ -224,7 +232,7 @@
 	case target.ExclusionEvacuated:
 		return calls.NotRun(calls.ReasonEvacuated, noUpstreamRetryAfter, "the failure domains that could serve the request are evacuated")
 	}
-	hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), l.pool.Name)
+	hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), reqs)
 	if hold == 0 {
 		return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, "no upstream serves the request")
 	}
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -51,6 +51,14 @@
 	m.scope.Tagged(map[string]string{"kind": kind, "upstream": upstream}).Counter("upstream_demands").Inc(1)
 }
 
+// countExclusions counts a request that found no upstream, for each failure domain and each reason why
+// upstreams there may not take it.
+func (m *metrics) countExclusions(all []target.DomainExclusion) {
+	for _, e := range all {
+		m.scope.Tagged(map[string]string{"reason": string(e.Reason), "domain": string(e.Domain)}).Counter("exclusions").Inc(1)
+	}
+}
+
 const (
 	// minDuration and durationBuckets give buckets from 4 ms to 8 s, which cover the hops
 	// between hosts and the longest timeouts.
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"currantport.example/core/clocks"
@@ -55,6 +56,7 @@
 	MaxStaleness time.Duration
 	// AgentPort is the mesh port of the upstreams' agents.
 	AgentPort int
+	Scope     tally.Scope
 	Log       *zap.Logger
 }
 
@@ -65,6 +67,8 @@
 	draining atomic.Bool
 	// known are the upstreams of the last snapshot, by id.
 	known map[string]*state.Upstream
+	// evacuated are the failure domains of which the requests in progress were reported last.
+	evacuated map[hosts.Domain]int
 }
 
 // New starts the goroutines. The clean-up function stops them.
@@ -101,6 +105,7 @@
 			sy.applySnapshot(s)
 		}
 		sy.updateReadiness(last)
+		sy.reportEvacuations()
 		sy.options.Fleet.SetKnownEntries(sy.options.Mesh.EntryCount())
 		if live := hosts.ListIDOf(sy.options.Mesh.Entries()); live != entries {
 			entries = live
@@ -162,6 +167,27 @@
 	}
 }
 
+// reportEvacuations updates the numbers of requests in progress in evacuated failure domains.
+func (sy *Syncer) reportEvacuations() {
+	now := sy.options.Fleet.EvacuatedRunning()
+	for d := range sy.evacuated {
+		if _, ok := now[d]; !ok {
+			sy.runningGauge(d).Update(0)
+		}
+	}
+	for d, n := range now {
+		sy.runningGauge(d).Update(float64(n))
+	}
+	if len(now) != len(sy.evacuated) {
+		sy.options.Scope.Gauge("evacuated_domains").Update(float64(len(now)))
+	}
+	sy.evacuated = now
+}
+
+func (sy *Syncer) runningGauge(d hosts.Domain) tally.Gauge {
+	return sy.options.Scope.Tagged(map[string]string{"domain": string(d)}).Gauge("evacuated_running")
+}
+
 const (
 	// minEntryLoadInterval and maxEntryLoadInterval bound the time between two messages to the
 	// other entries of the region. The maximum is half of the time for which a message is
--- a/entry/internal/target/demands.go
+++ b/entry/internal/target/demands.go
@@ -115,14 +115,15 @@
 	r.fleet.options.Log.Info("upstream-held", zap.String("upstream", u.row.ID), zap.Duration("asked", d), zap.Duration("held", bounded))
 }
 
-// SoonestHold returns the time until an upstream of the pool that is kept back by a hold takes
-// requests again, or zero if there is none. Upstreams that are leaving never do.
-func (f *Fleet) SoonestHold(now time.Time, pool string) time.Duration {
+// SoonestHold returns the time until an upstream that only a hold keeps from the request takes
+// requests again, or zero if there is none. Upstreams that are leaving, outside the homes of the
+// request or evacuated never do.
+func (f *Fleet) SoonestHold(now time.Time, reqs Requirements) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	soonest := time.Duration(0)
-	for _, u := range f.pools[pool] {
-		if u.row.Draining || u.demands.leaving || !u.demands.isHeld(now) {
+	for _, u := range f.pools[reqs.Pool.Name] {
+		if f.commonExclusion(now, u, reqs) != ExclusionHeld {
 			continue
 		}
 		if left := u.demands.heldUntil.Sub(now); soonest == 0 || left < soonest {
--- a/entry/internal/target/demands_test.go
+++ b/entry/internal/target/demands_test.go
@@ -119,7 +119,7 @@
 		f.Hold(start, d/2)
 		f.Finish(start, target.OutcomeShed)
 	}
-	if got := w.fleet.SoonestHold(start, "s"); got != 2*time.Second {
+	if got := w.fleet.SoonestHold(start, toPlain()); got != 2*time.Second {
 		t.Errorf("soonest hold %s, want 2s", got)
 	}
 	for ms := range 2000 {
@@ -134,7 +134,7 @@
 	if got := other.plainUpstream(start); got == "none" {
 		t.Error("the hold of one entry keeps another one away")
 	}
-	if got := other.fleet.SoonestHold(start, "s"); got != 0 {
+	if got := other.fleet.SoonestHold(start, toPlain()); got != 0 {
 		t.Errorf("a hold of another entry counts as own: %s", got)
 	}
 }
--- a/entry/internal/target/exclude.go
+++ b/entry/internal/target/exclude.go
@@ -32,6 +32,9 @@
 	ExclusionVersion Exclusion = "version"
 	// ExclusionLimit is an upstream whose limit of requests per second is spent.
 	ExclusionLimit Exclusion = "limit"
+	// ExclusionUnassigned is an engine of another region that isn't assigned to this entry, while
+	// others can be used.
+	ExclusionUnassigned Exclusion = "unassigned"
 )
 
 // exclusion returns why the engine may not take the request. If it may, it also returns the version
@@ -101,6 +104,9 @@
 // SoleExclusion returns the home or evacuation bound that alone keeps the request from all upstreams of
 // its pool that could serve it otherwise, or ExclusionNone if there is another reason.
 func (f *Fleet) SoleExclusion(now time.Time, reqs Requirements) Exclusion {
+	if reqs.Homes.IsNowhere() {
+		return ExclusionHome
+	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	sole := ExclusionNone
@@ -114,3 +120,33 @@
 	}
 	return sole
 }
+
+// DomainExclusion is a reason why upstreams of a failure domain may not take a request.
+type DomainExclusion struct {
+	Domain hosts.Domain
+	Reason Exclusion
+}
+
+// Exclusions returns why upstreams of the request's pool may not take it, each reason once for each
+// failure domain.
+func (f *Fleet) Exclusions(now time.Time, reqs Requirements) []DomainExclusion {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var all []DomainExclusion
+	for _, u := range f.pools[reqs.Pool.Name] {
+		e := DomainExclusion{Domain: hosts.Domain(u.row.Domain), Reason: f.anyExclusion(now, u, reqs)}
+		if e.Reason != ExclusionNone && !slices.Contains(all, e) {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// anyExclusion is exclusion or plainExclusion, depending on the pool.
+func (f *Fleet) anyExclusion(now time.Time, u *upstream, reqs Requirements) Exclusion {
+	if reqs.Pool.Engine == nil {
+		return f.plainExclusion(now, u, reqs)
+	}
+	_, _, reason := f.exclusion(now, u, reqs)
+	return reason
+}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -155,6 +155,10 @@
 	releases map[string][]release
 	// evacuated are the failure domains whose upstreams get no new requests.
 	evacuated map[hosts.Domain]bool
+	// running are the requests of this entry in progress by failure domain.
+	running map[hosts.Domain]int
+	// homeConflicts are those of the last snapshot, which have been logged.
+	homeConflicts map[state.HomeConflict]bool
 }
 
 // New returns a fleet without upstreams.
@@ -164,15 +168,18 @@
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
 		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
+		running: make(map[hosts.Domain]int),
 	}
 }
 
 // ApplySnapshot applies the rows of a snapshot. It returns the addresses that no upstream
 // uses any more.
 func (f *Fleet) ApplySnapshot(now time.Time, s *state.Snapshot) []netip.AddrPort {
+	conflicts := s.HomeConflicts(f.isKnownRegion)
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	f.applyEvacuations(s)
+	f.logHomeConflicts(conflicts)
 	before := f.upstreams
 	f.upstreams, f.pools = make(map[string]*upstream, len(before)), make(map[string][]*upstream)
 	clear(f.limited)
@@ -306,6 +313,7 @@
 // startRequest counts a request that is about to be sent. The caller holds the mutex.
 func (f *Fleet) startRequest(now time.Time, u *upstream, model string, prompt int) *InFlight {
 	u.demands.limit.spend(f, now)
+	f.countStart(hosts.Domain(u.row.Domain))
 	u.running++
 	u.sentSinceReport++
 	u.unread += prompt
@@ -362,6 +370,7 @@
 	}
 	r.isFinished = true
 	delete(r.fleet.unbounded, r)
+	r.fleet.countEnd(hosts.Domain(r.Row.Domain))
 	u := r.upstream
 	u.running--
 	if !r.hasFirstEvent {
