entry, admin: explain where a request would be sent

An operator could only learn from the log lines of other requests why an upstream gets none. GET /explain of the administration address answers for one entry, and admin explain prints it: candidates with load, age, prediction, exclusions and parts of the cost, the choice and its margin, or the refusal.

The functions that decide drop grants, give turns and draw numbers. Read-only variants would drift from them, so that Fleet.Fork copies the state of a pool and the same functions run on the copy. The costs are split by kind and summed in one place; sums keep their order, since those of plain services are floating point numbers.

--- a/core/parts/server.go
+++ b/core/parts/server.go
@@ -23,8 +23,8 @@
 	// memoryLimitRatio is the share of the memory that is set as the soft limit of the
 	// Go runtime. The rest is for memory that the runtime doesn't account for.
 	memoryLimitRatio = 0.7
-	// metricsShutdownTimeout bounds the wait for calls to the metrics at shutdown.
-	metricsShutdownTimeout = 300 * time.Millisecond
+	// adminShutdownTimeout bounds the wait for calls to the administration address at shutdown.
+	adminShutdownTimeout = 300 * time.Millisecond
 )
 
 // ServerSettings are the settings shared by the programs that follow a feed.
@@ -32,7 +32,7 @@
 	Host  hosts.Name
 	Role  hosts.Role
 	Level logs.Level
-	// AdminAddress is where metrics are served.
+	// AdminAddress is where metrics and further paths for operators are served.
 	AdminAddress netip.AddrPort
 	// MemoryLimit is the memory that the process may use.
 	MemoryLimit config.Bytes
@@ -43,8 +43,8 @@
 func ServerOptions(s ServerSettings) fx.Option {
 	return fx.Options(
 		fx.Supply(s, s.Role, links.SystemNetwork()),
-		fx.Provide(newServerLog, newPeerClient, newMetrics),
-		fx.Invoke(setMemoryLimit, serveMetrics),
+		fx.Provide(newServerLog, newPeerClient, newMetrics, newAdmin),
+		fx.Invoke(setMemoryLimit, serveAdmin),
 	)
 }
 
@@ -60,14 +60,21 @@
 	debug.SetMemoryLimit(int64(float64(s.MemoryLimit) * memoryLimitRatio))
 }
 
-func serveMetrics(lc fx.Lifecycle, s ServerSettings, network links.Network, m Metrics, log *zap.Logger) error {
+// Admin is the handler of the administration address. Programs may add paths to it.
+type Admin struct{ *http.ServeMux }
+
+func newAdmin(m Metrics) Admin {
+	a := Admin{http.NewServeMux()}
+	a.Handle("/metrics", m.Handler)
+	return a
+}
+
+func serveAdmin(lc fx.Lifecycle, s ServerSettings, network links.Network, admin Admin, log *zap.Logger) error {
 	l, err := network.Listen(context.Background(), s.AdminAddress)
 	if err != nil {
 		return err
 	}
-	admin := http.NewServeMux()
-	admin.Handle("/metrics", m.Handler)
-	lc.Append(fx.StopHook(links.Serve(l, admin, log, metricsShutdownTimeout)))
+	lc.Append(fx.StopHook(links.Serve(l, admin, log, adminShutdownTimeout)))
 	return nil
 }
 
--- a/core/quota/quota.go
+++ b/core/quota/quota.go
@@ -14,6 +14,7 @@
 package quota
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -80,6 +81,13 @@
 	lastTurn time.Time
 }
 
+// Clone returns an independent copy.
+func (a *Allotter) Clone() Allotter {
+	c := *a
+	c.turns = maps.Clone(a.turns)
+	return c
+}
+
 // Reset discards what is saved up and all turns. Call it when an entry becomes the owner.
 func (a *Allotter) Reset(now time.Time) { *a = Allotter{filledAt: now} }
 
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -147,7 +147,7 @@
 		return f, nil
 	}
 	if l.pool == nil && !l.choosePool() {
-		return nil, calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the route's pools aren't listed")
+		return nil, noPoolRefusal()
 	}
 	reqs := l.requirements()
 	l.isRetry = l.handler.timeouts.IsRetry(l.admission.Route.Name, &l.call)
@@ -271,8 +271,12 @@
 	return min(max(wait, shortest)+max(spread, 0), max(longest, shortest))
 }
 
-// choosePool draws one of the route's pools by weight.
-func (l *lifecycle) choosePool() bool {
+func noPoolRefusal() *calls.Refusal {
+	return calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the route's pools aren't listed")
+}
+
+// listedTargets returns the route's pools that are listed, and the sum of their weights.
+func (l *lifecycle) listedTargets() ([]state.Target, int) {
 	var listed []state.Target
 	sum := 0
 	for _, g := range l.admission.Route.Targets {
@@ -281,6 +285,12 @@
 			sum += g.Weight
 		}
 	}
+	return listed, sum
+}
+
+// choosePool draws one of the route's pools by weight.
+func (l *lifecycle) choosePool() bool {
+	listed, sum := l.listedTargets()
 	at := int(l.handler.options.Random() * float64(sum))
 	for _, g := range listed {
 		if at < g.Weight {
--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -22,15 +22,22 @@
 // one that could have been on time. The length of the request's own prompt is not
 // considered, because long prompts would then never be served under load.
 func admits(reqs Requirements, l timing.Load, reserve int) bool {
+	free, needed := room(reqs, l, reserve)
+	return free >= needed
+}
+
+// room returns the places of an engine that the request may use and the number that must be free for
+// it to be admitted.
+func room(reqs Requirements, l timing.Load, reserve int) (free, needed int) {
 	e := reqs.Pool.Engine
-	free := e.Slots + e.Slots/queueDivisor - reserve - l.Running
+	free = e.Slots + e.Slots/queueDivisor - reserve - l.Running
 	switch {
 	case timing.FirstEvent(e, l, e.PromptTokens) <= reqs.Remaining:
-		return free > 0
+		return free, 1
 	case timing.FirstEvent(e, timing.Load{}, e.PromptTokens) <= reqs.Remaining:
-		return free > e.Slots/slowReserveDivisor
+		return free, e.Slots/slowReserveDivisor + 1
 	}
-	return free > e.Slots/lateReserveDivisor
+	return free, e.Slots/lateReserveDivisor + 1
 }
 
 const (
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -132,7 +132,8 @@
 	for i := range all {
 		c := &all[i]
 		c.firstEvent = timing.FirstEvent(reqs.Pool.Engine, c.load, reqs.PromptTokens)
-		c.cost = f.cost(now, reqs, c)
+		parts := f.cost(now, reqs, c)
+		c.cost = parts.sum()
 	}
 	return all
 }
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// clone returns an independent copy.
+func (s *limitState) clone() *limitState {
+	if s == nil {
+		return nil
+	}
+	c := *s
+	c.allotter, c.grants = s.allotter.Clone(), slices.Clone(s.grants)
+	return &c
+}
+
 // ownsLimit reports whether this entry spends a limit of the upstream.
 func (u *upstream) ownsLimit() bool {
 	s := u.demands.limit
--- a/entry/internal/target/plain.go
+++ b/entry/internal/target/plain.go
@@ -10,23 +10,29 @@
 func (f *Fleet) ChoosePlain(now time.Time, reqs Requirements) *InFlight {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
+	best := f.bestPlain(now, reqs)
+	if best == nil {
+		return nil
+	}
+	r := f.startRequest(now, best, "", 0)
+	r.Running = best.running - 1
+	return r
+}
+
+// bestPlain returns the upstream of a plain service with the lowest cost, or nil.
+func (f *Fleet) bestPlain(now time.Time, reqs Requirements) *upstream {
 	var best *upstream
 	lowest := 0.0
 	for _, u := range f.pools[reqs.Pool.Name] {
 		if f.plainExclusion(now, u, reqs) != ExclusionNone {
 			continue
 		}
-		c := f.plainCost(now, u)
-		if best == nil || c < lowest {
+		parts := f.plainCost(now, u)
+		if c := parts.sum(); best == nil || c < lowest {
 			best, lowest = u, c
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	r := f.startRequest(now, best, "", 0)
-	r.Running = best.running - 1
-	return r
+	return best
 }
 
 // HasPlain reports whether an upstream of a plain service that accepts connections can take a
@@ -51,17 +57,20 @@
 	plainLatencyCost = 30
 )
 
-func (f *Fleet) plainCost(now time.Time, u *upstream) float64 {
-	c := float64(u.running) + f.options.Random() + plainFailureCost*u.health.FailureRatio(now)
-	c += plainLatencyCost * u.health.Latency(now).Seconds()
+// plainCost returns the requests of this entry in progress at the upstream plus penalties.
+func (f *Fleet) plainCost(now time.Time, u *upstream) costs[float64] {
+	var all costs[float64]
+	all[costRunning], all[costJitter] = float64(u.running), f.options.Random()
+	all[costFailures] = plainFailureCost * u.health.FailureRatio(now)
+	all[costLatency] = plainLatencyCost * u.health.Latency(now).Seconds()
 	if f.isRemote(u) {
-		c += plainRemoteCost
+		all[costRegion] = plainRemoteCost
 	}
 	if u.health.IsDown(now) {
-		c += plainDownCost
+		all[costDown] = plainDownCost
 	}
 	if now.Before(u.heldElsewhereUntil) {
-		c += plainHeldElsewhereCost
+		all[costHeldElsewhere] = plainHeldElsewhereCost
 	}
-	return c
+	return all
 }
--- a/entry/internal/target/rank.go
+++ b/entry/internal/target/rank.go
@@ -21,25 +21,63 @@
 	degradedCost = 2 * time.Second
 )
 
+// costKind is a part of the cost of an upstream.
+type costKind int
+
+// The parts of a cost. Those of plain services are summed in this order.
+const (
+	costRunning costKind = iota
+	costFirstEvent
+	costJitter
+	costEventGap
+	costFailures
+	costLatency
+	costRegion
+	costUnassigned
+	costDegraded
+	costDown
+	costHeldElsewhere
+	costKinds
+)
+
+var costNames = [costKinds]string{
+	costRunning: "running", costFirstEvent: "first", costJitter: "jitter", costEventGap: "gap", costFailures: "failures", costLatency: "latency",
+	costRegion: "region", costUnassigned: "unassigned", costDegraded: "degraded", costDown: "down", costHeldElsewhere: "held",
+}
+
+// costs are the parts of an upstream's cost: times for an engine, numbers of requests in progress for
+// the upstream of a plain service.
+type costs[T time.Duration | float64] [costKinds]T
+
+func (c *costs[T]) sum() T {
+	var sum T
+	for _, part := range c {
+		sum += part
+	}
+	return sum
+}
+
 // cost returns the predicted time to the first event plus penalties.
-func (f *Fleet) cost(now time.Time, reqs Requirements, c *candidate) time.Duration {
-	cost := time.Duration(float64(c.firstEvent) * (1 + costJitterRatio*f.options.Random()))
+func (f *Fleet) cost(now time.Time, reqs Requirements, c *candidate) costs[time.Duration] {
+	var all costs[time.Duration]
+	all[costFirstEvent] = c.firstEvent
+	all[costJitter] = time.Duration(float64(c.firstEvent)*(1+costJitterRatio*f.options.Random())) - c.firstEvent
 	if reqs.MaxEventGap > 0 && timing.EventGap(reqs.Pool.Engine, c.load, reqs.PromptTokens) > reqs.MaxEventGap {
-		cost += reqs.MaxEventGap
+		all[costEventGap] = reqs.MaxEventGap
 	}
 	if f.isRemote(c.upstream) {
-		cost += crossRegionCost
+		all[costRegion] = crossRegionCost
 	}
 	if !c.upstream.assigned && !c.upstream.ownsLimit() {
-		cost += unassignedCost
+		all[costUnassigned] = unassignedCost
 	}
 	if c.upstream.health.IsDegraded(now) {
-		cost += degradedCost
+		all[costDegraded] = degradedCost
 	}
 	if now.Before(c.upstream.heldElsewhereUntil) {
-		cost += heldElsewhereCost
+		all[costHeldElsewhere] = heldElsewhereCost
 	}
-	return cost
+	return all
 }
 
 // isRemote reports whether the upstream is in another region.
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -15,6 +15,7 @@
 
 	"currantport.example/core/budget"
 	"currantport.example/core/cache"
+	"currantport.example/core/choice"
 	"currantport.example/core/clocks"
 	"currantport.example/core/conns"
 	"currantport.example/core/crash"
@@ -30,6 +31,7 @@
 	"currantport.example/entry/internal/httpd"
 	"currantport.example/entry/internal/naming"
 	"currantport.example/entry/internal/proxy"
+	"currantport.example/entry/internal/query"
 	"currantport.example/entry/internal/syncer"
 	"currantport.example/entry/internal/target"
 	"currantport.example/entry/warmup"
@@ -78,7 +80,7 @@
 			feed.NewMirror, crash.NewRegistry, newConns, newFleet, newMesh, newFollower,
 			newHandler, newServer, newSyncer, newDirectory, cache.New, newPrefetcher,
 		),
-		fx.Invoke(startMeshServer, startSeedReload, registerShutdown),
+		fx.Invoke(startMeshServer, startSeedReload, registerShutdown, registerQueries),
 	)
 }
 
@@ -209,6 +211,11 @@
 	return nil
 }
 
+// registerQueries answers operators' questions on the administration address.
+func registerQueries(s Settings, admin parts.Admin, h *proxy.Handler, log *zap.Logger) {
+	admin.Handle(choice.Path, query.NewHandler(s.Host, h, log))
+}
+
 // startSeedReload applies changes of the seeds in the settings file.
 func startSeedReload(lc fx.Lifecycle, f SettingsFile, n *mesh.Node, log *zap.Logger) {
 	lc.Append(fx.StopHook(parts.SeedWatcher{
