target, proxy: test homes, evacuations and explain; report the bound that alone excludes

A request whose engines were all evacuated was refused as no-upstream if an engine elsewhere was listed without its version: SoleExclusion looked at bounds and demands only. It now reports a bound if an upstream could serve the request otherwise or none is within the bounds; pauses asked for within the bounds keep going first, since they set Retry-After.

newWorldOf of the tests of target is split, so that a test can give its own source of randomness; its worlds are as before.

--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/netip"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -10,6 +12,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"currantport.example/core/hosts"
 	"currantport.example/core/state"
 )
 
@@ -212,3 +215,31 @@
 		}
 	})
 }
+
+// TestHomeConflictsAreBoundedAndOrdered guards against a log line for each snapshot: a bounded part of
+// many conflicts must be the same part each time.
+func TestHomeConflictsAreBoundedAndOrdered(t *testing.T) {
+	var rows []state.Row
+	for i := range 20 {
+		name := fmt.Sprintf("n%02d", i)
+		r := route(name, name, "/")
+		r.Homes, r.Anonymous = []hosts.Region{"r"}, i == 0
+		w := &state.Workspace{Name: name, Keys: []string{name}, Homes: []hosts.Region{"s"}}
+		rows = append(rows, encodeRow(t, state.EncodeRoute, r), encodeRow(t, state.EncodeWorkspace, w))
+	}
+	var first []state.HomeConflict
+	for range 20 {
+		var b state.Builder
+		s, rowErrors := b.Apply(1, rows)
+		if len(rowErrors) > 0 {
+			t.Fatal(rowErrors)
+		}
+		all := s.HomeConflicts(func(hosts.Region) bool { return true })
+		if first == nil {
+			first = all
+		}
+		if len(all) != 32 || !slices.Equal(all, first) || all[0] != (state.HomeConflict{Route: "n01", Workspace: "n00"}) {
+			t.Fatalf("%d conflicts: %v", len(all), all)
+		}
+	}
+}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -226,18 +226,17 @@
 // have asked to be left alone, the client may return when the first of them takes requests again.
 // The times are spread, so that it isn't met by all of them at once.
 func (l *lifecycle) refusalOfNone(reqs target.Requirements) *calls.Refusal {
+	if hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), reqs); hold > 0 {
+		spread := time.Duration(l.handler.options.Random() * float64(holdSpread))
+		return calls.NotRun(calls.ReasonHeld, hold+spread, "the upstreams want no requests for a while")
+	}
 	switch l.handler.options.Fleet.SoleExclusion(clocks.Now(), reqs) {
 	case target.ExclusionHome:
 		return calls.NotRun(calls.ReasonHome, noUpstreamRetryAfter, "no upstream in the home regions of the request")
 	case target.ExclusionEvacuated:
 		return calls.NotRun(calls.ReasonEvacuated, noUpstreamRetryAfter, "the failure domains that could serve the request are evacuated")
 	}
-	hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), reqs)
-	if hold == 0 {
-		return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, "no upstream serves the request")
-	}
-	spread := time.Duration(l.handler.options.Random() * float64(holdSpread))
-	return calls.NotRun(calls.ReasonHeld, hold+spread, "the upstreams want no requests for a while")
+	return calls.NotRun(calls.ReasonNoUpstream, noUpstreamRetryAfter, "no upstream serves the request")
 }
 
 func (l *lifecycle) objective() time.Duration {
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -188,7 +188,7 @@
 		}
 		p, stop := conns.New(n.Dialer(entry), nil)
 		w.conns, w.crashes = p, crash.NewRegistry(zap.NewNop())
-		regions := map[hosts.Domain]hosts.Region{"d": "r"}
+		regions := map[hosts.Domain]hosts.Region{"d": "r", "e": "s", "f": "s"}
 		fleet := target.New(target.Options{
 			Entries: func() []hosts.Host { return nil }, Regions: regions, Place: hosts.Place{Region: "r"}, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
 		})
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -67,13 +67,12 @@
 	draining atomic.Bool
 	// known are the upstreams of the last snapshot, by id.
 	known map[string]*state.Upstream
-	// evacuated are the failure domains of which the requests in progress were reported last.
-	evacuated map[hosts.Domain]int
+	evacuations *Evacuations
 }
 
 // New starts the goroutines. The clean-up function stops them.
 func New(o Options) (*Syncer, func()) {
-	sy := &Syncer{options: o, known: make(map[string]*state.Upstream)}
+	sy := &Syncer{options: o, known: make(map[string]*state.Upstream), evacuations: NewEvacuations(o.Scope)}
 	g := shell.NewGroup()
 	g.Go(sy.run)
 	g.Go(sy.loop)
@@ -105,7 +104,7 @@
 			sy.applySnapshot(s)
 		}
 		sy.updateReadiness(last)
-		sy.reportEvacuations()
+		sy.evacuations.Report(sy.options.Fleet.EvacuatedRunning())
 		sy.options.Fleet.SetKnownEntries(sy.options.Mesh.EntryCount())
 		if live := hosts.ListIDOf(sy.options.Mesh.Entries()); live != entries {
 			entries = live
@@ -167,27 +166,6 @@
 	}
 }
 
-// reportEvacuations updates the numbers of requests in progress in evacuated failure domains.
-func (sy *Syncer) reportEvacuations() {
-	now := sy.options.Fleet.EvacuatedRunning()
-	for d := range sy.evacuated {
-		if _, ok := now[d]; !ok {
-			sy.runningGauge(d).Update(0)
-		}
-	}
-	for d, n := range now {
-		sy.runningGauge(d).Update(float64(n))
-	}
-	if len(now) != len(sy.evacuated) {
-		sy.options.Scope.Gauge("evacuated_domains").Update(float64(len(now)))
-	}
-	sy.evacuated = now
-}
-
-func (sy *Syncer) runningGauge(d hosts.Domain) tally.Gauge {
-	return sy.options.Scope.Tagged(map[string]string{"domain": string(d)}).Gauge("evacuated_running")
-}
-
 const (
 	// minEntryLoadInterval and maxEntryLoadInterval bound the time between two messages to the
 	// other entries of the region. The maximum is half of the time for which a message is
--- a/entry/internal/target/exclude.go
+++ b/entry/internal/target/exclude.go
@@ -49,7 +49,15 @@
 
 // standingExclusion is exclusion without the limit of requests per second, which passes by itself.
 func (f *Fleet) standingExclusion(now time.Time, u *upstream, reqs Requirements) (version, minVersion int, reason Exclusion) {
-	reason = f.commonExclusion(now, u, reqs)
+	if reason = f.boundExclusion(u, reqs); reason != ExclusionNone {
+		return 0, 0, reason
+	}
+	return f.engineExclusion(now, u, reqs)
+}
+
+// engineExclusion is standingExclusion without the bounds on failure domains.
+func (f *Fleet) engineExclusion(now time.Time, u *upstream, reqs Requirements) (version, minVersion int, reason Exclusion) {
+	reason = u.demandExclusion(now, reqs)
 	switch {
 	case reason != ExclusionNone:
 		return 0, 0, reason
@@ -79,12 +87,27 @@
 
 // commonExclusion returns the reasons that hold for engines and plain services alike.
 func (f *Fleet) commonExclusion(now time.Time, u *upstream, reqs Requirements) Exclusion {
+	if reason := f.boundExclusion(u, reqs); reason != ExclusionNone {
+		return reason
+	}
+	return u.demandExclusion(now, reqs)
+}
+
+// boundExclusion returns the bound that keeps the request from the upstream's failure domain.
+func (f *Fleet) boundExclusion(u *upstream, reqs Requirements) Exclusion {
 	domain := hosts.Domain(u.row.Domain)
 	switch {
 	case !reqs.Homes.Allows(f.options.Regions[domain]):
 		return ExclusionHome
 	case f.evacuated[domain]:
 		return ExclusionEvacuated
+	}
+	return ExclusionNone
+}
+
+// demandExclusion returns what the upstream has asked for, or that the request was already sent to it.
+func (u *upstream) demandExclusion(now time.Time, reqs Requirements) Exclusion {
+	switch {
 	case u.row.Draining || u.demands.leaving:
 		return ExclusionDraining
 	case u.demands.isHeld(now):
@@ -101,26 +124,50 @@
 	return !u.row.Draining && !u.demands.leaving && !u.demands.isHeld(now)
 }
 
-// SoleExclusion returns the home or evacuation bound that alone keeps the request from all upstreams of
-// its pool that could serve it otherwise, or ExclusionNone if there is another reason.
+// SoleExclusion returns the home or evacuation bound that alone keeps a request from upstreams which
+// could serve it otherwise, or that no upstream meets. It returns ExclusionNone if there is another
+// reason, also if the request was sent to an upstream within the bounds. Call it for a request for which
+// there is no upstream.
 func (f *Fleet) SoleExclusion(now time.Time, reqs Requirements) Exclusion {
 	if reqs.Homes.IsNowhere() {
 		return ExclusionHome
 	}
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	sole := ExclusionNone
+	// Sole is the bound of an upstream that could serve the request otherwise, anyBound that of any.
+	sole, anyBound, isMet := ExclusionNone, ExclusionNone, false
 	for _, u := range f.pools[reqs.Pool.Name] {
-		switch reason := f.commonExclusion(now, u, reqs); {
-		case reason != ExclusionHome && reason != ExclusionEvacuated:
+		bound := f.boundExclusion(u, reqs)
+		other := u.demandExclusion(now, reqs)
+		if reqs.Pool.Engine != nil {
+			_, _, other = f.engineExclusion(now, u, reqs)
+		}
+		switch {
+		case bound == ExclusionNone && other == ExclusionTried:
 			return ExclusionNone
-		case sole != ExclusionEvacuated:
-			sole = reason
+		case bound == ExclusionNone:
+			isMet = true
+		case other == ExclusionNone:
+			sole = moreTelling(sole, bound)
+		default:
+			anyBound = moreTelling(anyBound, bound)
 		}
 	}
+	if sole == ExclusionNone && !isMet {
+		return anyBound
+	}
 	return sole
 }
 
+// moreTelling returns the bound to report of two. An evacuation ends, and is the reason where homes
+// are evacuated.
+func moreTelling(a, b Exclusion) Exclusion {
+	if a == ExclusionEvacuated {
+		return a
+	}
+	return b
+}
+
 // DomainExclusion is a reason why upstreams of a failure domain may not take a request.
 type DomainExclusion struct {
 	Domain hosts.Domain
--- a/entry/internal/target/target_test.go
+++ b/entry/internal/target/target_test.go
@@ -36,10 +36,12 @@
 
 // newWorldOf returns the world of an entry of the first region, with the given live entries.
 func newWorldOf(t *testing.T, self hosts.Name, entries func() []hosts.Host) *world {
-	w := &world{t: t, fleet: target.New(target.Options{
-		Self: self, Place: hosts.Place{Region: "r0", Domain: "d0"}, Entries: entries, Regions: regions,
-		VersionTimeout: versionTimeout, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
-	})}
+	return newWorldWith(t, target.Options{Self: self, Entries: entries, Random: func() float64 { return 0.5 }, Log: zap.NewNop()})
+}
+
+func newWorldWith(t *testing.T, o target.Options) *world {
+	o.Place, o.Regions, o.VersionTimeout = hosts.Place{Region: "r0", Domain: "d0"}, regions, versionTimeout
+	w := &world{t: t, fleet: target.New(o)}
 	w.publish(start, w.row(state.EncodePool(&state.Pool{Name: "p", Engine: &state.Engine{
 		Slots: 4, Stride: 5, StepTime: 9 * time.Millisecond, PrefillRate: 19100, PromptTokens: 1000, OutputTokens: 90, Models: []state.Model{{Name: "m"}}, Layers: 2,
 	}})), w.row(state.EncodePool(&state.Pool{Name: "s"})))
