proxy, query: test explain against the refusals and choices that follow

Each case of the table of homes and evacuations is asked before its request is sent, and the explanation must name the upstream or the reason that follows. The tests of query failed with a rate of 50 a second and with a field left out. An entry without a configuration explains the refusal that clients get.

--- a/entry/internal/proxy/explain.go
+++ b/entry/internal/proxy/explain.go
@@ -59,11 +59,16 @@
 // before. It sends nothing and changes no state. The error is a *QuestionError.
 func (h *Handler) Explain(q Question) (Explanation, error) {
 	l := &lifecycle{handler: h, arrived: time.Now(), view: h.view()}
-	if err := l.adopt(q); err != nil {
+	e := Explanation{View: l.view}
+	// Before the first configuration all requests are refused alike, and no route is known.
+	if !l.view.State.Configured {
+		_, e.Refusal = h.options.Bounds.Admit(l.view, &l.call)
+		return e, nil
+	}
+	err := l.adopt(q)
+	if err != nil {
 		return Explanation{}, err
 	}
-	e := Explanation{View: l.view}
-	var err error
 	if l.admission, e.Refusal = h.options.Bounds.Admit(l.view, &l.call); e.Refusal == nil {
 		e.Pools, err = l.explainPools(q)
 	}
--- a/entry/internal/proxy/places_test.go
+++ b/entry/internal/proxy/places_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,6 +14,7 @@
 	"currantport.example/core/calls"
 	"currantport.example/core/hosts"
 	"currantport.example/core/state"
+	"currantport.example/entry/internal/proxy"
 )
 
 // placesCase is a request in a world whose upstreams 0, 1 and 2 are in the failure domains d, e and f;
@@ -180,16 +182,38 @@
 		} else if c.change != nil {
 			time.AfterFunc(c.at, func() { front.apply(c.change(w)) })
 		}
+		e, err := w.handler.Explain(proxy.Question{Route: strings.Split(c.path, "/")[1], Workspace: "harbour", PromptTokens: 10})
+		if err != nil {
+			t.Fatal(err)
+		}
 		began := time.Now()
 		a := w.request(context.Background(), c.path, "Model", "m")
 		took := time.Since(began)
 		c.check(t, w, a)
+		c.checkExplanation(t, e.Pools[0])
 		if c.took > 0 && took > c.took || c.reason != "" && c.at == 0 && len(c.upstreams) == 0 && took > 0 {
 			t.Errorf("the response took %s", took)
 		}
 	})
 }
 
+// checkExplanation checks the explanation that was given before the request. Changes come later.
+func (c *placesCase) checkExplanation(t *testing.T, p proxy.PoolExplanation) {
+	t.Helper()
+	switch {
+	case c.at > 0 && c.engine:
+		if p.Refusal == nil || p.Refusal.Reason != calls.ReasonOverload || p.MaxWait != time.Second {
+			t.Errorf("explained with full engines: %v, waits %s", p.Refusal, p.MaxWait)
+		}
+	case len(c.upstreams) > 0:
+		if want := fmt.Sprintf("u%d", c.upstreams[0]); p.Choice != want || p.Refusal != nil {
+			t.Errorf("explained as %q, want %q", p.Choice, want)
+		}
+	case p.Refusal == nil || p.Refusal.Reason != c.reason || p.Choice != "" || p.MaxWait != 0:
+		t.Errorf("explained as %v, choice %q", p.Refusal, p.Choice)
+	}
+}
+
 // refusals returns the reason of the counted refusal, and how often the exclusion was counted, at most, in
 // one failure domain.
 func (w *world) refusals(exclusion string) (refused string, excluded int64) {
--- /dev/null
+++ b/entry/internal/query/query_test.go
@@ -0,0 +1,141 @@
+package query_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"regexp"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"currantport.example/core/calls"
+	"currantport.example/core/choice"
+	"currantport.example/core/state"
+	"currantport.example/core/timing"
+	"currantport.example/entry/internal/proxy"
+	"currantport.example/entry/internal/query"
+	"currantport.example/entry/internal/target"
+)
+
+// explainer gives the same explanation for each question about route "r".
+type explainer struct{ asked proxy.Question }
+
+func (e *explainer) Explain(q proxy.Question) (proxy.Explanation, error) {
+	if e.asked = q; q.Route != "r" {
+		return proxy.Explanation{}, &proxy.QuestionError{Field: "route", Reason: "unknown"}
+	}
+	c := target.Candidate{
+		Row: &state.Upstream{ID: "u", Domain: "d"}, Region: "r0", Load: timing.Load{Running: 3, Unread: 900, Pace: 1.5}, HasReport: true,
+		LoadAge: 200 * time.Millisecond, Version: 2, Predicted: 88 * time.Millisecond, Exclusions: []target.Exclusion{target.ExclusionHome},
+		Limit: 2, LimitOwner: "e1", Costs: []target.Cost{{Name: "first", Value: 88}}, Cost: 88, MaxJitter: 4.4, Free: 1, Needed: 2,
+	}
+	p := proxy.PoolExplanation{
+		Share: 1, Requirements: target.Requirements{Pool: &state.Pool{Name: "p", Engine: &state.Engine{}}, Model: "m", Levels: 3, Level: 1},
+		Refusal: calls.NotRun(calls.ReasonHome, time.Second, "no upstream"), LatestRetry: 2 * time.Second, MaxWait: 50 * time.Millisecond,
+	}
+	p.Candidates, p.Choice, p.Second, p.Margin = []target.Candidate{c}, "u", "v", 12
+	return proxy.Explanation{View: proxy.View{State: &state.Snapshot{Revision: 7}}, Pools: []proxy.PoolExplanation{p}}, nil
+}
+
+func get(h http.Handler, method, q string) *httptest.ResponseRecorder {
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest(method, choice.Path+q, http.NoBody))
+	return w
+}
+
+func TestWrongQuestionsAreRefused(t *testing.T) {
+	for q, want := range map[string]int{
+		"?route=r&prompt=9&timeout=500&workspace=w&model=m": http.StatusOK,
+		"?route=x":                 http.StatusBadRequest,
+		"":                         http.StatusBadRequest,
+		"?route=r&prompt=-1":       http.StatusBadRequest,
+		"?route=r&prompt=many":     http.StatusBadRequest,
+		"?route=r&prompt=99999999": http.StatusBadRequest,
+		"?route=r&promt=9":         http.StatusBadRequest,
+	} {
+		e := &explainer{}
+		w := get(query.NewHandler("e0", e, zap.NewNop()), http.MethodGet, q)
+		if w.Code != want || want != http.StatusOK && !bytes.Contains(w.Body.Bytes(), []byte(`"fault":"`)) {
+			t.Errorf("%q: status %d, %s", q, w.Code, w.Body)
+		}
+		if want == http.StatusOK && e.asked != (proxy.Question{Route: "r", Workspace: "w", Model: "m", PromptTokens: 9, Timeout: 500 * time.Millisecond}) {
+			t.Errorf("asked: %+v", e.asked)
+		}
+	}
+	if w := get(query.NewHandler("e0", &explainer{}, zap.NewNop()), http.MethodPost, "?route=r"); w.Code != http.StatusMethodNotAllowed {
+		t.Errorf("POST: %d", w.Code)
+	}
+}
+
+// TestQuestionsAreRateLimited guards against an operator's loop that takes the mutex from requests.
+func TestQuestionsAreRateLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := query.NewHandler("e0", &explainer{}, zap.NewNop())
+		served := 0
+		for range 1000 {
+			switch w := get(h, http.MethodGet, "?route=r"); w.Code {
+			case http.StatusOK:
+				served++
+			case http.StatusTooManyRequests:
+			default:
+				t.Fatalf("status %d", w.Code)
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		if served < 50 || served > 55 {
+			t.Errorf("%d questions answered in 10 s", served)
+		}
+	})
+}
+
+// TestDocumentHasAllFieldsInOneWord guards against a field that the document loses, and against names
+// of several words.
+func TestDocumentHasAllFieldsInOneWord(t *testing.T) {
+	w := get(query.NewHandler("e0", &explainer{}, zap.NewNop()), http.MethodGet, "?route=r")
+	for _, m := range regexp.MustCompile(`"([^"]*)":`).FindAllStringSubmatch(w.Body.String(), -1) {
+		if !regexp.MustCompile(`^[a-z]+$`).MatchString(m[1]) {
+			t.Errorf("field %q", m[1])
+		}
+	}
+	var d choice.Document
+	if err := json.Unmarshal(w.Body.Bytes(), &d); err != nil || d.Entry != "e0" || d.Revision != 7 {
+		t.Fatalf("%v: %s", err, w.Body)
+	}
+	// Homes and the objective aren't set, nor is the candidate admitted.
+	if got := unsetFields(t, d.Pools[0]); !slices.Equal(got, []string{"bound", "remaining"}) {
+		t.Errorf("unset in the pool: %v", got)
+	}
+	c := d.Pools[0].Candidates[0]
+	if got := unsetFields(t, c); !slices.Equal(got, []string{"admitted"}) {
+		t.Errorf("unset in the candidate: %v", got)
+	}
+	if c.Age != 200 || c.Predicted != 88 || d.Pools[0].Refusal.Latest != 2000 || d.Pools[0].Refusal.Held != 50 {
+		t.Errorf("%+v", d.Pools[0])
+	}
+}
+
+// unsetFields returns the names of the fields without a value.
+func unsetFields(t *testing.T, document any) []string {
+	t.Helper()
+	raw, err := json.Marshal(document)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(raw, &fields); err != nil {
+		t.Fatal(err)
+	}
+	var unset []string
+	for name, value := range fields {
+		if value == nil || value == false || value == 0.0 || value == "" {
+			unset = append(unset, name)
+		}
+	}
+	slices.Sort(unset)
+	return unset
+}
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -66,7 +66,7 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 	// known are the upstreams of the last snapshot, by id.
-	known map[string]*state.Upstream
+	known       map[string]*state.Upstream
 	evacuations *Evacuations
 }
 
