target, admin: show when requests to a replaced version end

An engine with a replaced version looked as usable as any other until it was excluded. The explanation now says how long requests may still be sent to it. The test fails without the assignment of the end.

--- a/admin/explain.go
+++ b/admin/explain.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -117,7 +118,7 @@
 	for _, p := range d.Pools {
 		homes := "any"
 		if p.Bound {
-			homes = strings.Join(p.Homes, ",")
+			homes = cmp.Or(strings.Join(p.Homes, ","), "none")
 		}
 		fmt.Fprintf(w, "pool=%s share=%.2f model=%s homes=%s level=%d levels=%d objective=%s\n", p.Pool, p.Share, p.Model, homes, p.Level, p.Levels, ms(p.Remaining))
 		for i := range p.Candidates {
@@ -141,7 +142,11 @@
 	} else {
 		fmt.Fprint(w, " age=none")
 	}
-	fmt.Fprintf(w, " version=%d predicted=%s", c.Version, ms(c.Predicted))
+	fmt.Fprintf(w, " version=%d", c.Version)
+	if c.Ending {
+		fmt.Fprintf(w, " ends=%s", ms(c.Ends))
+	}
+	fmt.Fprintf(w, " predicted=%s", ms(c.Predicted))
 	if c.Limit > 0 {
 		fmt.Fprintf(w, " limit=%g owner=%s", c.Limit, c.Owner)
 	}
--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -74,10 +74,14 @@
 	Running  int    `json:"running"`
 	Unread   int    `json:"unread"`
 	// Reported is set if there is a valid load report, and Age is its age.
-	Reported  bool     `json:"reported"`
-	Age       float64  `json:"age"`
-	Pace      float64  `json:"pace"`
-	Version   int      `json:"version"`
+	Reported bool    `json:"reported"`
+	Age      float64 `json:"age"`
+	Pace     float64 `json:"pace"`
+	Version  int     `json:"version"`
+	// Ending is set if a later version was released, and Ends is the time for which requests may
+	// still be sent to this one.
+	Ending    bool     `json:"ending"`
+	Ends      float64  `json:"ends"`
 	Predicted float64  `json:"predicted"`
 	Excluded  []string `json:"excluded,omitempty"`
 	Limit     float64  `json:"limit,omitempty"`
--- a/entry/internal/query/query_test.go
+++ b/entry/internal/query/query_test.go
@@ -31,7 +31,7 @@
 	}
 	c := target.Candidate{
 		Row: &state.Upstream{ID: "u", Domain: "d"}, Region: "r0", Load: timing.Load{Running: 3, Unread: 900, Pace: 1.5}, HasReport: true,
-		LoadAge: 200 * time.Millisecond, Version: 2, Predicted: 88 * time.Millisecond, Exclusions: []target.Exclusion{target.ExclusionHome},
+		LoadAge: 200 * time.Millisecond, Version: 2, IsEnding: true, EndsIn: time.Second, Predicted: 88 * time.Millisecond, Exclusions: []target.Exclusion{target.ExclusionHome},
 		Limit: 2, LimitOwner: "e1", Costs: []target.Cost{{Name: "first", Value: 88}}, Cost: 88, MaxJitter: 4.4, Free: 1, Needed: 2,
 	}
 	p := proxy.PoolExplanation{
--- a/entry/internal/target/explain.go
+++ b/entry/internal/target/explain.go
@@ -33,6 +33,10 @@
 	HasReport bool
 	// Version is the version that the upstream serves, or zero if it is unknown or none.
 	Version int
+	// IsEnding is set if a later version was released, and EndsIn is how long requests may still be
+	// sent to this one.
+	IsEnding bool
+	EndsIn   time.Duration
 	// Predicted is the expected time to the first event. For a plain service it is the mean of
 	// past ones, or zero.
 	Predicted time.Duration
@@ -108,6 +112,9 @@
 		parts := f.cost(now, reqs, &c)
 		d := f.describe(now, u, reqs)
 		d.Load, d.Predicted, d.Version = c.load, c.firstEvent, max(u.servedVersion(now, reqs.Model), 0)
+		if end := f.cutoff(reqs.Model, d.Version); d.Version > 0 && !end.IsZero() {
+			d.IsEnding, d.EndsIn = true, max(end.Sub(now), 0)
+		}
 		d.Costs, d.Cost = describeCosts(&parts, float64(time.Millisecond))
 		d.MaxJitter = costJitterRatio * float64(c.firstEvent) / float64(time.Millisecond)
 		if i < 0 && len(d.Exclusions) == 0 {
--- a/entry/internal/target/explain_test.go
+++ b/entry/internal/target/explain_test.go
@@ -247,7 +247,24 @@
 	want := []target.Exclusion{
 		target.ExclusionHome, target.ExclusionEvacuated, target.ExclusionDraining, target.ExclusionTried, target.ExclusionClosed, target.ExclusionVersion,
 	}
-	if c := e.Candidates[0]; !slices.Equal(c.Exclusions, want) || c.LoadAge != time.Second || c.Version != 3 || e.Choice != "" {
+	if c := e.Candidates[0]; !slices.Equal(c.Exclusions, want) || c.LoadAge != time.Second || c.Version != 3 || c.IsEnding || e.Choice != "" {
 		t.Errorf("%+v", c)
 	}
 }
+
+// TestExplainNamesTheEndOfAVersion guards against an explanation that shows an engine as usable and not
+// that its version is about to take no more requests.
+func TestExplainNamesTheEndOfAVersion(t *testing.T) {
+	w := newWorld(t, "e0")
+	w.publish(start, w.upstream(engine(1, "d0", 1)))
+	w.publish(start, w.row(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
+	c := w.fleet.Explain(start, w.requirements()).Candidates[0]
+	if !c.IsEnding || c.EndsIn <= 0 || c.EndsIn >= versionTimeout || !c.IsAdmitted {
+		t.Errorf("after the release: %+v", c)
+	}
+	for at, want := range map[time.Duration]int{c.EndsIn - time.Millisecond: 0, c.EndsIn: 1} {
+		if got := w.fleet.Explain(start.Add(at), w.requirements()).Candidates[0]; len(got.Exclusions) != want {
+			t.Errorf("after %s: %+v", at, got)
+		}
+	}
+}
--- a/entry/internal/target/releases.go
+++ b/entry/internal/target/releases.go
@@ -64,8 +64,18 @@
 // mayServe reports whether requests may still be sent to engines with the version. It turns
 // false versionCutoffMargin before the version's deadline.
 func (f *Fleet) mayServe(now time.Time, model string, version int) bool {
+	end := f.cutoff(model, version)
+	return end.IsZero() || now.Before(end)
+}
+
+// cutoff returns the time from which no requests may be sent to engines with the version, or zero if
+// there is none.
+func (f *Fleet) cutoff(model string, version int) time.Time {
 	end := f.startDeadline(model, version)
-	return end.IsZero() || now.Before(end.Add(startDeadlineMargin-versionCutoffMargin))
+	if end.IsZero() {
+		return end
+	}
+	return end.Add(startDeadlineMargin - versionCutoffMargin)
 }
 
 // startDeadline returns the time after which no request may start on the version, or zero if
