--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"strings"
 	"testing"
@@ -10,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"pgregory.net/rapid"
 
+	"currantport.example/core/hosts"
 	"currantport.example/core/state"
 )
 
@@ -212,3 +214,24 @@
 		}
 	})
 }
+
+// TestHomeConflictsAreBoundedAndOrdered guards against a log line for each snapshot: a bounded part of
+// many conflicts must be the same part each time.
+func TestHomeConflictsAreBoundedAndOrdered(t *testing.T) {
+	var rows []state.Row
+	for i := range 20 {
+		name := fmt.Sprintf("n%02d", i)
+		r := route(name, name, "/")
+		r.Homes, r.Anonymous = []hosts.Region{"r"}, i == 0
+		w := &state.Workspace{Name: name, Keys: []string{name}, Homes: []hosts.Region{"s"}}
+		rows = append(rows, encodeRow(t, state.EncodeRoute, r), encodeRow(t, state.EncodeWorkspace, w))
+	}
+	var b state.Builder
+	for i := range 20 {
+		s, _ := b.Apply(state.Revision(1+i), rows)
+		all := s.HomeConflicts(func(hosts.Region) bool { return true })
+		if len(all) != 32 || all[0] != (state.HomeConflict{Route: "n01", Workspace: "n00"}) || all[31] != (state.HomeConflict{Route: "n02", Workspace: "n11"}) {
+			t.Fatalf("%d conflicts: %v", len(all), all)
+		}
+	}
+}
--- a/entry/internal/level/meter.go
+++ b/entry/internal/level/meter.go
@@ -1,6 +1,7 @@
 package level
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -66,6 +67,13 @@
 	return &Meter{own: newCounts(levels), others: make(map[hosts.Name]reportedCounts)}
 }
 
+// Clone returns an independent copy.
+func (m *Meter) Clone() *Meter {
+	own := newCounts(m.Levels())
+	own.add(m.own)
+	return &Meter{own: own, countAt: m.countAt, others: maps.Clone(m.others)}
+}
+
 // Levels returns the number of levels.
 func (m *Meter) Levels() int { return len(m.own.Arrived) }
 
--- a/entry/internal/proxy/levels.go
+++ b/entry/internal/proxy/levels.go
@@ -203,7 +203,7 @@
 	if polled && w.full == 0 {
 		w.limited, w.hasLimited = l.handler.options.Fleet.AwaitLimited(now, w.reqs, &w.grant)
 		if !w.hasLimited {
-			return nil, l.refusalOfNone(w.reqs)
+			return nil, l.placementRefusal(w.reqs, 0, 0, false)
 		}
 	}
 	if verdict != level.Refused && ctx.Err() == nil {
@@ -212,8 +212,7 @@
 	if w.full > 0 || !w.hasLimited {
 		return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(w.full), "the engines are full")
 	}
-	retry := l.handler.options.Fleet.LimitedRetryDelay(now, l.pool.Name, w.limited)
-	return nil, calls.NotRun(calls.ReasonLimited, max(retry, minRetryAfter), "the upstreams take no more requests a second")
+	return nil, l.placementRefusal(w.reqs, 0, w.limited, true)
 }
 
 // interruption returns a refusal if a waiting request may no longer be served: the configuration in
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -151,7 +151,7 @@
 		return f, nil
 	}
 	if l.pool == nil && !l.choosePool() {
-		return nil, calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the route's pools aren't listed")
+		return nil, noPoolRefusal()
 	}
 	l.isRetry = l.handler.timeouts.IsRetry(l.admission.Route.Name, &l.call)
 	reqs := l.requirements()
@@ -171,19 +171,14 @@
 			return f, nil
 		}
 		limited, hasLimited := l.handler.options.Fleet.AwaitLimited(now, reqs, &grant)
-		if full == 0 && !hasLimited {
-			return nil, l.refusalOfNone(reqs)
-		}
 		next := capacityPollInterval
 		if full == 0 {
 			next = max(next, limited)
 		}
-		if time.Now().Add(next).After(until) || !clocks.Sleep(ctx, capacityPollInterval) {
-			if full > 0 {
-				return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(full), "the engines are full")
-			}
-			wait := l.handler.options.Fleet.LimitedRetryDelay(clocks.Now(), l.pool.Name, limited)
-			return nil, calls.NotRun(calls.ReasonLimited, max(wait, l.shortestReturn()), "the upstreams take no more requests a second")
+		canWait := full > 0 || hasLimited
+		if !canWait || time.Now().Add(next).After(until) || !clocks.Sleep(ctx, capacityPollInterval) {
+			l.handler.metrics.countExclusions(l.handler.options.Fleet.Exclusions(clocks.Now(), reqs))
+			return nil, l.placementRefusal(reqs, full, limited, hasLimited)
 		}
 	}
 }
@@ -231,24 +226,6 @@
 	return l.handler.options.Fleet.ChooseEngine(now, reqs)
 }
 
-// refusalOfNone returns the refusal of a request for which there is no upstream. If the upstreams
-// have asked to be left alone, the client may return when the first of them takes requests again.
-// The times are spread, so that it isn't met by all of them at once.
-func (l *lifecycle) refusalOfNone(reqs target.Requirements) *calls.Refusal {
-	switch l.handler.options.Fleet.SoleExclusion(clocks.Now(), reqs) {
-	case target.ExclusionHome:
-		return calls.NotRun(calls.ReasonHome, noUpstreamRetryAfter, "no upstream in the home regions of the request")
-	case target.ExclusionEvacuated:
-		return calls.NotRun(calls.ReasonEvacuated, noUpstreamRetryAfter, "the failure domains that could serve the request are evacuated")
-	}
-	hold := l.handler.options.Fleet.SoonestHold(clocks.Now(), l.pool.Name)
-	if hold == 0 {
-		return calls.NotRun(calls.ReasonNoUpstream, l.retryAfter(noUpstreamRetryAfter), "no upstream serves the request")
-	}
-	spread := time.Duration(l.handler.options.Random() * float64(holdSpread))
-	return calls.NotRun(calls.ReasonHeld, hold+spread, "the upstreams want no requests for a while")
-}
-
 func (l *lifecycle) objective() time.Duration {
 	if o := l.admission.Route.Objective; o > 0 {
 		return o
@@ -285,8 +262,8 @@
 	return max(minRetryAfter, time.Duration(timeoutSpreadRatio*float64(l.call.Timeout)))
 }
 
-// choosePool draws one of the route's pools by weight.
-func (l *lifecycle) choosePool() bool {
+// listedTargets returns the route's pools that are listed, and the sum of their weights.
+func (l *lifecycle) listedTargets() ([]state.Target, int) {
 	var listed []state.Target
 	sum := 0
 	for _, g := range l.admission.Route.Targets {
@@ -295,6 +272,12 @@
 			sum += g.Weight
 		}
 	}
+	return listed, sum
+}
+
+// choosePool draws one of the route's pools by weight.
+func (l *lifecycle) choosePool() bool {
+	listed, sum := l.listedTargets()
 	at := int(l.handler.options.Random() * float64(sum))
 	for _, g := range listed {
 		if at < g.Weight {
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"currantport.example/core/clocks"
@@ -57,6 +58,7 @@
 	MaxStaleness time.Duration
 	// AgentPort is the mesh port of the upstreams' agents.
 	AgentPort int
+	Scope     tally.Scope
 	Log       *zap.Logger
 }
 
@@ -66,12 +68,13 @@
 	ready    atomic.Bool
 	draining atomic.Bool
 	// known are the upstreams of the last snapshot, by id.
-	known map[string]*state.Upstream
+	known       map[string]*state.Upstream
+	evacuations *Evacuations
 }
 
 // New starts the goroutines. The clean-up function stops them.
 func New(o Options) (*Syncer, func()) {
-	sy := &Syncer{options: o, known: make(map[string]*state.Upstream)}
+	sy := &Syncer{options: o, known: make(map[string]*state.Upstream), evacuations: NewEvacuations(o.Scope)}
 	g := shell.NewGroup()
 	g.Go(sy.run)
 	g.Go(sy.loop)
@@ -103,6 +106,7 @@
 			sy.applySnapshot(s)
 		}
 		sy.updateReadiness(last)
+		sy.evacuations.Report(sy.options.Fleet.EvacuatedRunning())
 		sy.options.Fleet.SetKnownEntries(sy.options.Mesh.EntryCount())
 		if live := hosts.ListIDOf(sy.options.Mesh.Entries()); live != entries {
 			entries = live
