level: tune the reserves and prove the decisions

The first version reserved up to a sixth of the slots for each level as soon as 2 % of the more urgent requests met no room, and refused by a mean wait that was too strict.

A request now counts as short of room only after half of the wait that costs nothing. The reserve is an eighth of the slots and grows from 3 to 15 % of such requests. A request waits on while it is likely to be placed in time. The most urgent level leaves fewer slots free at engines of other entries, and waiting requests try these at times of their own, since all entries met at the first free slot. The watchdog's retries leave slots free for waiting requests that are more urgent.

--- a/entry/internal/level/meter.go
+++ b/entry/internal/level/meter.go
@@ -15,23 +15,25 @@
 	// reportTTL is how long the counts of another entry are valid, which sends several in
 	// that time.
 	reportTTL = 400 * time.Millisecond
-	// toleratedShortage is the ratio of requests that may find no room at once without
-	// a reserve for them. Single requests that meet a full engine by chance don't need one.
-	toleratedShortage = 0.02
+	// toleratedShortage is the ratio of requests that may find no room early without a reserve
+	// for them. Below the capacity of the engines some meet full ones by chance.
+	toleratedShortage = 0.03
 	// fullShortage is the ratio from which the reserve for a level is full. A burst that
-	// fills all engines reaches it within 100 ms.
-	fullShortage = 0.10
+	// fills all engines reaches it within a sixth of countWindow.
+	fullShortage = 0.15
 	// levelReserveDivisor is the part of an engine's slots, as a divisor, that is reserved at
-	// most for each level. Each further slot divides the requests that meet no room by the
-	// ratio of the capacity to the demand of the level, so few slots are enough.
-	levelReserveDivisor = 6
+	// most for each level. An idle slot costs throughput, and each reserved one divides the
+	// requests without room by the ratio of the capacity to the demand of the level, so one
+	// or two are enough.
+	levelReserveDivisor = 8
 )
 
 // Counts are the first requests of the last second by level, those of clients that return
 // excluded.
 type Counts struct {
 	Arrived []float64
-	// Placed are those of them that found room at once.
+	// Placed are those of them that found room early: within half of the wait that costs
+	// clients nothing.
 	Placed []float64
 }
 
@@ -78,7 +80,7 @@
 	}
 }
 
-// RecordArrival counts a first request and whether it found room at once.
+// RecordArrival counts a first request and whether it found room early.
 func (m *Meter) RecordArrival(now time.Time, level int, hasRoom bool) {
 	m.decay(now)
 	m.own.Arrived[level]++
--- a/entry/internal/level/queue.go
+++ b/entry/internal/level/queue.go
@@ -17,6 +17,11 @@
 	maxWaitingBytes = 64 << 20
 	// rateWindow is the time constant of the measured rate of placements.
 	rateWindow = 2 * time.Second
+	// leastChance is the chance of being placed in time below which a request is refused. Being
+	// held in vain is worse than being refused at once, so it must be likely. The most urgent
+	// requests, of which few have to be refused, wait at leastUrgentChance.
+	leastChance       = 0.5
+	leastUrgentChance = 0.28
 )
 
 // Request is what the order of the requests for a pool depends on.
@@ -37,8 +42,8 @@
 	Group string
 	// Further is set for a further attempt of a request that was counted before.
 	Further bool
-	// Grace is how long the request may wait whatever is predicted, Until the time from which
-	// it would be placed too late.
+	// Grace is how long the request may wait whatever is predicted, since it costs the client
+	// nothing, Until the time from which it would be placed too late.
 	Grace time.Duration
 	Until time.Time
 }
@@ -82,7 +87,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(levels int) *Queue {
-	return &Queue{shares: NewShares(), turns: make(map[string]float64), placed: make([]float64, 2*levels)}
+	return &Queue{shares: NewShares(levels), turns: make(map[string]float64), placed: make([]float64, 2*levels)}
 }
 
 // Add puts a request into the queue. It returns nil if the queue is full.
@@ -120,7 +125,7 @@
 	case isFirst && choose(homes):
 		q.place(now, t)
 		return Placed
-	case now.Before(t.since.Add(t.Grace)) || !now.Add(q.wait(now, t, n)).After(t.Until):
+	case now.Before(t.since.Add(t.Grace)) || q.chance(now, t, n) >= t.leastChance():
 		return Waiting
 	}
 	q.Remove(t)
@@ -187,16 +192,26 @@
 	return n, isFirst, homes
 }
 
-// wait predicts the time until a request is placed, from the number of those that go before it and the
-// rate of placements of its rank and of less urgent ones.
-func (q *Queue) wait(now time.Time, t *Ticket, ahead int) time.Duration {
+// chance predicts how likely a request is placed in time, from the number of those that go before it
+// and the rate of placements of its rank and of less urgent ones. Places become free at random.
+func (q *Queue) chance(now time.Time, t *Ticket, ahead int) float64 {
 	q.decay(now)
-	rate := 0.0
+	placed := 0.0
 	for _, p := range q.placed[min(t.rank(), len(q.placed)-1):] {
-		rate += p
+		placed += p
 	}
-	seconds := float64(ahead+1) * rateWindow.Seconds() / max(rate, 1e-3)
-	return time.Duration(min(seconds, 3600) * float64(time.Second))
+	remaining := t.Until.Sub(now)
+	if remaining <= 0 {
+		return 0
+	}
+	return 1 - math.Exp(-float64(remaining)/float64(rateWindow)*placed/float64(ahead+1))
+}
+
+func (t *Ticket) leastChance() float64 {
+	if t.Level == 0 || t.Exempt {
+		return leastUrgentChance
+	}
+	return leastChance
 }
 
 // Patience returns how long after its arrival a request may be placed so that it is in time at a busy
@@ -205,3 +220,16 @@
 	busy := timing.Load{Running: e.Slots - 1, Unread: e.PromptTokens}
 	return max(objective-timing.FirstEvent(e, busy, e.PromptTokens), 0)
 }
+
+// Ahead returns the homes of the waiting requests that go before a request of the level that doesn't
+// wait in the queue.
+func (q *Queue) Ahead(r Request) []state.Homes {
+	var homes []state.Homes
+	rank := (&Ticket{Request: r}).rank()
+	for _, o := range q.waiting {
+		if o.rank() < rank {
+			homes = append(homes, o.Homes)
+		}
+	}
+	return homes
+}
--- a/entry/internal/level/share.go
+++ b/entry/internal/level/share.go
@@ -11,9 +11,12 @@
 	// shareWindow is the time constant of the overall share. It covers some dozens of
 	// requests of an entry.
 	shareWindow = 5 * time.Second
-	// kindShare is the least share of the requests of a kind or of a workspace, as a ratio of
-	// the overall share. Users require a quarter.
-	kindShare = 0.4
+	// leastShare is the least share of the requests of the most urgent kinds and of a workspace,
+	// as a ratio of the overall share. Users require a quarter. It falls by up to
+	// leastShareRange with the level, so that urgent kinds keep the larger share if only the
+	// least shares are left.
+	leastShare      = 0.4
+	leastShareRange = 0.1
 	// longShare is the least share of the long prompts of a kind, as a ratio of the kind's
 	// share. Users require a half.
 	longShare = 0.65
@@ -33,6 +36,7 @@
 // Shares keeps kinds, workspaces and long prompts from starving: it exempts single requests from
 // the order of the levels, as many as their least shares need. It is not safe for concurrent use.
 type Shares struct {
+	levels     int
 	all        ratio
 	kinds      *recent.Map[string, *kind]
 	workspaces *recent.Map[string, *account]
@@ -70,8 +74,8 @@
 func (a *account) isShort() bool        { return a.credit >= 1 }
 
 // NewShares returns shares without counts.
-func NewShares() *Shares {
-	return &Shares{kinds: recent.New[string, *kind](maxAccounts), workspaces: recent.New[string, *account](maxAccounts)}
+func NewShares(levels int) *Shares {
+	return &Shares{levels: levels, kinds: recent.New[string, *kind](maxAccounts), workspaces: recent.New[string, *account](maxAccounts)}
 }
 
 func (s *Shares) groups(r Request) (*kind, *account) {
@@ -97,8 +101,8 @@
 		k.served.decay(now)
 		s.all.arrived++
 		k.served.arrived++
-		k.arrive(kindShare * s.all.value())
-		w.arrive(kindShare * s.all.value())
+		k.arrive((leastShare - leastShareRange*float64(r.Level)/float64(s.levels)) * s.all.value())
+		w.arrive(leastShare * s.all.value())
 		if isLong {
 			k.long.arrive(longShare * k.served.value())
 			k.longest *= 1 + quantileStep*longQuantile
--- a/entry/internal/proxy/levels.go
+++ b/entry/internal/proxy/levels.go
@@ -51,15 +51,12 @@
 	return p
 }
 
-// prune removes the queues of pools without levels.
-func (q *queues) prune(s *state.Snapshot, hasLevels func(pool string) bool) {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	for pool := range q.pools {
-		if s.Pool(pool) == nil || !hasLevels(pool) {
-			delete(q.pools, pool)
-		}
-	}
+// ahead returns the homes of the waiting requests that go before a request that doesn't wait.
+func (q *queues) ahead(pool string, reqs target.Requirements) []state.Homes {
+	p := q.of(pool, reqs.Levels)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.queue.Ahead(level.Request{Level: reqs.Level, Returned: reqs.Returned})
 }
 
 func (p *poolQueue) add(now time.Time, r level.Request) *level.Ticket {
@@ -74,9 +71,11 @@
 	p.queue.Remove(t)
 }
 
-func (p *poolQueue) poll(now time.Time, t *level.Ticket, choose func(ahead []state.Homes) bool) level.Verdict {
+// poll polls a request whose homes may have changed.
+func (p *poolQueue) poll(now time.Time, t *level.Ticket, homes state.Homes, choose func(ahead []state.Homes) bool) level.Verdict {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
+	t.Homes = homes
 	return p.queue.Poll(now, t, choose)
 }
 
@@ -90,8 +89,10 @@
 	queue     *poolQueue
 	ticket    *level.Ticket
 	started   time.Time
-	reqs      target.Requirements
-	grant     target.GrantRequest
+	// counted is set once the request was counted in the demand, or doesn't count.
+	counted bool
+	reqs    target.Requirements
+	grant   target.GrantRequest
 	// full is the time after which an engine may have room, limited that after which a limit
 	// allows a request.
 	full, limited time.Duration
@@ -103,43 +104,66 @@
 func (l *lifecycle) acquireByLevel(ctx context.Context, reqs target.Requirements) (*target.InFlight, *calls.Refusal) {
 	now := clocks.Now()
 	w := &wait{lifecycle: l, queue: l.handler.queues.of(l.pool.Name, reqs.Levels), started: now, reqs: reqs}
-	isFirst := !l.isRetry && len(l.attempted) == 0
-	r := level.Request{
+	w.counted = l.isRetry || len(l.attempted) > 0
+	if !w.counted {
+		l.handler.metrics.countLevel(reqs, "arrived")
+	}
+	w.ticket = w.queue.add(now, level.Request{
 		Level: reqs.Level, Returned: reqs.Returned, Further: len(l.attempted) > 0, Kind: l.admission.Route.Name, Workspace: reqs.Workspace,
 		Prompt: reqs.PromptTokens, Bytes: len(l.call.Body), Homes: reqs.Homes, Group: groupOf(reqs),
-		Grace: l.objective() / capacityWaitDivisor, Until: w.until(now),
+		Grace: w.grace(), Until: w.until(now),
+	})
+	var f *target.InFlight
+	refusal := calls.NotRun(calls.ReasonOverload, l.retryAfter(maxRetryAfter), "too many requests wait")
+	if w.ticket != nil {
+		defer w.queue.remove(w.ticket)
+		f, refusal = w.run(ctx)
 	}
-	if w.ticket = w.queue.add(now, r); w.ticket == nil {
-		if isFirst {
-			l.handler.options.Fleet.RecordArrival(now, reqs, false)
+	l.levelReserve = l.handler.options.Fleet.LevelReserve(clocks.Now(), w.reqs)
+	w.count(true, f != nil)
+	w.report(f != nil)
+	return f, refusal
+}
+
+// run polls until an engine was chosen or the wait has ended.
+func (w *wait) run(ctx context.Context) (*target.InFlight, *calls.Refusal) {
+	l := w.lifecycle
+	for {
+		f, refusal := w.poll(ctx, clocks.Now())
+		if f != nil || refusal != nil {
+			return f, refusal
 		}
-		return nil, w.refused(calls.NotRun(calls.ReasonOverload, l.retryAfter(maxRetryAfter), "too many requests wait"))
-	}
-	defer w.queue.remove(w.ticket)
-	f, refusal := w.poll(ctx, now)
-	if isFirst {
-		l.handler.options.Fleet.RecordArrival(now, reqs, f != nil)
-	}
-	for f == nil && refusal == nil {
+		w.reqs.Waiting = true
+		w.count(clocks.Since(w.started) >= w.grace()/earlyDivisor, false)
 		next := capacityPollInterval
 		if w.hasLimited && w.full == 0 {
-			next = max(next, min(w.limited, l.objective()/capacityWaitDivisor))
+			next = max(next, min(w.limited, w.grace()))
 		}
 		if !clocks.Sleep(ctx, next) {
-			return nil, w.refused(calls.NotRun(calls.ReasonOverload, l.retryAfter(w.full), "the client left or the deadline passed before an engine had room"))
+			return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(w.full), "the request ended before an engine had room")
 		}
-		if refusal = w.interruption(); refusal == nil {
-			f, refusal = w.poll(ctx, clocks.Now())
+		if refusal := w.interruption(); refusal != nil {
+			return nil, refusal
 		}
 	}
-	if refusal != nil {
-		return nil, w.refused(refusal)
+}
+
+// count counts a first request once it is known whether it finds room early.
+func (w *wait) count(isKnown, hasRoom bool) {
+	if !isKnown || w.counted {
+		return
 	}
-	l.handler.metrics.countLevel(reqs, placedName(now, reqs, clocks.Now()))
-	l.handler.metrics.levelWait(reqs).RecordDuration(clocks.Since(now))
-	return f, nil
+	w.counted = true
+	w.lifecycle.handler.options.Fleet.RecordArrival(clocks.Now(), w.reqs, hasRoom)
 }
 
+// earlyDivisor divides the wait that costs nothing. The result is how long a request may wait without
+// being counted as one that met a shortage, short enough that the reserves react within 100 ms.
+const earlyDivisor = 2
+
+// grace is how long a request may wait without a cost to the client.
+func (w *wait) grace() time.Duration { return w.lifecycle.objective() / capacityWaitDivisor }
+
 // until returns the time from which the request would be placed too late. Further attempts and
 // clients that return are late anyway and wait no longer than newcomers may.
 func (w *wait) until(now time.Time) time.Time {
@@ -168,7 +192,7 @@
 	}
 	var f *target.InFlight
 	polled := false
-	verdict := w.queue.poll(now, w.ticket, func(ahead []state.Homes) bool {
+	verdict := w.queue.poll(now, w.ticket, w.reqs.Homes, func(ahead []state.Homes) bool {
 		polled = true
 		w.reqs.Ahead = ahead
 		f, w.full = l.choose(now, w.reqs)
@@ -222,29 +246,25 @@
 	return false
 }
 
-// refused counts a refusal by level.
-func (w *wait) refused(r *calls.Refusal) *calls.Refusal {
-	l := w.lifecycle
+// report counts the result by level.
+func (w *wait) report(isPlaced bool) {
+	l, took := w.lifecycle, clocks.Since(w.started)
 	result := "refused"
 	switch {
+	case isPlaced && l.isRetry:
+		result = "placed-returned"
+	case isPlaced && took < capacityPollInterval:
+		result = "placed"
+	case isPlaced:
+		result = "placed-waited"
 	case l.isRetry:
 		result = "refused-twice"
-	case clocks.Since(w.started) > l.objective()/capacityWaitDivisor+capacityPollInterval:
+	case took > w.grace()+capacityPollInterval:
 		result = "refused-waited"
 	}
-	l.handler.metrics.countLevel(w.reqs, result)
-	l.handler.metrics.levelWait(w.reqs).RecordDuration(clocks.Since(w.started))
-	return r
-}
-
-func placedName(started time.Time, reqs target.Requirements, now time.Time) string {
-	switch {
-	case reqs.Returned:
-		return "placed-returned"
-	case now.Sub(started) < capacityPollInterval:
-		return "placed"
-	}
-	return "placed-waited"
+	m := l.handler.metrics
+	m.countLevel(w.reqs, result)
+	m.recordLevel(w.reqs, took, l.levelReserve)
 }
 
 // countLevel counts the result of a request by its level.
@@ -252,9 +272,12 @@
 	m.scope.Tagged(map[string]string{"level": strconv.Itoa(reqs.Level), "result": result}).Counter("level_requests").Inc(1)
 }
 
-func (m *metrics) levelWait(reqs target.Requirements) tally.Histogram {
+// recordLevel records the wait for an engine and the slots reserved against the level.
+func (m *metrics) recordLevel(reqs target.Requirements, took time.Duration, reserve float64) {
 	buckets := tally.MustMakeExponentialDurationBuckets(minDuration, 2, durationBuckets)
-	return m.scope.Tagged(map[string]string{"level": strconv.Itoa(reqs.Level)}).Histogram("level_wait_seconds", buckets)
+	s := m.scope.Tagged(map[string]string{"level": strconv.Itoa(reqs.Level)})
+	s.Histogram("level_wait_seconds", buckets).RecordDuration(took)
+	s.Gauge("level_reserve").Update(reserve)
 }
 
 // levelFields are the fields of the log line of a request with a level.
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -155,7 +155,7 @@
 	}
 	l.isRetry = l.handler.timeouts.IsRetry(l.admission.Route.Name, &l.call)
 	reqs := l.requirements()
-	if reqs.Levels > 1 && l.pool.Engine != nil {
+	if reqs.Levels > 1 {
 		return l.acquireByLevel(ctx, reqs)
 	}
 	until := l.arrived.Add(l.objective() / capacityWaitDivisor)
@@ -194,7 +194,9 @@
 		Pool: l.pool, Model: l.call.Model, PromptTokens: l.call.Prompt, Version: l.stream.version, Exclude: l.attempted,
 		MaxEventGap: l.admission.Route.MaxEventGap, Homes: l.homes(),
 	}
-	l.level, l.levels = l.view.State.Urgency(l.pool.Name, l.admission.Route, l.admission.Workspace)
+	if l.pool.Engine != nil {
+		l.level, l.levels = l.view.State.Urgency(l.pool.Name, l.admission.Route, l.admission.Workspace)
+	}
 	if l.levels > 1 {
 		r.Level, r.Levels, r.Returned = l.level, l.levels, l.isRetry
 	}
@@ -394,7 +396,7 @@
 	if f.ExactVersion {
 		a.Version = f.Version
 	}
-	if l.levels > 1 && l.pool.Engine != nil {
+	if l.levels > 1 {
 		a.Priority, a.HasPriority = l.level, true
 	}
 	response, err := conn.Do(ctx, l.handler.options.UpstreamCodec.BuildRequest(&l.call, a))
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -140,6 +140,9 @@
 func (l *lifecycle) reserveRetry(reqs target.Requirements) bool {
 	var available bool
 	fleet := l.handler.options.Fleet
+	if reqs.Levels > 1 {
+		reqs.Ahead = l.handler.queues.ahead(l.pool.Name, reqs)
+	}
 	if l.pool.Engine == nil {
 		available = fleet.HasPlain(clocks.Now(), reqs)
 	} else {
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -67,6 +67,9 @@
 		"Id": {string(c.ID)}, "After": {a.LastEventID}, "Workspace": {a.Workspace}, "Remaining": {a.Remaining.String()},
 		"Parts": {strings.Join(c.PromptParts, ",")},
 	}
+	if a.HasPriority {
+		h.Set("Priority", strconv.Itoa(a.Priority))
+	}
 	return &conns.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body,
 		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == string(c.ID) },
@@ -112,6 +115,7 @@
 	id, after        string
 	workspace        string
 	body             string
+	priority         string
 	parts            string
 	ended            chan struct{}
 	// crash ends the upstream: its connections are closed and new ones refused.
@@ -321,7 +325,7 @@
 	w := c.upstream.world
 	v := visit{
 		upstream: c.upstream.number, id: q.Header.Get("Id"), after: q.Header.Get("After"), workspace: q.Header.Get("Workspace"), body: string(body),
-		parts: q.Header.Get("Parts"), ended: make(chan struct{}), crash: c.upstream.crash,
+		parts: q.Header.Get("Parts"), priority: q.Header.Get("Priority"), ended: make(chan struct{}), crash: c.upstream.crash,
 	}
 	w.mutex.Lock()
 	v.number = len(w.visits)
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -186,7 +186,7 @@
 	for idle := false; ; {
 		to := sy.regionEntries()
 		m := EntryLoadMessage(clocks.Now(), sy.options.Self, sy.options.Fleet)
-		hasNews := len(m.Shares)+len(m.Leaving)+len(m.Limits) > 0
+		hasNews := len(m.Shares)+len(m.Leaving)+len(m.Limits)+len(m.Demands) > 0
 		if hasNews || !idle {
 			sy.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Shares{Shares: m}}, to...)
 		}
--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -43,15 +43,26 @@
 	// of other entries become known only with a delay.
 	regionReserveDivisor = 5
 	remoteReserveDivisor = 3
+	// urgentReserveDivisor divides the former for the most urgent level. Fewer requests compete
+	// there, and a free slot of any engine of the region is worth more than one of the entry's
+	// own in a while. Without any reserve too many meet at the same engine and are late.
+	urgentReserveDivisor = 2
 )
 
 // reserve returns the number of slots that this entry leaves free at an engine.
-func (f *Fleet) reserve(u *upstream, slots int) int {
+func (f *Fleet) reserve(u *upstream, reqs Requirements) int {
+	slots := reqs.Pool.Engine.Slots
 	switch {
 	case u.assigned, u.ownsLimit():
 		return 0
 	case f.isRemote(u):
 		return slots / remoteReserveDivisor
+	case reqs.Waiting && f.options.Random() >= 1/float64(f.regionEntries):
+		// Requests that wait at all entries of the region would meet at the first slot that
+		// becomes free. Each entry tries at a time of its own.
+		return 2 * slots
+	case reqs.Levels > 1 && !reqs.Returned && (reqs.Level == 0 || reqs.Exempt):
+		return slots / regionReserveDivisor / urgentReserveDivisor
 	}
 	return slots / regionReserveDivisor
 }
--- a/entry/internal/target/assign.go
+++ b/entry/internal/target/assign.go
@@ -26,6 +26,7 @@
 			entries = append(entries, h.Name)
 		}
 	}
+	f.regionEntries = max(len(entries), 1)
 	f.assignLocal(entries)
 	f.assignAllRemote()
 }
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -44,6 +44,9 @@
 	Returned bool
 	// Exempt is set if the request counts as most urgent because of a least share.
 	Exempt bool
+	// Waiting is set if the request has found no engine before and waits in the order of the
+	// levels.
+	Waiting bool
 	// Ahead are the homes of waiting requests that go before this one. A slot is left free for
 	// each at the engines that it may use.
 	Ahead []state.Homes
@@ -97,7 +100,7 @@
 	var best *candidate
 	for i := range all {
 		c := &all[i]
-		reserve := f.reserve(c.upstream, reqs.Pool.Engine.Slots) + f.leveled(reqs, c.upstream, levels)
+		reserve := f.reserve(c.upstream, reqs) + f.leveled(reqs, c.upstream, levels)
 		if admits(reqs, c.load, reserve) && (best == nil || c.cost < best.cost) {
 			best = c
 		}
--- a/entry/internal/target/levels.go
+++ b/entry/internal/target/levels.go
@@ -15,8 +15,12 @@
 	Counts level.Counts
 }
 
-// RecordArrival counts a first request to a pool with several levels, and whether it found room at
-// once.
+// lastReserveDivisor is the part of an engine's slots, as a divisor, that is reserved against clients
+// that return with the last level. Those that are in time go first.
+const lastReserveDivisor = 6
+
+// RecordArrival counts a first request to a pool with several levels, and whether it found room
+// early.
 func (f *Fleet) RecordArrival(now time.Time, reqs Requirements, hasRoom bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -28,7 +32,10 @@
 	m.RecordArrival(now, reqs.Level, hasRoom)
 }
 
-// Demands returns the counts of this entry, for one message.
+// maxDemands bounds the pools in one message, which is a single datagram. Each takes up to 110 bytes.
+const maxDemands = 64
+
+// Demands returns the counts of this entry, for one message, of maxDemands pools at most.
 func (f *Fleet) Demands(now time.Time) []PoolDemand {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -38,7 +45,9 @@
 			delete(f.meters, pool)
 			continue
 		}
-		all = append(all, PoolDemand{Pool: HashOf(pool), Counts: m.Own(now)})
+		if len(all) < maxDemands {
+			all = append(all, PoolDemand{Pool: HashOf(pool), Counts: m.Own(now)})
+		}
 	}
 	return all
 }
@@ -70,13 +79,16 @@
 	if reqs.Levels <= 1 || m == nil || m.Levels() != reqs.Levels || reqs.Exempt {
 		return 0
 	}
-	at := reqs.Level
-	if reqs.Returned {
-		// A client that returns can only be late, so it counts as less urgent than newcomers of
-		// its level.
-		at++
+	slots := float64(reqs.Pool.Engine.Slots)
+	switch {
+	case !reqs.Returned:
+		return m.Reserves(now)[reqs.Level] * slots
+	case reqs.Level == reqs.Levels-1:
+		return (m.Reserves(now)[reqs.Levels] + 1.0/lastReserveDivisor) * slots
 	}
-	return m.Reserves(now)[at] * float64(reqs.Pool.Engine.Slots)
+	// A client that returns can only be late, so it counts as less urgent than newcomers of its
+	// level.
+	return m.Reserves(now)[reqs.Level+1] * slots
 }
 
 // leveled returns the slots that the request leaves free at an engine for more urgent ones. A fraction
--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -56,6 +56,7 @@
 // and generates a stride of tokens for each request whose prompt was processed before.
 type simEngine struct {
 	id         string
+	spec       *state.Engine
 	batch      []*request
 	queue      []*request
 	stepEnds   time.Time
@@ -72,7 +73,7 @@
 	}
 	m.batch = slices.DeleteFunc(m.batch, func(a *request) bool {
 		if a.served && !slices.Contains(m.prefilling, a) {
-			a.outputTokens -= engineSpec.Stride
+			a.outputTokens -= m.spec.Stride
 		}
 		if a.served && a.outputTokens <= 0 {
 			a.inFlight.Finish(now, target.OutcomeSuccess)
@@ -80,7 +81,7 @@
 		}
 		return false
 	})
-	for len(m.batch) < engineSpec.Slots && len(m.queue) > 0 {
+	for len(m.batch) < m.spec.Slots && len(m.queue) > 0 {
 		m.batch, m.queue = append(m.batch, m.queue[0]), m.queue[1:]
 	}
 	m.begin(now)
@@ -96,10 +97,10 @@
 			continue
 		}
 		m.prefilling = append(m.prefilling, a)
-		took += timing.PrefillTime(engineSpec, a.prompt)
+		took += timing.PrefillTime(m.spec, a.prompt)
 	}
 	if generating > 0 || len(m.prefilling) > 0 {
-		took += time.Duration(engineSpec.Stride) * (engineSpec.StepTime + time.Duration(generating)*engineSpec.StepTimePerRequest)
+		took += time.Duration(m.spec.Stride) * (m.spec.StepTime + time.Duration(generating)*m.spec.StepTimePerRequest)
 	}
 	m.stepEnds = now.Add(max(took, tick))
 }
@@ -117,20 +118,27 @@
 	serial  uint64
 	// neverRefuse chooses engines by the same predictions, but admits every request.
 	neverRefuse bool
+	// hasLevels states one level and a workspace for each request.
+	hasLevels bool
 }
 
 func newSimulation(t testing.TB, seed uint64, entries, engines int) *simulation {
 	t.Helper()
-	b := &simulation{random: rand.New(rand.NewPCG(seed, 1)), pool: &state.Pool{Name: "p", Engine: engineSpec}}
+	return newSimulationOf(t, engineSpec, seed, entries, engines)
+}
+
+func newSimulationOf(t testing.TB, spec *state.Engine, seed uint64, entries, engines int) *simulation {
+	t.Helper()
+	b := &simulation{random: rand.New(rand.NewPCG(seed, 1)), pool: &state.Pool{Name: "p", Engine: spec}}
 	for i := range entries {
 		b.entries = append(b.entries, hosts.Host{Name: hosts.Name(fmt.Sprintf("e%d", i)), Place: hosts.Place{Region: hosts.Region(fmt.Sprintf("r%d", i%2))}})
 	}
 	rows := []state.Row{encode(t)(state.EncodePool(b.pool))}
 	for i := range engines {
 		u := engine(i, fmt.Sprintf("d%d", i%2), 1)
-		u.Slots = engineSpec.Slots
+		u.Slots = spec.Slots
 		rows = append(rows, encode(t)(state.EncodeUpstream(&u)))
-		b.engines = append(b.engines, &simEngine{id: u.ID, stepEnds: start})
+		b.engines = append(b.engines, &simEngine{id: u.ID, spec: spec, stepEnds: start})
 	}
 	for _, e := range b.entries {
 		var builder state.Builder
@@ -201,6 +209,9 @@
 	if !a.retried {
 		reqs.Remaining = objective - now.Sub(a.arrived)
 	}
+	if b.hasLevels {
+		reqs.Levels, reqs.Workspace, reqs.Returned = 1, "w", a.retried
+	}
 	if b.neverRefuse {
 		reqs.Remaining = time.Hour
 		reqs.Pool = &state.Pool{Name: "p", Engine: unbounded}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -132,6 +132,8 @@
 	pools map[string][]*upstream
 	// entryLoads are the last reports of the other entries of the region.
 	entryLoads map[hosts.Name]entryLoadReport
+	// regionEntries is the number of live entries of the region, at least one.
+	regionEntries int
 	// departed holds the demands of upstreams that are listed no more, since they may only
 	// have lapsed.
 	departed *recent.Map[processKey, demands]
@@ -167,7 +169,7 @@
 		releases: make(map[string][]release), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
 		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, UpstreamLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), asks: make(chan struct{}, 1),
-		meters: make(map[string]*level.Meter),
+		meters: make(map[string]*level.Meter), regionEntries: 1,
 	}
 }
 
--- a/entry/internal/target/urgency_test.go
+++ b/entry/internal/target/urgency_test.go
@@ -3,15 +3,11 @@
 import (
 	"fmt"
 	"math"
-	"math/rand/v2"
-	"os"
 	"slices"
 	"strconv"
 	"testing"
 	"time"
 
-	"go.uber.org/zap"
-
 	"currantport.example/core/hosts"
 	"currantport.example/core/state"
 	"currantport.example/core/timing"
@@ -60,7 +56,6 @@
 	waits    [][]*leveled
 	returns  []*leveled
 	all      []*leveled
-	reserve  []float64
 }
 
 // leveled is a request with its kind.
@@ -72,14 +67,12 @@
 	firstWait       time.Duration
 	refusals        int
 	entry           int
+	counted         bool
 }
 
 func newKindsModel(t testing.TB, policy string, seed uint64, entries, engines int) *kindsModel {
 	t.Helper()
-	saved := engineSpec
-	defer func() { engineSpec = saved }()
-	engineSpec = kindsSpec
-	m := &kindsModel{simulation: newSimulation(t, seed, entries, engines), policy: policy}
+	m := &kindsModel{simulation: newSimulationOf(t, kindsSpec, seed, entries, engines), policy: policy}
 	for range entries {
 		m.queues = append(m.queues, level.NewQueue(len(simKinds)))
 		m.reported = append(m.reported, make([]int, engines))
@@ -89,9 +82,6 @@
 }
 
 func (m *kindsModel) run(span time.Duration) {
-	saved := engineSpec
-	defer func() { engineSpec = saved }()
-	engineSpec = kindsSpec
 	next := make([]time.Time, len(simKinds))
 	for k := range next {
 		next[k] = start.Add(time.Duration(m.random.ExpFloat64() / m.rate(0, k) * float64(time.Second)))
@@ -170,12 +160,7 @@
 			Level: a.kind, Returned: a.retried, Kind: strconv.Itoa(a.kind), Workspace: strconv.Itoa(a.workspace), Prompt: a.prompt,
 			Grace: o / 8, Until: now.Add(level.Patience(kindsSpec, o)),
 		})
-		r := m.requirements(a, now)
-		isPlaced := m.poll(a, now)
-		if !a.retried {
-			m.fleets[a.entry].RecordArrival(now, r, a.inFlight != nil)
-		}
-		if isPlaced {
+		if m.poll(a, now) {
 			return
 		}
 	}
@@ -184,6 +169,16 @@
 
 // poll tries to place the request. It returns true once the request no longer waits.
 func (m *kindsModel) poll(a *leveled, now time.Time) bool {
+	isDone := m.attempt(a, now)
+	isLate := now.Sub(a.placed) >= simKinds[a.kind].objective/16
+	if m.policy == policyLevels && !a.retried && !a.counted && (isLate || isDone) {
+		a.counted = true
+		m.fleets[a.entry].RecordArrival(now, m.requirements(a, now), a.inFlight != nil)
+	}
+	return isDone
+}
+
+func (m *kindsModel) attempt(a *leveled, now time.Time) bool {
 	f := m.fleets[a.entry]
 	switch m.policy {
 	case policyLeast, policyRandomTwo:
@@ -191,7 +186,7 @@
 		return true
 	case policyLevels:
 		reqs := m.requirements(a, now)
-		reqs.Exempt = a.ticket.Exempt
+		reqs.Exempt, reqs.Waiting = a.ticket.Exempt, now.After(a.placed)
 		switch m.queues[a.entry].Poll(now, a.ticket, func(ahead []state.Homes) bool {
 			reqs.Ahead = ahead
 			a.inFlight, _ = f.ChooseEngine(now, reqs)
@@ -261,25 +256,20 @@
 	g.queue = slices.Insert(g.queue, at, &a.request)
 }
 
-// kindOutcome counts what the requests of one kind got, as ratios.
-type kindOutcome struct {
-	total                                           int
-	inTime, late, refusedAtOnce, held, refusedTwice float64
-	open                                            float64
-}
-
-func (o kindOutcome) served() float64 { return o.inTime + o.late }
+// kindOutcome counts what the requests of one kind got, as ratios of the total.
+type kindOutcome struct{ total, inTime, late, refusedAtOnce, held, refusedTwice float64 }
 
-func (m *kindsModel) outcomeOf(matches func(*leveled) bool) kindOutcome {
+// outcomeOf returns what the requests of a kind got that arrived from the given time on and could
+// return before the end.
+func (m *kindsModel) outcomeOf(k int, from time.Duration) kindOutcome {
 	var o kindOutcome
 	for _, a := range m.all {
-		if !matches(a) || a.arrived.Sub(start) < 3*time.Second {
+		if at := a.arrived.Sub(start); a.kind != k || at < from || at >= 16*time.Second {
 			continue
 		}
 		o.total++
-		grace := simKinds[a.kind].objective/8 + tick
 		switch {
-		case a.refusals > 0 && a.firstWait <= grace:
+		case a.refusals > 0 && a.firstWait <= simKinds[k].objective/8+tick:
 			o.refusedAtOnce++
 		case a.refusals > 0:
 			o.held++
@@ -287,29 +277,34 @@
 		switch {
 		case a.refused:
 			o.refusedTwice++
-		case a.served && a.firstEvent <= simKinds[a.kind].objective:
+		case a.served && a.firstEvent <= simKinds[k].objective:
 			o.inTime++
 		case a.served:
 			o.late++
-		default:
-			o.open++
 		}
 	}
-	n := float64(max(o.total, 1))
-	for _, v := range []*float64{&o.inTime, &o.late, &o.refusedAtOnce, &o.held, &o.refusedTwice, &o.open} {
-		*v /= n
+	for _, v := range []*float64{&o.inTime, &o.late, &o.refusedAtOnce, &o.held, &o.refusedTwice} {
+		*v /= max(o.total, 1)
 	}
 	return o
 }
 
-func (m *kindsModel) value() float64 {
-	sum, n := 0.0, 0
+func (o *kindOutcome) add(p kindOutcome, n float64) {
+	o.inTime += p.inTime / n
+	o.late += p.late / n
+	o.refusedAtOnce += p.refusedAtOnce / n
+	o.held += p.held / n
+	o.refusedTwice += p.refusedTwice / n
+}
+
+func (m *kindsModel) value(from time.Duration) float64 {
+	sum, n := 0.0, 0.0
 	for k, d := range simKinds {
-		o := m.outcomeOf(func(a *leveled) bool { return a.kind == k })
-		sum += (o.inTime + d.late*o.late) * float64(o.total)
+		o := m.outcomeOf(k, from)
+		sum += (o.inTime + d.late*o.late) * o.total
 		n += o.total
 	}
-	return sum / float64(n)
+	return sum / n
 }
 
 // capacityOf is the rate of requests that engines with full batches complete.
@@ -329,37 +324,142 @@
 	}
 }
 
-// BenchmarkUrgency prints what each kind gets, by load and policy.
+// BenchmarkUrgency prints what each kind gets, by load and policy: the ratios in time, late, refused at
+// once, refused after a wait and refused twice. Load zero is the burst.
 func BenchmarkUrgency(b *testing.B) {
-	const entries, engines = 12, 16
-	policies := []string{policyLevels, policyNoLevels, policyLeast, policyRandomTwo}
-	if p := os.Getenv("POLICY"); p != "" {
-		policies = []string{p}
-	}
+	const entries, engines, seeds = 22, 30, 4
 	for range b.N {
-		for _, load := range []float64{0.9, 1.3, 2, 3, 0} {
-			for _, policy := range policies {
-				for seed := range uint64(2) {
+		for _, load := range []float64{0.8, 0.9, 1.3, 2, 3, 0} {
+			for _, policy := range []string{policyLevels, policyNoLevels, policyLeast, policyRandomTwo} {
+				var sums [3]kindOutcome
+				value := 0.0
+				for seed := range uint64(seeds) {
 					m := newKindsModel(b, policy, seed, entries, engines)
 					m.rate = steady(load, engines)
-					span := 20 * time.Second
-					from := time.Duration(0)
+					from := 3 * time.Second
 					if load == 0 {
-						m.rate = burst(engines)
-						from = 10 * time.Second
+						m.rate, from = burst(engines), 10*time.Second
 					}
-					m.run(span)
+					m.run(20 * time.Second)
 					for k := range simKinds {
-						o := m.outcomeOf(func(a *leveled) bool {
-							return a.kind == k && a.arrived.Sub(start) < span-4*time.Second && a.arrived.Sub(start) >= from
-						})
-						fmt.Printf("load=%.1f policy=%s seed=%d kind=%d n=%d intime=%.3f late=%.3f atonce=%.3f held=%.3f twice=%.3f open=%.3f value=%.3f\n",
-							load, policy, seed, k, o.total, o.inTime, o.late, o.refusedAtOnce, o.held, o.refusedTwice, o.open, m.value())
+						sums[k].add(m.outcomeOf(k, from), seeds)
 					}
+					value += m.value(from) / seeds
 				}
+				fmt.Printf("load=%.1f policy=%s value=%.3f", load, policy, value)
+				for k, o := range sums {
+					fmt.Printf(" kind%d=%.3f/%.3f/%.3f/%.3f/%.3f", k, o.inTime, o.late, o.refusedAtOnce, o.held, o.refusedTwice)
+				}
+				fmt.Println()
 			}
 		}
 	}
 }
 
-var _ = []any{rand.New, zap.NewNop, hosts.Host{}}
+// TestUrgentKindsAreServedFirst sends twice the capacity. It guards against the order of refusals that
+// the longest objective gave, and against a kind, a workspace or long prompts that starve.
+func TestUrgentKindsAreServedFirst(t *testing.T) {
+	m := newKindsModel(t, policyLevels, 1, 12, 16)
+	m.rate = steady(2, 16)
+	m.run(25 * time.Second)
+	served := func(matches func(*leveled) bool) float64 {
+		n, all := 0.0, 0.0
+		for _, a := range m.all {
+			if at := a.arrived.Sub(start); at > 3*time.Second && at < 20*time.Second && matches(a) {
+				all++
+				if a.served {
+					n++
+				}
+			}
+		}
+		return n / all
+	}
+	overall, last := served(func(*leveled) bool { return true }), 1.0
+	for k, d := range simKinds {
+		isKind := func(a *leveled) bool { return a.kind == k }
+		share := served(isKind)
+		if share > last || share < overall/4 {
+			t.Errorf("%.3f of kind %d served, %.3f of the one before, %.3f of all", share, k, last, overall)
+		}
+		// 1.94 times the mean is the longest tenth of this distribution.
+		if long := served(func(a *leveled) bool { return isKind(a) && float64(a.prompt) > 1.94*float64(d.prompt) }); long < share/2 {
+			t.Errorf("%.3f of the long prompts of kind %d served, %.3f of the kind", long, k, share)
+		}
+		last = share
+	}
+	for w := range 4 {
+		if share := served(func(a *leveled) bool { return a.workspace == w }); share < overall/4 {
+			t.Errorf("%.3f of workspace %d served, %.3f of all", share, w, overall)
+		}
+	}
+}
+
+// TestOneLevelChangesNoDecision runs an overload with and without what the proxy states of requests of
+// equal urgency, and with counts of another pool. It guards earlier deployments against this part.
+func TestOneLevelChangesNoDecision(t *testing.T) {
+	var results [2][]string
+	for i := range results {
+		b := newSimulation(t, 3, 4, 8)
+		b.hasLevels = i == 1
+		b.run(1.3*8*timing.Rate(engineSpec, 1), 10*time.Second)
+		for _, a := range b.all {
+			results[i] = append(results[i], fmt.Sprint(a.served, a.refused, a.firstEvent))
+		}
+	}
+	if !slices.Equal(results[0], results[1]) {
+		t.Error("requests of one level are treated otherwise")
+	}
+}
+
+// TestReserveOfALevel guards against clients that return before newcomers of their level, or after
+// those of less urgent ones, and against reserves without levels.
+func TestReserveOfALevel(t *testing.T) {
+	m := newKindsModel(t, policyLevels, 0, 1, 1)
+	reqs := target.Requirements{Pool: m.pool, Levels: 3}
+	for l := range 3 {
+		for range 10 {
+			reqs.Level = l
+			m.fleets[0].RecordArrival(start, reqs, l > 1)
+		}
+	}
+	for _, c := range []struct {
+		level, levels      int
+		isReturned, exempt bool
+		want               float64
+	}{
+		{0, 3, false, false, 0}, {1, 3, false, false, 1.5}, {2, 3, false, false, 3},
+		{0, 3, true, false, 1.5}, {1, 3, true, false, 3}, {2, 3, true, false, 5},
+		{2, 3, false, true, 0}, {0, 1, true, false, 0}, {1, 2, false, false, 0},
+	} {
+		reqs.Level, reqs.Levels, reqs.Returned, reqs.Exempt = c.level, c.levels, c.isReturned, c.exempt
+		if got := m.fleets[0].LevelReserve(start, reqs); math.Abs(got-c.want) > 1e-9 {
+			t.Errorf("%+v: %v slots", c, got)
+		}
+	}
+	reqs = target.Requirements{Pool: m.pool, Model: "m", Levels: 3, Remaining: time.Hour}
+	for region, want := range map[hosts.Region]bool{"r0": false, "elsewhere": true} {
+		reqs.Ahead = slices.Repeat([]state.Homes{state.HomesOf(&state.Route{Homes: []hosts.Region{region}}, nil)}, kindsSpec.Slots+1)
+		if got := m.fleets[0].HasEngine(start, reqs); got != want {
+			t.Errorf("%v though others wait for all slots in %s", got, region)
+		}
+	}
+}
+
+// TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing compares the seconds of a burst with the same
+// ones without it.
+func TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing(t *testing.T) {
+	const seeds = 8
+	cost := 0.0
+	for seed := range uint64(seeds) {
+		for sign, rate := range map[float64]func(time.Duration, int) float64{1: steady(0.85, 16), -1: burst(16)} {
+			m := newKindsModel(t, policyLevels, seed, 12, 16)
+			m.rate = rate
+			m.run(20 * time.Second)
+			o := m.outcomeOf(0, 10*time.Second)
+			cost += sign * (o.inTime + simKinds[0].late*o.late) / seeds
+		}
+	}
+	if t.Logf("cost %.3f", cost); cost > 0.02 {
+		t.Errorf("the burst costs the most urgent kind %.3f", cost)
+	}
+}
