proxy: count only shortages that a reserve helps

Requests refused for lack of any engine, or held back by a limit, counted as short of room, so that a route without homes would have kept the reserve full. Requests that wait behind others now ask the owners of limits too; asking one after the other would have spent a round trip for each. Found by reading; the race detector passes on the tests of the waits.

--- a/entry/internal/proxy/levels.go
+++ b/entry/internal/proxy/levels.go
@@ -120,7 +120,7 @@
 		f, refusal = w.run(ctx)
 	}
 	l.levelReserve = l.handler.options.Fleet.LevelReserve(clocks.Now(), w.reqs)
-	w.count(true, f != nil)
+	w.count(f != nil || refusal.Reason == calls.ReasonOverload, f != nil)
 	w.report(f != nil)
 	return f, refusal
 }
@@ -134,12 +134,9 @@
 			return f, refusal
 		}
 		w.reqs.Waiting = true
-		w.count(clocks.Since(w.started) >= w.grace()/earlyDivisor, false)
-		next := capacityPollInterval
-		if w.hasLimited && w.full == 0 {
-			next = max(next, min(w.limited, w.grace()))
-		}
-		if !clocks.Sleep(ctx, next) {
+		isLimited := w.hasLimited && w.full == 0
+		w.count(!isLimited && clocks.Since(w.started) >= w.grace()/earlyDivisor, false)
+		if !clocks.Sleep(ctx, capacityPollInterval) {
 			return nil, calls.NotRun(calls.ReasonOverload, l.retryAfter(w.full), "the request ended before an engine had room")
 		}
 		if refusal := w.interruption(); refusal != nil {
@@ -148,7 +145,8 @@
 	}
 }
 
-// count counts a first request once it is known whether it finds room early.
+// count counts a first request once it is known whether it finds room early. Requests that engines
+// can't serve for other reasons than their load don't count: a reserve wouldn't help them.
 func (w *wait) count(isKnown, hasRoom bool) {
 	if !isKnown || w.counted {
 		return
@@ -201,11 +199,10 @@
 	if f != nil {
 		return f, nil
 	}
-	if polled && w.full == 0 {
-		w.limited, w.hasLimited = l.handler.options.Fleet.AwaitLimited(now, w.reqs, &w.grant)
-		if !w.hasLimited {
-			return nil, l.refusalOfNone(w.reqs)
-		}
+	// Those that wait behind others ask the owners of limits too, so that the grants arrive together.
+	w.limited, w.hasLimited = l.handler.options.Fleet.AwaitLimited(now, w.reqs, &w.grant)
+	if polled && w.full == 0 && !w.hasLimited {
+		return nil, l.refusalOfNone(w.reqs)
 	}
 	if verdict != level.Refused && ctx.Err() == nil {
 		return nil, nil
--- a/entry/internal/proxy/levels_test.go
+++ b/entry/internal/proxy/levels_test.go
@@ -104,12 +104,14 @@
 				defer cancel()
 				waiting := send(ctx, "/later/x")
 				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
 				if waiting.status != 0 {
 					t.Fatalf("status %d of a request that should wait", waiting.status)
 				}
 				changed := time.Now()
 				c.change(w, apply, cancel)
 				time.Sleep(500 * time.Millisecond)
+				synctest.Wait()
 				if took := waiting.ended.Sub(changed); waiting.status == 0 || took > 10*time.Millisecond {
 					t.Errorf("status %d, %v after the change", waiting.status, took)
 				}
@@ -120,6 +122,7 @@
 				}
 				close(done)
 				time.Sleep(time.Second)
+				synctest.Wait()
 				if w.runs("/later/x") > 0 {
 					t.Error("the request was sent after its wait had ended")
 				}
@@ -144,8 +147,10 @@
 				// Two requests that are sent at the same moment may arrive in any order.
 				done <- struct{}{}
 				time.Sleep(100 * time.Millisecond)
+				synctest.Wait()
 				close(done)
 				time.Sleep(time.Second)
+				synctest.Wait()
 				var got []string
 				for _, v := range w.received()[4:] {
 					got = append(got, v.id+" "+v.priority)
--- a/entry/internal/target/urgency_test.go
+++ b/entry/internal/target/urgency_test.go
@@ -427,9 +427,15 @@
 		isReturned, exempt bool
 		want               float64
 	}{
-		{0, 3, false, false, 0}, {1, 3, false, false, 1.5}, {2, 3, false, false, 3},
-		{0, 3, true, false, 1.5}, {1, 3, true, false, 3}, {2, 3, true, false, 5},
-		{2, 3, false, true, 0}, {0, 1, true, false, 0}, {1, 2, false, false, 0},
+		{0, 3, false, false, 0},
+		{1, 3, false, false, 1.5},
+		{2, 3, false, false, 3},
+		{0, 3, true, false, 1.5},
+		{1, 3, true, false, 3},
+		{2, 3, true, false, 5},
+		{2, 3, false, true, 0},
+		{0, 1, true, false, 0},
+		{1, 2, false, false, 0},
 	} {
 		reqs.Level, reqs.Levels, reqs.Returned, reqs.Exempt = c.level, c.levels, c.isReturned, c.exempt
 		if got := m.fleets[0].LevelReserve(start, reqs); math.Abs(got-c.want) > 1e-9 {
