--- a/entry/internal/target/urgency_test.go
+++ b/entry/internal/target/urgency_test.go
@@ -412,7 +412,8 @@
 }
 
 // TestReserveOfALevel guards against clients that return before newcomers of their level, or after
-// those of less urgent ones, and against reserves without levels.
+// those of less urgent ones, against reserves without levels, and against clients that are told to
+// return before there is room for their level.
 func TestReserveOfALevel(t *testing.T) {
 	m := newKindsModel(t, policyLevels, 0, 1, 1)
 	reqs := target.Requirements{Pool: m.pool, Levels: 3}
@@ -449,6 +450,19 @@
 			t.Errorf("%v though others wait for all slots in %s", got, region)
 		}
 	}
+	reqs.Ahead = nil
+	var delays []time.Duration
+	for reqs.Level = range 3 {
+		for found := true; found; {
+			f, delay := m.fleets[0].ChooseEngine(start, reqs)
+			if found = f != nil; !found {
+				delays = append(delays, delay)
+			}
+		}
+	}
+	if delays[0] <= 0 || delays[1] <= delays[0] || delays[2] <= delays[1] {
+		t.Errorf("clients of levels are told to return after %v", delays)
+	}
 }
 
 // TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing compares the seconds of a burst with the same
