--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -70,6 +70,10 @@
 		return f.farReserve(u, slots)
 	case usage == UsageRemote:
 		return slots / remoteReserveDivisor
+	case reqs.Waiting && f.options.Random() >= 1/float64(f.regionEntries):
+		// Requests that wait at all entries of the region would meet at the first slot that
+		// becomes free. Each entry tries at a time of its own.
+		return 2 * slots
 	case reqs.Levels > 1 && !reqs.Returned && (reqs.Level == 0 || reqs.Exempt):
 		return slots / regionReserveDivisor / urgentReserveDivisor
 	}
--- a/entry/internal/target/assign.go
+++ b/entry/internal/target/assign.go
@@ -26,6 +26,7 @@
 		}
 	}
 	slices.Sort(entries)
+	f.regionEntries = max(len(entries), 1)
 	f.assignLocal(entries)
 	f.assignAllRemote()
 	f.assignShares(entries)
--- a/entry/internal/target/balance_test.go
+++ b/entry/internal/target/balance_test.go
@@ -36,6 +36,7 @@
 // TestEvenLoadWithMoreEntriesThanEngines has entries without an engine of their own. They overrun
 // engines that they all see free at the same time, unless the engines are shared.
 func TestEvenLoadWithMoreEntriesThanEngines(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.9, 1.2} {
 		s := herdShape{spec: "B", entries: 64, servers: 34, load: load, hot: 1.4}
 		before := newHerd(t, s, newEven(t, target.EvenNever)).run(8 * time.Second)
--- a/entry/internal/target/cold_test.go
+++ b/entry/internal/target/cold_test.go
@@ -77,6 +77,7 @@
 // TestColdUpstreamIsKeptToItsRate guards against entries that each spend the cold rate, a rate that is
 // hardly used, and a burst after the cold time.
 func TestColdUpstreamIsKeptToItsRate(t *testing.T) {
+	t.Parallel()
 	for _, entries := range []int{6, 34, 64, 100, 740} {
 		for _, rate := range []float64{2, 14, 100} {
 			c := newColdCrowd(t, 1, entries, rate)
@@ -156,6 +157,7 @@
 // TestColdRateIsKeptInTrouble plays the troubles. The rule holds for all entries, also those that they
 // befall. It is red without takeoverDelay and without the parts of entries that see a part of the others.
 func TestColdRateIsKeptInTrouble(t *testing.T) {
+	t.Parallel()
 	for name, trouble := range coldTroubles {
 		for _, entries := range []int{6, 34} {
 			for _, rate := range []float64{2, 14, 100} {
--- a/entry/internal/target/limits_test.go
+++ b/entry/internal/target/limits_test.go
@@ -16,6 +16,7 @@
 // TestLimitIsSharedByAllEntries guards against entries that each spend a limit of the whole fleet,
 // and against a limit that is hardly used.
 func TestLimitIsSharedByAllEntries(t *testing.T) {
+	t.Parallel()
 	for _, s := range []struct {
 		entries int
 		rates   []float64
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -149,6 +149,8 @@
 	pools map[string][]*upstream
 	// entryLoads are the last reports of the other entries of the region.
 	entryLoads map[hosts.Name]entryLoadReport
+	// regionEntries is the number of live entries of the region, at least one.
+	regionEntries int
 	// departed holds the demands of upstreams that are listed no more, since they may only
 	// have lapsed.
 	departed *recent.Map[processKey, demands]
@@ -204,9 +206,10 @@
 		releases: make(map[string][]release), stated: make(map[statedKey]time.Time), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
 		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, unlistedLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), regionViews: make(map[hosts.Region]regionView), even: make(map[string]evenPool), asks: make(chan struct{}, 1),
-		seen:    make(map[hosts.Name]knownEntry),
-		meters:  make(map[string]*level.Meter),
-		running: make(map[hosts.Domain]int),
+		seen:          make(map[hosts.Name]knownEntry),
+		regionEntries: 1,
+		meters:        make(map[string]*level.Meter),
+		running:       make(map[hosts.Domain]int),
 	}
 }
 
--- a/entry/internal/target/urgency_test.go
+++ b/entry/internal/target/urgency_test.go
@@ -186,7 +186,7 @@
 		return true
 	case policyLevels:
 		reqs := m.requirements(a, now)
-		reqs.Exempt = a.ticket.Exempt
+		reqs.Exempt, reqs.Waiting = a.ticket.Exempt, now.After(a.placed)
 		var inFlight *target.InFlight
 		switch m.queues[a.entry].Poll(now, a.ticket, func(ahead []state.Homes) bool {
 			reqs.Ahead = ahead
@@ -326,9 +326,10 @@
 	}
 }
 
-// BenchmarkUrgency prints what each kind gets, by load and policy. Load zero is the burst.
+// BenchmarkUrgency prints what each kind gets, by load and policy: the ratios in time, late, refused at
+// once, refused after a wait and refused twice. Load zero is the burst.
 func BenchmarkUrgency(b *testing.B) {
-	const entries, engines, seeds = 12, 16, 4
+	const entries, engines, seeds = 22, 30, 4
 	for range b.N {
 		for _, load := range []float64{0.8, 0.9, 1.3, 2, 3, 0} {
 			for _, policy := range []string{policyLevels, policyNoLevels, policyLeast, policyRandomTwo} {
@@ -360,6 +361,7 @@
 // TestUrgentKindsAreServedFirst sends twice the capacity. It guards against the order of refusals that
 // the longest objective gave, and against a kind, a workspace or long prompts that starve.
 func TestUrgentKindsAreServedFirst(t *testing.T) {
+	t.Parallel()
 	m := newKindsModel(t, policyLevels, 1, 12, 16)
 	m.rate = steady(2, 16)
 	m.run(25 * time.Second)
@@ -413,7 +415,8 @@
 }
 
 // TestReserveOfALevel guards against clients that return before newcomers of their level, or after
-// those of less urgent ones, and against reserves without levels.
+// those of less urgent ones, against reserves without levels, and against clients that are told to
+// return before there is room for their level.
 func TestReserveOfALevel(t *testing.T) {
 	m := newKindsModel(t, policyLevels, 0, 1, 1)
 	reqs := target.Requirements{Pool: m.pool, Levels: 3}
@@ -428,9 +431,15 @@
 		isReturned, exempt bool
 		want               float64
 	}{
-		{0, 3, false, false, 0}, {1, 3, false, false, 1.5}, {2, 3, false, false, 3},
-		{0, 3, true, false, 1.5}, {1, 3, true, false, 3}, {2, 3, true, false, 5},
-		{2, 3, false, true, 0}, {0, 1, true, false, 0}, {1, 2, false, false, 0},
+		{0, 3, false, false, 0},
+		{1, 3, false, false, 1.5},
+		{2, 3, false, false, 3},
+		{0, 3, true, false, 1.5},
+		{1, 3, true, false, 3},
+		{2, 3, true, false, 5},
+		{2, 3, false, true, 0},
+		{0, 1, true, false, 0},
+		{1, 2, false, false, 0},
 	} {
 		reqs.Level, reqs.Levels, reqs.Returned, reqs.Exempt = c.level, c.levels, c.isReturned, c.exempt
 		if got := m.fleets[0].LevelReserve(start, reqs); math.Abs(got-c.want) > 1e-9 {
@@ -444,11 +453,25 @@
 			t.Errorf("%v though others wait for all slots in %s", got, region)
 		}
 	}
+	reqs.Ahead = nil
+	var delays []time.Duration
+	for reqs.Level = range 3 {
+		for found := true; found; {
+			f, delay := m.fleets[0].ChooseEngine(start, reqs)
+			if found = f != nil; !found {
+				delays = append(delays, delay)
+			}
+		}
+	}
+	if delays[0] <= 0 || delays[1] <= delays[0] || delays[2] <= delays[1] {
+		t.Errorf("clients of levels are told to return after %v", delays)
+	}
 }
 
 // TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing compares the seconds of a burst with the same
 // ones without it.
 func TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing(t *testing.T) {
+	t.Parallel()
 	const seeds = 8
 	cost := 0.0
 	for seed := range uint64(seeds) {
