--- a/entry/internal/proxy/levels_test.go
+++ b/entry/internal/proxy/levels_test.go
@@ -87,7 +87,7 @@
 		{"route removed", "no-route", func(_ *world, apply func(rows ...state.Row), _ func()) {
 			apply(removed(leveledRoute("later", 2, nil), nil))
 		}},
-		{"route moved to another pool", "no-route", func(_ *world, apply func(rows ...state.Row), _ func()) {
+		{"route moved to another pool", "no-pool", func(_ *world, apply func(rows ...state.Row), _ func()) {
 			apply(leveledRoute("later", 2, func(r *state.Route) { r.Targets[0].Pool = "q" }))
 		}},
 		{"home lost", "home", func(_ *world, apply func(rows ...state.Row), _ func()) {
