gather: probe for the manifest with few processes and don't wait without end

Cause: while the origin is unavailable every process requested the manifest every 0.3 s (289 requests of 22 processes in 6 s), and a request that got no response was waited for without a limit of gather's own, during which the process takes no manifest from others.

The requests of a rank are its takeover delay apart and time out after 0.7 s.

--- a/core/gather/gather_test.go
+++ b/core/gather/gather_test.go
@@ -57,12 +57,17 @@
 	// them without a response if hangs is set.
 	downUntil time.Time
 	hangs     bool
+	// refused counts the requests in an outage.
+	refused int
 }
 
 // checkOutage returns an error during an outage.
 func (o *origin) checkOutage(ctx context.Context) error {
 	o.mutex.Lock()
 	down, hangs := time.Now().Before(o.downUntil), o.hangs
+	if down {
+		o.refused++
+	}
 	o.mutex.Unlock()
 	if !down {
 		return nil
@@ -329,6 +334,25 @@
 	}
 }
 
+// TestReturnOfTheOriginIsNoticedByFewProbes has an origin that is unavailable when the fetch starts,
+// so that no process has the manifest. Each process requested it every 0.3 s, or waited without end
+// for one request.
+func TestReturnOfTheOriginIsNoticedByFewProbes(t *testing.T) {
+	const outage, agents = 6 * time.Second, 20
+	for _, hangs := range []bool{false, true} {
+		play(t, agents, func(ctx context.Context, w *world) {
+			w.origin.downUntil, w.origin.hangs = time.Now().Add(outage), hangs
+			took := w.fetch(ctx)
+			w.check()
+			copies := float64(w.origin.bytes) / versionBytes
+			t.Logf("hangs=%t took %v, %d requests in the outage, %.2f copies", hangs, took, w.origin.refused, copies)
+			if limit := outage + 3*transferTime(versionBytes, agentRate)/2; took > limit || w.origin.refused > 100 || copies > 1.2 {
+				t.Errorf("hangs %t: took %v, %d requests in the outage, %.2f copies", hangs, took, w.origin.refused, copies)
+			}
+		})
+	}
+}
+
 // TestLostHolderDoesNotDelayFetch kills the entry of a region in the middle of the fetch,
 // or drops all of its traffic silently.
 func TestLostHolderDoesNotDelayFetch(t *testing.T) {
--- a/core/gather/manifest.go
+++ b/core/gather/manifest.go
@@ -36,7 +36,7 @@
 			}
 		}
 		if time.Since(retryAt) >= time.Duration(s.manifestRank())*manifestTakeoverDelay {
-			_, err := s.manifestFromOrigin(ctx)
+			_, err := s.manifestFromOrigin(ctx, manifestTimeout<<min(failures/manifestTries, 2))
 			if err == nil {
 				continue
 			}
@@ -103,7 +103,11 @@
 	return v
 }
 
-func (s *session) manifestFromOrigin(ctx context.Context) (*cache.Version, error) {
+// manifestFromOrigin doesn't wait for long, since the process receives no manifest from others
+// meanwhile.
+func (s *session) manifestFromOrigin(ctx context.Context, timeout time.Duration) (*cache.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	encoded, err := s.fetcher.options.Source.Manifest(ctx, s.name)
 	if err != nil {
 		return nil, err
--- a/core/gather/session.go
+++ b/core/gather/session.go
@@ -39,8 +39,10 @@
 	manifestBackoff = 200 * time.Millisecond
 	// lateManifest is the time after which a manifest shows that the origin was unavailable.
 	lateManifest = time.Second
-	// manifestTimeout bounds a request to another process for the manifest.
+	// manifestTimeout bounds a request for the manifest. For the origin, it doubles with every
+	// manifestTries failures, at most twice, in case the origin is slow.
 	manifestTimeout = 700 * time.Millisecond
+	manifestTries   = 8
 	// corruptPieceLimit is the number of consecutive corrupt pieces, from any sources, that
 	// make the manifest itself suspect.
 	corruptPieceLimit = 6
