--- a/core/sched/outage.go
+++ b/core/sched/outage.go
@@ -212,11 +212,9 @@
 // request it.
 func (s *Scheduler) frontRank(i int) (int, bool) {
 	rank := s.pieces[i].originRank
-	if s.options.Self.Role != hosts.RoleEntry {
-		switch {
-		case s.outage.withoutEntries:
-			rank = s.pieces[i].agentRank
-		case s.outage.current:
+	if s.outage.current && s.options.Self.Role != hosts.RoleEntry {
+		rank = s.pieces[i].agentRank
+		if !s.outage.withoutEntries {
 			return 0, false
 		}
 	}
