--- a/core/sched/sched_test.go
+++ b/core/sched/sched_test.go
@@ -68,6 +68,10 @@
 	dead       bool
 	done       time.Duration
 	reportedAt time.Duration
+	// version counts the versions that the node has fetched, from zero. former are the pieces of
+	// the version before.
+	version int
+	former  []bool
 	// reported is the number of pieces in the last report.
 	reported int
 }
@@ -83,9 +87,11 @@
 	// originDownUntil is the end of an outage in which the origin refuses requests.
 	originDownUntil time.Duration
 	// corruptRatio is the share of the origin's responses that are corrupt.
-	corruptRatio     float64
-	random           *rand.Rand
-	originBytes      float64
+	corruptRatio float64
+	random       *rand.Rand
+	originBytes  float64
+	// notBefore is the earliest end of the simulation.
+	notBefore        time.Duration
 	crossRegionBytes float64
 }
 
@@ -284,6 +290,9 @@
 }
 
 func (w *world) isDone() bool {
+	if w.now < w.notBefore {
+		return false
+	}
 	for _, n := range w.nodes {
 		if !n.dead && n.done == 0 {
 			return false
