--- a/core/gather/gather.go
+++ b/core/gather/gather.go
@@ -76,6 +76,8 @@
 	fromOrigin tally.Counter
 	fromPeers  tally.Counter
 	failed     tally.Counter
+	// outages counts how often the origin became unavailable during a fetch.
+	outages tally.Counter
 	// queueLength returns the number of pieces that this process still has to send.
 	queueLength func() int
 
@@ -92,6 +94,7 @@
 	}
 	return &Fetcher{
 		options: o, remote: &peerClient{client: o.Client}, queueLength: queue, fromOrigin: counter("origin"), fromPeers: counter("process"), failed: o.Scope.Counter("pieces_failed"),
+		outages: o.Scope.Counter("origin_outages"),
 	}
 }
 
--- a/core/gather/session.go
+++ b/core/gather/session.go
@@ -85,6 +85,8 @@
 	cursor int
 	// afterOutage is set if the origin was unavailable when the manifest was fetched.
 	afterOutage bool
+	// unavailableSince is the time since which the origin counts as unavailable, or zero.
+	unavailableSince time.Time
 	// corruptPieces counts the corrupt pieces since the last valid one.
 	corruptPieces int
 	// refetchedAt is the time at which the manifest was last fetched again from the origin.
@@ -132,6 +134,7 @@
 		for _, a := range s.scheduler.Decide(now) {
 			s.execute(ctx, a)
 		}
+		s.logOutage(now)
 		s.reportIfDue(now)
 		if s.scheduler.Missing() == 0 {
 			s.report(false)
@@ -146,6 +149,20 @@
 	}
 }
 
+// logOutage logs and counts when the origin becomes unavailable, and logs when it returns.
+func (s *session) logOutage(now time.Time) {
+	f := s.fetcher
+	switch down := s.scheduler.OriginUnavailable(); {
+	case down && s.unavailableSince.IsZero():
+		s.unavailableSince = now
+		f.outages.Inc(1)
+		f.options.Log.Info("origin-unavailable", zap.String("version", s.name.String()[:8]), zap.Int("missing", s.scheduler.Missing()))
+	case !down && !s.unavailableSince.IsZero():
+		f.options.Log.Info("origin-returned", zap.String("version", s.name.String()[:8]), zap.Duration("after", now.Sub(s.unavailableSince)))
+		s.unavailableSince = time.Time{}
+	}
+}
+
 func (s *session) start(v *cache.Version) {
 	o := s.fetcher.options
 	s.version = v
--- a/core/sched/outage.go
+++ b/core/sched/outage.go
@@ -8,16 +8,6 @@
 	"currantport.example/core/hosts"
 )
 
-// # After an outage of the origin
-//
-// While the origin doesn't respond, only the first probeWindow pieces that no process is known
-// to hold are requested, by their ranks in turn. The probes of rank r come about every
-// probeBackoff + r takeover delays, so that their number grows with the logarithm of the number
-// of processes. The first piece that arrives ends the outage for all processes that receive the
-// holdings. From then on the first frontWindow pieces that no process is known to hold are
-// requested, each by its first rank: together they keep the link of the origin busy, and each
-// arrives soon, where requests for all missing pieces would share the link and time out.
-
 const (
 	// probeWindow is the number of pieces that are requested while the origin doesn't respond.
 	// Two pieces usually rank different processes first, one of which may be gone.
@@ -121,6 +111,9 @@
 	}
 }
 
+// OriginUnavailable reports whether the origin counts as unavailable.
+func (s *Scheduler) OriginUnavailable() bool { return s.outage.current }
+
 // isUnheld reports whether no process is known to hold a piece.
 func (s *Scheduler) isUnheld(now time.Time, i int) bool {
 	p := &s.pieces[i]
--- a/core/sched/sched.go
+++ b/core/sched/sched.go
@@ -15,6 +15,17 @@
 // waiting again: when the origin recovers from an outage, few processes should send it
 // requests.
 //
+// # After an outage of the origin
+//
+// While the origin doesn't respond, only the first probeWindow pieces that no process is known
+// to hold are requested, by their ranks in turn. The probes of rank r come at intervals that grow
+// with the square of r, so that their number hardly grows with that of the processes. Entries from
+// which nothing was heard have no rank, and agents probe only if nothing was heard from any entry.
+// The first piece that arrives ends the outage for all processes that receive the
+// holdings. From then on the first frontWindow pieces that no process is known to hold are
+// requested, each by its first rank: together they keep the link of the origin busy, and each
+// arrives soon, where requests for all missing pieces would share the link and time out.
+//
 // # Between regions
 //
 // In every other region, the entries and then the agents are ranked for each piece too. The
