sched: bound the window where the origin's rate isn't known

Without a stated rate the window after an outage would have been two pieces for a process that has read nothing from the origin. It is at most 32 pieces, and the observed time of a piece counts. An entry checks for its first engines every 20 ms, so that its first subscription doesn't depend on when the rows are applied.

--- a/core/sched/outage.go
+++ b/core/sched/outage.go
@@ -12,6 +12,9 @@
 	// probeWindow is the number of pieces that are requested while the origin doesn't respond.
 	// Two pieces usually rank different processes first, one of which may be gone.
 	probeWindow = 2
+	// maxWindow is the maximum number of pieces that all processes together request after an
+	// outage, for small pieces and where the time of a piece isn't known.
+	maxWindow = 32
 	// probeBackoff is the mean time between two probes of the first rank.
 	probeBackoff = 150 * time.Millisecond
 	// silenceTimeout is the time without a newly discovered piece, while pieces are due, after
@@ -121,10 +124,10 @@
 }
 
 // linkPieceTime returns the time in which the link of the origin transmits a piece: as stated, or
-// as observed if that is longer.
+// as observed if that is longer. It is zero if neither is known.
 func (s *Scheduler) linkPieceTime() time.Duration {
 	if s.options.OriginRate <= 0 || len(s.pieces) == 0 {
-		return s.originPieceTime
+		return s.outage.discoveryInterval
 	}
 	stated := time.Duration(float64(s.options.Pieces[0].Size) / s.options.OriginRate * float64(time.Second))
 	return max(stated, s.outage.discoveryInterval)
@@ -133,20 +136,22 @@
 // recordDiscovery updates the observed time of a piece on the origin's link. A single gap, as the
 // takeover of a dead process leaves, counts little, and reports may bring several pieces at a time.
 func (s *Scheduler) recordDiscovery(now time.Time) {
-	const weight = 8
+	const weight, maxGrowth = 8, 4
 	if !s.outage.current {
-		interval := min(now.Sub(s.lastDiscovery), 4*s.linkPieceTime())
+		interval := min(now.Sub(s.lastDiscovery), max(maxGrowth*s.linkPieceTime(), initialPieceTime))
 		s.outage.discoveryInterval += (interval - s.outage.discoveryInterval) / weight
 	}
 }
 
 // frontWindow returns the number of pieces that all processes together request at a time.
 func (s *Scheduler) frontWindow() int {
-	took := s.linkPieceTime()
-	if s.outage.current || took <= 0 {
+	if s.outage.current {
 		return probeWindow
 	}
-	return probeWindow + int(math.Ceil(float64(reportDelay)/float64(took)))
+	if took := s.linkPieceTime(); took > 0 {
+		return min(probeWindow+int(math.Ceil(float64(reportDelay)/float64(took))), maxWindow)
+	}
+	return maxWindow
 }
 
 // originTakeoverDelay returns the time for which each rank waits for the one before it. The link
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -32,8 +32,8 @@
 	// subscriptionInterval is the time between two subscription messages to an agent of this
 	// region, or to one whose engine the entry uses.
 	subscriptionInterval = time.Second
-	// firstSubscriptionDelay is the time in which the first rows are applied to the fleet.
-	firstSubscriptionDelay = 20 * time.Millisecond
+	// firstSubscriptionInterval is the time between two checks for engines while none is known.
+	firstSubscriptionInterval = 20 * time.Millisecond
 	// remoteSubscriptionRounds is the number of these intervals between two messages to any
 	// other agent.
 	remoteSubscriptionRounds = 2
@@ -266,21 +266,21 @@
 	t := time.NewTicker(subscriptionInterval)
 	defer t.Stop()
 	for round := 0; ; round++ {
-		changed := sy.options.Mirror.Changed()
 		all := sy.options.Fleet.Subscriptions(clocks.Now(), sy.options.Mirror.Snapshot())
 		for i, s := range all {
 			if s.Frequent || s.First || (round+i)%remoteSubscriptionRounds == 0 {
 				sy.subscribe(s)
 			}
 		}
-		if len(all) > 0 {
-			// Only an entry that has just started waits for its first rows.
-			changed = nil
+		if len(all) == 0 {
+			// An entry that has just started waits for its first rows.
+			if !clocks.Sleep(ctx, firstSubscriptionInterval) {
+				return
+			}
+			continue
 		}
 		select {
 		case <-t.C:
-		case <-changed:
-			clocks.Sleep(ctx, firstSubscriptionDelay)
 		case <-ctx.Done():
 			return
 		}
