sched: don't begin the schedule anew where a process starts late

Cause: an entry that restarts in a roll-out waits for each piece until it is due in its own schedule, while the fleet holds the first ones already.

A process that finds the fleet a window ahead of its schedule requests by the window.

--- a/core/sched/outage.go
+++ b/core/sched/outage.go
@@ -93,22 +93,22 @@
 		return
 	}
 	late, timeout := time.Duration(0), max(silenceTimeout, silencePieceTimes*s.linkPieceTime())
-	due := 0
+	due, early := 0, 0
 	for i, known := range s.discovered {
-		if known || s.pieces[i].held {
-			continue
-		}
-		since := now.Sub(s.dueAt(i, s.startedAt))
-		if since < 0 {
-			break
+		known = known || s.pieces[i].held
+		switch since := now.Sub(s.dueAt(i, s.startedAt)); {
+		case known && since < 0:
+			early++
+		case !known && since >= 0:
+			late = max(late, since)
+			due++
 		}
-		late = max(late, since)
-		due++
 	}
 	switch {
 	case late >= timeout && now.Sub(s.lastDiscovery) >= timeout:
 		s.beginOutage()
-	case !s.outage.met && s.options.OriginRate > 0 && due > maxDueWindows*s.frontWindow():
+	case !s.outage.met && s.options.OriginRate > 0 && (due > maxDueWindows*s.frontWindow() || early > s.frontWindow()):
+		// The link is slower than stated, or this process has started late.
 		s.beginOutage()
 		s.outage.current = false
 	}
--- a/core/sched/requests.go
+++ b/core/sched/requests.go
@@ -89,6 +89,7 @@
 		s.fetchFront(now)
 		return
 	}
+	delay := s.originTakeoverDelay(now)
 	for i := range s.pieces {
 		p := &s.pieces[i]
 		if s.originRequests >= originWindow {
@@ -97,7 +98,7 @@
 		if p.held || len(p.requests) > 0 || p.originRank < 0 || p.localHolders > 0 || s.hasRemoteHolder(now, i) {
 			continue
 		}
-		if !now.Before(s.originBase(i).Add(time.Duration(p.originRank) * s.originTakeoverDelay(now))) {
+		if !now.Before(s.originBase(i).Add(time.Duration(p.originRank) * delay)) {
 			s.startRequest(now, nil, i)
 		}
 	}
