--- a/core/sched/outage.go
+++ b/core/sched/outage.go
@@ -8,20 +8,13 @@
 	"currantport.example/core/hosts"
 )
 
-// # After an outage of the origin
-//
-// While the origin doesn't respond, only the first probeWindow pieces that no process is known
-// to hold are requested, by their ranks in turn. The probes of rank r come about every
-// probeBackoff + r takeover delays, so that their number grows with the logarithm of the number
-// of processes. The first piece that arrives ends the outage for all processes that receive the
-// holdings. From then on the first frontWindow pieces that no process is known to hold are
-// requested, each by its first rank: together they keep the link of the origin busy, and each
-// arrives soon, where requests for all missing pieces would share the link and time out.
-
 const (
 	// probeWindow is the number of pieces that are requested while the origin doesn't respond.
 	// Two pieces usually rank different processes first, one of which may be gone.
 	probeWindow = 2
+	// maxWindow is the maximum number of pieces that all processes together request after an
+	// outage, for small pieces and where the time of a piece isn't known.
+	maxWindow = 32
 	// probeBackoff is the mean time between two probes of the first rank.
 	probeBackoff = 150 * time.Millisecond
 	// silenceTimeout is the time without a newly discovered piece, while pieces are due, after
@@ -100,27 +93,30 @@
 		return
 	}
 	late, timeout := time.Duration(0), max(silenceTimeout, silencePieceTimes*s.linkPieceTime())
-	due := 0
+	due, early := 0, 0
 	for i, known := range s.discovered {
-		if known || s.pieces[i].held {
-			continue
-		}
-		since := now.Sub(s.dueAt(i, s.startedAt))
-		if since < 0 {
-			break
+		known = known || s.pieces[i].held
+		switch since := now.Sub(s.dueAt(i, s.startedAt)); {
+		case known && since < 0:
+			early++
+		case !known && since >= 0:
+			late = max(late, since)
+			due++
 		}
-		late = max(late, since)
-		due++
 	}
 	switch {
 	case late >= timeout && now.Sub(s.lastDiscovery) >= timeout:
 		s.beginOutage()
-	case !s.outage.met && s.options.OriginRate > 0 && due > maxDueWindows*s.frontWindow():
+	case !s.outage.met && s.options.OriginRate > 0 && (due > maxDueWindows*s.frontWindow() || early > s.frontWindow()):
+		// The link is slower than stated, or this process has started late.
 		s.beginOutage()
 		s.outage.current = false
 	}
 }
 
+// OriginUnavailable reports whether the origin counts as unavailable.
+func (s *Scheduler) OriginUnavailable() bool { return s.outage.current }
+
 // isUnheld reports whether no process is known to hold a piece.
 func (s *Scheduler) isUnheld(now time.Time, i int) bool {
 	p := &s.pieces[i]
@@ -128,10 +124,10 @@
 }
 
 // linkPieceTime returns the time in which the link of the origin transmits a piece: as stated, or
-// as observed if that is longer.
+// as observed if that is longer. It is zero if neither is known.
 func (s *Scheduler) linkPieceTime() time.Duration {
 	if s.options.OriginRate <= 0 || len(s.pieces) == 0 {
-		return s.originPieceTime
+		return s.outage.discoveryInterval
 	}
 	stated := time.Duration(float64(s.options.Pieces[0].Size) / s.options.OriginRate * float64(time.Second))
 	return max(stated, s.outage.discoveryInterval)
@@ -140,20 +136,22 @@
 // recordDiscovery updates the observed time of a piece on the origin's link. A single gap, as the
 // takeover of a dead process leaves, counts little, and reports may bring several pieces at a time.
 func (s *Scheduler) recordDiscovery(now time.Time) {
-	const weight = 8
+	const weight, maxGrowth = 8, 4
 	if !s.outage.current {
-		interval := min(now.Sub(s.lastDiscovery), 4*s.linkPieceTime())
+		interval := min(now.Sub(s.lastDiscovery), max(maxGrowth*s.linkPieceTime(), initialPieceTime))
 		s.outage.discoveryInterval += (interval - s.outage.discoveryInterval) / weight
 	}
 }
 
 // frontWindow returns the number of pieces that all processes together request at a time.
 func (s *Scheduler) frontWindow() int {
-	took := s.linkPieceTime()
-	if s.outage.current || took <= 0 {
+	if s.outage.current {
 		return probeWindow
 	}
-	return probeWindow + int(math.Ceil(float64(reportDelay)/float64(took)))
+	if took := s.linkPieceTime(); took > 0 {
+		return min(probeWindow+int(math.Ceil(float64(reportDelay)/float64(took))), maxWindow)
+	}
+	return maxWindow
 }
 
 // originTakeoverDelay returns the time for which each rank waits for the one before it. The link
