target: compare load reports with the load known at their time, and learn an engine's pace

Cause: a report is 200 to 400 ms old, but was compared with the requests in progress now, so that those of other regions were counted too low after each report; and the pace in a report arrives when a spell of 0.6 s is mostly over. Change: with even load, the report is compared with what was known 200 ms before; first events of own requests that take 1.8 times the prediction mark an engine as slow until a faster one or a later report with pace 1. The model's demand no longer depends on the policy.

--- a/entry/internal/target/herd_test.go
+++ b/entry/internal/target/herd_test.go
@@ -107,6 +107,8 @@
 // herd runs many entries before many engines, without a network.
 type herd struct {
 	herdShape
+	// demand gives what doesn't depend on the policy, so that all policies get the same; random the rest.
+	demand   *rand.Rand
 	random   *rand.Rand
 	pool     *state.Pool
 	hosts    []hosts.Host
@@ -145,7 +147,7 @@
 
 func newHerd(t testing.TB, s herdShape, newChooser func(h *herd, i int) chooser) *herd {
 	t.Helper()
-	h := &herd{herdShape: s, random: rand.New(rand.NewPCG(s.seed, 5)), pool: &state.Pool{Name: "p", Engine: herdSpecs[s.spec]}}
+	h := &herd{herdShape: s, demand: rand.New(rand.NewPCG(s.seed, 5)), random: rand.New(rand.NewPCG(s.seed, 6)), pool: &state.Pool{Name: "p", Engine: herdSpecs[s.spec]}}
 	for i := range s.entries {
 		r := i % 3
 		h.hosts = append(h.hosts, hosts.Host{Name: hosts.Name(fmt.Sprintf("edge-%d", i)), Place: hosts.Place{Region: hosts.Region(fmt.Sprintf("r%d", r)), Domain: hosts.Domain(fmt.Sprintf("d%d", r))}})
@@ -157,7 +159,7 @@
 		u := engine(i, fmt.Sprintf("d%d", i%3), 1)
 		u.Slots = h.pool.Engine.Slots
 		h.rows = append(h.rows, u)
-		h.engines = append(h.engines, &simEngine{id: u.ID, stepEnds: start.Add(time.Duration(h.random.Float64() * 40e6)), spec: h.pool.Engine})
+		h.engines = append(h.engines, &simEngine{id: u.ID, stepEnds: start.Add(time.Duration(h.demand.Float64() * 40e6)), spec: h.pool.Engine})
 	}
 	h.status, h.polled, h.polls = make([]target.LoadReport, s.servers), make([]int, s.servers), make([]int, s.servers)
 	h.turns, h.occupancy, h.waiting = make([]queueTurn, s.servers), make([]float64, s.servers), make([][]*request, s.entries)
@@ -257,13 +259,15 @@
 	next := start
 	for i := range int(span / tick) {
 		now := start.Add(time.Duration(i) * tick)
-		for ; next.Before(now); next = next.Add(time.Duration(h.random.ExpFloat64() / rate * float64(time.Second))) {
+		for ; next.Before(now); next = next.Add(time.Duration(h.demand.ExpFloat64() / rate * float64(time.Second))) {
 			a := &request{
-				prompt: min(int(941*math.Exp(0.8*h.random.NormFloat64()-0.32)), 3880), outputTokens: min(int(125*math.Exp(0.7*h.random.NormFloat64()-0.25)), 400) + 5, arrived: now,
+				prompt: min(int(941*math.Exp(0.8*h.demand.NormFloat64()-0.32)), 3880), outputTokens: min(int(125*math.Exp(0.7*h.demand.NormFloat64()-0.25)), 400) + 5, arrived: now,
 			}
 			h.all = append(h.all, a)
+			a.client = h.pickClient(now)
 			h.arrive(now, a)
 		}
+		h.moveClients(now)
 		h.deliver(now)
 		h.slow(now)
 		for e := range h.choosers {
@@ -299,7 +303,7 @@
 		return
 	}
 	h.slowEnds = now.Add(slowTime)
-	for k, i := range h.random.Perm(len(h.engines)) {
+	for k, i := range h.demand.Perm(len(h.engines)) {
 		h.engines[i].pace = 1
 		if k < len(h.engines)/slowShare {
 			h.engines[i].pace = slowPace
@@ -307,30 +311,39 @@
 	}
 }
 
-// arrive hands a request to the entry of a random client.
-func (h *herd) arrive(now time.Time, a *request) {
-	a.placed = now
+// moveClients gives new entries to the clients whose time with the last one is over.
+func (h *herd) moveClients(now time.Time) {
+	for _, c := range h.clients {
+		if !now.Before(c.until) {
+			c.entry = c.region + 3*h.demand.IntN((h.entries-c.region+2)/3)
+			c.until = now.Add(time.Second + time.Duration(h.demand.Float64()*4e9))
+		}
+	}
+}
+
+// pickClient returns a random client by weight. During a step it is one of the hot entry for half of the
+// requests of the first region.
+func (h *herd) pickClient(now time.Time) *herdClient {
 	sum := 0.0
 	for _, c := range h.clients {
 		sum += c.weight
 	}
-	pick := h.random.Float64() * sum
-	for _, c := range h.clients {
-		if pick -= c.weight; pick >= 0 {
-			continue
-		}
-		if !now.Before(c.until) {
-			c.entry = c.region + 3*h.random.IntN((h.entries-c.region+2)/3)
-			c.until = now.Add(time.Second + time.Duration(h.random.Float64()*4e9))
-		}
-		entry := c.entry
-		if h.step && c.region == 0 && now.Sub(start) > stepStart && now.Sub(start) < stepEnd && h.random.IntN(2) == 0 {
-			entry = 0
-		}
-		a.hot = entry == 0
-		h.waiting[entry] = append(h.waiting[entry], a)
-		return
+	pick := h.demand.Float64() * sum
+	i := slices.IndexFunc(h.clients, func(c *herdClient) bool {
+		pick -= c.weight
+		return pick < 0
+	})
+	isHot := h.demand.IntN(2) == 0
+	if c := h.clients[max(i, 0)]; !h.step || c.region != 0 || !isHot || now.Sub(start) < stepStart || now.Sub(start) > stepEnd {
+		return c
 	}
+	return &herdClient{}
+}
+
+// arrive hands a request to the entry of its client.
+func (h *herd) arrive(now time.Time, a *request) {
+	a.placed = now
+	h.waiting[a.client.entry] = append(h.waiting[a.client.entry], a)
 }
 
 // place tries to send a request. It returns true once the request no longer waits at its entry.
@@ -462,7 +475,7 @@
 			continue
 		}
 		total++
-		if a.hot {
+		if a.client.entry == 0 {
 			hot++
 		}
 		switch {
@@ -470,7 +483,7 @@
 			refused++
 		case a.firstEvent <= objective:
 			inTime++
-			if a.hot {
+			if a.client.entry == 0 {
 				f.hotInTime++
 			}
 		default:
--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -47,10 +47,9 @@
 	firstEvent           time.Duration
 	refused              bool
 	retried              bool
-	// hot is set if it arrived at the entry with most demand.
-	hot      bool
-	inFlight placement
-	served   bool
+	client               *herdClient
+	inFlight             placement
+	served               bool
 }
 
 // placement is what an entry is told about the progress of a request.
--- a/entry/internal/target/loads.go
+++ b/entry/internal/target/loads.go
@@ -90,6 +90,7 @@
 	for id, u := range f.upstreams {
 		s := sums[HashOf(id)]
 		u.regionRunning, u.regionUnread = s.Running, s.Unread
+		u.recordKnown(now)
 		u.heldElsewhereUntil = now.Add(s.Held)
 	}
 	f.sumFreeSlots(now)
--- a/entry/internal/target/rivals_test.go
+++ b/entry/internal/target/rivals_test.go
@@ -352,7 +352,7 @@
 
 // BenchmarkHerd prints the figures of the policies. HERD selects shapes and policies by substring.
 func BenchmarkHerd(b *testing.B) {
-	const seeds = 2
+	const seeds = 4
 	if os.Getenv("NOSLOW") != "" {
 		slowPace = 1
 	}
--- /dev/null
+++ b/entry/internal/target/slow.go
@@ -0,0 +1,55 @@
+package target
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
+
+const (
+	// slowRatio is the ratio of the time to a first event to its prediction at which an engine is
+	// considered slow, soundRatio the one at which it no longer is. Predictions of sound engines are
+	// exceeded by half a pass, about a third, when a prompt arrives at the wrong moment.
+	slowRatio  = 1.8
+	soundRatio = 1.4
+	// maxSlowPace bounds the pace that is concluded from a first event. The longest times are those of queues.
+	maxSlowPace = 3
+	// maxStatusAge is the age that the status in a load report can have when it arrives.
+	maxStatusAge = 400 * time.Millisecond
+)
+
+// slowness is what the first events of this entry's requests say about an engine's pace. It ends with
+// evidence only: a faster first event, or a load report that states the normal pace and is based on a later
+// status.
+type slowness struct {
+	// pace is above 1 while the engine is considered slow, or zero.
+	pace float64
+	// since is when the first event arrived that gave the pace.
+	since time.Time
+}
+
+// recordPace compares the time to a first event with its prediction for the normal pace. The caller
+// holds the mutex.
+func (f *Fleet) recordPace(now time.Time, r *InFlight) {
+	u := r.upstream
+	if !u.even.active || r.Predicted <= 0 {
+		return
+	}
+	ratio := float64(now.Sub(r.startedAt)) / float64(r.Predicted) * max(r.pace, 1)
+	switch {
+	case ratio >= slowRatio:
+		if u.slowness.pace == 0 {
+			f.options.Log.Debug("upstream-slow", zap.String("upstream", u.row.ID), zap.Float64("pace", ratio))
+		}
+		u.slowness = slowness{pace: min(ratio, maxSlowPace), since: now}
+	case ratio <= soundRatio && !r.startedAt.Before(u.slowness.since):
+		u.slowness = slowness{}
+	}
+}
+
+// applyReport ends the slowness if a load report says that it is over.
+func (s *slowness) applyReport(now time.Time, pace float64) {
+	if pace <= 1 && now.Sub(s.since) > maxStatusAge {
+		*s = slowness{}
+	}
+}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -87,6 +87,10 @@
 	remoteAssigned bool
 	// even is what this entry may use of the engine if its pool has even load.
 	even evenShare
+	// history is what was known of its load, slowness what its first events say about its pace. Both are
+	// empty unless the pool has even load.
+	history  loadHistory
+	slowness slowness
 	// sentSinceReport is the number of requests sent since the last load report.
 	sentSinceReport int
 	// regionRunning and regionUnread are the loads that other entries of the region report.
@@ -256,6 +260,10 @@
 		f.recordLeaving(now, u, "agent")
 	}
 	u.otherRunning = max(r.Running-u.running-u.regionRunning, 0)
+	if u.even.active {
+		u.otherRunning = max(r.Running-u.history.past(now), 0)
+		u.slowness.applyReport(now, r.Pace)
+	}
 }
 
 // hasReport reports whether a valid load report is present.
@@ -275,6 +283,7 @@
 		l.Running += max(u.otherRunning, u.guestRunning())
 		l.Pace = u.report.Pace
 	}
+	l.Pace = max(l.Pace, u.slowness.pace)
 	return l
 }
 
@@ -297,8 +306,10 @@
 	Predicted time.Duration
 	// Running is the number of requests at the upstream before this one; LoadAge is the age
 	// of the load report behind it, or zero without a report.
-	Running       int
-	LoadAge       time.Duration
+	Running int
+	LoadAge time.Duration
+	// pace is that of the load by which the engine was chosen.
+	pace          float64
 	model         string
 	minVersion    int
 	promptTokens  int
@@ -315,6 +326,7 @@
 	u.running++
 	u.sentSinceReport++
 	u.unread += prompt
+	u.recordKnown(now)
 	r := &InFlight{fleet: f, upstream: u, Row: u.row, model: model, promptTokens: prompt, startedAt: now}
 	if u.hasReport(now) {
 		r.LoadAge = now.Sub(u.reportedAt)
@@ -334,6 +346,7 @@
 	delete(r.fleet.unbounded, r)
 	r.upstream.unread -= r.promptTokens
 	r.upstream.health.RecordSuccess(now, now.Sub(r.startedAt))
+	r.fleet.recordPace(now, r)
 }
 
 // Outcome classifies the end of a request with respect to its upstream.
@@ -370,6 +383,7 @@
 	delete(r.fleet.unbounded, r)
 	u := r.upstream
 	u.running--
+	u.recordKnown(now)
 	if !r.hasFirstEvent {
 		u.unread -= r.promptTokens
 	}
