--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -69,6 +69,7 @@
 	fields := []zap.Field{
 		zap.String("upstream", f.Row.ID), zap.Int("version", f.Version), zap.Int("served", f.Served), zap.Int("running", f.Running),
 		zap.Duration("age", f.LoadAge), zap.Duration("predicted", f.Predicted),
+		zap.String("usage", string(f.Usage)),
 	}
 	if !f.StartDeadline.IsZero() {
 		fields = append(fields, zap.Duration("startwithin", f.StartDeadline.Sub(start)))
@@ -78,6 +79,7 @@
 	m.attempts[result].Inc(1)
 	if l.pool.Engine != nil {
 		m.loadAge.RecordDuration(f.LoadAge)
+		m.scope.Tagged(map[string]string{"usage": string(f.Usage)}).Counter("choices").Inc(1)
 	}
 	if result == tries.ResultAnswered && err == nil {
 		return
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"currantport.example/core/clocks"
@@ -55,7 +56,9 @@
 	MaxStaleness time.Duration
 	// AgentPort is the mesh port of the upstreams' agents.
 	AgentPort int
-	Log       *zap.Logger
+	// Scope receives the loads of engines.
+	Scope tally.Scope
+	Log   *zap.Logger
 }
 
 // Syncer applies snapshots and exchanges loads. Use New.
@@ -269,6 +272,7 @@
 				sy.subscribe(s)
 			}
 		}
+		sy.recordPoolLoads(round)
 		select {
 		case <-t.C:
 		case <-ctx.Done():
@@ -277,6 +281,23 @@
 	}
 }
 
+// poolLoadLogRounds is the number of subscription intervals between two log lines of a pool's load.
+const poolLoadLogRounds = 10
+
+// recordPoolLoads updates the gauges of the loads of the region's engines, and logs them for pools
+// with even load.
+func (sy *Syncer) recordPoolLoads(round int) {
+	for _, l := range sy.options.Fleet.PoolLoads(clocks.Now()) {
+		s := sy.options.Scope.Tagged(map[string]string{"pool": l.Pool})
+		s.Gauge("engine_load").Update(l.Mean)
+		s.Gauge("engine_busiest").Update(l.Busiest)
+		if l.IsEven && round%poolLoadLogRounds == 0 {
+			sy.options.Log.Info("engine-load", zap.String("pool", l.Pool), zap.Int("engines", l.Engines), zap.Float64("mean", l.Mean),
+				zap.Float64("busiest", l.Busiest), zap.Float64("scarcity", l.Scarcity), zap.Int("slow", l.Slow))
+		}
+	}
+}
+
 func (sy *Syncer) subscribe(s target.Subscription) {
 	to := netip.AddrPortFrom(s.Row.Address.Addr(), uint16(sy.options.AgentPort))
 	sy.options.Mesh.Send(&wire.Datagram{Body: &wire.Datagram_Interest{Interest: &wire.Interest{
--- a/entry/internal/target/balance.go
+++ b/entry/internal/target/balance.go
@@ -333,3 +333,45 @@
 func (u *upstream) guestRunning() int {
 	return int(guestUse * u.even.guests * float64(u.row.Slots))
 }
+
+// PoolLoad is the load of the region's engines of a pool, as far as this entry knows it.
+type PoolLoad struct {
+	Pool    string
+	Engines int
+	// Mean and Busiest are numbers of requests per engine.
+	Mean, Busiest float64
+	// IsEven is set if the pool has even load.
+	IsEven bool
+	// Scarcity is 0 if many slots are free, and 1 if hardly any are.
+	Scarcity float64
+	// Slow is the number of engines that this entry's requests found slow.
+	Slow int
+}
+
+// PoolLoads returns the loads of the pools that have engines in the region, ordered by name.
+func (f *Fleet) PoolLoads(now time.Time) []PoolLoad {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	var loads []PoolLoad
+	for name, all := range f.pools {
+		l := PoolLoad{Pool: name, IsEven: f.even[name].active, Scarcity: f.even[name].scarcity}
+		for _, u := range all {
+			if u.row.Slots == 0 || f.isRemote(u) || !u.isOffered(now) || f.evacuated[hosts.Domain(u.row.Domain)] {
+				continue
+			}
+			running := float64(u.load(now).Running)
+			l.Engines++
+			l.Mean += running
+			l.Busiest = max(l.Busiest, running)
+			if u.slowness.pace > 0 {
+				l.Slow++
+			}
+		}
+		if l.Engines > 0 {
+			l.Mean /= float64(l.Engines)
+			loads = append(loads, l)
+		}
+	}
+	slices.SortFunc(loads, func(a, b PoolLoad) int { return cmp.Compare(a.Pool, b.Pool) })
+	return loads
+}
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -67,7 +67,9 @@
 	case best == nil:
 		return nil, f.retryDelay(reqs.Pool.Engine, all)
 	}
+	usage := f.usage(best.upstream)
 	r := f.startRequest(now, best.upstream, reqs.Model, reqs.PromptTokens)
+	r.Usage = usage
 	r.Version, r.Predicted, r.Running = best.version, best.firstEvent, best.load.Running
 	r.pace = best.load.Pace
 	r.minVersion, r.StartDeadline = best.minVersion, f.startDeadline(reqs.Model, best.minVersion)
--- a/entry/internal/target/slow.go
+++ b/entry/internal/target/slow.go
@@ -36,14 +36,17 @@
 		return
 	}
 	ratio := float64(now.Sub(r.startedAt)) / float64(r.Predicted) * max(r.pace, 1)
+	isLater := !r.startedAt.Before(u.slowness.since)
 	switch {
 	case ratio >= slowRatio:
 		if u.slowness.pace == 0 {
 			f.options.Log.Debug("upstream-slow", zap.String("upstream", u.row.ID), zap.Float64("pace", ratio))
 		}
 		u.slowness = slowness{pace: min(ratio, maxSlowPace), since: now}
-	case ratio <= soundRatio && !r.startedAt.Before(u.slowness.since):
+	case ratio <= soundRatio && isLater:
 		u.slowness = slowness{}
+	case u.slowness.pace > 0 && isLater:
+		u.slowness.pace = ratio
 	}
 }
 
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -304,6 +304,8 @@
 	Served int
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
+	// Usage is the relation of this entry to the engine when it was chosen.
+	Usage Usage
 	// Running is the number of requests at the upstream before this one; LoadAge is the age
 	// of the load report behind it, or zero without a report.
 	Running int
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -160,10 +160,10 @@
 	return shell.WithCleanup(lc, server, stop), nil
 }
 
-func newSyncer(lc fx.Lifecycle, s Settings, m *feed.Mirror, _ *feed.Follower, f *target.Fleet, server *httpd.Server, n *mesh.Node, p *conns.Pool, crashes *crash.Registry, log *zap.Logger) *syncer.Syncer {
+func newSyncer(lc fx.Lifecycle, s Settings, m *feed.Mirror, _ *feed.Follower, f *target.Fleet, server *httpd.Server, n *mesh.Node, p *conns.Pool, crashes *crash.Registry, metrics parts.Metrics, log *zap.Logger) *syncer.Syncer {
 	sy, stop := syncer.New(syncer.Options{
 		Self: s.Host, Region: s.Place.Region, Mirror: m, Fleet: f, Server: server, Mesh: n, Conns: p, Crashes: crashes,
-		MaxStaleness: time.Duration(readyStalenessRatio * float64(s.Bounds.Revoke)), AgentPort: s.AgentPort, Log: log,
+		MaxStaleness: time.Duration(readyStalenessRatio * float64(s.Bounds.Revoke)), AgentPort: s.AgentPort, Scope: metrics.Scope, Log: log,
 	})
 	return shell.WithCleanup(lc, sy, stop)
 }
