--- a/entry/internal/target/herd_test.go
+++ b/entry/internal/target/herd_test.go
@@ -107,6 +107,8 @@
 // herd runs many entries before many engines, without a network.
 type herd struct {
 	herdShape
+	// demand gives what doesn't depend on the policy, so that all policies get the same; random the rest.
+	demand   *rand.Rand
 	random   *rand.Rand
 	pool     *state.Pool
 	hosts    []hosts.Host
@@ -131,21 +133,11 @@
 	samples   int
 }
 
-// herdFigures are the results of one run.
-type herdFigures struct {
-	inTime, late, refused, busiest, spread, idle, remote float64
-	p99                                                  time.Duration
-	// hotInTime is the share in time of the requests at the first entry, swings the number of turns of the
-	// queue lengths by half of the slots or more, for each engine and second.
-	hotInTime, swings float64
-	messages, bytes   float64
-}
-
 var herdRegions = map[hosts.Domain]hosts.Region{"d0": "r0", "d1": "r1", "d2": "r2"}
 
 func newHerd(t testing.TB, s herdShape, newChooser func(h *herd, i int) chooser) *herd {
 	t.Helper()
-	h := &herd{herdShape: s, random: rand.New(rand.NewPCG(s.seed, 5)), pool: &state.Pool{Name: "p", Engine: herdSpecs[s.spec]}}
+	h := &herd{herdShape: s, demand: rand.New(rand.NewPCG(s.seed, 5)), random: rand.New(rand.NewPCG(s.seed, 6)), pool: &state.Pool{Name: "p", Engine: herdSpecs[s.spec]}}
 	for i := range s.entries {
 		r := i % 3
 		h.hosts = append(h.hosts, hosts.Host{Name: hosts.Name(fmt.Sprintf("edge-%d", i)), Place: hosts.Place{Region: hosts.Region(fmt.Sprintf("r%d", r)), Domain: hosts.Domain(fmt.Sprintf("d%d", r))}})
@@ -157,7 +149,7 @@
 		u := engine(i, fmt.Sprintf("d%d", i%3), 1)
 		u.Slots = h.pool.Engine.Slots
 		h.rows = append(h.rows, u)
-		h.engines = append(h.engines, &simEngine{id: u.ID, stepEnds: start.Add(time.Duration(h.random.Float64() * 40e6)), spec: h.pool.Engine})
+		h.engines = append(h.engines, &simEngine{id: u.ID, stepEnds: start.Add(time.Duration(h.demand.Float64() * 40e6)), spec: h.pool.Engine})
 	}
 	h.status, h.polled, h.polls = make([]target.LoadReport, s.servers), make([]int, s.servers), make([]int, s.servers)
 	h.turns, h.occupancy, h.waiting = make([]queueTurn, s.servers), make([]float64, s.servers), make([][]*request, s.entries)
@@ -257,13 +249,15 @@
 	next := start
 	for i := range int(span / tick) {
 		now := start.Add(time.Duration(i) * tick)
-		for ; next.Before(now); next = next.Add(time.Duration(h.random.ExpFloat64() / rate * float64(time.Second))) {
+		for ; next.Before(now); next = next.Add(time.Duration(h.demand.ExpFloat64() / rate * float64(time.Second))) {
 			a := &request{
-				prompt: min(int(941*math.Exp(0.8*h.random.NormFloat64()-0.32)), 3880), outputTokens: min(int(125*math.Exp(0.7*h.random.NormFloat64()-0.25)), 400) + 5, arrived: now,
+				prompt: min(int(941*math.Exp(0.8*h.demand.NormFloat64()-0.32)), 3880), outputTokens: min(int(125*math.Exp(0.7*h.demand.NormFloat64()-0.25)), 400) + 5, arrived: now,
 			}
 			h.all = append(h.all, a)
+			a.client = h.pickClient(now)
 			h.arrive(now, a)
 		}
+		h.moveClients(now)
 		h.deliver(now)
 		h.slow(now)
 		for e := range h.choosers {
@@ -299,7 +293,7 @@
 		return
 	}
 	h.slowEnds = now.Add(slowTime)
-	for k, i := range h.random.Perm(len(h.engines)) {
+	for k, i := range h.demand.Perm(len(h.engines)) {
 		h.engines[i].pace = 1
 		if k < len(h.engines)/slowShare {
 			h.engines[i].pace = slowPace
@@ -307,30 +301,39 @@
 	}
 }
 
-// arrive hands a request to the entry of a random client.
-func (h *herd) arrive(now time.Time, a *request) {
-	a.placed = now
+// moveClients gives new entries to the clients whose time with the last one is over.
+func (h *herd) moveClients(now time.Time) {
+	for _, c := range h.clients {
+		if !now.Before(c.until) {
+			c.entry = c.region + 3*h.demand.IntN((h.entries-c.region+2)/3)
+			c.until = now.Add(time.Second + time.Duration(h.demand.Float64()*4e9))
+		}
+	}
+}
+
+// pickClient returns a random client by weight. During a step it is one of the hot entry for half of the
+// requests of the first region.
+func (h *herd) pickClient(now time.Time) *herdClient {
 	sum := 0.0
 	for _, c := range h.clients {
 		sum += c.weight
 	}
-	pick := h.random.Float64() * sum
-	for _, c := range h.clients {
-		if pick -= c.weight; pick >= 0 {
-			continue
-		}
-		if !now.Before(c.until) {
-			c.entry = c.region + 3*h.random.IntN((h.entries-c.region+2)/3)
-			c.until = now.Add(time.Second + time.Duration(h.random.Float64()*4e9))
-		}
-		entry := c.entry
-		if h.step && c.region == 0 && now.Sub(start) > stepStart && now.Sub(start) < stepEnd && h.random.IntN(2) == 0 {
-			entry = 0
-		}
-		a.hot = entry == 0
-		h.waiting[entry] = append(h.waiting[entry], a)
-		return
+	pick := h.demand.Float64() * sum
+	i := slices.IndexFunc(h.clients, func(c *herdClient) bool {
+		pick -= c.weight
+		return pick < 0
+	})
+	isHot := h.demand.IntN(2) == 0
+	if c := h.clients[max(i, 0)]; !h.step || c.region != 0 || !isHot || now.Sub(start) < stepStart || now.Sub(start) > stepEnd {
+		return c
 	}
+	return &herdClient{}
+}
+
+// arrive hands a request to the entry of its client.
+func (h *herd) arrive(now time.Time, a *request) {
+	a.placed = now
+	h.waiting[a.client.entry] = append(h.waiting[a.client.entry], a)
 }
 
 // place tries to send a request. It returns true once the request no longer waits at its entry.
@@ -414,82 +417,3 @@
 		h.count(now, float64(peers), float64(peers*(messageBytes+entryLoadBytes*len(all))))
 	}
 }
-
-// sample records the lengths of the queues and the slots that are idle while requests wait.
-func (h *herd) sample() {
-	waiting, idle, sum, squares, n := 0, 0, 0.0, 0.0, 0.0
-	for _, w := range h.waiting {
-		waiting += len(w)
-	}
-	for k, m := range h.engines {
-		if h.evacuated && k%3 == 0 {
-			continue
-		}
-		q := float64(m.running())
-		h.occupancy[k] += q
-		h.turn(k, m.running())
-		idle += max(m.spec.Slots-m.running(), 0)
-		waiting += max(m.running()-m.spec.Slots, 0)
-		sum, squares, n = sum+q, squares+q*q, n+1
-	}
-	h.measured.spread += math.Sqrt(max(squares/n-sum/n*sum/n, 0))
-	h.measured.idle += float64(min(idle, waiting)) / (n * float64(h.pool.Engine.Slots))
-	h.measured.late++ // The number of samples, until figures replaces it.
-}
-
-// turn counts a change of direction of a queue's length by half of the slots or more.
-func (h *herd) turn(k, length int) {
-	t, half := &h.turns[k], h.pool.Engine.Slots/2
-	switch {
-	case t.up && length > t.extreme, !t.up && length < t.extreme:
-		t.extreme = length
-	case max(length-t.extreme, t.extreme-length) >= half:
-		t.up, t.extreme = !t.up, length
-		h.measured.swings++
-	}
-}
-
-func (h *herd) figures(span time.Duration) herdFigures {
-	f := h.measured
-	f.spread, f.idle, f.remote = f.spread/f.late, f.idle/f.late, f.remote/float64(max(h.samples, 1))
-	seconds := (span - herdWarmup).Seconds()
-	f.swings /= seconds * float64(h.servers)
-	f.messages, f.bytes = f.messages/seconds, f.bytes/seconds
-	total, inTime, late, refused, hot := 0.0, 0.0, 0.0, 0.0, 0.0
-	var first []time.Duration
-	for _, a := range h.all {
-		if !a.served && !a.refused || a.arrived.Sub(start) < herdWarmup {
-			continue
-		}
-		total++
-		if a.hot {
-			hot++
-		}
-		switch {
-		case a.refused:
-			refused++
-		case a.firstEvent <= objective:
-			inTime++
-			if a.hot {
-				f.hotInTime++
-			}
-		default:
-			late++
-		}
-		if a.served && !a.retried {
-			first = append(first, a.firstEvent)
-		}
-	}
-	f.hotInTime /= max(hot, 1)
-	f.inTime, f.late, f.refused = inTime/total, late/total, refused/total
-	slices.Sort(first)
-	f.p99 = first[len(first)*99/100]
-	sum, most, n := 0.0, 0.0, 0.0
-	for k, o := range h.occupancy {
-		if !h.evacuated || k%3 != 0 {
-			sum, most, n = sum+o, max(most, o), n+1
-		}
-	}
-	f.busiest = most / (sum / n)
-	return f
-}
--- a/entry/internal/target/load_test.go
+++ b/entry/internal/target/load_test.go
@@ -47,10 +47,9 @@
 	firstEvent           time.Duration
 	refused              bool
 	retried              bool
-	// hot is set if it arrived at the entry with most demand.
-	hot      bool
-	inFlight placement
-	served   bool
+	client               *herdClient
+	inFlight             placement
+	served               bool
 	// level orders the queue of the engine. It is zero if all are equal.
 	level int
 }
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -95,6 +95,10 @@
 	remoteAssigned bool
 	// even is what this entry may use of the engine if its pool has even load.
 	even evenShare
+	// history is what was known of its load, slowness what its first events say about its pace. Both are
+	// empty unless the pool has even load.
+	history  loadHistory
+	slowness slowness
 	// sentSinceReport is the number of requests sent since the last load report.
 	sentSinceReport int
 	// regionRunning and regionUnread are the loads that other entries of the region report.
@@ -314,6 +318,10 @@
 	}
 	u.otherRunning = max(r.Running-u.running-u.regionRunning, 0)
 	u.recordIdle(now, r.Running)
+	if u.even.active {
+		u.otherRunning = max(r.Running-u.history.past(now), 0)
+		u.slowness.applyReport(now, r.Pace)
+	}
 }
 
 // hasReport reports whether a valid load report is present.
@@ -333,6 +341,7 @@
 		l.Running += max(u.otherRunning, u.guestRunning())
 		l.Pace = u.report.Pace
 	}
+	l.Pace = max(l.Pace, u.slowness.pace)
 	return l
 }
 
@@ -353,10 +362,14 @@
 	Served int
 	// Predicted is the expected time to the first event.
 	Predicted time.Duration
+	// Usage is the relation of this entry to the engine when it was chosen.
+	Usage Usage
 	// Running is the number of requests at the upstream before this one; LoadAge is the age
 	// of the load report behind it, or zero without a report.
-	Running       int
-	LoadAge       time.Duration
+	Running int
+	LoadAge time.Duration
+	// pace is that of the load by which the engine was chosen.
+	pace          float64
 	model         string
 	minVersion    int
 	promptTokens  int
@@ -374,6 +387,7 @@
 	u.running++
 	u.sentSinceReport++
 	u.unread += prompt
+	u.recordKnown(now)
 	r := &InFlight{fleet: f, upstream: u, Row: u.row, model: model, promptTokens: prompt, startedAt: now}
 	if u.hasReport(now) {
 		r.LoadAge = now.Sub(u.reportedAt)
@@ -393,6 +407,7 @@
 	delete(r.fleet.unbounded, r)
 	r.upstream.unread -= r.promptTokens
 	r.upstream.health.RecordSuccess(now, now.Sub(r.startedAt))
+	r.fleet.recordPace(now, r)
 }
 
 // Outcome classifies the end of a request with respect to its upstream.
@@ -430,6 +445,7 @@
 	r.fleet.countEnd(hosts.Domain(r.Row.Domain))
 	u := r.upstream
 	u.running--
+	u.recordKnown(now)
 	if !r.hasFirstEvent {
 		u.unread -= r.promptTokens
 	}
