soak: inject cold upstreams, home regions and evacuations

The soak had no upstream with a bound while it is cold, and homes and evacuations were checked by tests without a network alone. Kinds upstream-cold, domain-cold, evacuate and homes, checks cold, homes and evacuated, and a mutant for each.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -46,6 +46,9 @@
 limitunshared~limits~entry/internal/target/limits.go~s/isOwner := owner == f\.options\.Self \|\| /isOwner := true || /~upstream-limit~1s
 limitforgotten~limits~entry/internal/target/limits.go~s/if s == nil \|\| !s\.limit\.IsSet\(\) \{/if s == nil || !s.limit.IsSet() || now.Sub(s.changedAt) > time.Second {/~upstream-limit~1s
 retained~revoked~core/feed/mirror.go~s/m\.retention\.beginEra\(now, active, platform\)/m.retention.rows = nil/~store-restore,config-revoke,config-revoke,config-revoke
+cold~cold~entry/internal/target/cold.go~s/if c\.rate == 0 \|\|/if true ||/~upstream-cold,domain-cold
+homes~homes~entry/internal/target/exclude.go~s/case !reqs\.Homes\.Allows\(f\.options\.Regions\[domain\]\):/case false:/~homes~2s
+evacuated~evacuated~entry/internal/target/exclude.go~s/case f\.evacuated\[domain\]:/case false:/~evacuate~2s
 reload~reload~agent/internal/loader/loader.go~s/(\tif lost \{\n)/\tif lost \&\& !l.statusAt.IsZero() {\n\t\ts.Held = nil\n\t}\n$1/~upstream-stall,upstream-stalls,config
 quarantined~quarantined~.~s/(outcome = target\.OutcomeTimeout\n)/$1\t\tl.handler.options.Crashes.RecordLoss(l.identity, f.Row.ID, l.sentAt)\n\t\tl.handler.options.Crashes.RecordCrash(f.Row.ID, "silence")\n/; s/(func \(r \*Registry\) RecordSurvival\(q Request\) \{\n)/$1\tif len(q.Parts) > 0 {\n\t\treturn\n\t}\n/~upstream-stall,upstream-stalls
 waited~waited~entry/internal/proxy/watchdog.go~s/ && !w\.lifecycle\.reserveRetry\(now, w\.reqs\)/ \&\& false/~upstream-stall,upstream-stalls
--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -52,6 +52,8 @@
 	poisons []*poisonPart
 	// limits are the times for which upstreams named a limit.
 	limits []namedLimit
+	// evacuations are the times for which failure domains were evacuated.
+	evacuations []evacuation
 	// stalls are the times for which upstreams stood still.
 	stalls []*stallPeriod
 	// unchecked are requests that have ended but may still run, in the order of their end.
@@ -276,6 +278,8 @@
 	c.checkBudget(all, runs)
 	c.checkDemands(all, runs)
 	c.checkLimits(all, runs)
+	c.checkCold(all, runs)
+	c.checkPlaces(all, runs)
 	c.checkPoison(all, runs)
 	c.checkStalls(all)
 	c.checkCanceled(all)
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -56,7 +56,7 @@
 }
 
 // faults are all kinds. A seed chooses by index, so a change of the order changes all runs.
-var faults = []fault{
+var faults = append([]fault{
 	{"entry-kill", func(i *injector, _ time.Duration) { i.kill(i.entry()) }},
 	{"entry-pause", func(i *injector, duration time.Duration) { i.pause(i.entry(), duration) }},
 	{"entry-stop", func(i *injector, _ time.Duration) { i.stop(i.entry()) }},
@@ -110,7 +110,7 @@
 	{"upstream-stall", func(i *injector, _ time.Duration) { i.stall(i.upstream()) }},
 	{"upstream-stalls", func(i *injector, _ time.Duration) { i.stallSeries() }},
 	{"release-stall", func(i *injector, _ time.Duration) { i.releaseStalled() }},
-}
+}, placingFaults...)
 
 // injector injects faults in the order determined by a seed.
 type injector struct {
@@ -123,7 +123,7 @@
 	kinds []fault
 	// losesPower is set if power is lost at the end of the run.
 	losesPower bool
-	// restoring is locked while the store is copied and restored.
+	// restoring is locked while the store is copied and restored, and during evacuations.
 	restoring sync.Mutex
 	// storeFaults and originFaults count the active faults of each.
 	storeFaults  atomic.Int32
--- a/stand/internal/soak/operator.go
+++ b/stand/internal/soak/operator.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"currantport.example/core/hosts"
 	"currantport.example/core/state"
 	"currantport.example/platform/fakes"
 )
@@ -25,6 +26,8 @@
 	publishedAt, storedAt time.Time
 	// pools maps the prefix of each route to its pool.
 	pools map[string]string
+	// homes are the home regions, by prefix of a route or name of a workspace.
+	homes map[string][]hosts.Region
 }
 
 // apiKey is an API key of a workspace.
@@ -53,6 +56,8 @@
 	versions    []modelVersion
 	// drains is when the store accepted that an upstream drains, by id.
 	drains map[string]time.Time
+	// homes are those of the next configuration.
+	homes map[string][]hosts.Region
 }
 
 func newOperator(w *world) *operator {
@@ -96,6 +101,7 @@
 	g := generation{number: len(o.generations) + 1, pools: map[string]string{
 		prefixRead: poolDesk, prefixBook: poolDesk, prefixAsk: poolMinds, prefixTale: poolMinds, prefixMove: poolDesk,
 	}}
+	g.homes = o.homes
 	if g.number%2 == 0 {
 		g.pools[prefixMove] = poolAnnex
 	}
@@ -145,9 +151,9 @@
 			IdleTimeout: 20*time.Second + time.Duration(g.number%2)*time.Second,
 		},
 		Pools: []state.Pool{
-			{Name: poolMinds, MaxConnections: maxConnections, Engine: engineRow()},
-			{Name: poolDesk, MaxConnections: maxConnections},
-			{Name: poolAnnex, MaxConnections: maxConnections},
+			o.world.makeCold(state.Pool{Name: poolMinds, MaxConnections: maxConnections, Engine: engineRow()}),
+			o.world.makeCold(state.Pool{Name: poolDesk, MaxConnections: maxConnections}),
+			o.world.makeCold(state.Pool{Name: poolAnnex, MaxConnections: maxConnections}),
 			{Name: poolOrigin, Origin: &state.Origin{Address: o.world.options.address(groupExternal, 1, portOrigin), Domain: string(domains[0]), Rate: originRate, MaxConnections: maxConnections}},
 		},
 	}
@@ -156,10 +162,11 @@
 			Name: prefix[1 : len(prefix)-1], Host: hostName, Prefix: prefix, Targets: []state.Target{{Pool: pool, Weight: 1}},
 			Idempotent: prefix != prefixBook && pool != poolMinds, Stream: pool == poolMinds, Resumable: prefix == prefixTale,
 			Timeout: routeTimeout, Objective: 400 * time.Millisecond, MaxEventGap: 400 * time.Millisecond, MaxAttempts: 3,
+			Homes: g.homes[prefix],
 		})
 	}
 	for i := range workspaceCount {
-		w := state.Workspace{Name: workspaceName(i)}
+		w := state.Workspace{Name: workspaceName(i), Homes: g.homes[workspaceName(i)]}
 		for _, k := range o.validKeys() {
 			if k.workspace == w.Name && k != revoked {
 				w.Keys = append(w.Keys, k.value)
