target: let clients return when a cold upstream is warm

A client that is refused because all upstreams with room are cold was told to wait for its turn at the cold rate, up to 10 s, also if the upstream is warm before. The wait ends now with the cold time and its ramp, spread over a second. TestRefusedClientsReturnWhenTheUpstreamIsWarm is red without it.

--- a/entry/internal/target/cold_test.go
+++ b/entry/internal/target/cold_test.go
@@ -445,3 +445,16 @@
 		}
 	}
 }
+
+// TestRefusedClientsReturnWhenTheUpstreamIsWarm guards against clients that are told to wait for their turn
+// at the cold rate, which many of them would get long after the upstream is warm.
+func TestRefusedClientsReturnWhenTheUpstreamIsWarm(t *testing.T) {
+	u := plain(0, start)
+	u.ColdFor = time.Second
+	w := newColdWorld(t, "e0", &u)
+	for range 50 {
+		if wait := w.fleet.LimitedRetryDelay(start, "s", 500*time.Millisecond); wait < 500*time.Millisecond || wait > 5*time.Second {
+			t.Fatalf("a client waits for %s", wait)
+		}
+	}
+}
--- a/entry/internal/target/grants.go
+++ b/entry/internal/target/grants.go
@@ -215,12 +215,19 @@
 func (f *Fleet) LimitedRetryDelay(now time.Time, pool string, soonest time.Duration) time.Duration {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
-	rate := 0.0
+	rate, warm := 0.0, maxLimitedRetryDelay
 	for _, u := range f.pools[pool] {
 		if s := u.demands.limit; s.isSet(now) && u.isOffered(now) {
 			rate += s.effectiveRate(now)
+			if !s.limit.IsSet() {
+				warm = min(warm, s.cold.until().Add(coldTail+coldRampTime).Sub(now))
+			}
 		}
 	}
+	if warm < maxLimitedRetryDelay {
+		// Clients that wait for a cold upstream to be warm return spread over a second.
+		warm += time.Duration(f.options.Random() * float64(coldTail))
+	}
 	at := now.Add(soonest)
 	if next := f.limitedReturns[pool]; next.After(at) {
 		at = next
@@ -229,5 +236,5 @@
 		entries := max(len(f.options.Entries()), 1)
 		f.limitedReturns[pool] = at.Add(time.Duration(float64(entries) / rate * float64(time.Second)))
 	}
-	return min(at.Sub(now), maxLimitedRetryDelay)
+	return min(at.Sub(now), warm)
 }
