--- a/entry/internal/target/cold_test.go
+++ b/entry/internal/target/cold_test.go
@@ -458,3 +458,26 @@
 		}
 	}
 }
+
+// TestColdEngineIsKeptToItsRate checks the choice of engines, with a warm one that is full.
+func TestColdEngineIsKeptToItsRate(t *testing.T) {
+	const rate = 2
+	owner, _ := coldOwner()
+	w := newEmptyWorld(t, owner, func() []hosts.Host { return entries })
+	cold, warm := engine(0, "d0", 1), engine(1, "d0", 1)
+	cold.ColdFor, warm.HasCold = coldTime, true
+	w.publish(start, w.row(state.EncodePool(&state.Pool{Name: "p", Cold: coldTime, ColdRate: rate, Engine: engineSpec})), w.upstream(cold), w.upstream(warm))
+	w.fleet.ReceiveLoadReport(start, "u1", target.LoadReport{Serial: 1, Pace: 1, Running: 100, Held: warm.Held})
+	var sent []time.Time
+	for now := start; now.Before(start.Add(coldTime + coldSpan)); now = now.Add(tick) {
+		w.fleet.ReceiveLoadReport(now, "u1", target.LoadReport{Serial: uint64(now.UnixNano()), Pace: 1, Running: 100, Held: warm.Held})
+		if id, f := w.place(now, w.requirements()); f != nil {
+			if f.Finish(now, target.OutcomeSuccess); id == "u0" {
+				sent = append(sent, now)
+			}
+		}
+	}
+	if most := trial.MostWithin(sent, coldSpan); most > allowedCold(rate) || len(sent) < 5*rate {
+		t.Errorf("%d requests in %s, allowed %d, %d in all", most, coldSpan, allowedCold(rate), len(sent))
+	}
+}
