target: don't trust old cold rows of an entry that starts

An entry that starts reads rows that may have been written long before, so that it took engines for cold that had been warm for seconds, and told their owners so with its asks.

wire.Limit gets the field unsure for such a time. An owner that has known of a cold time for longer ignores it, and its grant ends the time at the asking entry. Dropping the row's time by the start of the process was ruled out, since a process may become cold later. TestStartedEntryChillsNoOther is red without either part.

--- a/entry/internal/syncer/limits.go
+++ b/entry/internal/syncer/limits.go
@@ -70,7 +70,7 @@
 }
 
 func encodeLimit(l target.UpstreamLimit) *wire.Limit {
-	return &wire.Limit{Upstream: l.ID, Started: startMicros(l.Started), Rate: l.Limit.Rate, Serial: l.Limit.Serial, Cold: coldMillis(l.Cold)}
+	return &wire.Limit{Upstream: l.ID, Started: startMicros(l.Started), Rate: l.Limit.Rate, Serial: l.Limit.Serial, Cold: coldMillis(l.Cold), Unsure: l.Unsure}
 }
 
 // DecodeLimits returns the limits of a wire form.
@@ -85,7 +85,7 @@
 func decodeLimit(l *wire.Limit) target.UpstreamLimit {
 	return target.UpstreamLimit{
 		ID: l.GetUpstream(), Started: startTime(l.GetStarted()), Limit: quota.Limit{Rate: l.GetRate(), Serial: l.GetSerial()},
-		Cold: time.Duration(l.GetCold()) * time.Millisecond,
+		Cold: time.Duration(l.GetCold()) * time.Millisecond, Unsure: l.GetUnsure(),
 	}
 }
 
--- a/entry/internal/syncer/limits_test.go
+++ b/entry/internal/syncer/limits_test.go
@@ -19,7 +19,7 @@
 	all := []target.UpstreamLimit{
 		{ID: "i-7f3a91c2", Started: time.UnixMicro(1790000000123456), Limit: quota.Limit{Rate: 1.5, Serial: 3}},
 		{ID: "i-0", Limit: quota.Limit{Serial: 4}},
-		{ID: "i-1", Cold: 4321 * time.Millisecond},
+		{ID: "i-1", Cold: 4321 * time.Millisecond, Unsure: true},
 	}
 	encoded := syncer.EncodeLimits(all)
 	data, err := proto.Marshal(&wire.Shares{Limits: encoded})
--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -59,6 +59,9 @@
 	heard time.Time
 	// source is that of own.
 	source string
+	// isUnsure is set if own is from a row of the first snapshot, which may have been written long
+	// before.
+	isUnsure bool
 	// changedAt is when either end was last changed by more than coldJitter.
 	changedAt time.Time
 	// spendFrom is the time from which this entry spends as the owner, share the part of the rate
@@ -176,21 +179,34 @@
 		return
 	}
 	s := f.limitOf(u)
-	s.cold.source = source
+	s.cold.source, s.cold.isUnsure = source, source == coldByRow && !f.hasSnapshot
 	f.setCold(now, u, &s.cold.own, now.Add(min(left, maxCold)), source)
 }
 
-// hearCold records what another entry tells. It only lengthens the time.
-func (f *Fleet) hearCold(now time.Time, u *upstream, left time.Duration, from string) {
-	if u.coldRate == 0 || left <= 0 {
+// hearCold records what another entry tells. It only lengthens the time. What that entry is unsure of
+// changes nothing if this one has known of a cold time for longer.
+func (f *Fleet) hearCold(now time.Time, u *upstream, l UpstreamLimit, from string) {
+	if u.coldRate == 0 || l.Cold <= 0 {
+		return
+	}
+	s, until := f.limitOf(u), now.Add(min(l.Cold, maxCold))
+	if l.Unsure && !s.cold.changedAt.IsZero() && !s.cold.isUnsure {
 		return
 	}
-	s, until := f.limitOf(u), now.Add(min(left, maxCold))
 	if until.Sub(s.cold.until()) >= coldJitter {
 		f.setCold(now, u, &s.cold.heard, until, from)
 	}
 }
 
+// correctCold ends a cold time of which this entry is unsure and of which the owner, which responds, knows
+// that it is over.
+func (f *Fleet) correctCold(now time.Time, u *upstream, g Grant) {
+	if s := u.demands.limit; s != nil && s.cold.isUnsure && g.Count > 0 && g.Limit.Cold == 0 && s.cold.own.After(now) {
+		s.cold.isUnsure = false
+		f.setCold(now, u, &s.cold.own, now, "owner")
+	}
+}
+
 // RecordCold records the cold time that a response states, which may be zero. It reports whether
 // that is news.
 func (r *InFlight) RecordCold(now time.Time, left time.Duration) bool {
--- a/entry/internal/target/cold_test.go
+++ b/entry/internal/target/cold_test.go
@@ -261,12 +261,17 @@
 // newColdWorld returns the world of an entry with a pool of cold upstreams, with the upstream in its first
 // snapshot unless that is nil.
 func newColdWorld(t *testing.T, self hosts.Name, first *state.Upstream) *world {
+	return newColdWorldAt(t, start, self, first)
+}
+
+// newColdWorldAt is newColdWorld at another time.
+func newColdWorldAt(t *testing.T, at time.Time, self hosts.Name, first *state.Upstream) *world {
 	w := newEmptyWorld(t, self, func() []hosts.Host { return entries })
 	rows := []state.Row{w.row(state.EncodePool(&state.Pool{Name: "s", Cold: coldPoolTime, ColdRate: 0.1}))}
 	if first != nil {
 		rows = append(rows, w.upstream(*first))
 	}
-	w.publish(start, rows...)
+	w.publish(at, rows...)
 	return w
 }
 
@@ -481,3 +486,27 @@
 		t.Errorf("%d requests in %s, allowed %d, %d in all", most, coldSpan, allowedCold(rate), len(sent))
 	}
 }
+
+// TestStartedEntryChillsNoOther has an entry start long after an upstream has written that it is cold, and
+// ask an owner that knows that this is over. The row alone would keep both back as long as it says.
+func TestStartedEntryChillsNoOther(t *testing.T) {
+	owner, other := coldOwner()
+	u := plain(0, start)
+	u.ColdFor = coldPoolTime
+	w, late := newColdWorld(t, owner, nil), newColdWorldAt(t, start.Add(time.Minute), other, &u)
+	w.publish(start, w.upstream(u))
+	now := start.Add(time.Minute)
+	if !late.isCold(now) {
+		t.Fatal("an entry that starts doesn't heed the row")
+	}
+	var g target.GrantRequest
+	late.fleet.AwaitLimited(now, toPlain(), &g)
+	grants := w.fleet.ReceiveAsks(now, other, late.fleet.TakeAsks(now)[owner])
+	late.fleet.ReceiveGrants(now, grants)
+	if len(grants) != 1 || grants[0].Count == 0 || w.isCold(now) {
+		t.Errorf("the owner takes the upstream for cold: %+v", grants)
+	}
+	if late.isCold(now.Add(coldPoolTime / 2)) {
+		t.Error("the entry still takes the upstream for cold")
+	}
+}
--- a/entry/internal/target/grants.go
+++ b/entry/internal/target/grants.go
@@ -193,6 +193,9 @@
 	defer f.mutex.Unlock()
 	for _, g := range grants {
 		u := f.mergeLimit(now, "owner", g.Limit)
+		if u != nil {
+			f.correctCold(now, u, g)
+		}
 		if u == nil || !u.demands.limit.isSet(now) {
 			continue
 		}
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -190,11 +190,13 @@
 	Limit   quota.Limit
 	// Cold is how much longer the process is cold, or zero.
 	Cold time.Duration
+	// Unsure is set if Cold is from a row that may have been written long before.
+	Unsure bool
 }
 
 func (u *upstream) currentLimit(now time.Time) UpstreamLimit {
 	s := u.demands.limit
-	return UpstreamLimit{ID: u.row.ID, Started: u.row.Started, Limit: s.limit, Cold: s.cold.remaining(now)}
+	return UpstreamLimit{ID: u.row.ID, Started: u.row.Started, Limit: s.limit, Cold: s.cold.remaining(now), Unsure: s.cold.isUnsure && s.cold.heard.Before(s.cold.own)}
 }
 
 // AnnouncedLimits returns at most the given number of limits that upstreams have lately named in
@@ -261,7 +263,7 @@
 	if l.Limit.Supersedes(known) {
 		f.setLimit(now, u, l.Limit, string(from))
 	}
-	f.hearCold(now, u, l.Cold, string(from))
+	f.hearCold(now, u, l, string(from))
 	return u
 }
 
