--- a/entry/internal/target/cold_test.go
+++ b/entry/internal/target/cold_test.go
@@ -263,12 +263,17 @@
 // newColdWorld returns the world of an entry with a pool of cold upstreams, with the upstream in its first
 // snapshot unless that is nil.
 func newColdWorld(t *testing.T, self hosts.Name, first *state.Upstream) *world {
+	return newColdWorldAt(t, start, self, first)
+}
+
+// newColdWorldAt is newColdWorld at another time.
+func newColdWorldAt(t *testing.T, at time.Time, self hosts.Name, first *state.Upstream) *world {
 	w := newEmptyWorld(t, self, func() []hosts.Host { return entries })
 	rows := []state.Row{w.row(state.EncodePool(&state.Pool{Name: "s", Cold: coldPoolTime, ColdRate: 0.1}))}
 	if first != nil {
 		rows = append(rows, w.upstream(*first))
 	}
-	w.publish(start, rows...)
+	w.publish(at, rows...)
 	return w
 }
 
@@ -447,3 +452,63 @@
 		}
 	}
 }
+
+// TestRefusedClientsReturnWhenTheUpstreamIsWarm guards against clients that are told to wait for their turn
+// at the cold rate, which many of them would get long after the upstream is warm.
+func TestRefusedClientsReturnWhenTheUpstreamIsWarm(t *testing.T) {
+	u := plain(0, start)
+	u.ColdFor = time.Second
+	w := newColdWorld(t, "e0", &u)
+	for range 50 {
+		if wait := w.fleet.LimitedRetryDelay(start, "s", 500*time.Millisecond); wait < 500*time.Millisecond || wait > 5*time.Second {
+			t.Fatalf("a client waits for %s", wait)
+		}
+	}
+}
+
+// TestColdEngineIsKeptToItsRate checks the choice of engines, with a warm one that is full.
+func TestColdEngineIsKeptToItsRate(t *testing.T) {
+	const rate = 2
+	owner, _ := coldOwner()
+	w := newEmptyWorld(t, owner, func() []hosts.Host { return entries })
+	cold, warm := engine(0, "d0", 1), engine(1, "d0", 1)
+	cold.ColdFor, warm.HasCold = coldTime, true
+	w.publish(start, w.row(state.EncodePool(&state.Pool{Name: "p", Cold: coldTime, ColdRate: rate, Engine: engineSpec})), w.upstream(cold), w.upstream(warm))
+	w.fleet.ReceiveLoadReport(start, "u1", target.LoadReport{Serial: 1, Pace: 1, Running: 100, Held: warm.Held})
+	var sent []time.Time
+	for now := start; now.Before(start.Add(coldTime + coldSpan)); now = now.Add(tick) {
+		w.fleet.ReceiveLoadReport(now, "u1", target.LoadReport{Serial: uint64(now.UnixNano()), Pace: 1, Running: 100, Held: warm.Held})
+		if id, f := w.place(now, w.requirements()); f != nil {
+			if f.Finish(now, target.OutcomeSuccess); id == "u0" {
+				sent = append(sent, now)
+			}
+		}
+	}
+	if most := trial.MostWithin(sent, coldSpan); most > allowedCold(rate) || len(sent) < 5*rate {
+		t.Errorf("%d requests in %s, allowed %d, %d in all", most, coldSpan, allowedCold(rate), len(sent))
+	}
+}
+
+// TestStartedEntryChillsNoOther has an entry start long after an upstream has written that it is cold, and
+// ask an owner that knows that this is over. The row alone would keep both back as long as it says.
+func TestStartedEntryChillsNoOther(t *testing.T) {
+	owner, other := coldOwner()
+	u := plain(0, start)
+	u.ColdFor = coldPoolTime
+	w, late := newColdWorld(t, owner, nil), newColdWorldAt(t, start.Add(time.Minute), other, &u)
+	w.publish(start, w.upstream(u))
+	now := start.Add(time.Minute)
+	if !late.isCold(now) {
+		t.Fatal("an entry that starts doesn't heed the row")
+	}
+	var g target.GrantRequest
+	late.fleet.AwaitLimited(now, toPlain(), &g)
+	grants := w.fleet.ReceiveAsks(now, other, late.fleet.TakeAsks(now)[owner])
+	late.fleet.ReceiveGrants(now, grants)
+	if len(grants) != 1 || grants[0].Count == 0 || w.isCold(now) {
+		t.Errorf("the owner takes the upstream for cold: %+v", grants)
+	}
+	if late.isCold(now.Add(coldPoolTime / 2)) {
+		t.Error("the entry still takes the upstream for cold")
+	}
+}
