--- a/stand/internal/soak/placing.go
+++ b/stand/internal/soak/placing.go
@@ -25,8 +25,6 @@
 	coldInterval = 3
 	// minEvacuation is the shortest time for which a domain is evacuated.
 	minEvacuation = 4 * time.Second
-	// returnTime is how long the upstreams of a domain are away before they return cold.
-	returnTime = 500 * time.Millisecond
 )
 
 // placingFaults are the kinds of faults around cold upstreams, home regions and evacuations.
@@ -45,6 +43,12 @@
 	return strings.Contains(o.FaultKinds, "cold") || strings.Contains(o.FaultKinds, "evacuate")
 }
 
+// allKinds returns the kinds of a run with all. Engines that a poison part crashes would return cold and
+// serve fewer of the requests that the check innocent compares.
+func (o Options) allKinds() []fault {
+	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return f.name == "poison-part" && o.hasCold() })
+}
+
 // makeCold returns a pool with the cold time of the run.
 func (w *world) makeCold(p state.Pool) state.Pool {
 	if w.options.hasCold() {
@@ -76,7 +80,7 @@
 	var group sync.WaitGroup
 	for _, m := range i.world.upstreams {
 		if m.isStarted() && m.Domain() == d {
-			group.Go(func() { i.crash(m, returnTime) })
+			group.Go(func() { i.crash(m, minFaultTime) })
 		}
 	}
 	group.Wait()
@@ -88,8 +92,7 @@
 	from, until time.Time
 }
 
-// evacuate evacuates a domain, in one of six cases all. In half of the cases the upstreams are cold when it
-// ends. It does nothing while another evacuation lasts or the store is restored, which would lose it.
+// evacuate evacuates a domain, or all; half of them return cold. It excludes restores, which would lose it.
 func (i *injector) evacuate(duration time.Duration) {
 	if !i.restoring.TryLock() {
 		return
