target: record stated releases only where no bound is known

Agents state every recent release. Those that an entry has seen itself have a bound, so their statements were only logged. The tests' races that -race showed are mended: a map of the test's world and the collected reports were shared without a lock.

--- a/agent/internal/report/report_test.go
+++ b/agent/internal/report/report_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,7 +16,18 @@
 // agent is a source of reports on an idle engine, and the mesh that collects them.
 type agent struct {
 	released time.Time
-	sent     []*wire.LoadDigest
+
+	mutex sync.Mutex
+	sent  []*wire.LoadDigest
+}
+
+// take returns what was sent since the last call.
+func (a *agent) take() []*wire.LoadDigest {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
+	sent := a.sent
+	a.sent = nil
+	return sent
 }
 
 // Report implements report.Source.
@@ -25,6 +37,8 @@
 
 // Send implements report.Mesh.
 func (a *agent) Send(d *wire.Datagram, to ...netip.AddrPort) {
+	a.mutex.Lock()
+	defer a.mutex.Unlock()
 	if len(to) > 0 {
 		a.sent = append(a.sent, d.GetLoad())
 	}
@@ -39,15 +53,16 @@
 		defer r.Start(a, a)()
 		for range 2 {
 			time.Sleep(1500 * time.Millisecond)
-			a.sent = nil
+			a.take()
 			r.ReceiveSubscription(netip.MustParseAddrPort("10.0.0.2:80"), &wire.Interest{Name: "e0", First: true})
 			time.Sleep(time.Millisecond)
 			synctest.Wait()
-			if len(a.sent) == 0 {
+			sent := a.take()
+			if len(sent) == 0 {
 				t.Error("no report right after the subscription")
 				continue
 			}
-			got := a.sent[0].Releases
+			got := sent[0].Releases
 			if age := time.Since(a.released) - time.Millisecond; len(got) != 1 || got[0].Model != "m" || got[0].Version != 2 || got[0].Age != age.Microseconds() {
 				t.Errorf("releases %v, want version 2 of m after %v", got, age)
 			}
--- a/core/feed/bounds_test.go
+++ b/core/feed/bounds_test.go
@@ -1,6 +1,7 @@
 package feed_test
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -82,9 +83,10 @@
 				// A process that starts takes the age from its source.
 				started := feed.NewMirror()
 				relay(t, w.mirrors[w.entries[random.IntN(len(w.entries))].Name], started)
-				w.mirrors["started"] = started
+				mirrors := maps.Clone(w.mirrors)
+				mirrors["started"] = started
 				for _, h := range append([]hosts.Host{{Name: "started"}}, all...) {
-					r := w.mirrors[h.Name].Snapshot().Release("m")
+					r := mirrors[h.Name].Snapshot().Release("m")
 					if r.Version != version {
 						continue
 					}
--- a/entry/internal/target/releases.go
+++ b/entry/internal/target/releases.go
@@ -83,8 +83,7 @@
 	}
 	for _, r := range all {
 		k := statedKey{model: r.Model, version: r.Version}
-		newest := f.newestVersion(r.Model)
-		if r.Age <= 0 || r.Age > f.options.VersionTimeout || r.Version > newest || r.Version <= newest-maxReleases || u.stated[k] {
+		if r.Age <= 0 || r.Age > f.options.VersionTimeout || u.stated[k] || !f.isBoundUnknown(r.Model, r.Version) {
 			continue
 		}
 		if u.stated == nil {
@@ -99,6 +98,16 @@
 	}
 }
 
+// isBoundUnknown reports whether this process knows no time of the release of a version.
+func (f *Fleet) isBoundUnknown(model string, version int) bool {
+	newest := f.newestVersion(model)
+	if version > newest || version <= newest-maxReleases {
+		return false
+	}
+	at := slices.IndexFunc(f.releases[model], func(r release) bool { return r.version >= version })
+	return f.releases[model][at].notBefore.IsZero()
+}
+
 // relevantReleases returns the releases that bound the use of versions in the future, at most
 // maxReleases - 1. Those before the first one bound it to a time that isn't later.
 func (f *Fleet) relevantReleases(now time.Time, all []release) []release {
