--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -44,7 +44,7 @@
 holds~holds~entry/internal/target/choose.go~s/ && !u\.demands\.isHeld\(now\)//~upstream-held~300ms
 limitignored~limits~entry/internal/target/limits.go~s/(isLimited bool\) bool \{\n)/$1\tif true { return false }\n/~upstream-limit~1s
 limitunshared~limits~entry/internal/target/limits.go~s/isOwner := owner == f\.options\.Self \|\| /isOwner := true || /~upstream-limit~1s
-limitforgotten~limits~entry/internal/target/limits.go~s/if s == nil \|\| !s\.limit\.IsSet\(\) \{/if s == nil || !s.limit.IsSet() || now.Sub(s.changedAt) > time.Second {/~upstream-limit~1s
+limitforgotten~limits~entry/internal/target/limits.go~s/if !s\.isSet\(now\) \{\n\t\treturn true/if !s.isSet(now) || now.Sub(s.changedAt) > time.Second {\n\t\treturn true/~upstream-limit~1s
 retained~revoked~core/feed/mirror.go~s/m\.retention\.beginEra\(now, active, platform\)/m.retention.rows = nil/~store-restore,config-revoke,config-revoke,config-revoke
 cold~cold~entry/internal/target/cold.go~s/if c\.rate == 0 \|\|/if true ||/~upstream-cold,domain-cold
 homes~homes~entry/internal/target/exclude.go~s/case !reqs\.Homes\.Allows\(f\.options\.Regions\[domain\]\):/case false:/~homes~2s
--- a/stand/internal/soak/placing.go
+++ b/stand/internal/soak/placing.go
@@ -23,7 +23,6 @@
 	coldGrace = 1500 * time.Millisecond
 	// coldInterval is the number of seeds with all kinds of which one has cold upstreams.
 	coldInterval = 3
-	// minEvacuation is the shortest time for which a domain is evacuated.
 	minEvacuation = 4 * time.Second
 )
 
@@ -198,8 +197,7 @@
 	return nil
 }
 
-// isDelayed reports whether a fault of the upstream or of its link, or a stall, may have held requests or
-// responses up. It is called once all faults have ended.
+// isDelayed reports whether a fault or stall of the upstream or its link may have held requests up.
 func (c *checker) isDelayed(m *managedUpstream, from, until time.Time) bool {
 	from = from.Add(-stabilityTime)
 	return c.world.timeline.overlaps(from, until, func(e *Event) bool { return e.Subject == m.name && e.Name != eventCrash }) ||
