target: divide only engines that have served, and count only open ones as free

Cause: engines added to a region hold no version for some seconds. Ruled out: leaving out engines that replace their version, since all shares would move with each load. Change: an engine is divided once its row or a report has listed a whole version; closed and unreachable engines have no free slots. Shares in other regions no longer change the remote assignment.

--- a/entry/internal/target/assign.go
+++ b/entry/internal/target/assign.go
@@ -19,6 +19,14 @@
 // assign computes the local and the remote assignments of this entry. All entries arrive at
 // the same result without messages. The caller holds the mutex.
 func (f *Fleet) assign() {
+	entries := f.regionEntries()
+	f.assignLocal(entries)
+	f.assignAllRemote()
+	f.assignShares(entries)
+}
+
+// regionEntries returns the sorted names of the live entries of this region.
+func (f *Fleet) regionEntries() []hosts.Name {
 	var entries []hosts.Name
 	for _, h := range f.options.Entries() {
 		if h.Place.Region == f.options.Place.Region {
@@ -26,9 +34,7 @@
 		}
 	}
 	slices.Sort(entries)
-	f.assignLocal(entries)
-	f.assignAllRemote()
-	f.assignShares(entries)
+	return entries
 }
 
 // assignLocal assigns each engine of this region to one of the entries, which then knows most
--- a/entry/internal/target/balance.go
+++ b/entry/internal/target/balance.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"currantport.example/core/hosts"
+	"currantport.example/core/state"
 )
 
 // Even load
@@ -114,7 +115,7 @@
 		switch {
 		case f.evacuated[hosts.Domain(u.row.Domain)]:
 			evacuated = true
-		case !f.isRemote(u) && !u.row.Draining:
+		case !f.isRemote(u) && u.isShared():
 			local++
 		}
 	}
@@ -151,7 +152,6 @@
 		for i, u := range r.engines {
 			if index >= 0 {
 				u.even.share = overlap(low, high, i)
-				u.remoteAssigned = u.remoteAssigned || f.isRemote(u) && u.even.share > 0
 			}
 			if !f.isRemote(u) {
 				u.even.guests = r.guestShare(i, width, local)
@@ -209,7 +209,7 @@
 	}
 	for _, u := range all {
 		domain := hosts.Domain(u.row.Domain)
-		if u.row.Draining || f.evacuated[domain] {
+		if !u.isShared() || f.evacuated[domain] {
 			continue
 		}
 		r := region(f.options.Regions[domain])
@@ -243,6 +243,19 @@
 	}
 }
 
+// isShared reports whether the engine counts among those that are divided. New engines hold no version for
+// some seconds; one that replaces its version keeps its place, so that shares don't move with each load.
+func (u *upstream) isShared() bool { return u.hasServed && !u.row.Draining }
+
+// recordHeld reports whether the versions show for the first time that the engine serves.
+func (u *upstream) recordHeld(all []state.HeldVersion) bool {
+	if u.hasServed || !slices.ContainsFunc(all, func(h state.HeldVersion) bool { return h.Whole && h.Version > 0 }) {
+		return false
+	}
+	u.hasServed = true
+	return true
+}
+
 // byDeal orders engines by hash. The hash key must be the same in all entries, including those of other
 // releases.
 func byDeal(a, b *upstream) int {
@@ -261,6 +274,12 @@
 	return ahead < maxNearEntries
 }
 
+// isOpen reports whether the engine is in the region and takes requests.
+func (f *Fleet) isOpen(now time.Time, u *upstream) bool {
+	isClosed := u.health.IsDown(now) || u.hasReport(now) && u.report.Closed
+	return !f.isRemote(u) && !isClosed && u.isShared() && u.isOffered(now) && !f.evacuated[hosts.Domain(u.row.Domain)]
+}
+
 // sumFreeSlots computes how much of the slots of the region's engines is free, as far as is known. The caller
 // holds the mutex.
 func (f *Fleet) sumFreeSlots(now time.Time) {
@@ -270,7 +289,7 @@
 		}
 		free, slots := 0, 0
 		for _, u := range f.pools[name] {
-			if !f.isRemote(u) && u.isOffered(now) && !f.evacuated[hosts.Domain(u.row.Domain)] {
+			if f.isOpen(now, u) {
 				free += max(u.row.Slots-u.load(now).Running, 0)
 				slots += u.row.Slots
 			}
@@ -328,6 +347,9 @@
 	return slots / remoteReserveDivisor
 }
 
+// isUsedRemotely reports whether this entry uses the engine of another region.
+func (u *upstream) isUsedRemotely() bool { return u.remoteAssigned || u.even.share > 0 }
+
 // guestRunning returns how many requests entries of other regions are assumed to run in their shares of the
 // engine. Load reports say so later than the entries of the region send theirs.
 func (u *upstream) guestRunning() int {
@@ -356,7 +378,7 @@
 	for name, all := range f.pools {
 		l := PoolLoad{Pool: name, IsEven: f.even[name].active, Scarcity: f.even[name].scarcity}
 		for _, u := range all {
-			if u.row.Slots == 0 || f.isRemote(u) || !u.isOffered(now) || f.evacuated[hosts.Domain(u.row.Domain)] {
+			if u.row.Slots == 0 || !f.isOpen(now, u) {
 				continue
 			}
 			running := float64(u.load(now).Running)
--- a/entry/internal/target/balance_test.go
+++ b/entry/internal/target/balance_test.go
@@ -38,7 +38,7 @@
 
 // TestEvenLoadServesMoreInTime has entries without an engine of their own, which overrun engines that
 // they all see free at the same time; a region without engines, whose entries know the load elsewhere
-// late; and an entry that gets half of its region's demand, which must find the free slots of the others
+// late; engines that hold no version yet; and an entry that gets half of its region's demand, which must find the free slots of the others
 // without making queues swing.
 func TestEvenLoadServesMoreInTime(t *testing.T) {
 	for _, c := range []struct {
@@ -49,6 +49,7 @@
 	}{
 		{herdShape{spec: "B", entries: 64, servers: 34, load: 0.9, hot: 1.4}, 0.02, -0.05},
 		{herdShape{spec: "B", entries: 64, servers: 34, load: 1.2, hot: 1.4}, 0.06, -0.05},
+		{herdShape{spec: "B", entries: 64, servers: 57, empty: 23, load: 1.2, hot: 1.4}, 0.06, -0.05},
 		{herdShape{spec: "A", entries: 34, servers: 45, load: 0.9, hot: 1, evacuated: true}, 0.02, 0.1},
 		{herdShape{spec: "B", entries: 64, servers: 34, load: 0.7, hot: 1, step: true}, -0.01, -0.05},
 	} {
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		c := candidate{upstream: u, version: v, minVersion: minVersion, load: u.load(now)}
-		if f.isRemote(u) && !u.remoteAssigned && reqs.Homes.Allows(f.options.Place.Region) {
+		if f.isRemote(u) && !u.isUsedRemotely() && reqs.Homes.Allows(f.options.Place.Region) {
 			others = append(others, c)
 			continue
 		}
@@ -158,7 +158,7 @@
 			continue
 		}
 		for _, u := range f.pools[p.Name] {
-			if !f.isRemote(u) || u.remoteAssigned || u.running > 0 {
+			if !f.isRemote(u) || u.isUsedRemotely() || u.running > 0 {
 				all = append(all, Subscription{Row: u.row, Frequent: u.running > 0 || !f.isRemote(u)})
 			}
 		}
--- a/entry/internal/target/figures_test.go
+++ b/entry/internal/target/figures_test.go
@@ -23,7 +23,7 @@
 		waiting += len(w)
 	}
 	for k, m := range h.engines {
-		if h.evacuated && k%3 == 0 {
+		if h.isOut(k) {
 			continue
 		}
 		q := float64(m.running())
@@ -50,6 +50,9 @@
 	}
 }
 
+// isOut reports whether an engine can't serve.
+func (h *herd) isOut(k int) bool { return h.evacuated && k%3 == 0 || k >= h.servers-h.empty }
+
 // isHot reports whether a request arrived at the first entry, or in the evacuated region.
 func (h *herd) isHot(a *request) bool {
 	return a.client.entry == 0 || h.evacuated && a.client.region == 0
@@ -92,7 +95,7 @@
 	f.p99 = first[len(first)*99/100]
 	sum, most, n := 0.0, 0.0, 0.0
 	for k, o := range h.occupancy {
-		if !h.evacuated || k%3 != 0 {
+		if !h.isOut(k) {
 			sum, most, n = sum+o, max(most, o), n+1
 		}
 	}
--- a/entry/internal/target/herd_test.go
+++ b/entry/internal/target/herd_test.go
@@ -59,6 +59,8 @@
 	load, hot float64
 	// evacuated is set if the engines of the first region get no requests.
 	evacuated bool
+	// empty is the number of engines, the last ones, that hold no version yet.
+	empty int
 	// step is set if one entry gets half of the first region's requests from stepStart to stepEnd.
 	step bool
 	seed uint64
@@ -69,6 +71,9 @@
 	if s.step {
 		name += "-step"
 	}
+	if s.empty > 0 {
+		name += "-empty"
+	}
 	if s.evacuated {
 		name += "-evac"
 	}
@@ -147,6 +152,9 @@
 	}
 	for i := range s.servers {
 		u := engine(i, fmt.Sprintf("d%d", i%3), 1)
+		if i >= s.servers-s.empty {
+			u.Held = nil
+		}
 		u.Slots = h.pool.Engine.Slots
 		h.rows = append(h.rows, u)
 		h.engines = append(h.engines, &simEngine{id: u.ID, stepEnds: start.Add(time.Duration(h.demand.Float64() * 40e6)), spec: h.pool.Engine})
@@ -242,7 +250,7 @@
 
 // run plays the given time and returns the figures of what follows the warm-up.
 func (h *herd) run(span time.Duration) herdFigures {
-	rate := h.load * float64(h.servers) * timing.Rate(h.pool.Engine, 1)
+	rate := h.load * float64(h.servers-h.empty) * timing.Rate(h.pool.Engine, 1)
 	if h.evacuated {
 		rate *= 2.0 / 3
 	}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -85,6 +85,8 @@
 	// to; remoteAssigned is set if this entry is one of them.
 	remoteEntries  int
 	remoteAssigned bool
+	// hasServed is set once the engine's row or a load report has listed a whole version.
+	hasServed bool
 	// even is what this entry may use of the engine if its pool has even load.
 	even evenShare
 	// history is what was known of its load, slowness what its first events say about its pace. Both are
@@ -223,8 +225,11 @@
 // that of another process.
 func (f *Fleet) updateUpstream(now time.Time, known *upstream, row *state.Upstream) *upstream {
 	if known == nil || !known.row.SameProcess(row) {
-		return &upstream{row: row, rowHeldSince: now, demands: f.takeDemands(row), observed: make(map[string]observedVersions)}
+		u := &upstream{row: row, rowHeldSince: now, demands: f.takeDemands(row), observed: make(map[string]observedVersions)}
+		u.recordHeld(row.Held)
+		return u
 	}
+	known.recordHeld(row.Held)
 	if known.row.Draining != row.Draining {
 		f.options.Log.Info("upstream-draining", zap.String("upstream", row.ID), zap.Bool("draining", row.Draining))
 	}
@@ -256,6 +261,9 @@
 		u.reportHeldSince = now
 	}
 	u.report, u.reportedAt, u.sentSinceReport = r, now, 0
+	if u.recordHeld(r.Held) {
+		f.assignShares(f.regionEntries())
+	}
 	if r.Leaving && r.Started.Equal(u.row.Started) {
 		f.recordLeaving(now, u, "agent")
 	}
