target: bound the cost of shares and of free slots in large pools

Cause: the shares of guests were computed in the square of the entries for each engine, and free slots were summed up at messages of other entries only, so that they went stale while those had no requests. Change: guests are looked up by their place in the interval; free slots are summed up at reports, too, at most every 20 ms.

--- a/entry/internal/target/balance.go
+++ b/entry/internal/target/balance.go
@@ -39,6 +39,9 @@
 	// much demand uses all engines alike. At minFreeRatio and below, far engines are used last.
 	maxFreeRatio = 0.25
 	minFreeRatio = 0.1
+	// freeSlotsInterval is the least time between two sums of free slots. A large pool has thousands of
+	// reports a second.
+	freeSlotsInterval = 20 * time.Millisecond
 	// maxCrowding is the number of entries per engine of a region, relative to the mean, above which some of its
 	// entries have their shares in other regions.
 	maxCrowding = 1.5
@@ -130,12 +133,13 @@
 		if f.even[name].active != active {
 			f.options.Log.Info("even-load", zap.String("pool", name), zap.Bool("active", active), zap.Int("entries", len(local)), zap.Int("upstreams", len(all)))
 		}
+		scarcity := f.even[name].scarcity
 		f.even[name] = evenPool{active: active}
 		for _, u := range all {
 			u.even = evenShare{active: active}
 		}
 		if active {
-			f.even[name] = evenPool{active: true, scarcity: 1, hasGuests: f.assignPoolShares(all, local)}
+			f.even[name] = evenPool{active: true, scarcity: scarcity, hasGuests: f.assignPoolShares(all, local)}
 		}
 	}
 }
@@ -147,6 +151,11 @@
 		slices.Sort(r.entries)
 		index := slices.Index(r.entries, f.options.Self)
 		slices.SortFunc(r.engines, byDeal)
+		isGuest := make([]bool, len(r.entries))
+		for j, e := range r.entries {
+			_, isLocal := slices.BinarySearch(local, e)
+			isGuest[j] = !isLocal
+		}
 		width := float64(len(r.engines)) / float64(max(len(r.entries), 1))
 		low, high := float64(index)*width, float64(index+1)*width
 		for i, u := range r.engines {
@@ -154,7 +163,7 @@
 				u.even.share = overlap(low, high, i)
 			}
 			if !f.isRemote(u) {
-				u.even.guests = r.guestShare(i, width, local)
+				u.even.guests = guestShare(i, width, isGuest)
 			}
 			u.even.near = !f.isRemote(u) && f.isNear(u, local)
 		}
@@ -167,11 +176,11 @@
 	return max(min(high, float64(i+1))-max(low, float64(i)), 0)
 }
 
-// guestShare returns the part of engine i that belongs to entries that aren't local.
-func (r *shareRegion) guestShare(i int, width float64, local []hosts.Name) float64 {
+// guestShare returns the part of engine i that belongs to guests, where each entry has the given width.
+func guestShare(i int, width float64, isGuest []bool) float64 {
 	share := 0.0
-	for j, e := range r.entries {
-		if !slices.Contains(local, e) {
+	for j := int(float64(i) / width); j < len(isGuest) && float64(j)*width < float64(i+1); j++ {
+		if isGuest[j] {
 			share += overlap(float64(j)*width, float64(j+1)*width, i)
 		}
 	}
@@ -283,6 +292,10 @@
 // sumFreeSlots computes how much of the slots of the region's engines is free, as far as is known. The caller
 // holds the mutex.
 func (f *Fleet) sumFreeSlots(now time.Time) {
+	if now.Sub(f.freeSlotsAt) < freeSlotsInterval {
+		return
+	}
+	f.freeSlotsAt = now
 	for name, p := range f.even {
 		if !p.active {
 			continue
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -167,6 +167,8 @@
 	evacuated map[hosts.Domain]bool
 	// even are the pools with even load.
 	even map[string]evenPool
+	// freeSlotsAt is when the free slots of these pools were last summed up.
+	freeSlotsAt time.Time
 }
 
 // New returns a fleet without upstreams.
@@ -271,6 +273,7 @@
 	if u.even.active {
 		u.otherRunning = max(r.Running-u.history.past(now), 0)
 		u.slowness.applyReport(now, r.Pace)
+		f.sumFreeSlots(now)
 	}
 }
 
