--- a/entry/internal/target/balance.go
+++ b/entry/internal/target/balance.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"currantport.example/core/hosts"
+	"currantport.example/core/state"
 )
 
 // Even load
@@ -38,6 +39,9 @@
 	// much demand uses all engines alike. At minFreeRatio and below, far engines are used last.
 	maxFreeRatio = 0.25
 	minFreeRatio = 0.1
+	// freeSlotsInterval is the least time between two sums of free slots. A large pool has thousands of
+	// reports a second.
+	freeSlotsInterval = 20 * time.Millisecond
 	// maxCrowding is the number of entries per engine of a region, relative to the mean, above which some of its
 	// entries have their shares in other regions.
 	maxCrowding = 1.5
@@ -114,7 +118,7 @@
 		switch {
 		case f.evacuated[hosts.Domain(u.row.Domain)]:
 			evacuated = true
-		case !f.isRemote(u) && !u.row.Draining:
+		case !f.isRemote(u) && u.isShared():
 			local++
 		}
 	}
@@ -129,12 +133,13 @@
 		if f.even[name].active != active {
 			f.options.Log.Info("even-load", zap.String("pool", name), zap.Bool("active", active), zap.Int("entries", len(local)), zap.Int("upstreams", len(all)))
 		}
+		scarcity := f.even[name].scarcity
 		f.even[name] = evenPool{active: active}
 		for _, u := range all {
 			u.even = evenShare{active: active}
 		}
 		if active {
-			f.even[name] = evenPool{active: true, scarcity: 1, hasGuests: f.assignPoolShares(all, local)}
+			f.even[name] = evenPool{active: true, scarcity: scarcity, hasGuests: f.assignPoolShares(all, local)}
 		}
 	}
 }
@@ -146,15 +151,19 @@
 		slices.Sort(r.entries)
 		index := slices.Index(r.entries, f.options.Self)
 		slices.SortFunc(r.engines, byDeal)
+		isGuest := make([]bool, len(r.entries))
+		for j, e := range r.entries {
+			_, isLocal := slices.BinarySearch(local, e)
+			isGuest[j] = !isLocal
+		}
 		width := float64(len(r.engines)) / float64(max(len(r.entries), 1))
 		low, high := float64(index)*width, float64(index+1)*width
 		for i, u := range r.engines {
 			if index >= 0 {
 				u.even.share = overlap(low, high, i)
-				u.remoteAssigned = u.remoteAssigned || f.isRemote(u) && u.even.share > 0
 			}
 			if !f.isRemote(u) {
-				u.even.guests = r.guestShare(i, width, local)
+				u.even.guests = guestShare(i, width, isGuest)
 			}
 			u.even.near = !f.isRemote(u) && f.isNear(u, local)
 		}
@@ -167,11 +176,11 @@
 	return max(min(high, float64(i+1))-max(low, float64(i)), 0)
 }
 
-// guestShare returns the part of engine i that belongs to entries that aren't local.
-func (r *shareRegion) guestShare(i int, width float64, local []hosts.Name) float64 {
+// guestShare returns the part of engine i that belongs to guests, where each entry has the given width.
+func guestShare(i int, width float64, isGuest []bool) float64 {
 	share := 0.0
-	for j, e := range r.entries {
-		if !slices.Contains(local, e) {
+	for j := int(float64(i) / width); j < len(isGuest) && float64(j)*width < float64(i+1); j++ {
+		if isGuest[j] {
 			share += overlap(float64(j)*width, float64(j+1)*width, i)
 		}
 	}
@@ -209,7 +218,7 @@
 	}
 	for _, u := range all {
 		domain := hosts.Domain(u.row.Domain)
-		if u.row.Draining || f.evacuated[domain] {
+		if !u.isShared() || f.evacuated[domain] {
 			continue
 		}
 		r := region(f.options.Regions[domain])
@@ -243,6 +252,19 @@
 	}
 }
 
+// isShared reports whether the engine counts among those that are divided. New engines hold no version for
+// some seconds; one that replaces its version keeps its place, so that shares don't move with each load.
+func (u *upstream) isShared() bool { return u.hasServed && !u.row.Draining }
+
+// recordHeld reports whether the versions show for the first time that the engine serves.
+func (u *upstream) recordHeld(all []state.HeldVersion) bool {
+	if u.hasServed || !slices.ContainsFunc(all, func(h state.HeldVersion) bool { return h.Whole && h.Version > 0 }) {
+		return false
+	}
+	u.hasServed = true
+	return true
+}
+
 // byDeal orders engines by hash. The hash key must be the same in all entries, including those of other
 // releases.
 func byDeal(a, b *upstream) int {
@@ -261,16 +283,26 @@
 	return ahead < maxNearEntries
 }
 
+// isOpen reports whether the engine is in the region and takes requests.
+func (f *Fleet) isOpen(now time.Time, u *upstream) bool {
+	isClosed := u.health.IsDown(now) || u.hasReport(now) && u.report.Closed
+	return !f.isRemote(u) && !isClosed && u.isShared() && u.isOffered(now) && !f.evacuated[hosts.Domain(u.row.Domain)]
+}
+
 // sumFreeSlots computes how much of the slots of the region's engines is free, as far as is known. The caller
 // holds the mutex.
 func (f *Fleet) sumFreeSlots(now time.Time) {
+	if now.Sub(f.freeSlotsAt) < freeSlotsInterval {
+		return
+	}
+	f.freeSlotsAt = now
 	for name, p := range f.even {
 		if !p.active {
 			continue
 		}
 		free, slots := 0, 0
 		for _, u := range f.pools[name] {
-			if !f.isRemote(u) && u.isOffered(now) && !f.evacuated[hosts.Domain(u.row.Domain)] {
+			if f.isOpen(now, u) {
 				free += max(u.row.Slots-u.load(now).Running, 0)
 				slots += u.row.Slots
 			}
@@ -328,6 +360,9 @@
 	return slots / remoteReserveDivisor
 }
 
+// isUsedRemotely reports whether this entry uses the engine of another region.
+func (u *upstream) isUsedRemotely() bool { return u.remoteAssigned || u.even.share > 0 }
+
 // guestRunning returns how many requests entries of other regions are assumed to run in their shares of the
 // engine. Load reports say so later than the entries of the region send theirs.
 func (u *upstream) guestRunning() int {
@@ -356,7 +391,7 @@
 	for name, all := range f.pools {
 		l := PoolLoad{Pool: name, IsEven: f.even[name].active, Scarcity: f.even[name].scarcity}
 		for _, u := range all {
-			if u.row.Slots == 0 || f.isRemote(u) || !u.isOffered(now) || f.evacuated[hosts.Domain(u.row.Domain)] {
+			if u.row.Slots == 0 || !f.isOpen(now, u) {
 				continue
 			}
 			running := float64(u.load(now).Running)
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		c := candidate{upstream: u, version: v, minVersion: minVersion, load: u.load(now)}
-		if f.isRemote(u) && !u.remoteAssigned && reqs.Homes.Allows(f.options.Place.Region) {
+		if f.isRemote(u) && !u.isUsedRemotely() && reqs.Homes.Allows(f.options.Place.Region) {
 			others = append(others, c)
 			continue
 		}
@@ -177,7 +177,7 @@
 			continue
 		}
 		for _, u := range f.pools[p.Name] {
-			if !f.isRemote(u) || u.remoteAssigned || u.running > 0 {
+			if !f.isRemote(u) || u.isUsedRemotely() || u.running > 0 {
 				if u.subscribedAt.IsZero() {
 					u.subscribedAt = now
 				}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -93,6 +93,8 @@
 	// to; remoteAssigned is set if this entry is one of them.
 	remoteEntries  int
 	remoteAssigned bool
+	// hasServed is set once the engine's row or a load report has listed a whole version.
+	hasServed bool
 	// even is what this entry may use of the engine if its pool has even load.
 	even evenShare
 	// history is what was known of its load, slowness what its first events say about its pace. Both are
@@ -153,8 +155,8 @@
 	pools map[string][]*upstream
 	// entryLoads are the last reports of the other entries of the region.
 	entryLoads map[hosts.Name]entryLoadReport
-	// regionEntries is the number of live entries of the region, at least one.
-	regionEntries int
+	// regionSize is the number of live entries of the region, at least one.
+	regionSize int
 	// departed holds the demands of upstreams that are listed no more, since they may only
 	// have lapsed.
 	departed *recent.Map[processKey, demands]
@@ -194,6 +196,8 @@
 	meters map[string]*level.Meter
 	// even are the pools with even load.
 	even map[string]evenPool
+	// freeSlotsAt is when the free slots of these pools were last summed up.
+	freeSlotsAt time.Time
 	// running are the requests of this entry in progress by failure domain.
 	running map[hosts.Domain]int
 	// homeConflicts are those of the last snapshot, which have been logged.
@@ -210,10 +214,10 @@
 		releases: make(map[string][]release), stated: make(map[statedKey]time.Time), entryLoads: make(map[hosts.Name]entryLoadReport),
 		departed: recent.New[processKey, demands](maxDeparted), unbounded: make(map[*InFlight]struct{}),
 		limited: make(map[string]*upstream), unlistedLimits: recent.New[string, unlistedLimit](maxUnlistedLimits), limitedReturns: make(map[string]time.Time), regionViews: make(map[hosts.Region]regionView), even: make(map[string]evenPool), asks: make(chan struct{}, 1),
-		seen:          make(map[hosts.Name]knownEntry),
-		regionEntries: 1,
-		meters:        make(map[string]*level.Meter),
-		running:       make(map[hosts.Domain]int),
+		seen:       make(map[hosts.Name]knownEntry),
+		regionSize: 1,
+		meters:     make(map[string]*level.Meter),
+		running:    make(map[hosts.Domain]int),
 	}
 }
 
@@ -277,8 +281,11 @@
 // that of another process.
 func (f *Fleet) updateUpstream(now time.Time, known *upstream, row *state.Upstream) *upstream {
 	if known == nil || !known.row.SameProcess(row) {
-		return &upstream{row: row, rowHeldSince: now, demands: f.takeDemands(row), observed: make(map[string]observedVersions)}
+		u := &upstream{row: row, rowHeldSince: now, demands: f.takeDemands(row), observed: make(map[string]observedVersions)}
+		u.recordHeld(row.Held)
+		return u
 	}
+	known.recordHeld(row.Held)
 	if known.row.Draining != row.Draining {
 		f.options.Log.Info("upstream-draining", zap.String("upstream", row.ID), zap.Bool("draining", row.Draining))
 	}
@@ -313,6 +320,9 @@
 		u.reportHeldSince = now
 	}
 	u.report, u.reportedAt, u.sentSinceReport = r, now, 0
+	if u.recordHeld(r.Held) {
+		f.assignShares(f.regionEntries())
+	}
 	if r.Leaving && r.Started.Equal(u.row.Started) {
 		f.recordLeaving(now, u, "agent")
 	}
@@ -321,6 +331,7 @@
 	if u.even.active {
 		u.otherRunning = max(r.Running-u.history.past(now), 0)
 		u.slowness.applyReport(now, r.Pace)
+		f.sumFreeSlots(now)
 	}
 }
 
