--- a/core/timing/timing.go
+++ b/core/timing/timing.go
@@ -79,12 +79,6 @@
 	return time.Duration(float64(t) * max(l.Pace, 1))
 }
 
-// OutputTime returns the time in which an engine with a full batch generates the tokens of one request,
-// while it also reads the prompts of others.
-func OutputTime(e *state.Engine, tokens int) time.Duration {
-	return time.Duration(tokens) * serviceTime(e) * time.Duration(e.Slots) / time.Duration(max(e.OutputTokens, 1))
-}
-
 // Rate returns how many requests per second an engine with a full batch completes.
 func Rate(e *state.Engine, pace float64) float64 {
 	return float64(time.Second) / (float64(serviceTime(e)) * max(pace, 1))
--- a/entry/internal/proxy/levels.go
+++ b/entry/internal/proxy/levels.go
@@ -14,7 +14,6 @@
 	"currantport.example/core/calls"
 	"currantport.example/core/clocks"
 	"currantport.example/core/state"
-	"currantport.example/core/timing"
 	"currantport.example/entry/internal/level"
 	"currantport.example/entry/internal/target"
 )
@@ -163,29 +162,15 @@
 // grace is how long a request may wait without a cost to the client.
 func (w *wait) grace() time.Duration { return w.lifecycle.objective() / capacityWaitDivisor }
 
-// until returns the time from which the request would be placed too late. Further attempts are late
-// anyway and wait no longer than newcomers may. A client that returns is late too, and most have no other
-// try left, so that it may wait as long as clients do, and its response can still be complete in time.
+// until returns the time from which the request would be placed too late. Further attempts and
+// clients that return are late anyway and wait no longer than newcomers may.
 func (w *wait) until(now time.Time) time.Time {
 	l := w.lifecycle
-	e := l.pool.Engine
-	switch {
-	case l.isRetry:
-		left := l.deadline.Sub(now) - timing.OutputTime(e, l.call.EstimateOutput(e.OutputTokens))
-		return now.Add(level.Patience(e, min(l.clientPatience(), left)))
-	case len(l.attempted) > 0:
-		return now.Add(level.Patience(e, l.objective()))
+	waited := time.Since(l.arrived)
+	if l.isRetry || len(l.attempted) > 0 {
+		waited = 0
 	}
-	return now.Add(level.Patience(e, l.objective()) - now.Sub(l.arrived))
-}
-
-// minClientPatience is the shortest time for which clients wait for an event.
-const minClientPatience = 2 * time.Second
-
-// clientPatience returns how long clients wait for an event before they abandon a stream: the longest of
-// minClientPatience, four objectives and eight times the longest gap that is on time.
-func (l *lifecycle) clientPatience() time.Duration {
-	return max(minClientPatience, 4*l.objective(), 8*l.admission.Route.MaxEventGap)
+	return now.Add(level.Patience(l.pool.Engine, l.objective()) - waited)
 }
 
 // groupOf returns what distinguishes requests that need other engines than others of the pool.
