--- a/stand/internal/soak/placing.go
+++ b/stand/internal/soak/placing.go
@@ -22,7 +22,7 @@
 	// coldGrace is the time from which the rule counts for an upstream that becomes cold unannounced.
 	coldGrace = 1500 * time.Millisecond
 	// coldInterval is the number of seeds with all kinds of which one has cold upstreams.
-	coldInterval = 3
+	coldInterval  = 3
 	minEvacuation = 4 * time.Second
 )
 
