--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -21,12 +21,12 @@
 workspace~workspace~entry/internal/proxy/lifecycle.go~s/a\.Workspace = l\.admission\.Workspace\.Name/a.Workspace = "workspace-0"/~config
 secret~workspace~platform/internal/bridge/client.go~s/forms\.HeaderAPIKey: true, //~config
 revoked~revoked~entry/internal/proxy/admit.go~s/if v\.Staleness > b\.MaxKeyStaleness \{/if false {/~store-hung,config-revoke
-drain~drain~entry/internal/target/choose.go~s/!u\.row\.Draining && //; s/ && !u\.demands\.leaving//~upstream-drain
+drain~drain~entry/internal/target/exclude.go~s/case u\.row\.Draining \|\| u\.demands\.leaving:/case false:/~upstream-drain
 routes~route~core/state/build.go~s/into\[name\] = row/if _, ok := into[name]; !ok { into[name] = row }/~config
 late~route~core/feed/mirror.go~s/(rows := m\.changedRows\(u\)\n)/$1\tif len(rows) > 1 { time.Sleep(3 * time.Second) }\n/~config~2s
 forward~forward~core/feed/mirror.go~s/return m\.snapshot\.Load\(\) \}/if s := older.Load(); s != nil \&\& time.Now().UnixNano()%5 == 0 { return s }; return m.snapshot.Load() }\n\nvar older atomic.Pointer[state.Snapshot]/; s/(\t\tm\.snapshot\.Store\(snapshot\))/\t\tolder.Store(m.snapshot.Load())\n$1/~config
 denied~denied~entry/internal/proxy/admit.go~s/if !v\.State\.Configured \|\| !v\.Confirmed \{/if false {/~entries-kill,store-hung
-version~version~entry/internal/target/choose.go~s/return end\.IsZero\(\) \|\| /return true || /~release,origin-down
+version~version~entry/internal/target/releases.go~s/return end\.IsZero\(\) \|\| /return true || /~release,origin-down
 unseen~version~core/feed/mirror.go~s/r\.NotBefore\.After\((m\.)?completeAt\)/false/; s/return (m\.)?completeAt\n/return time.Now()\n/~release-unseen~6s
 poison~poison~core/crash/crash.go~s/if r\.parts\.isQuarantined\(q\.Parts\) \{/if false {/~poison-part~6s
 innocent~innocent~core/crash/parts.go~s/(\) isQuarantined\(parts \[\]Fingerprint\) bool \{\n)/$1\tif len(t.convicted) > 0 { return true }\n/~poison-part~6s
@@ -40,8 +40,8 @@
 lost~lost~entry/internal/proxy/handler.go~s/(l\.run\(r\.Context\(\)\)\n)/$1\tif l.arrived.UnixNano()%20 == 0 { panic(http.ErrAbortHandler) }\n/~config
 unanswered~unanswered~entry/internal/httpd/httpd.go~s/(\t\ts\.current\.listener\.stop\(\)\n)(\t\}\n\tc := )/$1\t\tgo func(h *http.Server) { _ = h.Close() }(s.current.http)\n$2/~config
 recover~recover~core/feed/mirror.go~s/m\.confirmedAt\.Store\(&u\.ConfirmedAt\)/m.confirmedAt.CompareAndSwap(nil, \&u.ConfirmedAt)/~config
-leaving~leaving~entry/internal/target/choose.go~s/ && !u\.demands\.leaving//~upstream-leave
-holds~holds~entry/internal/target/choose.go~s/ && !u\.demands\.isHeld\(now\)//~upstream-held~300ms
+leaving~leaving~entry/internal/target/exclude.go~s/u\.row\.Draining \|\| u\.demands\.leaving:/u.row.Draining:/~upstream-leave
+holds~holds~entry/internal/target/exclude.go~s/case u\.demands\.isHeld\(now\):/case false:/~upstream-held~300ms
 limitignored~limits~entry/internal/target/limits.go~s/(isLimited bool\) bool \{\n)/$1\tif true { return false }\n/~upstream-limit~1s
 limitunshared~limits~entry/internal/target/limits.go~s/isOwner := owner == f\.options\.Self \|\| /isOwner := true || /~upstream-limit~1s
 limitforgotten~limits~entry/internal/target/limits.go~s/if !s\.isSet\(now\) \{\n\t\treturn true/if !s.isSet(now) || now.Sub(s.changedAt) > time.Second {\n\t\treturn true/~upstream-limit~1s
