--- a/entry/internal/target/rivals_test.go
+++ b/entry/internal/target/rivals_test.go
@@ -357,6 +357,12 @@
 	all = append(all, herdPolicy{"even", func(t testing.TB) func(*herd, int) chooser {
 		return newProduct(t, func(o *target.Options) { o.EvenLoad = target.EvenAlways })
 	}})
+	// Half of the entries are of the previous release.
+	all = append(all, herdPolicy{"mixed", func(t testing.TB) func(*herd, int) chooser {
+		return func(h *herd, i int) chooser {
+			return newEven(t, []target.EvenLoad{target.EvenAuto, target.EvenNever}[i/3%2])(h, i)
+		}
+	}})
 	for _, p := range []string{"least", "preferred", "redealt", "two", "aged", "shares", "likely", "weighted", "oracle"} {
 		all = append(all, herdPolicy{p, func(testing.TB) func(*herd, int) chooser { return newRival(p) }})
 	}
