target: use the pace of first events for the comparison of engines only

Cause: the mark raised the prediction by which requests are admitted and timed out, so that an entry that is slow itself would have refused requests that engines have room for. Change: the mark raises the cost only; a first event must take 50 ms longer than predicted, and 60 ms more from another region.

--- a/entry/internal/target/rank.go
+++ b/entry/internal/target/rank.go
@@ -23,7 +23,7 @@
 
 // cost returns the predicted time to the first event plus penalties.
 func (f *Fleet) cost(now time.Time, reqs Requirements, c *candidate) time.Duration {
-	cost := time.Duration(float64(c.firstEvent) * (1 + costJitterRatio*f.options.Random()))
+	cost := time.Duration(float64(c.firstEvent) * (1 + costJitterRatio*f.options.Random()) * c.upstream.slowness.factor(c.load.Pace))
 	if reqs.MaxEventGap > 0 && timing.EventGap(reqs.Pool.Engine, c.load, reqs.PromptTokens) > reqs.MaxEventGap {
 		cost += reqs.MaxEventGap
 	}
--- a/entry/internal/target/slow.go
+++ b/entry/internal/target/slow.go
@@ -12,6 +12,9 @@
 	// exceeded by half a pass, about a third, when a prompt arrives at the wrong moment.
 	slowRatio  = 1.8
 	soundRatio = 1.4
+	// minSlowExcess is how much longer than predicted a first event of a slow engine takes at least. Delays of
+	// the network and of a busy entry are below it.
+	minSlowExcess = 50 * time.Millisecond
 	// maxSlowPace bounds the pace that is concluded from a first event. The longest times are those of queues.
 	maxSlowPace = 3
 	// maxStatusAge is the age that the status in a load report can have when it arrives.
@@ -35,10 +38,14 @@
 	if !u.even.active || r.Predicted <= 0 {
 		return
 	}
-	ratio := float64(now.Sub(r.startedAt)) / float64(r.Predicted) * max(r.pace, 1)
+	took := now.Sub(r.startedAt)
+	if f.isRemote(u) {
+		took -= crossRegionCost
+	}
+	ratio := float64(took) / float64(r.Predicted) * max(r.pace, 1)
 	isLater := !r.startedAt.Before(u.slowness.since)
 	switch {
-	case ratio >= slowRatio:
+	case ratio >= slowRatio && took-r.Predicted >= minSlowExcess:
 		if u.slowness.pace == 0 {
 			f.options.Log.Debug("upstream-slow", zap.String("upstream", u.row.ID), zap.Float64("pace", ratio))
 		}
@@ -50,6 +57,10 @@
 	}
 }
 
+// factor returns the factor by which a prediction that is based on the given pace grows. It is for
+// the comparison of engines only: if all seem slow because the entry itself is, none is refused for it.
+func (s *slowness) factor(pace float64) float64 { return max(s.pace/max(pace, 1), 1) }
+
 // applyReport ends the slowness if a load report says that it is over.
 func (s *slowness) applyReport(now time.Time, pace float64) {
 	if pace <= 1 && now.Sub(s.since) > maxStatusAge {
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -294,7 +294,6 @@
 		l.Running += max(u.otherRunning, u.guestRunning())
 		l.Pace = u.report.Pace
 	}
-	l.Pace = max(l.Pace, u.slowness.pace)
 	return l
 }
 
