--- a/entry/internal/target/rank.go
+++ b/entry/internal/target/rank.go
@@ -28,6 +28,7 @@
 const (
 	costRunning costKind = iota
 	costFirstEvent
+	costSlow
 	costJitter
 	costEventGap
 	costFailures
@@ -41,7 +42,7 @@
 )
 
 var costNames = [costKinds]string{
-	costRunning: "running", costFirstEvent: "first", costJitter: "jitter", costEventGap: "gap", costFailures: "failures", costLatency: "latency",
+	costRunning: "running", costFirstEvent: "first", costSlow: "slow", costJitter: "jitter", costEventGap: "gap", costFailures: "failures", costLatency: "latency",
 	costRegion: "region", costUnassigned: "unassigned", costDegraded: "degraded", costDown: "down", costHeldElsewhere: "held",
 }
 
@@ -61,7 +62,9 @@
 func (f *Fleet) cost(now time.Time, reqs Requirements, c *candidate) costs[time.Duration] {
 	var all costs[time.Duration]
 	all[costFirstEvent] = c.firstEvent
-	all[costJitter] = time.Duration(float64(c.firstEvent)*(1+costJitterRatio*f.options.Random())) - c.firstEvent
+	all[costSlow] = time.Duration(float64(c.firstEvent)*c.upstream.slowness.factor(c.load.Pace)) - c.firstEvent
+	slowed := all[costFirstEvent] + all[costSlow]
+	all[costJitter] = time.Duration(float64(slowed) * costJitterRatio * f.options.Random())
 	if reqs.MaxEventGap > 0 && timing.EventGap(reqs.Pool.Engine, c.load, reqs.PromptTokens) > reqs.MaxEventGap {
 		all[costEventGap] = reqs.MaxEventGap
 	}
