--- a/entry/internal/level/queue.go
+++ b/entry/internal/level/queue.go
@@ -57,16 +57,16 @@
 	serial uint64
 }
 
-// rank orders by level, newcomers before clients that return, because these can only be late: a slot
-// that one of them takes makes another client late or refused.
+// rank orders by level. Newcomers go before clients that return with the same level, because
+// these can only be late.
 func (t *Ticket) rank() int {
 	switch {
 	case t.Exempt:
 		return 0
 	case t.Returned:
-		return state.MaxLevels + t.Level
+		return 2*t.Level + 1
 	}
-	return t.Level
+	return 2 * t.Level
 }
 
 // Queue orders the requests of an entry that wait for an engine of a pool. It is not safe for
@@ -87,7 +87,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue(levels int) *Queue {
-	return &Queue{shares: NewShares(levels), turns: make(map[string]float64), placed: make([]float64, 2*state.MaxLevels)}
+	return &Queue{shares: NewShares(levels), turns: make(map[string]float64), placed: make([]float64, 2*levels)}
 }
 
 // Add puts a request into the queue. It returns nil if the queue is full.
--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -36,6 +36,9 @@
 	e := reqs.Pool.Engine
 	free = e.Slots + e.Slots/queueDivisor - reserve - l.Running
 	switch {
+	case reqs.Levels > 1 && reqs.Returned:
+		// Its place among the levels decides, in levelReserve.
+		return free, 1
 	case timing.FirstEvent(e, l, e.PromptTokens) <= reqs.Remaining:
 		return free, 1
 	case timing.FirstEvent(e, timing.Load{}, e.PromptTokens) <= reqs.Remaining:
--- a/entry/internal/target/levels.go
+++ b/entry/internal/target/levels.go
@@ -15,6 +15,10 @@
 	Counts level.Counts
 }
 
+// lastReserveDivisor is the part of an engine's slots, as a divisor, that is reserved against clients
+// that return with the last level. Those that are in time go first.
+const lastReserveDivisor = 6
+
 // RecordArrival counts a first request to a pool with several levels, and whether it found room
 // early.
 func (f *Fleet) RecordArrival(now time.Time, reqs Requirements, hasRoom bool) {
@@ -76,11 +80,15 @@
 		return 0
 	}
 	slots := float64(reqs.Pool.Engine.Slots)
-	if reqs.Returned {
-		// A client that returns can only be late, so it counts as less urgent than all newcomers.
-		return m.Reserves(now)[reqs.Levels] * slots
+	switch {
+	case !reqs.Returned:
+		return m.Reserves(now)[reqs.Level] * slots
+	case reqs.Level == reqs.Levels-1:
+		return (m.Reserves(now)[reqs.Levels] + 1.0/lastReserveDivisor) * slots
 	}
-	return m.Reserves(now)[reqs.Level] * slots
+	// A client that returns can only be late, so it counts as less urgent than newcomers of its
+	// level.
+	return m.Reserves(now)[reqs.Level+1] * slots
 }
 
 // leveled returns the slots that the request leaves free at an engine for more urgent ones. A fraction
