entry: mend what the review of the merged parts found

Left: mixed releases (a leader of the previous one doesn't pass on homes, evacuations and cold times), requests that wait are compared each 5 ms (now at most 128 of a pool in place of 512). Measured: unit tests, TestReportOfAnUnknownModelIsIgnored (panicked before).

--- a/core/feed/follow.go
+++ b/core/feed/follow.go
@@ -127,6 +127,7 @@
 // platform isn't answered by all of them. An agent does so only if no entry responds.
 func (f *Follower) sources() []hosts.Name {
 	entries := f.options.Entries()
+	f.orderSources(entries)
 	if f.isStarting() {
 		if nearest, ok := f.options.Identity.NearestFirst(entries); ok {
 			return nearest
@@ -135,7 +136,6 @@
 			return nil
 		}
 	}
-	f.orderSources(entries)
 	if f.leads {
 		return f.platformFirst
 	}
--- a/entry/internal/level/queue.go
+++ b/entry/internal/level/queue.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -13,7 +14,7 @@
 const (
 	// maxWaiting and maxWaitingBytes bound the requests that wait at an entry for a pool, and
 	// their bodies. An entry places some dozens of requests in the time that one may wait.
-	maxWaiting      = 512
+	maxWaiting      = 128
 	maxWaitingBytes = 64 << 20
 	// rateWindow is the time constant of the measured rate of placements.
 	rateWindow = 2 * time.Second
@@ -153,6 +154,7 @@
 	q.placed[min(t.rank(), len(q.placed)-1)]++
 	q.turn = max(q.turns[t.Workspace], q.turn)
 	q.turns[t.Workspace] = q.turn + 1
+	maps.DeleteFunc(q.turns, func(_ string, turn float64) bool { return turn <= q.turn })
 	q.Remove(t)
 }
 
@@ -214,9 +216,9 @@
 	return leastChance
 }
 
-// Patience returns how long after its arrival a request may be placed so that it is in time at a busy
+// MaxWait returns how long after its arrival a request may be placed so that it is in time at a busy
 // engine. A client that returns is late anyway; it may wait as long as a newcomer.
-func Patience(e *state.Engine, objective time.Duration) time.Duration {
+func MaxWait(e *state.Engine, objective time.Duration) time.Duration {
 	busy := timing.Load{Running: e.Slots - 1, Unread: e.PromptTokens}
 	return max(objective-timing.FirstEvent(e, busy, e.PromptTokens), 0)
 }
--- a/entry/internal/proxy/explain.go
+++ b/entry/internal/proxy/explain.go
@@ -8,6 +8,7 @@
 	"currantport.example/core/calls"
 	"currantport.example/core/clocks"
 	"currantport.example/core/state"
+	"currantport.example/entry/internal/level"
 	"currantport.example/entry/internal/target"
 )
 
@@ -136,6 +137,9 @@
 	fleet, now := l.handler.options.Fleet.Fork(l.pool.Name), clocks.Now()
 	reqs := l.requirements()
 	reqs.Remaining = l.poolObjective()
+	if reqs.Levels > 1 {
+		reqs.Ahead = l.handler.queues.ahead(l.pool.Name, reqs)
+	}
 	p := PoolExplanation{Explanation: fleet.Explain(now, reqs), Requirements: reqs}
 	if p.Choice != "" {
 		return p
@@ -146,6 +150,9 @@
 	p.LatestRetry = latest.RetryAfter
 	if canWait {
 		p.MaxWait = l.objective() / capacityWaitDivisor
+		if reqs.Levels > 1 {
+			p.MaxWait = max(p.MaxWait, level.MaxWait(l.pool.Engine, l.objective()))
+		}
 	}
 	return p
 }
--- a/entry/internal/proxy/levels.go
+++ b/entry/internal/proxy/levels.go
@@ -51,9 +51,22 @@
 	return p
 }
 
+// find returns the queue of a pool with the number of levels, or nil.
+func (q *queues) find(pool string, levels int) *poolQueue {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if p := q.pools[pool]; p != nil && p.levels == levels {
+		return p
+	}
+	return nil
+}
+
 // ahead returns the homes of the waiting requests that go before a request that doesn't wait.
 func (q *queues) ahead(pool string, reqs target.Requirements) []state.Homes {
-	p := q.of(pool, reqs.Levels)
+	p := q.find(pool, reqs.Levels)
+	if p == nil {
+		return nil
+	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.queue.Ahead(level.Request{Level: reqs.Level, Returned: reqs.Returned})
@@ -170,7 +183,7 @@
 	if l.isRetry || len(l.attempted) > 0 {
 		waited = 0
 	}
-	return now.Add(level.Patience(l.pool.Engine, l.objective()) - waited)
+	return now.Add(level.MaxWait(l.pool.Engine, l.objective()) - waited)
 }
 
 // groupOf returns what distinguishes requests that need other engines than others of the pool.
@@ -227,6 +240,8 @@
 		return refusal
 	case a.Route.Name != l.admission.Route.Name || !hasTarget(a.Route, l.pool.Name):
 		return calls.NotRun(calls.ReasonNoPool, minRetryAfter, "the route has changed")
+	case a.Workspace != nil && l.admission.Workspace != nil && a.Workspace.Name != l.admission.Workspace.Name:
+		return calls.NotRun(calls.ReasonStale, minRetryAfter, "the key belongs to another workspace now")
 	case v.State.Pool(l.pool.Name) == nil:
 		return calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the pool was removed")
 	}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -190,7 +190,7 @@
 		MaxEventGap: l.admission.Route.MaxEventGap, Homes: l.homes(),
 	}
 	if l.pool.Engine != nil {
-		l.level, l.levels = l.view.State.Urgency(l.pool.Name, l.admission.Route, l.admission.Workspace)
+		l.level, l.levels = l.handler.options.Mirror.Snapshot().Urgency(l.pool.Name, l.admission.Route, l.admission.Workspace)
 	}
 	if l.levels > 1 {
 		r.Level, r.Levels, r.Returned = l.level, l.levels, l.isRetry
@@ -206,7 +206,7 @@
 func (l *lifecycle) homes() state.Homes {
 	route, workspace := l.admission.Route, l.admission.Workspace
 	s := l.handler.options.Mirror.Snapshot()
-	if r := s.Match(l.call.Host, l.call.Path); r != nil && r.Name == route.Name {
+	if r := s.Match(l.call.Host, l.call.Path); r != nil {
 		route = r
 	}
 	if workspace != nil {
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -280,7 +280,7 @@
 			}
 		}
 		sy.recordPoolLoads(round)
-		if len(all) == 0 {
+		if len(all) == 0 && sy.options.Mirror.Head() == 0 {
 			// An entry that has just started waits for its first rows.
 			if !clocks.Sleep(ctx, firstSubscriptionInterval) {
 				return
--- a/entry/internal/target/balance.go
+++ b/entry/internal/target/balance.go
@@ -99,37 +99,45 @@
 	guests float64
 }
 
-// wantsEvenLoad reports whether a pool needs even load: if the region has more entries than engines, so
-// that not every entry is assigned one, or if some engines are evacuated, so that those of other
-// failure domains serve their demand.
-func (f *Fleet) wantsEvenLoad(all []*upstream, entries int) bool {
+// wantsEvenLoad reports whether a pool needs even load: if a region has more entries than engines, so that
+// not every entry is assigned one, or if some engines are evacuated, so that those of other failure
+// domains serve their demand. The answer is the same in all regions, since entries of one have shares in
+// engines of another. Engines that load their first version count, or it would change while they come up.
+func (f *Fleet) wantsEvenLoad(all []*upstream) bool {
 	switch f.options.EvenLoad {
 	case EvenAlways:
 		return true
 	case EvenNever:
 		return false
 	}
-	local, engines, evacuated := 0, 0, false
+	engines := make(map[hosts.Region]int)
 	for _, u := range all {
-		if u.row.Slots == 0 {
-			continue
-		}
-		engines++
+		domain := hosts.Domain(u.row.Domain)
 		switch {
-		case f.evacuated[hosts.Domain(u.row.Domain)]:
-			evacuated = true
-		case !f.isRemote(u) && u.isShared():
-			local++
+		case u.row.Slots == 0 || u.row.Draining:
+		case f.evacuated[domain]:
+			return true
+		default:
+			engines[f.options.Regions[domain]]++
+		}
+	}
+	entries := make(map[hosts.Region]int)
+	for _, h := range f.options.Entries() {
+		entries[h.Place.Region]++
+	}
+	for r, n := range engines {
+		if entries[r] > n {
+			return true
 		}
 	}
-	return evacuated || local > 0 && entries > local
+	return false
 }
 
 // assignShares computes the shares of this entry in the engines of all regions, and which engines of its
 // own region it uses beyond them. The names of the region's entries are sorted. The caller holds the mutex.
 func (f *Fleet) assignShares(local []hosts.Name) {
 	for name, all := range f.pools {
-		active := slices.Contains(local, f.options.Self) && f.wantsEvenLoad(all, len(local))
+		active := slices.Contains(local, f.options.Self) && f.wantsEvenLoad(all)
 		if f.even[name].active != active {
 			f.options.Log.Info("even-load", zap.String("pool", name), zap.Bool("active", active), zap.Int("entries", len(local)), zap.Int("upstreams", len(all)))
 		}
--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -200,9 +200,9 @@
 	f.setCold(now, u, &s.cold.own, now.Add(min(left, maxCold)), source)
 }
 
-// hearCold records what another entry tells. It only lengthens the time. What that entry is unsure of
+// mergeCold records what another entry tells. It only lengthens the time. What that entry is unsure of
 // changes nothing if this one has known of a cold time for longer.
-func (f *Fleet) hearCold(now time.Time, u *upstream, l UpstreamLimit, from string) {
+func (f *Fleet) mergeCold(now time.Time, u *upstream, l UpstreamLimit, from string) {
 	if u.coldRate == 0 || l.Cold <= 0 {
 		return
 	}
--- a/entry/internal/target/fork.go
+++ b/entry/internal/target/fork.go
@@ -19,6 +19,7 @@
 	o.Random, o.Log, o.Metrics = func() float64 { return 0 }, zap.NewNop(), tally.NoopScope
 	c := New(o)
 	c.limitedReturns, c.releases, c.evacuated = maps.Clone(f.limitedReturns), maps.Clone(f.releases), f.evacuated
+	c.stated = maps.Clone(f.stated)
 	c.knownEntries, c.asksSince = f.knownEntries, f.asksSince
 	c.seen, c.liveShare, c.regionShares, c.regionViews = maps.Clone(f.seen), f.liveShare, maps.Clone(f.regionShares), maps.Clone(f.regionViews)
 	c.hasSnapshot, c.even = f.hasSnapshot, maps.Clone(f.even)
--- a/entry/internal/target/grants.go
+++ b/entry/internal/target/grants.go
@@ -160,8 +160,9 @@
 		case u != nil && u.demands.limit != nil:
 			all = append(all, f.grant(now, u, from, a))
 		case u != nil && !a.Limit.Limit.IsSet() && a.Limit.Cold == 0 && u.isOffered(now):
-			// The asking entry keeps back after a cold time that is over and was never known here.
-			all = append(all, Grant{Limit: a.Limit, Count: max(min(a.Count, maxAskCount), 1), Stamp: a.Stamp})
+			// The asking entry limits itself after a cold time that is over and was never known here. One
+			// at a time, since others may ask too.
+			all = append(all, Grant{Limit: a.Limit, Count: 1, Stamp: a.Stamp})
 		case a.Limit.Cold > 0:
 			all = append(all, Grant{Limit: UpstreamLimit{ID: a.Limit.ID, Started: a.Limit.Started}, Stamp: a.Stamp, Wait: unlistedAskDelay})
 		}
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -273,7 +273,7 @@
 	if l.Limit.Supersedes(known) {
 		f.setLimit(now, u, l.Limit, string(from))
 	}
-	f.hearCold(now, u, l, string(from))
+	f.mergeCold(now, u, l, string(from))
 	return u
 }
 
--- a/entry/internal/target/releases.go
+++ b/entry/internal/target/releases.go
@@ -105,7 +105,7 @@
 		return false
 	}
 	at := slices.IndexFunc(f.releases[model], func(r release) bool { return r.version >= version })
-	return f.releases[model][at].notBefore.IsZero()
+	return at >= 0 && f.releases[model][at].notBefore.IsZero()
 }
 
 // relevantReleases returns the releases that bound the use of versions in the future, at most
--- a/entry/internal/target/urgency_test.go
+++ b/entry/internal/target/urgency_test.go
@@ -158,7 +158,7 @@
 		o := simKinds[a.kind].objective
 		a.ticket = q.Add(now, level.Request{
 			Level: a.kind, Returned: a.retried, Kind: strconv.Itoa(a.kind), Workspace: strconv.Itoa(a.workspace), Prompt: a.prompt,
-			Grace: o / 8, Until: now.Add(level.Patience(kindsSpec, o)),
+			Grace: o / 8, Until: now.Add(level.MaxWait(kindsSpec, o)),
 		})
 		if m.poll(a, now) {
 			return
