--- a/entry/internal/target/versions_test.go
+++ b/entry/internal/target/versions_test.go
@@ -392,7 +392,7 @@
 	w.publish(start, w.row(state.EncodeUpstream(&u)))
 	w.fleet.Subscriptions(start, w.snapshot)
 	for _, r := range []target.StatedRelease{{Model: "unknown", Age: time.Second}, {Model: "m", Version: -1, Age: time.Second}, {Age: time.Second}} {
-		w.fleet.ReceiveLoadReport(start, u.ID, target.LoadReport{Serial: 1, Releases: []target.StatedRelease{r}})
+		w.fleet.ReceiveLoadReport(start, u.ID, target.LoadReport{Serial: 1, Held: u.Held, Releases: []target.StatedRelease{r}})
 	}
 	if f, _ := w.fleet.ChooseEngine(start, target.Requirements{Pool: w.snapshot.Pool("p"), Model: "m", Remaining: time.Second}); f == nil {
 		t.Error("no engine is chosen after malformed reports")
