--- a/entry/internal/target/assign.go
+++ b/entry/internal/target/assign.go
@@ -51,7 +51,7 @@
 				local = append(local, u)
 			}
 		}
-		slices.SortFunc(local, byDeal)
+		slices.SortFunc(local, compareShareOrder)
 		for i, u := range local {
 			u.assigned = index >= 0 && i%len(entries) == index
 		}
--- a/entry/internal/target/balance.go
+++ b/entry/internal/target/balance.go
@@ -49,8 +49,8 @@
 	// In the model, with an engine or more for each entry, shares serve 0.01 to 0.02 more in time with 2
 	// entries in a region, 0.03 to 0.06 with 11, and 0.13 to 0.25 with 33.
 	minSharingEntries = 12
-	// guestUse is the part of their shares that entries of other regions are assumed to use.
-	guestUse = 0.75
+	// remoteUse is the part of their shares that entries of other regions are assumed to use.
+	remoteUse = 0.75
 )
 
 // EvenLoad says which pools have even load.
@@ -99,8 +99,8 @@
 	share float64
 	// near is set if this entry uses the engine when its shares are spent.
 	near bool
-	// guests is the part of the slots that belongs to entries of other regions.
-	guests float64
+	// remoteShare is the part of the slots that belongs to entries of other regions.
+	remoteShare float64
 }
 
 // wantsEvenLoad reports whether a pool needs even load: if a region has more entries than engines, so that
@@ -162,11 +162,11 @@
 	for _, r := range regions {
 		slices.Sort(r.entries)
 		index := slices.Index(r.entries, f.options.Self)
-		slices.SortFunc(r.engines, byDeal)
-		isGuest := make([]bool, len(r.entries))
+		slices.SortFunc(r.engines, compareShareOrder)
+		isRemote := make([]bool, len(r.entries))
 		for j, e := range r.entries {
 			_, isLocal := slices.BinarySearch(local, e)
-			isGuest[j] = !isLocal
+			isRemote[j] = !isLocal
 		}
 		width := float64(len(r.engines)) / float64(max(len(r.entries), 1))
 		low, high := float64(index)*width, float64(index+1)*width
@@ -175,7 +175,7 @@
 				u.even.share = overlap(low, high, i)
 			}
 			if !f.isRemote(u) {
-				u.even.guests = guestShare(i, width, isGuest)
+				u.even.remoteShare = remoteShareOf(i, width, isRemote)
 			}
 			u.even.near = !f.isRemote(u) && f.isNear(u, local)
 		}
@@ -188,11 +188,11 @@
 	return max(min(high, float64(i+1))-max(low, float64(i)), 0)
 }
 
-// guestShare returns the part of engine i that belongs to guests, where each entry has the given width.
-func guestShare(i int, width float64, isGuest []bool) float64 {
+// guestShare returns the part of engine i that belongs to entries of other regions, where each entry has the given width.
+func remoteShareOf(i int, width float64, isRemote []bool) float64 {
 	share := 0.0
-	for j := int(float64(i) / width); j < len(isGuest) && float64(j)*width < float64(i+1); j++ {
-		if isGuest[j] {
+	for j := int(float64(i) / width); j < len(isRemote) && float64(j)*width < float64(i+1); j++ {
+		if isRemote[j] {
 			share += overlap(float64(j)*width, float64(j+1)*width, i)
 		}
 	}
@@ -277,9 +277,9 @@
 	return true
 }
 
-// byDeal orders engines by hash. The hash key must be the same in all entries, including those of other
+// compareShareOrder orders engines by hash. The hash key must be the same in all entries, including those of other
 // releases.
-func byDeal(a, b *upstream) int {
+func compareShareOrder(a, b *upstream) int {
 	return cmp.Compare(hosts.Score("deal", hosts.Name(a.row.ID)), hosts.Score("deal", hosts.Name(b.row.ID)))
 }
 
@@ -375,10 +375,10 @@
 // isUsedRemotely reports whether this entry uses the engine of another region.
 func (u *upstream) isUsedRemotely() bool { return u.remoteAssigned || u.even.share > 0 }
 
-// guestRunning returns how many requests entries of other regions are assumed to run in their shares of the
+// remoteShareRunning returns how many requests entries of other regions are assumed to run in their shares of the
 // engine. Load reports say so later than the entries of the region send theirs.
-func (u *upstream) guestRunning() int {
-	return int(guestUse * u.even.guests * float64(u.row.Slots))
+func (u *upstream) remoteShareRunning() int {
+	return int(remoteUse * u.even.remoteShare * float64(u.row.Slots))
 }
 
 // PoolLoad is the load of the region's engines of a pool, as far as this entry knows it.
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -103,7 +103,7 @@
 	var best *candidate
 	for i := range all {
 		c := &all[i]
-		reserve := f.reserve(now, c.upstream, reqs) + f.leveled(reqs, c.upstream, levels)
+		reserve := f.reserve(now, c.upstream, reqs) + f.urgentReserve(reqs, c.upstream, levels)
 		if admits(reqs, c.load, reserve) && (best == nil || c.cost < best.cost) {
 			best = c
 		}
@@ -117,7 +117,7 @@
 	levels := f.levelReserve(now, reqs)
 	excess, rate := 0, 0.0
 	for _, c := range all {
-		excess += max(c.load.Running+f.leveled(reqs, c.upstream, levels)-e.Slots+1, 0)
+		excess += max(c.load.Running+f.urgentReserve(reqs, c.upstream, levels)-e.Slots+1, 0)
 		rate += timing.Rate(e, c.load.Pace)
 	}
 	return max(time.Duration(float64(excess)/rate*float64(time.Second)), minRetryDelay)
--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -63,11 +63,11 @@
 	// rate is the number of requests a second that a cold upstream of the pool takes, or zero if
 	// its upstreams are never cold.
 	rate float64
-	// own is the end of the cold time as the row, a response or the start of the process tells,
-	// heard the same as other entries tell.
-	own   time.Time
-	heard time.Time
-	// source is that of own.
+	// firstHand is the end of the cold time by the row, a response or the start of the process,
+	// reported the latest one that other entries state.
+	firstHand time.Time
+	reported  time.Time
+	// source is that of firstHand.
 	source string
 	// isUnsure is set if own is from a row of the first snapshot, which may have been written long
 	// before.
@@ -82,33 +82,33 @@
 	// report came that shows next to no requests of others, or zero.
 	listedAt time.Time
 	idleAt   time.Time
-	// kept is the number of requests that had to wait for this upstream.
-	kept int
+	// delayed is the number of requests that had to wait for this upstream.
+	delayed int
 	// isReported is set between the log lines for the begin and the end.
 	isReported bool
 }
 
 // until returns the end of the cold time.
 func (c *coldState) until() time.Time {
-	if c.heard.After(c.own) {
-		return c.heard
+	if c.reported.After(c.firstHand) {
+		return c.reported
 	}
-	return c.own
+	return c.firstHand
 }
 
 // remaining returns the cold time to tell other entries.
 func (c *coldState) remaining(now time.Time) time.Duration {
-	return max(c.own.Sub(now), c.heard.Add(-coldHop).Sub(now), 0)
+	return max(c.firstHand.Sub(now), c.reported.Add(-coldHop).Sub(now), 0)
 }
 
 // isKnownFrom reports whether this entry knows from one of the sources that the upstream is cold.
 func (c *coldState) isKnownFrom(now time.Time, sources ...string) bool {
-	return now.Before(c.own) && slices.Contains(sources, c.source)
+	return now.Before(c.firstHand) && slices.Contains(sources, c.source)
 }
 
 // currentRate returns the rate because of the cold time, or zero if there is none.
 func (c *coldState) currentRate(now time.Time) float64 {
-	if c.rate == 0 || c.own.IsZero() && c.heard.IsZero() {
+	if c.rate == 0 || c.firstHand.IsZero() && c.reported.IsZero() {
 		return 0
 	}
 	switch warm := now.Sub(c.until()) - coldTail; {
@@ -197,7 +197,7 @@
 	}
 	s := f.limitOf(u)
 	s.cold.source, s.cold.isUnsure = source, source == coldByRow && !f.hasSnapshot
-	f.setCold(now, u, &s.cold.own, now.Add(min(left, maxCold)), source)
+	f.setCold(now, u, &s.cold.firstHand, now.Add(min(left, maxCold)), source)
 }
 
 // mergeCold records what another entry tells. It only lengthens the time. What that entry is unsure of
@@ -211,16 +211,16 @@
 		return
 	}
 	if until.Sub(s.cold.until()) >= coldJitter {
-		f.setCold(now, u, &s.cold.heard, until, from)
+		f.setCold(now, u, &s.cold.reported, until, from)
 	}
 }
 
 // correctCold ends a cold time of which this entry is unsure and of which the owner, which responds, knows
 // that it is over.
 func (f *Fleet) correctCold(now time.Time, u *upstream, g Grant) {
-	if s := u.demands.limit; s != nil && s.cold.isUnsure && g.Count > 0 && g.Limit.Cold == 0 && s.cold.own.After(now) {
+	if s := u.demands.limit; s != nil && s.cold.isUnsure && g.Count > 0 && g.Limit.Cold == 0 && s.cold.firstHand.After(now) {
 		s.cold.isUnsure = false
-		f.setCold(now, u, &s.cold.own, now, "owner")
+		f.setCold(now, u, &s.cold.firstHand, now, "owner")
 	}
 }
 
@@ -241,8 +241,8 @@
 		if !s.cold.until().After(now) && left <= 0 {
 			return false
 		}
-		if s.cold.heard.After(until) {
-			s.cold.heard = until
+		if s.cold.reported.After(until) {
+			s.cold.reported = until
 		}
 		f.setOwnCold(now, u, left, coldByResponse)
 	case until.After(s.cold.until()):
@@ -308,7 +308,7 @@
 func (f *Fleet) applyColdTime(now time.Time, u *upstream, left time.Duration, source string) {
 	known := time.Time{}
 	if s := u.demands.limit; s != nil {
-		known = s.cold.own
+		known = s.cold.firstHand
 		if s.cold.source == coldByResponse && !now.Add(left).After(known) {
 			return
 		}
@@ -338,11 +338,11 @@
 		a.ColdFor == b.ColdFor && a.HasCold == b.HasCold && slices.Equal(a.Held, b.Held)
 }
 
-// countKept counts a request that no upstream could take but those that are kept back because they are
+// countDelayed counts a request that no upstream could take but those that are kept back because they are
 // cold, once for each of these.
-func (f *Fleet) countKept(now time.Time, u *upstream, g *GrantRequest) {
+func (f *Fleet) countDelayed(now time.Time, u *upstream, g *GrantRequest) {
 	if s := u.demands.limit; !g.isCounted && s.cold.currentRate(now) > 0 {
-		s.cold.kept++
+		s.cold.delayed++
 		f.options.Metrics.Counter("cold_kept").Inc(1)
 	}
 }
@@ -352,8 +352,8 @@
 func (f *Fleet) reportWarm(now time.Time) {
 	for _, u := range f.limited {
 		if c := &u.demands.limit.cold; c.isReported && c.currentRate(now) == 0 {
-			f.options.Log.Info("upstream-warm", zap.String("upstream", u.row.ID), zap.Time("started", u.row.Started), zap.Time("until", c.until()), zap.Int("kept", c.kept))
-			c.isReported, c.kept = false, 0
+			f.options.Log.Info("upstream-warm", zap.String("upstream", u.row.ID), zap.Time("started", u.row.Started), zap.Time("until", c.until()), zap.Int("kept", c.delayed))
+			c.isReported, c.delayed = false, 0
 		}
 	}
 }
--- a/entry/internal/target/explain.go
+++ b/entry/internal/target/explain.go
@@ -121,7 +121,7 @@
 		if i < 0 && len(d.Exclusions) == 0 {
 			d.Exclusions = []Exclusion{ExclusionUnassigned}
 		}
-		reserve := f.reserve(now, u, reqs) + f.leveled(reqs, u, levels)
+		reserve := f.reserve(now, u, reqs) + f.urgentReserve(reqs, u, levels)
 		d.Free, d.Needed = room(reqs, c.load, reserve)
 		d.IsAdmitted = len(d.Exclusions) == 0 && admits(reqs, c.load, reserve)
 		e.Candidates = append(e.Candidates, d)
--- a/entry/internal/target/grants.go
+++ b/entry/internal/target/grants.go
@@ -53,7 +53,7 @@
 		if !s.isSet(now) || !f.couldServe(now, u, reqs) {
 			continue
 		}
-		f.countKept(now, u, g)
+		f.countDelayed(now, u, g)
 		delay, isAsked := f.limitDelay(now, u, g)
 		if !found || delay < soonest {
 			soonest, found = delay, true
--- a/entry/internal/target/levels.go
+++ b/entry/internal/target/levels.go
@@ -91,9 +91,9 @@
 	return m.Reserves(now)[reqs.Level+1] * slots
 }
 
-// leveled returns the slots that the request leaves free at an engine for more urgent ones. A fraction
+// urgentReserve returns the slots that the request leaves free at an engine for more urgent ones. A fraction
 // of a slot is reserved at that part of the engines, the same ones for all entries.
-func (f *Fleet) leveled(reqs Requirements, u *upstream, reserve float64) int {
+func (f *Fleet) urgentReserve(reqs Requirements, u *upstream, reserve float64) int {
 	if reqs.Levels <= 1 {
 		return 0
 	}
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -206,7 +206,7 @@
 
 func (u *upstream) currentLimit(now time.Time) UpstreamLimit {
 	s := u.demands.limit
-	return UpstreamLimit{ID: u.row.ID, Started: u.row.Started, Limit: s.limit, Cold: s.cold.remaining(now), Unsure: s.cold.isUnsure && s.cold.heard.Before(s.cold.own)}
+	return UpstreamLimit{ID: u.row.ID, Started: u.row.Started, Limit: s.limit, Cold: s.cold.remaining(now), Unsure: s.cold.isUnsure && s.cold.reported.Before(s.cold.firstHand)}
 }
 
 // AnnouncedLimits returns at most the given number of limits that upstreams have lately named in
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -349,7 +349,7 @@
 		l.Running += u.sentSinceReport * (u.remoteEntries - 1)
 	}
 	if u.hasReport(now) {
-		l.Running += max(u.otherRunning, u.guestRunning())
+		l.Running += max(u.otherRunning, u.remoteShareRunning())
 		l.Pace = u.report.Pace
 	}
 	return l
