--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -25,10 +25,10 @@
 	coldDoublingTime = 250 * time.Millisecond
 	coldRampTime     = 2 * time.Second
 	// coldHop is what is taken off a cold time that was heard before it is passed on. Above the age
-	// of a message, it keeps entries from lengthening the time by telling each other. Below
+	// of a message, it prevents entries from lengthening the time by their messages. Below
 	// coldTail, it leaves the bound as it is.
 	coldHop = 300 * time.Millisecond
-	// coldJitter is the difference between two ends of a cold time that isn't news.
+	// coldJitter is the difference between two ends of a cold time up to which they count as the same.
 	coldJitter = 200 * time.Millisecond
 	// takeoverTime is how long after a change of the entries a new owner sends only takeoverShare of
 	// the rate to a cold upstream. It covers the span of the bound, grantTTL, and the time between the
@@ -190,7 +190,7 @@
 	return "entry"
 }
 
-// setOwnCold records what the row, a response or the start of the process tells.
+// setOwnCold records a cold time from the row, a response or the start of the process.
 func (f *Fleet) setOwnCold(now time.Time, u *upstream, left time.Duration, source string) {
 	if u.coldRate == 0 {
 		return
@@ -200,8 +200,8 @@
 	f.setCold(now, u, &s.cold.firstHand, now.Add(min(left, maxCold)), source)
 }
 
-// mergeCold records what another entry tells. It only lengthens the time. What that entry is unsure of
-// changes nothing if this one has known of a cold time for longer.
+// mergeCold records a cold time that another entry reports. It only lengthens the time. One that the other
+// entry is unsure of is ignored if this entry has known of a cold time before.
 func (f *Fleet) mergeCold(now time.Time, u *upstream, l UpstreamLimit, from string) {
 	if u.coldRate == 0 || l.Cold <= 0 {
 		return
@@ -225,7 +225,7 @@
 }
 
 // RecordCold records the cold time that a response states, which may be zero. It reports whether
-// that is news.
+// that changes the known time.
 func (r *InFlight) RecordCold(now time.Time, left time.Duration) bool {
 	f, u := r.fleet, r.upstream
 	f.mutex.Lock()
@@ -237,7 +237,7 @@
 	before := s.cold.changedAt
 	switch until := now.Add(min(left, maxCold)); {
 	case r.startedAt.After(before):
-		// The upstream's own word supersedes what was known when the request was sent.
+		// A response supersedes what was known when the request was sent.
 		if !s.cold.until().After(now) && left <= 0 {
 			return false
 		}
@@ -262,7 +262,7 @@
 	}
 }
 
-// applyColdRow records what a row tells of the cold time. Known is the state that the id had before and
+// applyColdRow records the cold time that a row states. Known is the state that the id had before and
 // last its row then, or nil. A row states the time that was left when it was written, so that it counts
 // only when it is new.
 func (f *Fleet) applyColdRow(now time.Time, u *upstream, p *state.Pool, known *upstream, last *state.Upstream) {
--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -134,7 +134,7 @@
 
 // newInjector returns an injector of the kinds named by the options.
 func newInjector(w *world, r *rand.Rand) (*injector, error) {
-	i := &injector{world: w, random: r, kinds: w.options.allKinds()}
+	i := &injector{world: w, random: r, kinds: faults}
 	if w.options.FaultKinds == "" {
 		i.losesPower = w.options.Seed%powerInterval == 0
 		return i, nil
--- a/stand/internal/soak/placing.go
+++ b/stand/internal/soak/placing.go
@@ -42,12 +42,6 @@
 	return strings.Contains(o.FaultKinds, "cold") || strings.Contains(o.FaultKinds, "evacuate")
 }
 
-// allKinds returns the kinds of a run with all. Engines that a poison part crashes would return cold and
-// serve fewer of the requests that the check innocent compares.
-func (o Options) allKinds() []fault {
-	return slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return f.name == "poison-part" && o.hasCold() })
-}
-
 // makeCold returns a pool with the cold time of the run.
 func (w *world) makeCold(p state.Pool) state.Pool {
 	if w.options.hasCold() {
