--- /dev/null
+++ b/entry/internal/proxy/attempt.go
@@ -0,0 +1,180 @@
+package proxy
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"currantport.example/core/calls"
+	"currantport.example/core/clocks"
+	"currantport.example/core/conns"
+	"currantport.example/core/tries"
+	"currantport.example/entry/internal/target"
+)
+
+// dialTimeout bounds the wait for a connection to an upstream. It covers several round
+// trips but no retransmission of a lost packet.
+const dialTimeout = 300 * time.Millisecond
+
+// attempt sends the request to an upstream and forwards the response.
+func (l *lifecycle) attempt(ctx context.Context, f *target.InFlight) tries.Result {
+	l.attempted = append(l.attempted, f.Row.ID)
+	if !l.counted {
+		l.counted = true
+		l.handler.metrics.waitTime.RecordDuration(time.Since(l.arrived))
+		l.handler.recordRequest(l.pool.Name)
+	}
+	l.survived, l.sentAt = false, clocks.Now()
+	// Counts only if the exchange panics.
+	defer f.Finish(l.sentAt, target.OutcomeNeutral)
+	outer := ctx
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	wd := newWatchdog(l, cancel)
+	defer wd.stop()
+	result, outcome, err := l.exchange(ctx, f, wd)
+	switch {
+	case outcome == target.OutcomeFailed && errors.Is(outer.Err(), context.Canceled):
+		outcome = target.OutcomeNeutral
+	case outcome == target.OutcomeFailed && wd.hasFired():
+		outcome = target.OutcomeTimeout
+	}
+	f.Finish(clocks.Now(), outcome)
+	l.logAttempt(f, result, l.sentAt, err)
+	return result
+}
+
+// exchange sends the request and returns the result of the attempt.
+func (l *lifecycle) exchange(ctx context.Context, f *target.InFlight, wd *watchdog) (tries.Result, target.Outcome, error) {
+	conn, err := l.connect(ctx, f)
+	if err != nil {
+		return l.connectFailed(ctx, f, err)
+	}
+	wd.reset(l.firstByteTimeout(f), l.startLimit(f))
+	f.OnStartDeadline(wd.shorten)
+	a := calls.Attempt{Upstream: f.Row, Remaining: time.Until(l.deadline), LastEventID: l.stream.lastEventID}
+	if l.admission.Workspace != nil {
+		a.Workspace = l.admission.Workspace.Name
+	}
+	if f.ExactVersion {
+		a.Version = f.Version
+	}
+	if l.levels > 1 {
+		a.Priority, a.HasPriority = l.level, true
+	}
+	response, err := conn.Do(ctx, l.handler.options.UpstreamCodec.BuildRequest(&l.call, a))
+	if err != nil {
+		return l.responseLost(ctx, f, err)
+	}
+	defer response.Close()
+	reply := l.handler.options.UpstreamCodec.ClassifyResponse(&l.call, response.Status, response.Header)
+	l.recordDemands(f, reply)
+	switch reply.Kind {
+	case calls.ReplyDeclined, calls.ReplyMoved:
+		response.Discard()
+		if reply.Kind == calls.ReplyMoved {
+			return tries.ResultDeclined, target.OutcomeMismatch, declinedError(response.Status)
+		}
+		return tries.ResultDeclined, target.OutcomeShed, declinedError(response.Status)
+	case calls.ReplyMismatched:
+		return tries.ResultLost, target.OutcomeFailed, errMismatched
+	}
+	f.RecordVersion(clocks.Now(), reply.Version)
+	if l.admission.Route.Stream && reply.Success {
+		return l.forwardStream(ctx, f, wd, response, reply)
+	}
+	return l.forwardUnary(ctx, f, wd, response, reply)
+}
+
+func (l *lifecycle) connect(ctx context.Context, f *target.InFlight) (*conns.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	// A request that must run at most once gets a new connection: on a reused one it could
+	// be lost without a trace if the upstream closes it.
+	return l.handler.options.Conns.Acquire(ctx, f.Row.Address, !l.admission.Route.IsRetryable())
+}
+
+func (l *lifecycle) connectFailed(ctx context.Context, f *target.InFlight, err error) (tries.Result, target.Outcome, error) {
+	if ctx.Err() != nil {
+		return tries.ResultUnsent, target.OutcomeNeutral, err
+	}
+	if isConnectionRefused(err) {
+		l.handler.options.Crashes.RecordCrash(f.Row.ID, "connection refused")
+	}
+	return tries.ResultUnsent, target.OutcomeConnectFailed, err
+}
+
+// responseLost classifies a request that got no response.
+func (l *lifecycle) responseLost(ctx context.Context, f *target.InFlight, err error) (tries.Result, target.Outcome, error) {
+	var lost *conns.LostError
+	if errors.As(err, &lost) && lost.State == conns.SendStateUnsent {
+		return tries.ResultUnsent, target.OutcomeNeutral, err
+	}
+	if ctx.Err() != nil {
+		return tries.ResultLost, target.OutcomeFailed, err
+	}
+	l.recordSuspect(f)
+	return tries.ResultLost, target.OutcomeFailed, err
+}
+
+// recordSuspect records that the request may have crashed the upstream, and probes the
+// upstream for evidence.
+func (l *lifecycle) recordSuspect(f *target.InFlight) {
+	if f.Row.Draining || l.handler.options.Fleet.IsLeaving(f.Row.ID) {
+		return
+	}
+	l.handler.metrics.suspects.Inc(1)
+	identity := l.identity
+	if l.survived {
+		identity.Parts = nil
+	}
+	l.handler.options.Crashes.RecordLoss(identity, f.Row.ID, l.sentAt)
+	p := &probe{handler: l.handler, row: f.Row}
+	go p.run()
+}
+
+// recordSurvival records that the upstream has written a response to the prompt and lives.
+func (l *lifecycle) recordSurvival() {
+	if !l.survived {
+		l.survived = true
+		l.handler.options.Crashes.RecordSurvival(l.identity)
+	}
+}
+
+// startLimit returns the time by which a response must have begun.
+func (l *lifecycle) startLimit(f *target.InFlight) time.Time {
+	if !f.StartDeadline.IsZero() && f.StartDeadline.Before(l.deadline) {
+		return f.StartDeadline
+	}
+	return l.deadline
+}
+
+// firstByteTimeout returns how long to wait for the first byte of a response before another
+// upstream is tried.
+func (l *lifecycle) firstByteTimeout(f *target.InFlight) time.Duration {
+	remaining := time.Until(l.startLimit(f))
+	route := l.admission.Route
+	if !route.IsRetryable() {
+		return remaining
+	}
+	if l.attempts.Count()+1 >= route.MaxAttempts {
+		return remaining
+	}
+	if l.pool.Engine == nil {
+		return min(remaining*2/5, plainTimeoutFactor*l.objective())
+	}
+	return min(remaining/2, max(engineTimeoutFactor*f.Predicted, l.objective())+engineTimeoutSlack)
+}
+
+const (
+	// plainTimeoutFactor is how many latency objectives to wait for a plain service while
+	// another one can be tried.
+	plainTimeoutFactor = 2
+	// engineTimeoutFactor is how many times the predicted time to the first event to wait
+	// for an engine; engineTimeoutSlack is added.
+	engineTimeoutFactor = 3
+	engineTimeoutSlack  = 400 * time.Millisecond
+)
+
+func isConnectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
