--- a/admin/explain.go
+++ b/admin/explain.go
@@ -76,7 +76,7 @@
 	return shell.ExitOK
 }
 
-// fetch asks the entry.
+// fetch gets the explanation from the entry.
 func (c *explainCommand) fetch(ctx context.Context, client *http.Client, at netip.AddrPort) (choice.Document, error) {
 	q := url.Values{choice.QueryRoute: {c.route}, choice.QueryPrompt: {strconv.Itoa(c.prompt)}}
 	for name, value := range map[string]string{choice.QueryWorkspace: c.workspace, choice.QueryModel: c.model} {
@@ -174,12 +174,12 @@
 	fmt.Fprintf(w, "refused=%s detail=%q wait=%s latest=%s held=%s\n", r.Reason, r.Detail, ms(r.Wait), ms(r.Latest), ms(r.Held))
 }
 
-// ms formats milliseconds as other commands print times.
+// ms formats a time in milliseconds with its unit, as other commands print times.
 func ms(value float64) string {
 	return time.Duration(value * float64(time.Millisecond)).Round(100 * time.Microsecond).String()
 }
 
-// amount formats a cost.
+// amount formats a cost in the unit of its pool, milliseconds or requests.
 func amount(value float64, unit string) string {
 	if unit == "ms" {
 		return ms(value)
--- a/entry/internal/proxy/bounds_test.go
+++ b/entry/internal/proxy/bounds_test.go
@@ -27,10 +27,10 @@
 	}
 }
 
-// TestStartingEntrySendsClientsBackLate checks when an entry without rows asks clients to return: most
-// return only once, and after a loss of power engines need longer than entries. No client can wait for
-// more than a third of its timeout.
-func TestStartingEntrySendsClientsBackLate(t *testing.T) {
+// TestStartingEntryDelaysRetries guards against clients that return before engines can serve them after
+// a loss of power, since most retry only once and engines take longer to start than entries. It also
+// guards against a Retry-After of more than a third of the client's timeout.
+func TestStartingEntryDelaysRetries(t *testing.T) {
 	for timeout, want := range map[string][2]time.Duration{
 		"6000": {1500 * time.Millisecond, 2 * time.Second}, "1500": {400 * time.Millisecond, 500 * time.Millisecond},
 	} {
@@ -43,7 +43,7 @@
 			a := w.request(context.Background(), "/any/x", "Timeout", timeout)
 			wait, err := time.ParseDuration(a.Header().Get("Wait"))
 			if err != nil || wait < want[0] || wait > want[1] || a.Header().Get("Outcome") != string(calls.OutcomeNotRun) {
-				t.Errorf("timeout %s: return after %s, %v", timeout, wait, a.Header())
+				t.Errorf("timeout %s: retry after %s, %v", timeout, wait, a.Header())
 			}
 		})
 	}
--- a/entry/internal/proxy/demands.go
+++ b/entry/internal/proxy/demands.go
@@ -27,8 +27,8 @@
 	l.recordLimit(f, reply)
 }
 
-// recordLimit records what a response says about the limit of its upstream and its cold time. A response that the
-// request belongs elsewhere may come from another upstream.
+// recordLimit records what a response says about the limit and the cold time of its upstream. A
+// response that the request belongs elsewhere may come from another upstream.
 func (l *lifecycle) recordLimit(f *target.InFlight, reply calls.Reply) {
 	if reply.Kind == calls.ReplyMoved {
 		return
--- a/entry/internal/proxy/explain.go
+++ b/entry/internal/proxy/explain.go
@@ -49,15 +49,17 @@
 	// Share is the part of the route's requests that is sent to the pool, from 0 to 1.
 	Share        float64
 	Requirements target.Requirements
-	// Refusal is set if no upstream would take the request now. Its RetryAfter is drawn between
-	// the one given and LatestRetry. The request waits for MaxWait before it is refused.
+	// Refusal is set if no upstream would take the request now. The time that the client gets is
+	// drawn between Refusal.RetryAfter and LatestRetry. The request waits for up to MaxWait before
+	// it is refused.
 	Refusal     *calls.Refusal
 	LatestRetry time.Duration
 	MaxWait     time.Duration
 }
 
-// Explain returns where the first attempt of a request would be sent now, if its client wasn't refused
-// before. It sends nothing and changes no state. The error is a *QuestionError.
+// Explain returns where the first attempt of a request would be sent now. The request counts as one
+// whose client wasn't refused before. It sends nothing and changes no state. The error is a
+// *QuestionError.
 func (h *Handler) Explain(q Question) (Explanation, error) {
 	l := &lifecycle{handler: h, arrived: time.Now(), view: h.view()}
 	e := Explanation{View: l.view}
@@ -66,7 +68,7 @@
 		_, e.Refusal = h.options.Bounds.Admit(l.view, &l.call)
 		return e, nil
 	}
-	err := l.adopt(q)
+	err := l.buildCall(q)
 	if err != nil {
 		return Explanation{}, err
 	}
@@ -97,8 +99,8 @@
 	return all, nil
 }
 
-// adopt builds the request as the client would state it, without its body.
-func (l *lifecycle) adopt(q Question) error {
+// buildCall builds the request as the client would state it, without its body.
+func (l *lifecycle) buildCall(q Question) error {
 	r := l.view.State.RouteNamed(q.Route)
 	if r == nil {
 		return &QuestionError{Field: "route", Reason: fmt.Sprintf("no route is named %q", q.Route)}
@@ -157,16 +159,17 @@
 	return p
 }
 
-// almostOne stands for the largest random number.
+// almostOne stands for the largest number that Options.Random returns. It gives the latest retry.
 const almostOne = 1 - 1e-9
 
-// explainRefusal returns the refusal of a request that no upstream takes, for a random number, and
-// whether the request waits before it is refused.
+// explainRefusal returns the refusal of a request that no upstream takes, and whether the request
+// waits before it is refused. Draw takes the place of the random number that spreads the retries. The
+// choice is made on a copy of the fleet, since it changes limits and the times of retries.
 func (l *lifecycle) explainRefusal(fleet *target.Fleet, now time.Time, reqs target.Requirements, draw float64) (refusal *calls.Refusal, canWait bool) {
 	o := l.handler.options
 	o.Fleet, o.Random = fleet.Fork(l.pool.Name), func() float64 { return draw }
-	asked := &lifecycle{handler: &Handler{options: o}, arrived: l.arrived, view: l.view, call: l.call, admission: l.admission, pool: l.pool}
-	_, full := asked.choose(now, reqs)
+	copied := &lifecycle{handler: &Handler{options: o}, arrived: l.arrived, view: l.view, call: l.call, admission: l.admission, pool: l.pool}
+	_, full := copied.choose(now, reqs)
 	limited, hasLimited := o.Fleet.AwaitLimited(now, reqs, &target.GrantRequest{})
-	return asked.placementRefusal(reqs, full, limited, hasLimited), full > 0 || hasLimited
+	return copied.placementRefusal(reqs, full, limited, hasLimited), full > 0 || hasLimited
 }
--- a/entry/internal/proxy/explain_test.go
+++ b/entry/internal/proxy/explain_test.go
@@ -19,7 +19,7 @@
 var question = proxy.Question{Route: "once", Workspace: "harbour"}
 
 // TestExplainedRefusalIsTheNextOne guards against an explanation that names another reason or time than
-// the client gets, or that takes a turn of a limit or a time of its own to return.
+// the client gets, or that changes the state, so that the client is told a later time.
 func TestExplainedRefusalIsTheNextOne(t *testing.T) {
 	for reason, script := range map[calls.Reason]func(w io.Writer, v visit){
 		calls.ReasonHeld:    func(w io.Writer, v visit) { heldBack(w, v.id, "3s") },
@@ -52,7 +52,7 @@
 	}
 }
 
-// TestQuestionsThatCannotBeAnswered guards against an answer to another question than the operator
+// TestQuestionsThatCannotBeAnswered guards against an explanation of another request than the operator
 // meant.
 func TestQuestionsThatCannotBeAnswered(t *testing.T) {
 	play(t, 1, nil, func(w *world) {
--- a/entry/internal/proxy/levels.go
+++ b/entry/internal/proxy/levels.go
@@ -18,12 +18,12 @@
 	"currantport.example/entry/internal/target"
 )
 
-// queues hold the waiting requests of the pools whose routes differ in priority. The zero value is
+// queues hold the waiting requests of the pools with several levels of urgency. The zero value is
 // ready to use.
 type queues struct {
 	mutex sync.Mutex
 	pools map[string]*poolQueue
-	// ended is set once the entry stops.
+	// ended is set once the entry stops. Waiting requests are refused then.
 	ended atomic.Bool
 }
 
@@ -35,8 +35,8 @@
 	queue *level.Queue
 }
 
-// of returns the queue of a pool. If the number of levels has changed, it is a new one; requests that
-// wait in the former one are placed from there.
+// of returns the queue of a pool. If the number of levels has changed, it is a new one. Requests that
+// wait in the previous one stay there until they are placed or refused.
 func (q *queues) of(pool string, levels int) *poolQueue {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
@@ -92,17 +92,17 @@
 	return p.queue.Poll(now, t, choose)
 }
 
-// EndWaits refuses the requests that wait for an engine because of their level. Call it when the
-// entry takes no more requests.
+// EndWaits refuses the requests that wait in the queues of the pools, within capacityPollInterval.
+// Call it when the entry accepts no more requests.
 func (h *Handler) EndWaits() { h.queues.ended.Store(true) }
 
-// wait is the wait of one request for an engine, in the order of the levels.
+// wait is the wait of one request in the queue of its pool.
 type wait struct {
 	lifecycle *lifecycle
 	queue     *poolQueue
 	ticket    *level.Ticket
 	started   time.Time
-	// counted is set once the request was counted in the demand, or doesn't count.
+	// counted is set once the request was counted in the demand, or if it isn't to be counted.
 	counted bool
 	reqs    target.Requirements
 	grant   target.GrantRequest
@@ -112,8 +112,8 @@
 	hasLimited    bool
 }
 
-// acquireByLevel chooses an engine of a pool whose requests differ in urgency. If none has room it
-// waits in the queue of the pool.
+// acquireByLevel chooses an engine of a pool with several levels of urgency. If none has room the
+// request waits in the queue of the pool.
 func (l *lifecycle) acquireByLevel(ctx context.Context, reqs target.Requirements) (*target.InFlight, *calls.Refusal) {
 	now := clocks.Now()
 	w := &wait{lifecycle: l, queue: l.handler.queues.of(l.pool.Name, reqs.Levels), started: now, reqs: reqs}
@@ -168,8 +168,8 @@
 	w.lifecycle.handler.options.Fleet.RecordArrival(clocks.Now(), w.reqs, hasRoom)
 }
 
-// earlyDivisor divides the wait that costs nothing. The result is how long a request may wait without
-// being counted as one that met a shortage, short enough that the reserves react within 100 ms.
+// earlyDivisor divides grace. The result is how long a request may wait before it is counted as one
+// that met a shortage. It is short so that the reserves react within 100 ms.
 const earlyDivisor = 2
 
 // grace is how long a request may wait without a cost to the client.
@@ -186,7 +186,8 @@
 	return now.Add(level.MaxWait(l.pool.Engine, l.objective()) - waited)
 }
 
-// groupOf returns what distinguishes requests that need other engines than others of the pool.
+// groupOf returns a key that is equal for requests which any engine of the pool can serve alike, as far
+// as their homes allow. Only the first waiting request of a group looks for an engine.
 func groupOf(r target.Requirements) string {
 	if r.Version == 0 && len(r.Exclude) == 0 {
 		return r.Model
@@ -194,7 +195,8 @@
 	return r.Model + " " + strconv.Itoa(r.Version) + " " + strings.Join(r.Exclude, " ")
 }
 
-// poll returns the engine if one was chosen, or the refusal once the wait is in vain.
+// poll returns the engine if one was chosen, the refusal if the request can't be placed in time, and
+// neither if the request goes on waiting.
 func (w *wait) poll(ctx context.Context, now time.Time) (*target.InFlight, *calls.Refusal) {
 	l := w.lifecycle
 	w.reqs.Homes, w.reqs.Exempt, w.reqs.Remaining = l.homes(), w.ticket.Exempt, 0
@@ -257,7 +259,7 @@
 	return false
 }
 
-// report counts the result by level.
+// report records the result and the duration of the wait by level.
 func (w *wait) report(isPlaced bool) {
 	l, took := w.lifecycle, clocks.Since(w.started)
 	result := "refused"
--- a/entry/internal/proxy/levels_test.go
+++ b/entry/internal/proxy/levels_test.go
@@ -72,8 +72,8 @@
 	})
 }
 
-// TestWaitEnds guards against requests that wait on although they may no longer be served, and against
-// ones that are served then.
+// TestWaitEnds guards against requests that go on waiting or are sent although they may no longer be
+// served.
 func TestWaitEnds(t *testing.T) {
 	type change func(w *world, apply func(rows ...state.Row), cancel func())
 	for _, c := range []struct {
@@ -131,8 +131,8 @@
 	}
 }
 
-// TestWaitingRequestsGoInOrderOfUrgency guards against a place that goes to the first request to wait
-// rather than the most urgent one, and against engines that aren't told the level.
+// TestWaitingRequestsGoInOrderOfUrgency guards against a slot that goes to the request that has waited
+// longest rather than the most urgent one, and against engines that don't get the level.
 func TestWaitingRequestsGoInOrderOfUrgency(t *testing.T) {
 	for name, c := range map[string]struct {
 		laterPriority int
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -65,8 +65,8 @@
 	reserved atomic.Pointer[target.InFlight]
 	// isRetry is true if the client was refused before.
 	isRetry bool
-	// level is the urgency of the request among the levels of its pool, levelReserve the slots of
-	// each engine that were reserved against it.
+	// level is the level of urgency of the request, below levels, their number in its pool.
+	// levelReserve is how many slots of each engine were last reserved for more urgent requests.
 	level, levels int
 	levelReserve  float64
 	// counted is true once the first attempt has been counted.
@@ -196,8 +196,8 @@
 	return r
 }
 
-// homes returns the regions that may serve the request. The configuration in force decides, and that
-// of the request's arrival where it no longer lists the route or the key.
+// homes returns the regions that may serve the request by the configuration in force. If that no
+// longer has the route or the key, the row known at the request's arrival counts.
 func (l *lifecycle) homes() state.Homes {
 	route, workspace := l.admission.Route, l.admission.Workspace
 	s := l.handler.options.Mirror.Snapshot()
@@ -257,7 +257,7 @@
 	return max(minRetryAfter, time.Duration(timeoutSpreadRatio*float64(l.call.Timeout)))
 }
 
-// listedTargets returns the route's pools that are listed, and the sum of their weights.
+// listedTargets returns the route's targets whose pools have a row, and the sum of their weights.
 func (l *lifecycle) listedTargets() ([]state.Target, int) {
 	var listed []state.Target
 	sum := 0
--- a/entry/internal/proxy/limits_test.go
+++ b/entry/internal/proxy/limits_test.go
@@ -95,8 +95,8 @@
 	})
 }
 
-// TestColdTimeInAResponseIsKept guards against an entry that doesn't read in responses that an upstream is
-// cold, or that keeps it back for good.
+// TestColdTimeInAResponseIsKept guards against an entry that ignores the cold time in a response, or that
+// still limits the upstream once it is warm.
 func TestColdTimeInAResponseIsKept(t *testing.T) {
 	var times []time.Time
 	var warm time.Time
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -14,7 +14,7 @@
 // silent for too long. Clients leave a stream soon after that.
 const recheckInterval = 200 * time.Millisecond
 
-// watchdog cancels an attempt whose upstream is silent for too long. A sound upstream may fall
+// watchdog cancels an attempt whose upstream is silent for too long. A healthy upstream may be
 // silent and go on, so that it is only left early for another one that can take the request.
 type watchdog struct {
 	lifecycle *lifecycle
@@ -22,11 +22,11 @@
 
 	mutex sync.Mutex
 	timer *time.Timer
-	// patience is how long to wait for progress, dueAt when it ends. At limit the attempt is
+	// timeout is how long to wait for progress, dueAt when it ends. At limit the attempt is
 	// canceled in any case.
-	patience time.Duration
-	dueAt    time.Time
-	limit    time.Time
+	timeout time.Duration
+	dueAt   time.Time
+	limit   time.Time
 	// attempts and reqs are the retry state and the requirements for the next upstream. They are
 	// copies, since the attempt may end while another upstream is looked for.
 	attempts tries.Attempts
@@ -40,12 +40,12 @@
 }
 
 // reset restarts the timer.
-func (w *watchdog) reset(patience time.Duration, limit time.Time) {
+func (w *watchdog) reset(timeout time.Duration, limit time.Time) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.patience, w.limit = patience, limit
+	w.timeout, w.limit = timeout, limit
 	w.attempts, w.reqs = *w.lifecycle.attempts, w.lifecycle.requirements()
-	w.arm(patience)
+	w.arm(timeout)
 }
 
 // extend moves the limit, which no deadline to start the request bounds any more.
@@ -69,8 +69,8 @@
 }
 
 // arm starts the timer. The caller holds the mutex.
-func (w *watchdog) arm(patience time.Duration) {
-	dueAt := time.Now().Add(patience)
+func (w *watchdog) arm(timeout time.Duration) {
+	dueAt := time.Now().Add(timeout)
 	if w.limit.Before(dueAt) {
 		dueAt = w.limit
 	}
@@ -116,7 +116,7 @@
 		w.cancel()
 		return true
 	}
-	w.arm(min(w.patience, recheckInterval))
+	w.arm(min(w.timeout, recheckInterval))
 	return true
 }
 
--- a/entry/internal/query/query.go
+++ b/entry/internal/query/query.go
@@ -77,7 +77,7 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	if err := json.NewEncoder(w).Encode(document); err != nil {
-		h.log.Debug("explain-unwritten", zap.Error(err))
+		h.log.Debug("explain-write-failed", zap.Error(err))
 	}
 }
 
--- a/entry/internal/query/query_test.go
+++ b/entry/internal/query/query_test.go
@@ -45,6 +45,8 @@
 	return w
 }
 
+// TestWrongQuestionsAreRefused guards against a misspelled or invalid field that is ignored, so that the
+// explanation is that of another request.
 func TestWrongQuestionsAreRefused(t *testing.T) {
 	for q, want := range map[string]int{
 		"?route=r&prompt=9&timeout=500&workspace=w&model=m": http.StatusOK,
@@ -69,7 +71,8 @@
 	}
 }
 
-// TestQuestionsAreRateLimited guards against an operator's loop that takes the mutex from requests.
+// TestQuestionsAreRateLimited guards against an operator's script that asks in a loop, since each question
+// holds the mutex that requests need.
 func TestQuestionsAreRateLimited(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		h := query.NewHandler("e0", &explainer{}, zap.NewNop())
--- a/entry/internal/syncer/demands_test.go
+++ b/entry/internal/syncer/demands_test.go
@@ -12,8 +12,8 @@
 	"currantport.example/entry/internal/target"
 )
 
-// TestDemandsSurviveTheWire converts counts to messages and back. It guards against messages of other
-// processes that make the entry fail.
+// TestDemandsSurviveTheWire guards against counts that change in a message, and against malformed
+// messages that make the entry fail.
 func TestDemandsSurviveTheWire(t *testing.T) {
 	demand := target.PoolDemand{Pool: 7, Counts: level.Counts{Arrived: []float64{1.25, 0}, Placed: []float64{0.5, 0}}}
 	calm := target.PoolDemand{Pool: 8, Counts: level.Counts{Arrived: []float64{0.001, 0}, Placed: []float64{0, 0}}}
--- a/entry/internal/syncer/limits.go
+++ b/entry/internal/syncer/limits.go
@@ -89,8 +89,9 @@
 	}
 }
 
-// coldMillis rounds a cold time up, so that none is shorter at its receiver.
+// coldMillis returns a cold time in milliseconds, rounded up so that it isn't shorter at its receiver.
 func coldMillis(d time.Duration) uint32 {
+	// A day is longer than any cold time, and its milliseconds fit into the field.
 	const most = 24 * time.Hour
 	return uint32((min(max(d, 0), most) + time.Millisecond - 1) / time.Millisecond)
 }
--- a/entry/internal/syncer/syncer.go
+++ b/entry/internal/syncer/syncer.go
@@ -33,7 +33,8 @@
 	// subscriptionInterval is the time between two subscription messages to an agent of this
 	// region, or to one whose engine the entry uses.
 	subscriptionInterval = time.Second
-	// firstSubscriptionInterval is the time between two checks for engines while none is known.
+	// firstSubscriptionInterval is the time between two checks for engines while there are no rows.
+	// It is short, since a new entry chooses without loads until agents report.
 	firstSubscriptionInterval = 20 * time.Millisecond
 	// remoteSubscriptionRounds is the number of these intervals between two messages to any
 	// other agent.
@@ -58,7 +59,7 @@
 	MaxStaleness time.Duration
 	// AgentPort is the mesh port of the upstreams' agents.
 	AgentPort int
-	// Scope receives the loads of engines.
+	// Scope receives the gauges of engine loads and of evacuations.
 	Scope tally.Scope
 	Log   *zap.Logger
 }
@@ -281,7 +282,6 @@
 		}
 		sy.recordPoolLoads(round)
 		if len(all) == 0 && sy.options.Mirror.Head() == 0 {
-			// An entry that has just started waits for its first rows.
 			if !clocks.Sleep(ctx, firstSubscriptionInterval) {
 				return
 			}
--- a/entry/internal/syncer/syncer_test.go
+++ b/entry/internal/syncer/syncer_test.go
@@ -81,8 +81,5 @@
 	}
 }
 
-// toPlain returns the requirements of a request to the plain service "s" that was already tried at
-// some upstreams.
-func toPlain(tried ...string) target.Requirements {
-	return target.Requirements{Pool: &state.Pool{Name: "s"}, Exclude: tried}
-}
+// toPlain returns the requirements of a request to the plain service "s".
+func toPlain() target.Requirements { return target.Requirements{Pool: &state.Pool{Name: "s"}} }
--- a/stand/internal/soak/operator.go
+++ b/stand/internal/soak/operator.go
@@ -56,7 +56,7 @@
 	versions    []modelVersion
 	// drains is when the store accepted that an upstream drains, by id.
 	drains map[string]time.Time
-	// homes are those of the next configuration.
+	// homes are the home regions of the next configuration, keyed as in generation.
 	homes map[string][]hosts.Region
 }
 
@@ -151,9 +151,9 @@
 			IdleTimeout: 20*time.Second + time.Duration(g.number%2)*time.Second,
 		},
 		Pools: []state.Pool{
-			o.world.makeCold(state.Pool{Name: poolMinds, MaxConnections: maxConnections, Engine: engineRow()}),
-			o.world.makeCold(state.Pool{Name: poolDesk, MaxConnections: maxConnections}),
-			o.world.makeCold(state.Pool{Name: poolAnnex, MaxConnections: maxConnections}),
+			o.world.withCold(state.Pool{Name: poolMinds, MaxConnections: maxConnections, Engine: engineRow()}),
+			o.world.withCold(state.Pool{Name: poolDesk, MaxConnections: maxConnections}),
+			o.world.withCold(state.Pool{Name: poolAnnex, MaxConnections: maxConnections}),
 			{Name: poolOrigin, Origin: &state.Origin{Address: o.world.options.address(groupExternal, 1, portOrigin), Domain: string(domains[0]), Rate: originRate, MaxConnections: maxConnections}},
 		},
 	}
--- a/stand/internal/soak/placing.go
+++ b/stand/internal/soak/placing.go
@@ -17,18 +17,23 @@
 	// upstream several times the rate.
 	coldTime = 4 * time.Second
 	coldRate = 2
-	// coldSpan is the span of the users' rule, which has limitRatio and limitSlack as for limits.
+	// coldSpan is the sliding window in which a cold upstream gets at most limitRatio times its rate
+	// plus limitSlack requests.
 	coldSpan = time.Second
-	// coldGrace is the time from which the rule counts for an upstream that becomes cold unannounced.
+	// coldGrace is how long after an upstream has become cold unannounced its requests aren't counted,
+	// since no entry knows of it yet.
 	coldGrace = 1500 * time.Millisecond
-	// coldInterval is the number of seeds with all kinds of which one has cold upstreams.
-	coldInterval  = 3
+	// coldInterval is the number of successive seeds of which one has cold upstreams, in runs with
+	// all kinds of faults.
+	coldInterval = 3
+	// minEvacuation is the shortest evacuation. Requests in the domain are violations only after
+	// applyLimit.
 	minEvacuation = 4 * time.Second
 )
 
 // placingFaults are the kinds of faults around cold upstreams, home regions and evacuations.
 var placingFaults = []fault{
-	{"upstream-cold", func(i *injector, _ time.Duration) { i.chill(i.upstream()) }},
+	{"upstream-cold", func(i *injector, _ time.Duration) { i.makeCold(i.upstream()) }},
 	{"domain-cold", func(i *injector, _ time.Duration) { i.returnCold(domains[i.randomN(int64(len(domains)))]) }},
 	{"evacuate", func(i *injector, duration time.Duration) { i.evacuate(duration) }},
 	{"homes", func(i *injector, _ time.Duration) { i.moveHomes() }},
@@ -42,17 +47,17 @@
 	return strings.Contains(o.FaultKinds, "cold") || strings.Contains(o.FaultKinds, "evacuate")
 }
 
-// makeCold returns a pool with the cold time of the run.
-func (w *world) makeCold(p state.Pool) state.Pool {
+// withCold returns the pool with the cold time and rate of the run, if it has any.
+func (w *world) withCold(p state.Pool) state.Pool {
 	if w.options.hasCold() {
 		p.Cold, p.ColdRate = coldTime, coldRate
 	}
 	return p
 }
 
-// chill lets an upstream become cold while it runs. Half of them register that, the others say so in
+// makeCold makes an upstream cold while it runs. Half of them register that, the others state it in
 // their responses alone.
-func (i *injector) chill(m *managedUpstream) {
+func (i *injector) makeCold(m *managedUpstream) {
 	if !m.reserve() {
 		return
 	}
@@ -85,7 +90,8 @@
 	from, until time.Time
 }
 
-// evacuate evacuates a domain, or all; half of them return cold. It excludes restores, which would lose it.
+// evacuate evacuates a domain, or all of them. After half of the evacuations, the upstreams return cold.
+// No restore runs meanwhile, since it would remove the row.
 func (i *injector) evacuate(duration time.Duration) {
 	if !i.restoring.TryLock() {
 		return
@@ -116,7 +122,8 @@
 	group.Wait()
 }
 
-// moveHomes publishes a configuration with other home regions: of two routes, of one workspace, or none.
+// moveHomes publishes a configuration with other home regions: of two routes, of a route and a
+// workspace, or none.
 func (i *injector) moveHomes() {
 	pick := func() []hosts.Region {
 		first, other := domains[i.randomN(int64(len(domains)))], domains[i.randomN(int64(len(domains)))]
@@ -136,7 +143,7 @@
 	i.publish(false)
 }
 
-// checkPlaces checks the homes of each run, and that evacuated domains get nothing.
+// checkPlaces checks that runs are in their home regions, and that evacuated domains get none.
 func (c *checker) checkPlaces(all []*sentRequest, runs []fakes.Run) {
 	generations, _ := c.world.operator.history()
 	for upstream, group := range groupRuns(all, runs, func(e entryRun) string { return e.run.UpstreamID }) {
@@ -200,8 +207,8 @@
 		})
 }
 
-// checkCold checks that a cold upstream gets no more requests than its rate allows, of all entries
-// together, whatever befalls them.
+// checkCold checks that all entries together send a cold upstream no more requests than its rate
+// allows, also during faults of entries.
 func (c *checker) checkCold(all []*sentRequest, runs []fakes.Run) {
 	groups := groupRuns(all, runs, func(e entryRun) string { return e.run.UpstreamID })
 	for _, p := range c.world.ledger.ColdPeriods() {
--- a/stand/internal/soak/world.go
+++ b/stand/internal/soak/world.go
@@ -293,7 +293,7 @@
 
 func (w *world) addUpstream(name Subject, registered netip.AddrPort, o fakes.UpstreamOptions) (*managedUpstream, error) {
 	o.RegisteredAddress, o.Store, o.Ledger = registered, w.store, w.ledger
-	o.Cold = w.makeCold(state.Pool{}).Cold
+	o.Cold = w.withCold(state.Pool{}).Cold
 	p, stop, err := newProxy(registered, o.ListenAddress)
 	if err != nil {
 		return nil, err
