--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -126,7 +126,8 @@
 	open *openOrder
 	// releases holds when each version was released.
 	releases map[targetVersion]releaseTime
-	// skipped is the last complete version that wasn't loaded because it ends too early.
+	// skipped is the last complete version that wasn't loaded because it ends too early. It is
+	// logged once.
 	skipped targetVersion
 	// retained holds the version for which all others were dropped from the cache.
 	retained map[targetVersion]bool
@@ -163,8 +164,8 @@
 	Closing bool
 	// Row is the upstream row of the engine, or nil.
 	Row *state.Upstream
-	// Releases are those of the engine's model that still bound the use of a version and whose
-	// age is known.
+	// Releases are those of the engine's model that still bound the use of the version before
+	// and whose age is known.
 	Releases []state.Release
 }
 
@@ -177,7 +178,7 @@
 	return r, !l.statusAt.IsZero() && clocks.Since(l.statusAt) < callTimeout && r.Row != nil
 }
 
-// recentReleases returns the releases that still bound the use of a version.
+// recentReleases returns the releases that still bound the use of the version before.
 func (l *Loader) recentReleases() []state.Release {
 	t, ok := l.releasedVersion()
 	if !ok {
@@ -254,8 +255,8 @@
 
 // recordReleases records the earliest times at which a version, and those that it replaced unseen,
 // may have been released. One for which it isn't known, as it may be at the start, counts as
-// released a full VersionTimeout ago, and so does the first one if the engine lacks an earlier one
-// as well.
+// released a full VersionTimeout ago. So does the first one that is recorded, if the engine lacks the
+// version before it too.
 func (l *Loader) recordReleases(t targetVersion) {
 	now, held, isFirst := clocks.Now(), l.heldVersion(t.model), len(l.releases) == 0
 	for _, r := range l.options.Mirror.Snapshot().Release(t.model).Since(0) {
@@ -274,9 +275,9 @@
 // nextLoad returns the version to load now, if there is one. Until the newest version is
 // complete, this is an earlier one that the engine lacks, but only if the newest isn't
 // expected before the deadline at which the engine must stop serving its current version, and if
-// more than twice the load time is left until the earlier one ends. The expected arrival of the newest
-// is left out of the second condition: the estimate is too early while the origin is slow, and a
-// third of the engines then skipped a version that they could have served for seconds.
+// more than twice the load time is left until the earlier one ends. The second condition doesn't
+// consider the expected arrival of the newest: the estimate is too early while the origin is slow, and
+// a third of the engines then skipped a version that they could have served for seconds.
 func (l *Loader) nextLoad(t targetVersion) (targetVersion, bool) {
 	found, ok := l.fetcher.newestComplete(t.model)
 	if !ok || l.holdsOrNewer(found) {
@@ -298,7 +299,8 @@
 	return found, true
 }
 
-// endOf returns the time after which the engine gets no requests for a version that was replaced.
+// endOf returns the time after which the engine gets no requests for a version that was replaced: the
+// earliest deadline of the later versions.
 func (l *Loader) endOf(t targetVersion) time.Time {
 	end := clocks.Now().Add(unboundedLimit)
 	for other, r := range l.releases {
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -345,8 +345,8 @@
 }
 
 // TestReplacedVersionIsLoadedOnlyForLongerThanLoadingTakes releases two versions while the pieces of
-// the second one don't arrive. An engine that loaded the first one right before the end of that
-// served neither while it loaded, and loaded the second one later.
+// the second one don't arrive. It guards against an engine that loads the first one shortly before its
+// end: it serves no version while it loads, and the load delays that of the second one.
 func TestReplacedVersionIsLoadedOnlyForLongerThanLoadingTakes(t *testing.T) {
 	for gap, want := range map[time.Duration][]int{2*loadTime - 50*time.Millisecond: {3}, 2*loadTime + 200*time.Millisecond: {2, 3}} {
 		play(t, 1, 5, func(w *world) {
--- a/agent/internal/report/report_test.go
+++ b/agent/internal/report/report_test.go
@@ -44,8 +44,9 @@
 	}
 }
 
-// TestRestartedEntryLearnsReleasesAtOnce has an entry subscribe, and again after a restart. Without
-// the field First, the second report to an idle engine's subscriber came up to 1.2 s later.
+// TestRestartedEntryLearnsReleasesAtOnce has an entry subscribe, and again after a restart. It guards
+// against reports that ignore the field First: the entry would get the next one of an idle engine up to
+// 1.2 s later.
 func TestRestartedEntryLearnsReleasesAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		a := &agent{released: time.Now()}
--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -98,8 +98,8 @@
 	RetryAfterInvalid string
 	// Leaving is true if the upstream is shutting down.
 	Leaving bool
-	// ColdFor is how much longer the upstream is cold. HasCold is true if it says so, also that
-	// it isn't.
+	// ColdFor is how much longer the upstream is cold. HasCold is true if the response states it,
+	// also if it is zero.
 	ColdFor time.Duration
 	HasCold bool
 	// Limited is true if the upstream names the number of requests a second that it takes
--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -4,7 +4,7 @@
 // Times are in milliseconds. Fields that a reader doesn't know are ignored.
 package choice
 
-// Path is where an entry serves the document. The query has the fields of Query.
+// Path is where an entry serves the document. The fields of the query are QueryRoute and so on.
 const Path = "/explain"
 
 // Names of the fields of a query. Prompt is in tokens and Timeout in milliseconds.
@@ -27,7 +27,7 @@
 	Era      uint64  `json:"era"`
 	Revision uint64  `json:"revision"`
 	CopyAge  float64 `json:"copyage"`
-	// Pools are empty if the request is refused before a pool is drawn.
+	// Pools is empty if the request is refused before a pool is drawn.
 	Pools   []PoolDocument   `json:"pools"`
 	Refusal *RefusalDocument `json:"refusal,omitempty"`
 }
@@ -36,8 +36,8 @@
 type RefusalDocument struct {
 	Reason string `json:"reason"`
 	Detail string `json:"detail"`
-	// Wait is the Retry-After, drawn between it and Latest. Held is how long the request waits at
-	// the entry before it is refused.
+	// Wait and Latest bound the Retry-After, which is drawn between them. Held is how long the
+	// request waits at the entry before it is refused.
 	Wait   float64 `json:"wait"`
 	Latest float64 `json:"latest"`
 	Held   float64 `json:"held"`
@@ -71,8 +71,10 @@
 	Upstream string `json:"upstream"`
 	Domain   string `json:"domain"`
 	Region   string `json:"region"`
-	Running  int    `json:"running"`
-	Unread   int    `json:"unread"`
+	// Running is the number of requests assumed there, Unread the number of prompt tokens of
+	// those without a first event.
+	Running int `json:"running"`
+	Unread  int `json:"unread"`
 	// Reported is set if there is a valid load report, and Age is its age.
 	Reported bool    `json:"reported"`
 	Age      float64 `json:"age"`
@@ -80,17 +82,19 @@
 	Version  int     `json:"version"`
 	// Ending is set if a later version was released, and Ends is the time for which requests may
 	// still be sent to this one.
-	Ending    bool     `json:"ending"`
-	Ends      float64  `json:"ends"`
-	Predicted float64  `json:"predicted"`
-	Excluded  []string `json:"excluded,omitempty"`
-	Limit     float64  `json:"limit,omitempty"`
-	Owner     string   `json:"owner,omitempty"`
+	Ending    bool    `json:"ending"`
+	Ends      float64 `json:"ends"`
+	Predicted float64 `json:"predicted"`
+	// Excluded lists the exclusions. Limit is in requests a second; Owner spends it.
+	Excluded []string `json:"excluded,omitempty"`
+	Limit    float64  `json:"limit,omitempty"`
+	Owner    string   `json:"owner,omitempty"`
 	// Costs are the parts of Cost. Jitter bounds the random part, which isn't in it.
 	Costs  []CostDocument `json:"costs,omitempty"`
 	Cost   float64        `json:"cost"`
 	Jitter float64        `json:"jitter"`
-	// Free places and those Needed to be admitted; of engines only.
+	// Free is the number of places that the request may use, Needed how many must be free for it.
+	// Plain services have none.
 	Free     int  `json:"free"`
 	Needed   int  `json:"needed"`
 	Admitted bool `json:"admitted"`
--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -282,9 +282,9 @@
 	})
 }
 
-// TestEntriesThatStartTogetherShareOneRead starts all entries at once, as after a loss of power. Where each
-// reads all rows over the link of its region, the link is shared by all of them and none is ready before
-// the time of as many reads.
+// TestEntriesThatStartTogetherShareOneRead starts all entries at once, as after a loss of power. It guards
+// against each of them reading all rows over the link of its region: the reads share the link, and none
+// of the entries is ready before all reads have nearly ended.
 func TestEntriesThatStartTogetherShareOneRead(t *testing.T) {
 	const domains, perDomain, listTime = 3, 12, 140 * time.Millisecond
 	synctest.Test(t, func(t *testing.T) {
--- a/core/feed/follow.go
+++ b/core/feed/follow.go
@@ -37,10 +37,10 @@
 	substituteTime = 10 * time.Second
 	// idleInterval is the time until the sources are checked again if none is usable.
 	idleInterval = 100 * time.Millisecond
-	// startInterval is the same for a process without rows.
+	// startInterval is the same for a process without rows, which can't serve yet.
 	startInterval = 10 * time.Millisecond
-	// startTimeout is how long a process without rows prefers neighbors to other sources. Those that
-	// are listed as ready may have restarted and have no rows either.
+	// startTimeout is how long a process without rows prefers the entries of its region to other
+	// sources. Those that are listed as ready may have restarted and have no rows either.
 	startTimeout = 1500 * time.Millisecond
 )
 
--- a/core/feed/mirror.go
+++ b/core/feed/mirror.go
@@ -215,7 +215,8 @@
 }
 
 // firstNotBefore returns the same for a replica that was never confirmed, as at the start of the
-// process: what the source knows of the first release that the replica gets, or of the next one.
+// process: what the source knows, for the first release of the replica and for the version that
+// follows the active one.
 func firstNotBefore(active, r state.Row) time.Time {
 	switch {
 	case active.Value == nil, versionOf(r) == versionOf(active)+1:
--- a/core/feed/sources.go
+++ b/core/feed/sources.go
@@ -24,8 +24,8 @@
 	// backupDelay is the time between the entries of a failure domain, in the order of their
 	// ranks, to read the platform in place of the leader.
 	backupDelay = time.Second
-	// startSpread bounds StartDelay. It is some reads of all rows over a link between regions long,
-	// and short against the time that clients wait for an entry.
+	// startSpread bounds StartDelay. It is several times as long as a read of all rows over a link
+	// between regions, and short compared with the time that clients wait for an entry.
 	startSpread = 600 * time.Millisecond
 	// maxBackups is the number of entries behind the leader of each failure domain from which
 	// other entries may pull.
@@ -59,8 +59,8 @@
 	return append(id.peers(entries, ranks), PlatformSource)
 }
 
-// NearestFirst returns the sources of an entry without rows, best first, and false if no ready entry
-// of its region has any: the ready entries by distance, whatever their rank, then the platform. All rows
+// NearestFirst returns the sources of an entry without rows, best first: the ready entries by distance,
+// whatever their rank, then the platform. It returns false if no entry of its region is ready. All rows
 // of a large fleet are too long to be sent to each entry over a link between regions.
 func (id Identity) NearestFirst(entries []hosts.Host) ([]hosts.Name, bool) {
 	others := slices.DeleteFunc(slices.Clone(entries), func(h hosts.Host) bool { return h.Name == id.Self })
@@ -79,8 +79,8 @@
 
 // StartDelay returns how long an entry without rows that knows no ready entry of its region waits before
 // it reads the platform. Where all entries of a region start together, the first ones read it and the
-// others pull from these. The root makes the first delays lie further apart than the later ones, since
-// reads at the same time slow each other down.
+// others pull from these. The square root puts the first delays further apart than the later ones,
+// since reads at the same time slow each other down.
 func (id Identity) StartDelay() time.Duration {
 	const scale = 1 << 20
 	share := float64(hosts.Score("start", id.Self)%scale) / scale
--- a/core/finish/finish.go
+++ b/core/finish/finish.go
@@ -13,7 +13,7 @@
 	// arrive.
 	finishTimeout = 8 * time.Second
 	// servedRatio is the share of the timeout for which engines get requests for a replaced
-	// version.
+	// version. For a timeout of 9.7 s it gives the deadline of the loader's roll-out slots.
 	servedRatio = 0.8
 )
 
@@ -27,9 +27,9 @@
 	Newest  int
 	// SinceRelease is the time since the newest version was released.
 	SinceRelease time.Duration
-	// Timeout is the time after its release within which the newest version must be served, and
-	// LoadTime that which an engine takes to load a version. Zero means that there is no limit,
-	// or that it isn't known.
+	// Timeout is the time after its release within which the newest version must be served, or
+	// zero if there is no limit. LoadTime is how long an engine takes to load a version, or zero
+	// if that isn't known.
 	Timeout  time.Duration
 	LoadTime time.Duration
 }
--- a/core/gather/gather_test.go
+++ b/core/gather/gather_test.go
@@ -335,8 +335,8 @@
 }
 
 // TestReturnOfTheOriginIsNoticedByFewProbes has an origin that is unavailable when the fetch starts,
-// so that no process has the manifest. Each process requested it every 0.3 s, or waited without end
-// for one request.
+// so that no process has the manifest. It guards against requests of each process every 0.3 s, and
+// against a process that waits without a timeout for a response of the origin.
 func TestReturnOfTheOriginIsNoticedByFewProbes(t *testing.T) {
 	const outage, agents = 6 * time.Second, 20
 	for _, hangs := range []bool{false, true} {
--- a/core/gather/manifest.go
+++ b/core/gather/manifest.go
@@ -103,8 +103,8 @@
 	return v
 }
 
-// manifestFromOrigin doesn't wait for long, since the process receives no manifest from others
-// meanwhile.
+// manifestFromOrigin requests the manifest from the origin. The timeout must be short, because
+// meanwhile the process doesn't learn of others that hold the manifest.
 func (s *session) manifestFromOrigin(ctx context.Context, timeout time.Duration) (*cache.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
--- a/core/gather/session.go
+++ b/core/gather/session.go
@@ -37,10 +37,11 @@
 	// manifestBackoff is the mean time between two requests of the first rank to an origin that
 	// is unavailable.
 	manifestBackoff = 200 * time.Millisecond
-	// lateManifest is the time after which a manifest shows that the origin was unavailable.
+	// lateManifest is the time after the start of the fetch from which the origin counts as having
+	// been unavailable if the manifest arrives only then.
 	lateManifest = time.Second
 	// manifestTimeout bounds a request for the manifest. For the origin, it doubles with every
-	// manifestTries failures, at most twice, in case the origin is slow.
+	// manifestTries failures, at most twice, since the origin may be slow.
 	manifestTimeout = 700 * time.Millisecond
 	manifestTries   = 8
 	// corruptPieceLimit is the number of consecutive corrupt pieces, from any sources, that
@@ -81,7 +82,7 @@
 	// when a piece has arrived since.
 	reportedAt   time.Time
 	hasNewPieces bool
-	// cursor is the position of the next recipient of reports.
+	// cursor is the position of the next recipient of reports, modulo the number of recipients.
 	cursor int
 	// afterOutage is set if the origin was unavailable when the manifest was fetched.
 	afterOutage bool
@@ -292,8 +293,9 @@
 }
 
 // recipients returns the processes that get a report: the entries and the agents of the
-// same region, or in turn a part of them if there are many. Turns by the clock would pass over
-// the same processes again and again. Without entries, they include the agents of all regions.
+// same region, or in turn a part of them if there are many. Without entries, they include the agents
+// of all regions. The turn is a cursor and not the time, by which the same processes would be passed
+// over repeatedly.
 func (s *session) recipients() []hosts.Host {
 	self := s.fetcher.options.Self
 	members := s.fetcher.options.Members()
--- a/core/member/member.go
+++ b/core/member/member.go
@@ -32,8 +32,8 @@
 	// GossipInterval is the time between two rounds of gossip.
 	GossipInterval = 300 * time.Millisecond
 	// SearchInterval is the time between two rounds of an observer that knows no ready entry, and
-	// of an entry that knows no other one. All of a fleet search at once when it starts, so it is
-	// no shorter.
+	// of an entry that knows no other one. It isn't shorter because all processes search at once
+	// when a fleet starts.
 	SearchInterval = 100 * time.Millisecond
 	// maxSearches is the number of such rounds. In a longer outage the queries of many observers
 	// would burden the entries.
@@ -117,8 +117,8 @@
 	rounds  int
 	// observerDelay is added to regionSilenceTimeout at an observer.
 	observerDelay time.Duration
-	// searches counts the rounds of an observer since it last knew a ready entry, or those of an
-	// entry in which it knew no other one.
+	// searches counts the rounds of an observer since it last knew a ready entry, or all rounds of
+	// an entry in which it knew no other one.
 	searches int
 	// firstSeed is the index of the seed with which a search begins.
 	firstSeed int
@@ -240,7 +240,7 @@
 }
 
 // searchMessages returns the message of an entry that knows no other one. Search rounds aren't counted
-// among those for which the number of entries is assumed.
+// in rounds, so that the first rounds, in which assumedEntries applies, begin once another is known.
 func (t *Table) searchMessages() []Message {
 	t.searches++
 	if s, ok := t.nextSeed(); ok {
@@ -360,8 +360,8 @@
 	return s, s != t.self.Address
 }
 
-// nextSeed returns the seeds one after the other, so that a search that can reach one of them in time
-// isn't lost to chance, and false where the process itself comes.
+// nextSeed returns the seed of the current search round, or false if that is the process itself. Seeds
+// are used in turn, since a random choice may miss the only reachable one for several rounds.
 func (t *Table) nextSeed() (netip.AddrPort, bool) {
 	if len(t.seeds) == 0 {
 		return netip.AddrPort{}, false
--- a/core/sched/faults_test.go
+++ b/core/sched/faults_test.go
@@ -7,6 +7,8 @@
 	"currantport.example/core/hosts"
 )
 
+// TestFaultsDelayTheFleetLittle guards against a fetch that hangs, or takes several copies from the
+// origin, if a second fault meets an outage: dead processes, corrupt pieces or a slow link.
 func TestFaultsDelayTheFleetLittle(t *testing.T) {
 	outage := func(f *fleet) { f.downFrom, f.downTo = 500*time.Millisecond, 6500*time.Millisecond }
 	for name, c := range map[string]struct {
@@ -18,14 +20,15 @@
 	}{
 		"the origin doesn't respond in the outage": {func(f *fleet) { outage(f); f.hangs = true }, 9500 * time.Millisecond, 1.2},
 		"a cut of 0.7 s": {func(f *fleet) { f.hangs, f.downFrom, f.downTo = true, time.Second/2, 1200*time.Millisecond }, 4500 * time.Millisecond, 1.2},
-		// The limit is 8.4 s. Before, all requests timed out without end.
+		// The links allow 8.4 s. All requests timed out repeatedly while timeouts and windows
+		// went by the stated rate.
 		"a quarter of the stated rate": {func(f *fleet) { f.origin.rate /= 4 }, 12 * time.Second, 1.5},
 		"only corrupt pieces for 3 s":  {func(f *fleet) { f.corruptTo = 3 * time.Second }, 6500 * time.Millisecond, 2.3},
 		// Agents forward the pieces to each other, for which their links need 5 s.
 		"all entries are killed as it returns": {func(f *fleet) { outage(f); f.after(6700*time.Millisecond, f.kill) }, 16 * time.Second, 1.8},
 		"all entries are killed in the outage": {func(f *fleet) { outage(f); f.after(3*time.Second, f.kill) }, 14 * time.Second, 1.2},
-		// The pieces that agents hold are due in the schedule of an entry that starts, which
-		// waited for the others until 11 s.
+		// An entry that starts begins its own schedule. While it requested the remaining pieces
+		// by that schedule, the fleet was complete only after 11 s.
 		"all entries restart after the return": {func(f *fleet) { outage(f); f.after(7700*time.Millisecond, f.restart) }, 10500 * time.Millisecond, 1.3},
 		"a third of the entries is killed": {func(f *fleet) {
 			outage(f)
--- a/core/sched/outage.go
+++ b/core/sched/outage.go
@@ -34,10 +34,12 @@
 	// maxCorruptPieces is the number of consecutive corrupt pieces after which the origin counts
 	// as unavailable.
 	maxCorruptPieces = 3
-	// rankOffset makes the first ranks wait for about as long as in other takeovers.
+	// rankOffset divides the growth of frontDelay, so that the first ranks wait for about as long
+	// as in other takeovers.
 	rankOffset = 3
 	// reportedTogether and reportInterval are the number of processes that get a report and the
-	// interval of the reports without news.
+	// interval of the reports without news. They are maxRecipients and maxReportInterval of
+	// package gather.
 	reportedTogether = 32
 	reportInterval   = 300 * time.Millisecond
 	// suspectedOutage is the time without a discovery after which a newly discovered piece ends
@@ -47,18 +49,20 @@
 
 // outage is what a process knows of an outage of the origin during the fetch.
 type outage struct {
-	// met is set once the origin was unavailable.
-	met bool
-	// current is set while it is.
+	// windowed is set once pieces are requested by the window: from the first outage on, or after
+	// the link was found slower than stated. It stays set until the end of the fetch.
+	windowed bool
+	// current is set while the origin is unavailable.
 	current bool
-	// frontSince holds the time since which each piece is one of those to request next.
+	// frontSince holds the time since which each piece is within the window.
 	frontSince []time.Time
 	// silent holds the entries that have no rank, withoutEntries is set if nothing was heard from
 	// any entry, and checkedAt is when this was last checked.
 	silent         map[hosts.Name]bool
 	withoutEntries bool
 	checkedAt      time.Time
-	// discoveryInterval is the smoothed time between two pieces that were discovered.
+	// discoveryInterval is the smoothed time between two pieces that were discovered, as an
+	// estimate of the transfer time of a piece on the origin's link.
 	discoveryInterval time.Duration
 	// timeouts counts the requests of this process to the origin that have timed out in a row.
 	timeouts int
@@ -68,13 +72,13 @@
 
 // beginOutage records that the origin is unavailable.
 func (s *Scheduler) beginOutage() {
-	s.outage.met, s.outage.current = true, true
+	s.outage.windowed, s.outage.current = true, true
 	if s.outage.frontSince == nil {
 		s.outage.frontSince = make([]time.Time, len(s.pieces))
 	}
 }
 
-// endOutage records that a piece was discovered for the first time since the given time.
+// endOutage records that a piece was discovered now, for the first time since the previous one.
 func (s *Scheduler) endOutage(now, previous time.Time) {
 	if !s.outage.current {
 		return
@@ -107,7 +111,7 @@
 	switch {
 	case late >= timeout && now.Sub(s.lastDiscovery) >= timeout:
 		s.beginOutage()
-	case !s.outage.met && s.options.OriginRate > 0 && (due > maxDueWindows*s.frontWindow() || early > s.frontWindow()):
+	case !s.outage.windowed && s.options.OriginRate > 0 && (due > maxDueWindows*s.frontWindow() || early > s.frontWindow()):
 		// The link is slower than stated, or this process has started late.
 		s.beginOutage()
 		s.outage.current = false
@@ -133,8 +137,8 @@
 	return max(stated, s.outage.discoveryInterval)
 }
 
-// recordDiscovery updates the observed time of a piece on the origin's link. A single gap, as the
-// takeover of a dead process leaves, counts little, and reports may bring several pieces at a time.
+// recordDiscovery updates the observed time of a piece on the origin's link. It is smoothed, since the
+// takeover of a dead process leaves a single gap and a report may bring several pieces at a time.
 func (s *Scheduler) recordDiscovery(now time.Time) {
 	const weight, maxGrowth = 8, 4
 	if !s.outage.current {
@@ -154,10 +158,9 @@
 	return maxWindow
 }
 
-// originTakeoverDelay returns the time for which each rank waits for the one before it. The link
-// of the origin needs a time for the pieces that are due; a piece isn't late before that. Without
-// this, a link that had lost 0.1 s was given pieces twice, which delayed the others until half of
-// them were.
+// originTakeoverDelay returns the time for which each rank waits for the one before it. It is at least
+// as long as the link of the origin needs for the pieces that are due. With a shorter one, a link that
+// was 0.1 s behind was given pieces twice, which delayed the others in turn.
 func (s *Scheduler) originTakeoverDelay(now time.Time) time.Duration {
 	due := 0
 	for i, known := range s.discovered {
@@ -196,7 +199,7 @@
 	}
 }
 
-// cancelRepeated cancels the requests to the origin for pieces that a process is known to hold.
+// cancelRepeated cancels the requests to the origin for pieces that another process is known to hold.
 func (s *Scheduler) cancelRepeated(now time.Time) {
 	for i := range s.pieces {
 		if !s.pieces[i].held && s.isRequested(i, "") && !s.isUnheld(now, i) {
@@ -219,8 +222,8 @@
 	return rank, rank >= 0
 }
 
-// frontDelay returns the time for which a rank waits. It grows with the square of the rank, since
-// several ranks in a row are seldom gone while a slow origin would be given a piece by each.
+// frontDelay returns the time for which a rank waits. It grows with the square of the rank: several
+// ranks in a row are seldom dead, and a slow origin would get a request for the piece from each.
 func frontDelay(rank int, delay time.Duration) time.Duration {
 	return time.Duration(rank) * time.Duration(rank+rankOffset) * delay / (rankOffset + 1)
 }
--- a/core/sched/ranks.go
+++ b/core/sched/ranks.go
@@ -64,7 +64,8 @@
 
 // rankGroups returns the members in groups of descending rank: the entries that satisfy the
 // condition, then, if includeOthers is set, the other entries, and then the agents in the
-// same way. Entries that are silent in an outage are left out.
+// same way. With includeOthers, which the ranks for the origin need, entries that are silent in an
+// outage are left out.
 func (s *Scheduler) rankGroups(preferred func(h hosts.Host) bool, includeOthers bool) [][]scoredMember {
 	all := make([][]scoredMember, 4)
 	for _, h := range s.members {
@@ -107,7 +108,7 @@
 	return -1, ""
 }
 
-// countBefore returns the number of members with a higher score and the last of them.
+// countBefore returns the number of members with a higher score, and the one of them with the lowest.
 func countBefore(key uint64, group []scoredMember, score uint64) (int, hosts.Name) {
 	count, last, lowest := 0, hosts.Name(""), uint64(0)
 	for _, m := range group {
--- a/core/sched/requests.go
+++ b/core/sched/requests.go
@@ -79,13 +79,13 @@
 // fetchFromOrigin requests the pieces from the origin for which the turn of this process
 // has come.
 func (s *Scheduler) fetchFromOrigin(now time.Time) {
-	if s.outage.met {
+	if s.outage.windowed {
 		s.cancelRepeated(now)
 	}
 	if now.Before(s.originAvailableAt) {
 		return
 	}
-	if s.outage.met {
+	if s.outage.windowed {
 		s.fetchFront(now)
 		return
 	}
--- a/core/state/build.go
+++ b/core/state/build.go
@@ -135,7 +135,7 @@
 		s.routes, s.objectives = indexRoutes(b.routes), objectivesOf(b.routes)
 	}
 	if changed[KindRoute] || changed[KindWorkspace] {
-		s.levels, s.homed = levelsOf(b.routes, b.workspaces), homedOf(b.routes, b.workspaces)
+		s.levels, s.homeRows = levelsOf(b.routes, b.workspaces), homeRowsOf(b.routes, b.workspaces)
 	}
 	if changed[KindPool] {
 		s.pools = make(map[string]*Pool, len(b.pools))
--- a/core/state/levels.go
+++ b/core/state/levels.go
@@ -8,10 +8,11 @@
 // MaxLevels bounds the levels of urgency in a pool, since engines distinguish ten.
 const MaxLevels = 10
 
-// urgency orders the requests of a pool; the lower one goes first. The priority of a workspace goes
-// before that of the route, which decides among workspaces of the same priority.
+// urgency orders the requests of a pool; the lower one goes first.
 type urgency struct {
-	first  int
+	// first is the priority of the workspace, or that of the route if the workspace has none.
+	first int
+	// second is the priority of the route.
 	second int
 }
 
@@ -37,14 +38,14 @@
 			}
 		}
 	}
-	claimed := claims(routes, workspaces)
+	distinct := workspacesByPriority(routes, workspaces)
 	levels := make(map[string][]urgency)
 	for pool, all := range priorities {
 		if len(all) < 2 {
 			continue
 		}
 		for _, p := range all {
-			for _, w := range claimed {
+			for _, w := range distinct {
 				if u := urgencyOf(&Route{Priority: p}, w); !slices.Contains(levels[pool], u) {
 					levels[pool] = append(levels[pool], u)
 				}
@@ -55,26 +56,26 @@
 	return levels
 }
 
-// claims returns a workspace for each priority that workspaces have, and nil if there are requests
-// without one.
-func claims(routes map[string]*Route, workspaces map[string]*Workspace) []*Workspace {
-	var claimed []*Workspace
+// workspacesByPriority returns one workspace for each priority that workspaces have, and nil too if
+// there are requests to which no workspace's priority applies.
+func workspacesByPriority(routes map[string]*Route, workspaces map[string]*Workspace) []*Workspace {
+	var distinct []*Workspace
 	hasOther := len(workspaces) == 0
 	for _, w := range workspaces {
 		switch {
 		case !w.HasPriority:
 			hasOther = true
-		case !slices.ContainsFunc(claimed, func(o *Workspace) bool { return o.Priority == w.Priority }):
-			claimed = append(claimed, w)
+		case !slices.ContainsFunc(distinct, func(o *Workspace) bool { return o.Priority == w.Priority }):
+			distinct = append(distinct, w)
 		}
 	}
 	for _, r := range routes {
 		hasOther = hasOther || r.Anonymous
 	}
 	if hasOther {
-		claimed = append(claimed, nil)
+		distinct = append(distinct, nil)
 	}
-	return claimed
+	return distinct
 }
 
 // Urgency returns the level of a workspace's requests on a route to the pool, zero for the most
--- a/core/state/places.go
+++ b/core/state/places.go
@@ -77,16 +77,16 @@
 // maxHomeConflicts bounds the result of HomeConflicts.
 const maxHomeConflicts = 32
 
-// homed are the rows that have homes, in order, so that the same conflicts are found each time.
-type homed struct {
+// homeRows are the rows that have homes, ordered by name, so that the same conflicts are found each time.
+type homeRows struct {
 	routes     []*Route
 	workspaces []*Workspace
 	// groups are the workspaces by their homes. Many workspaces share few lists of regions.
 	groups [][]*Workspace
 }
 
-func homedOf(routes map[string]*Route, workspaces map[string]*Workspace) homed {
-	var h homed
+func homeRowsOf(routes map[string]*Route, workspaces map[string]*Workspace) homeRows {
+	var h homeRows
 	for _, r := range routes {
 		if len(r.Homes) > 0 {
 			h.routes = append(h.routes, r)
@@ -114,23 +114,23 @@
 // home region in common. At most 32 are returned, since they are meant for a log.
 func (s *Snapshot) HomeConflicts(isKnown func(hosts.Region) bool) []HomeConflict {
 	var all []HomeConflict
-	for _, w := range s.homed.workspaces {
+	for _, w := range s.homeRows.workspaces {
 		for _, h := range w.Homes {
 			if !isKnown(h) {
 				all = append(all, HomeConflict{Workspace: w.Name, Unknown: h})
 			}
 		}
 	}
-	for _, r := range s.homed.routes {
+	for _, r := range s.homeRows.routes {
 		if len(all) >= maxHomeConflicts {
 			break
 		}
-		all = append(all, s.homed.conflictsOf(r, isKnown)...)
+		all = append(all, s.homeRows.conflictsOf(r, isKnown)...)
 	}
 	return all[:min(len(all), maxHomeConflicts)]
 }
 
-func (h homed) conflictsOf(r *Route, isKnown func(hosts.Region) bool) []HomeConflict {
+func (h homeRows) conflictsOf(r *Route, isKnown func(hosts.Region) bool) []HomeConflict {
 	var all []HomeConflict
 	for _, region := range r.Homes {
 		if !isKnown(region) {
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -26,7 +26,7 @@
 	upstreams  map[string][]*Upstream
 	objectives map[string]time.Duration
 	levels     map[string][]urgency
-	homed      homed
+	homeRows   homeRows
 	evacuated  map[hosts.Domain]bool
 }
 
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -245,7 +245,7 @@
 	HasCold bool
 }
 
-// Evacuation asks that no new requests be sent to the upstreams of a failure domain. It holds
+// Evacuation means that no new requests may be sent to the upstreams of a failure domain. It holds
 // until its row is removed.
 type Evacuation struct {
 	Domain hosts.Domain
