--- a/entry/internal/level/level_test.go
+++ b/entry/internal/level/level_test.go
@@ -15,8 +15,8 @@
 
 var start = time.Unix(1e9, 0)
 
-// TestReservesFollowShortage guards against reserves that cost places on calm days, that come too late
-// in a burst, that stay after it, or that entries of a region don't share.
+// TestReservesFollowShortage guards against reserves that leave slots idle without a shortage, that come
+// too late in a burst, that outlast it, or that ignore the shortage at other entries of the region.
 func TestReservesFollowShortage(t *testing.T) {
 	m := level.NewMeter(3)
 	at := start
@@ -28,7 +28,7 @@
 		return m.Reserves(at)
 	}
 	if r := send(3*time.Second, true); r[3] != 0 {
-		t.Errorf("reserves %v on a calm day", r)
+		t.Errorf("reserves %v without a shortage", r)
 	}
 	r := send(170*time.Millisecond, false)
 	if r[0] != 0 || r[1] < 0.1 || r[2] != r[1] || r[3] != r[1] {
@@ -39,7 +39,7 @@
 	}
 	m.Receive(at, "other", level.Counts{Arrived: []float64{0, 400, 0}, Placed: []float64{0, 0, 0}})
 	if r := m.Reserves(at); r[1] != 0 || r[2] < 0.1 {
-		t.Errorf("reserves %v though level 1 meets no room at another entry", r)
+		t.Errorf("reserves %v though level 1 finds no room at another entry", r)
 	}
 	if r := m.Reserves(at.Add(time.Second)); r[3] != 0 {
 		t.Errorf("reserves %v a second after the last message of another entry", r)
@@ -56,8 +56,8 @@
 }
 
 // TestQueueOrder places all waiting requests, one after the other. It guards against a less urgent
-// request that takes the place of a more urgent one, a workspace whose flood keeps others waiting, and
-// a request that is held back by others that need other engines.
+// request that gets the slot of a more urgent one, a workspace whose many requests delay those of
+// others, and a request that is delayed by others that need different engines.
 func TestQueueOrder(t *testing.T) {
 	q := level.NewQueue(3)
 	homes := state.HomesOf(&state.Route{Homes: []hosts.Region{"r"}}, nil)
@@ -101,11 +101,12 @@
 		t.Errorf("%v ahead of a request that needs other engines", ahead)
 	}
 	if q.Remove(first); q.Poll(start, second, func(h []state.Homes) bool { return len(h) == 0 }) != level.Placed {
-		t.Error("a request that left the queue still holds others back")
+		t.Error("a request that left the queue still delays others")
 	}
 }
 
-// TestQueueRefusesWhatIsNotPlacedInTime guards against clients that are held in vain.
+// TestQueueRefusesWhatIsNotPlacedInTime guards against clients that wait although they won't be served,
+// and against refusals of requests that would be placed in time.
 func TestQueueRefusesWhatIsNotPlacedInTime(t *testing.T) {
 	for _, c := range []struct {
 		name   string
@@ -150,8 +151,8 @@
 	}
 }
 
-// TestLeastShares has only exempt requests of the last level placed, as at three times the capacity.
-// It guards against kinds that starve, and against exemptions without need.
+// TestLeastShares places only exempt requests of the last level, as at three times the capacity. It
+// guards against kinds that starve, and against more exemptions than the least share needs.
 func TestLeastShares(t *testing.T) {
 	for _, c := range []struct {
 		name        string
--- a/entry/internal/level/meter.go
+++ b/entry/internal/level/meter.go
@@ -17,24 +17,23 @@
 	// that time.
 	reportTTL = 400 * time.Millisecond
 	// toleratedShortage is the ratio of requests that may find no room early without a reserve
-	// for them. Below the capacity of the engines some meet full ones by chance.
+	// for them. Even if the demand is below the capacity, some find all engines full by chance.
 	toleratedShortage = 0.03
 	// fullShortage is the ratio from which the reserve for a level is full. A burst that
 	// fills all engines reaches it within a sixth of countWindow.
 	fullShortage = 0.15
-	// levelReserveDivisor is the part of an engine's slots, as a divisor, that is reserved at
-	// most for each level. An idle slot costs throughput, and each reserved one divides the
+	// levelReserveDivisor bounds the part of an engine's slots, as a divisor, that is reserved
+	// for each level. An idle slot costs throughput, and each reserved one divides the number of
 	// requests without room by the ratio of the capacity to the demand of the level, so one
 	// or two are enough.
 	levelReserveDivisor = 8
 )
 
-// Counts are the first requests of the last second by level, those of clients that return
-// excluded.
+// Counts are the first requests by level, decayed with countWindow. Requests of clients that return
+// aren't counted.
 type Counts struct {
 	Arrived []float64
-	// Placed are those of them that found room early: within half of the wait that costs
-	// clients nothing.
+	// Placed are those of them that found room early: within half of Request.Grace.
 	Placed []float64
 }
 
@@ -106,7 +105,7 @@
 }
 
 // Receive replaces the counts of another entry. Counts of an entry that distinguishes another
-// number of levels are ignored: for a moment, its configuration is another one.
+// number of levels are ignored, because its configuration differs for the moment.
 func (m *Meter) Receive(now time.Time, from hosts.Name, c Counts) {
 	if len(c.Arrived) != m.Levels() || len(c.Placed) != m.Levels() {
 		delete(m.others, from)
@@ -115,9 +114,9 @@
 	m.others[from] = reportedCounts{receivedAt: now, counts: c}
 }
 
-// Reserves returns the parts of an engine's slots that are reserved against each level. The entry
-// after the last level is for clients that return with the last level. Reserves don't decrease from a
-// level to the next.
+// Reserves returns the parts of an engine's slots that are reserved against each level, and after
+// them the part that is reserved against clients that return with the last level. Reserves don't
+// decrease from one level to the next.
 func (m *Meter) Reserves(now time.Time) []float64 {
 	m.decay(now)
 	sum := newCounts(m.Levels())
@@ -131,7 +130,7 @@
 	}
 	reserves := make([]float64, m.Levels()+1)
 	for i, n := range sum.Arrived {
-		// One more request than arrived, so that a single one is no shortage.
+		// One is added to the arrivals, so that the first requests without room count less.
 		shortage := max(n-sum.Placed[i], 0) / (n + 1)
 		part := (shortage - toleratedShortage) / (fullShortage - toleratedShortage)
 		reserves[i+1] = reserves[i] + min(max(part, 0), 1)/levelReserveDivisor
--- a/entry/internal/level/queue.go
+++ b/entry/internal/level/queue.go
@@ -13,16 +13,16 @@
 
 const (
 	// maxWaiting and maxWaitingBytes bound the requests that wait at an entry for a pool, and
-	// their bodies. An entry places some dozens of requests in the time that one may wait.
+	// their bodies. An entry places some dozens of requests in the time for which one may wait.
 	maxWaiting      = 128
 	maxWaitingBytes = 64 << 20
 	// rateWindow is the time constant of the measured rate of placements.
 	rateWindow = 2 * time.Second
-	// leastChance is the chance of being placed in time below which a request is refused. Being
-	// held in vain is worse than being refused at once, so it must be likely. The most urgent
-	// requests, of which few have to be refused, wait at leastUrgentChance.
-	leastChance       = 0.5
-	leastUrgentChance = 0.28
+	// minChance is the probability of being placed in time below which a request is refused. A
+	// refusal after a wait serves a client worse than one at once. minUrgentChance is the same for
+	// the most urgent requests, of which few have to be refused.
+	minChance       = 0.5
+	minUrgentChance = 0.28
 )
 
 // Request is what the order of the requests for a pool depends on.
@@ -37,19 +37,19 @@
 	// Prompt is the length of the prompt in tokens, Bytes that of the body.
 	Prompt int
 	Bytes  int
-	// Homes are the regions that may serve the request, Group distinguishes requests that
-	// need other engines for other reasons.
+	// Homes are the regions that may serve the request. Group differs between requests that
+	// need different engines for other reasons.
 	Homes state.Homes
 	Group string
 	// Further is set for a further attempt of a request that was counted before.
 	Further bool
-	// Grace is how long the request may wait whatever is predicted, since it costs the client
-	// nothing, Until the time from which it would be placed too late.
+	// Grace is how long the request may wait whatever is predicted, because the wait costs the
+	// client nothing. Until is the time from which it would be placed too late.
 	Grace time.Duration
 	Until time.Time
 }
 
-// Ticket is a request that waits for a place.
+// Ticket is a request that waits for an engine.
 type Ticket struct {
 	Request
 	// Exempt is set for requests that count as most urgent because of a least share.
@@ -58,8 +58,8 @@
 	serial uint64
 }
 
-// rank orders by level. Newcomers go before clients that return with the same level, because
-// these can only be late.
+// rank orders by level. Newcomers go before clients that return with the same level, whose
+// responses are late in any case.
 func (t *Ticket) rank() int {
 	switch {
 	case t.Exempt:
@@ -77,8 +77,8 @@
 	waiting []*Ticket
 	serial  uint64
 	bytes   int
-	// turns is the number of placements of each workspace with waiting requests, counted from
-	// that of the workspace served last.
+	// turns holds the next turn of each workspace that had a placement lately, and turn the last
+	// one that was used. A workspace without an entry is due at turn.
 	turns map[string]float64
 	turn  float64
 	// placed are the placements in the last seconds by rank, at placedAt.
@@ -117,16 +117,16 @@
 	Refused
 )
 
-// Poll chooses an engine for a waiting request if it is its turn. The function chooses one while it
-// leaves slots free for others with the given homes, and reports whether there was one. The wait has
-// ended unless the verdict is Waiting.
+// Poll chooses an engine for a waiting request if it is its turn. The function choose must leave a slot
+// free for each of the given homes, which are those of the requests ahead, and reports whether it
+// found an engine. The wait has ended unless the verdict is Waiting.
 func (q *Queue) Poll(now time.Time, t *Ticket, choose func(ahead []state.Homes) bool) Verdict {
 	n, isFirst, homes := q.ahead(t)
 	switch {
 	case isFirst && choose(homes):
 		q.place(now, t)
 		return Placed
-	case now.Before(t.since.Add(t.Grace)) || q.chance(now, t, n) >= t.leastChance():
+	case now.Before(t.since.Add(t.Grace)) || q.chance(now, t, n) >= t.requiredChance():
 		return Waiting
 	}
 	q.Remove(t)
@@ -177,8 +177,8 @@
 	)
 }
 
-// ahead returns the number of requests that go before this one. IsFirst is set if none of them has
-// the same requirements. Homes are those of the others, for which slots must be left free.
+// ahead returns the number of requests that go before this one and their homes. IsFirst is set if none
+// of them has the same homes and group.
 func (q *Queue) ahead(t *Ticket) (n int, isFirst bool, homes []state.Homes) {
 	isFirst = true
 	for _, o := range q.waiting {
@@ -194,8 +194,9 @@
 	return n, isFirst, homes
 }
 
-// chance predicts how likely a request is placed in time, from the number of those that go before it
-// and the rate of placements of its rank and of less urgent ones. Places become free at random.
+// chance returns the probability that a request is placed in time, from the number of those that go
+// before it and the rate of placements of its rank and of less urgent ones. Slots are assumed to become
+// free at random times.
 func (q *Queue) chance(now time.Time, t *Ticket, ahead int) float64 {
 	q.decay(now)
 	placed := 0.0
@@ -209,15 +210,15 @@
 	return 1 - math.Exp(-float64(remaining)/float64(rateWindow)*placed/float64(ahead+1))
 }
 
-func (t *Ticket) leastChance() float64 {
+func (t *Ticket) requiredChance() float64 {
 	if t.Level == 0 || t.Exempt {
-		return leastUrgentChance
+		return minUrgentChance
 	}
-	return leastChance
+	return minChance
 }
 
-// MaxWait returns how long after its arrival a request may be placed so that it is in time at a busy
-// engine. A client that returns is late anyway; it may wait as long as a newcomer.
+// MaxWait returns how long after its arrival a request may be placed and still be in time at an engine
+// with one free slot. A client that returns is late in any case and may wait as long as a newcomer.
 func MaxWait(e *state.Engine, objective time.Duration) time.Duration {
 	busy := timing.Load{Running: e.Slots - 1, Unread: e.PromptTokens}
 	return max(objective-timing.FirstEvent(e, busy, e.PromptTokens), 0)
--- a/entry/internal/level/share.go
+++ b/entry/internal/level/share.go
@@ -8,8 +8,8 @@
 )
 
 const (
-	// shareWindow is the time constant of the overall share. It covers some dozens of
-	// requests of an entry.
+	// shareWindow is the time constant of the shares of served requests. It covers some dozens
+	// of requests of an entry.
 	shareWindow = 5 * time.Second
 	// leastShare is the least share of the requests of the most urgent kinds and of a workspace,
 	// as a ratio of the overall share. Users require a quarter. It falls by up to
@@ -20,16 +20,15 @@
 	// longShare is the least share of the long prompts of a kind, as a ratio of the kind's
 	// share. Users require a half.
 	longShare = 0.65
-	// maxCredit and maxDebt bound the requests that are exempt in succession, and those that
-	// were served above the least share before and count against it.
+	// maxCredit bounds the requests that are exempt in succession, maxDebt those served above the
+	// least share that count against later ones.
 	maxCredit = 2
 	maxDebt   = 3
 	// maxAccounts bounds the kinds and the workspaces that are counted.
 	maxAccounts = 4096
 	// longQuantile is the part of the prompts that aren't long.
 	longQuantile = 0.9
-	// quantileStep is the change of the estimated length of a long prompt with each request,
-	// as a ratio.
+	// quantileStep bounds the change of the estimated longQuantile with each request, as a ratio.
 	quantileStep = 0.05
 )
 
@@ -46,12 +45,12 @@
 type kind struct {
 	account
 	served ratio
-	// longest is the estimated length from which prompts are long.
-	longest float64
-	long    account
+	// longFrom is the estimated longQuantile of the lengths, in tokens. Longer prompts are long.
+	longFrom float64
+	long     account
 }
 
-// ratio is the ratio of served requests to first requests in the last seconds.
+// ratio is the ratio of served requests to first requests, decayed with shareWindow.
 type ratio struct {
 	arrived, served float64
 	at              time.Time
@@ -66,7 +65,8 @@
 
 func (r *ratio) value() float64 { return min(r.served/max(r.arrived, 1), 1) }
 
-// account is the number of requests by which a group is served below its least share.
+// account holds the number of requests by which a group is below its least share, from -maxDebt to
+// maxCredit.
 type account struct{ credit float64 }
 
 func (a *account) arrive(share float64) { a.credit = min(a.credit+share, maxCredit) }
@@ -81,7 +81,7 @@
 func (s *Shares) groups(r Request) (*kind, *account) {
 	k, ok := s.kinds.Get(r.Kind)
 	if !ok {
-		k = &kind{longest: float64(r.Prompt)}
+		k = &kind{longFrom: float64(r.Prompt)}
 		s.kinds.Put(r.Kind, k)
 	}
 	w, ok := s.workspaces.Get(r.Workspace)
@@ -95,7 +95,7 @@
 // Arrive counts a request and reports whether it is exempt from the order of the levels.
 func (s *Shares) Arrive(now time.Time, r Request) bool {
 	k, w := s.groups(r)
-	isLong := float64(r.Prompt) > k.longest
+	isLong := float64(r.Prompt) > k.longFrom
 	if !r.Returned && !r.Further {
 		s.all.decay(now)
 		k.served.decay(now)
@@ -105,9 +105,9 @@
 		w.arrive(leastShare * s.all.value())
 		if isLong {
 			k.long.arrive(longShare * k.served.value())
-			k.longest *= 1 + quantileStep*longQuantile
+			k.longFrom *= 1 + quantileStep*longQuantile
 		} else {
-			k.longest *= 1 - quantileStep*(1-longQuantile)
+			k.longFrom *= 1 - quantileStep*(1-longQuantile)
 		}
 	}
 	return k.isShort() || w.isShort() || isLong && k.long.isShort()
@@ -125,7 +125,7 @@
 	k.served.served++
 	k.serve()
 	w.serve()
-	if float64(r.Prompt) > k.longest {
+	if float64(r.Prompt) > k.longFrom {
 		k.long.serve()
 	}
 }
--- a/entry/internal/target/admit.go
+++ b/entry/internal/target/admit.go
@@ -30,14 +30,14 @@
 	return free >= needed
 }
 
-// room returns the places of an engine that the request may use and the number that must be free for
-// it to be admitted.
+// room returns how many requests of this kind the engine can still take, those that may wait there for
+// a slot included, and how many that must be for the request to be admitted.
 func room(reqs Requirements, l timing.Load, reserve int) (free, needed int) {
 	e := reqs.Pool.Engine
 	free = e.Slots + e.Slots/queueDivisor - reserve - l.Running
 	switch {
 	case reqs.Levels > 1 && reqs.Returned:
-		// Its place among the levels decides, in levelReserve.
+		// The response is late in any case, and levelReserve holds back such requests.
 		return free, 1
 	case timing.FirstEvent(e, l, e.PromptTokens) <= reqs.Remaining:
 		return free, 1
@@ -54,9 +54,10 @@
 	// of other entries become known only with a delay.
 	regionReserveDivisor = 5
 	remoteReserveDivisor = 3
-	// urgentReserveDivisor divides the former for the most urgent level. Fewer requests compete
-	// there, and a free slot of any engine of the region is worth more than one of the entry's
-	// own in a while. Without any reserve too many meet at the same engine and are late.
+	// urgentReserveDivisor divides the reserve in the region further for the most urgent level.
+	// Fewer requests compete there, and for them a free slot at any engine of the region is better
+	// than a later one at an assigned engine. Without a reserve too many are sent to the same
+	// engine and are late.
 	urgentReserveDivisor = 2
 )
 
@@ -67,12 +68,12 @@
 	case usage == UsageOwn, u.ownsLimit(now):
 		return 0
 	case u.even.active && usage != UsageNear:
-		return f.farReserve(u, slots)
+		return f.evenReserve(u, slots)
 	case usage == UsageRemote:
 		return slots / remoteReserveDivisor
 	case reqs.Waiting && f.options.Random() >= 1/float64(f.regionSize):
-		// Requests that wait at all entries of the region would meet at the first slot that
-		// becomes free. Each entry tries at a time of its own.
+		// Otherwise the requests that wait at all entries of the region would be sent to the
+		// first slot that becomes free. On average one entry tries at a time.
 		return 2 * slots
 	case reqs.Levels > 1 && !reqs.Returned && (reqs.Level == 0 || reqs.Exempt):
 		return slots / regionReserveDivisor / urgentReserveDivisor
--- a/entry/internal/target/assign.go
+++ b/entry/internal/target/assign.go
@@ -7,8 +7,8 @@
 	"currantport.example/core/hosts"
 )
 
-// Assign recomputes which engines are assigned to this entry, and the owners of limits. Call it when the set of live
-// entries changes.
+// Assign recomputes which engines are assigned to this entry, its shares, and the owners of limits. Call
+// it when the set of live entries changes.
 func (f *Fleet) Assign(now time.Time) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -16,8 +16,8 @@
 	f.assignLimits(now)
 }
 
-// assign computes the local and the remote assignments of this entry. All entries arrive at
-// the same result without messages. The caller holds the mutex.
+// assign computes the local and the remote assignments and the shares of this entry. All entries
+// arrive at the same result without messages. The caller holds the mutex.
 func (f *Fleet) assign() {
 	entries := f.regionEntries()
 	f.assignLocal(entries)
--- a/entry/internal/target/balance.go
+++ b/entry/internal/target/balance.go
@@ -29,18 +29,19 @@
 	// engine before others. In the model, 2 leave too many slots idle, and 6 collide as often as
 	// they find room.
 	maxNearEntries = 4
-	// farCost is added to unassignedCost for the other engines of the region. The sum is below the cost of an
-	// engine in another region that isn't assigned.
-	farCost = 30 * time.Millisecond
-	// farReserveDivisor is the part of the slots, as a divisor, that is left free there while slots are
-	// scarce. With a third, up to 30 entries of a region overrun the same engine in the model.
-	farReserveDivisor = 2
+	// otherCost is added to unassignedCost for engines of UsageOther while slots are scarce. The sum is
+	// below the cost of an engine of another region in which this entry has no share.
+	otherCost = 30 * time.Millisecond
+	// scarceReserveDivisor is the part of the slots, as a divisor, that is left free at engines of
+	// UsageOther while slots are scarce. With a third, up to 30 entries of a region overload the same
+	// engine in the model.
+	scarceReserveDivisor = 2
 	// maxFreeRatio is the free part of a region's slots from which they aren't scarce, so that an entry with
-	// much demand uses all engines alike. At minFreeRatio and below, far engines are used last.
+	// much demand uses all engines alike. At minFreeRatio and below, engines of UsageOther are used last.
 	maxFreeRatio = 0.25
 	minFreeRatio = 0.1
-	// freeSlotsInterval is the least time between two sums of free slots. A large pool has thousands of
-	// reports a second.
+	// freeSlotsInterval is the least time between two sums of free slots. Entries with a large pool receive
+	// thousands of load reports a second.
 	freeSlotsInterval = 20 * time.Millisecond
 	// maxCrowding is the number of entries per engine of a region, relative to the mean, above which some of its
 	// entries have their shares in other regions.
@@ -72,8 +73,8 @@
 	active bool
 	// scarcity is 0 if many slots of the region are free, and 1 if hardly any are.
 	scarcity float64
-	// hasGuests is set if entries have shares in other regions.
-	hasGuests bool
+	// hasRemoteShares is set if some entries have shares in other regions.
+	hasRemoteShares bool
 }
 
 // Usage is the relation of an entry to an engine that it uses.
@@ -105,8 +106,9 @@
 
 // wantsEvenLoad reports whether a pool needs even load: if a region has more entries than engines, so that
 // not every entry is assigned one, or minSharingEntries, or if some engines are evacuated, so that those of
-// other failure domains serve their demand. The answer is the same in all regions, since entries of one have shares in
-// engines of another. Engines that load their first version count, or it would change while they come up.
+// other failure domains serve their demand. The result is the same in all regions, since entries of one
+// may have shares in engines of another. Engines that hold no version yet count, because the result would
+// otherwise change while they load it.
 func (f *Fleet) wantsEvenLoad(all []*upstream) bool {
 	switch f.options.EvenLoad {
 	case EvenAlways:
@@ -151,14 +153,15 @@
 			u.even = evenShare{active: active}
 		}
 		if active {
-			f.even[name] = evenPool{active: true, scarcity: scarcity, hasGuests: f.assignPoolShares(all, local)}
+			f.even[name] = evenPool{active: true, scarcity: scarcity, hasRemoteShares: f.assignPoolShares(all, local)}
 		}
 	}
 }
 
-// assignPoolShares reports whether entries have shares in other regions.
+// assignPoolShares computes the shares in the engines of a pool. It reports whether some entries have
+// shares in other regions.
 func (f *Fleet) assignPoolShares(all []*upstream, local []hosts.Name) bool {
-	regions, hasGuests := f.shareRegions(all)
+	regions, hasRemoteShares := f.shareRegions(all)
 	for _, r := range regions {
 		slices.Sort(r.entries)
 		index := slices.Index(r.entries, f.options.Self)
@@ -180,7 +183,7 @@
 			u.even.near = !f.isRemote(u) && f.isNear(u, local)
 		}
 	}
-	return hasGuests
+	return hasRemoteShares
 }
 
 // overlap returns the part of the interval of engine i, which is from i to i+1, that lies between low and high.
@@ -188,7 +191,8 @@
 	return max(min(high, float64(i+1))-max(low, float64(i)), 0)
 }
 
-// guestShare returns the part of engine i that belongs to entries of other regions, where each entry has the given width.
+// remoteShareOf returns the part of engine i that belongs to entries of other regions. Entry j has the
+// interval from j times width on, of that width.
 func remoteShareOf(i int, width float64, isRemote []bool) float64 {
 	share := 0.0
 	for j := int(float64(i) / width); j < len(isRemote) && float64(j)*width < float64(i+1); j++ {
@@ -206,15 +210,16 @@
 	engines []*upstream
 }
 
-// entriesPerEngine is infinite for a region without engines.
+// entriesPerEngine is infinite for a region that has entries and no engines, and NaN for one that has
+// neither.
 func (r *shareRegion) entriesPerEngine() float64 {
 	return float64(len(r.entries)) / float64(len(r.engines))
 }
 
 // shareRegions returns the regions with the entries that share their engines. Entries of a region with
 // far fewer engines than entries, for example because its engines are evacuated, have their shares in
-// another region, and then hasGuests is set.
-func (f *Fleet) shareRegions(all []*upstream) (regions []*shareRegion, hasGuests bool) {
+// another region, and then hasRemoteShares is set.
+func (f *Fleet) shareRegions(all []*upstream) (regions []*shareRegion, hasRemoteShares bool) {
 	byName := make(map[hosts.Region]*shareRegion)
 	region := func(name hosts.Region) *shareRegion {
 		if byName[name] == nil {
@@ -244,15 +249,16 @@
 	mean := float64(entries) / float64(engines)
 	for _, r := range regions {
 		if r.entriesPerEngine() > maxCrowding*mean {
-			moveGuests(regions, r, mean)
-			hasGuests = true
+			moveShares(regions, r, mean)
+			hasRemoteShares = true
 		}
 	}
-	return regions, hasGuests
+	return regions, hasRemoteShares
 }
 
-// moveGuests moves entries of a region to those with the fewest entries per engine, until it has the mean.
-func moveGuests(regions []*shareRegion, from *shareRegion, mean float64) {
+// moveShares moves entries of a region to the regions with the fewest entries per engine, until it has
+// no more than the mean. Entries are moved in hash order, the same in all processes.
+func moveShares(regions []*shareRegion, from *shareRegion, mean float64) {
 	slices.SortFunc(from.entries, func(a, b hosts.Name) int { return cmp.Compare(hosts.Score("share", a), hosts.Score("share", b)) })
 	for keep := int(mean * float64(len(from.engines))); len(from.entries) > keep; {
 		to := slices.MinFunc(regions, func(a, b *shareRegion) int { return cmp.Compare(a.entriesPerEngine(), b.entriesPerEngine()) })
@@ -264,8 +270,8 @@
 	}
 }
 
-// isShared reports whether the engine counts among those that are divided. New engines hold no version for
-// some seconds; one that replaces its version keeps its place, so that shares don't move with each load.
+// isShared reports whether the engine's slots are divided into shares. New engines hold no version for
+// some seconds. One that replaces its version remains shared, so that shares don't change with each load.
 func (u *upstream) isShared() bool { return u.hasServed && !u.row.Draining }
 
 // recordHeld reports whether the versions show for the first time that the engine serves.
@@ -295,7 +301,7 @@
 	return ahead < maxNearEntries
 }
 
-// isOpen reports whether the engine is in the region and takes requests.
+// isOpen reports whether the engine is in this entry's region and takes requests.
 func (f *Fleet) isOpen(now time.Time, u *upstream) bool {
 	isClosed := u.health.IsDown(now) || u.hasReport(now) && u.report.Closed
 	return !f.isRemote(u) && !isClosed && u.isShared() && u.isOffered(now) && !f.evacuated[hosts.Domain(u.row.Domain)]
@@ -327,10 +333,10 @@
 	}
 }
 
-// hasFreeShare reports whether less than this entry's share of the engine is in use by it.
+// hasFreeShare reports whether this entry uses less than its share of the engine's slots and queue.
 func (u *upstream) hasFreeShare() bool {
-	places := u.row.Slots + u.row.Slots/queueDivisor
-	return float64(u.running) < u.even.share*float64(places)
+	capacity := u.row.Slots + u.row.Slots/queueDivisor
+	return float64(u.running) < u.even.share*float64(capacity)
 }
 
 // usage returns the relation of this entry to the engine.
@@ -353,30 +359,30 @@
 	case u.ownsLimit(now), usage == UsageOwn && !f.isRemote(u):
 		return 0
 	case usage == UsageOther && u.even.active:
-		return unassignedCost + time.Duration(f.even[u.row.Pool].scarcity*float64(farCost))
+		return unassignedCost + time.Duration(f.even[u.row.Pool].scarcity*float64(otherCost))
 	}
 	return unassignedCost
 }
 
-// farReserve returns the number of slots that this entry leaves free at an engine that is neither its own
-// nor near.
-func (f *Fleet) farReserve(u *upstream, slots int) int {
+// evenReserve returns the number of slots that this entry leaves free at an engine of UsageOther or
+// UsageRemote in a pool with even load.
+func (f *Fleet) evenReserve(u *upstream, slots int) int {
 	p := f.even[u.row.Pool]
 	switch {
 	case !f.isRemote(u):
-		low, high := float64(slots/regionReserveDivisor), float64(slots/farReserveDivisor)
+		low, high := float64(slots/regionReserveDivisor), float64(slots/scarceReserveDivisor)
 		return int(low + (high-low)*p.scarcity)
-	case p.hasGuests:
-		return slots / farReserveDivisor
+	case p.hasRemoteShares:
+		return slots / scarceReserveDivisor
 	}
 	return slots / remoteReserveDivisor
 }
 
-// isUsedRemotely reports whether this entry uses the engine of another region.
+// isUsedRemotely reports whether this entry uses the engine, which is in another region.
 func (u *upstream) isUsedRemotely() bool { return u.remoteAssigned || u.even.share > 0 }
 
 // remoteShareRunning returns how many requests entries of other regions are assumed to run in their shares of the
-// engine. Load reports say so later than the entries of the region send theirs.
+// engine. Those entries send no entry loads to this region, and load reports are older.
 func (u *upstream) remoteShareRunning() int {
 	return int(remoteUse * u.even.remoteShare * float64(u.row.Slots))
 }
@@ -385,13 +391,13 @@
 type PoolLoad struct {
 	Pool    string
 	Engines int
-	// Mean and Busiest are numbers of requests per engine.
+	// Mean and Busiest are the mean and the largest number of requests at an engine.
 	Mean, Busiest float64
 	// IsEven is set if the pool has even load.
 	IsEven bool
 	// Scarcity is 0 if many slots are free, and 1 if hardly any are.
 	Scarcity float64
-	// Slow is the number of engines that this entry's requests found slow.
+	// Slow is the number of engines that this entry considers slow.
 	Slow int
 }
 
--- a/entry/internal/target/balance_test.go
+++ b/entry/internal/target/balance_test.go
@@ -11,13 +11,13 @@
 	"currantport.example/entry/internal/target"
 )
 
-// newEven returns the product with the given setting.
+// newEven returns a constructor of the product's chooser with the given setting.
 func newEven(t testing.TB, e target.EvenLoad) func(h *herd, i int) chooser {
 	return newProduct(t, func(o *target.Options) { o.EvenLoad = e })
 }
 
 // TestEvenLoadIsInactiveWhereEveryEntryHasAnEngine replays the demand of a fleet with fewer entries than
-// engines. Earlier deployments are of that kind, and their requests must go where they went before.
+// engines. It guards earlier deployments, which are of that kind, against other choices than before.
 func TestEvenLoadIsInactiveWhereEveryEntryHasAnEngine(t *testing.T) {
 	for _, load := range []float64{0.9, 1.2} {
 		s := herdShape{spec: "A", entries: 6, servers: 12, load: load, hot: 1.4, seed: 3}
@@ -36,10 +36,10 @@
 	}
 }
 
-// TestEvenLoadServesMoreInTime has entries without an engine of their own, which overrun engines that
-// they all see free at the same time; a region without engines, whose entries know the load elsewhere
-// late; engines that hold no version yet; and an entry that gets half of its region's demand, which must find the free slots of the others
-// without making queues swing.
+// TestEvenLoadServesMoreInTime guards against entries without an assigned engine that overload engines
+// which they all see free at the same time, entries of an evacuated region that know the load elsewhere
+// late, shares in engines that hold no version yet, and an entry with half of its region's demand that
+// doesn't find the free slots of the others or makes queue lengths oscillate.
 func TestEvenLoadServesMoreInTime(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct {
@@ -68,9 +68,10 @@
 	}
 }
 
-// TestSlowEngineIsForgivenByEvidence finds an engine slow by a first event. It must be avoided until a
-// faster first event or a report that is based on a later status, and not only for a time.
-func TestSlowEngineIsForgivenByEvidence(t *testing.T) {
+// TestSlowEngineRecoversOnlyByEvidence has a late first event show that an engine is slow. It guards against
+// an engine that is used again without a faster first event or a report based on a later status, and
+// against one that is avoided in spite of them.
+func TestSlowEngineRecoversOnlyByEvidence(t *testing.T) {
 	const wait = 2 * time.Second
 	for name, c := range map[string]struct {
 		// evidence is what is known of the engine after the wait.
@@ -119,7 +120,8 @@
 	}
 }
 
-// TestPoolLoadsShowTheBusiestEngine checks what operators see of a pool.
+// TestPoolLoadsShowTheBusiestEngine guards against figures for operators that include engines of other
+// regions or hide an uneven load.
 func TestPoolLoadsShowTheBusiestEngine(t *testing.T) {
 	w := newWorldOf(t, "e0", func() []hosts.Host { return entries })
 	w.publish(start, w.upstream(engine(0, "d0", 1)), w.upstream(engine(1, "d0", 1)), w.upstream(engine(2, "d1", 1)))
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -10,14 +10,14 @@
 const (
 	// versionCutoffMargin is how long before its deadline a replaced version stops
 	// receiving requests, so that none starts too late. It covers the time in an engine's queue and
-	// a silence of a sound engine, after which it may begin what was withdrawn.
+	// a pause of a healthy engine, after which it may begin what was withdrawn.
 	versionCutoffMargin = 1800 * time.Millisecond
 	// startDeadlineMargin is how long before that deadline a request that hasn't started is
 	// withdrawn. It covers the time until the withdrawal reaches the engine.
 	startDeadlineMargin = 400 * time.Millisecond
 )
 
-// Requirements describe what a request needs from an engine.
+// Requirements describe what a request needs from an upstream.
 type Requirements struct {
 	Pool  *state.Pool
 	Model string
@@ -42,7 +42,8 @@
 	Workspace string
 	// Returned is set for a client that was refused before, if there are several levels.
 	Returned bool
-	// Exempt is set if the request counts as most urgent because of a least share.
+	// Exempt is set if the request counts as most urgent, because its kind or workspace is below its
+	// least share.
 	Exempt bool
 	// Waiting is set if the request has found no engine before and waits in the order of the
 	// levels.
--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -17,34 +17,35 @@
 	maxCold = time.Hour
 	// maxClockSkew is the difference between the clocks of hosts that the platform allows.
 	maxClockSkew = 5 * time.Second
-	// coldTail is how long the rate holds after the cold time. It is the span of the bound, so that
-	// each window with a cold moment is kept.
+	// coldTail is how long the rate holds after the cold time. It is the length of the window that the
+	// rate is bounded in, so that the bound holds in each window that has a cold moment.
 	coldTail = time.Second
-	// Then the rate doubles each coldDoublingTime for coldRampTime, which raises it 256 times.
-	// Entries that all see an idle upstream would otherwise send at once.
+	// coldDoublingTime is the time in which the rate doubles after coldTail, and coldRampTime how long
+	// it does, which raises it 256 times. Without a ramp all entries would send to the idle upstream at
+	// once.
 	coldDoublingTime = 250 * time.Millisecond
 	coldRampTime     = 2 * time.Second
-	// coldHop is what is taken off a cold time that was heard before it is passed on. Above the age
-	// of a message, it prevents entries from lengthening the time by their messages. Below
-	// coldTail, it leaves the bound as it is.
+	// coldHop is subtracted from a cold time that another entry reported before it is passed on. It is
+	// above the age of a message, so that entries don't lengthen the time by repeating it, and below
+	// coldTail, so that the bound holds nevertheless.
 	coldHop = 300 * time.Millisecond
 	// coldJitter is the difference between two ends of a cold time up to which they count as the same.
 	coldJitter = 200 * time.Millisecond
-	// takeoverTime is how long after a change of the entries a new owner sends only takeoverShare of
+	// takeoverTime is how long after a change of the entries a new owner sends only takeoverFraction of
 	// the rate to a cold upstream. It covers the span of the bound, grantTTL, and the time between the
 	// changes of the view at the former owner and at this entry. The rate of the former owner, that
-	// share and what both have saved up stay within the bound. After a loss of power all
-	// upstreams are cold and all owners are new, so that nothing at all would be too little.
-	takeoverTime  = 1500 * time.Millisecond
-	takeoverShare = 0.35
-	// idleShare is the same where the former owner is known to have sent next to nothing in the window: the
-	// process was listed within that time, or the last load report, at most idleReportAge old, shows at
-	// most idleRatio of the rate as running. An engine runs a request for about a second. What remains is
-	// that two entries with different views take themselves for the owner.
-	idleShare     = 0.65
+	// part and what both have saved up stay within the bound. It isn't zero, because after a loss of
+	// power all upstreams are cold and all owners are new.
+	takeoverTime     = 1500 * time.Millisecond
+	takeoverFraction = 0.35
+	// idleFraction is the same where the former owner is known to have sent next to nothing in the window:
+	// the process was listed within takeoverTime, or the last load report, at most idleReportAge old, shows
+	// at most idleRatio of the rate as running. An engine runs a request for about a second. It is below 1
+	// because two entries with different views may both consider themselves the owner.
+	idleFraction  = 0.65
 	idleRatio     = 0.2
 	idleReportAge = 400 * time.Millisecond
-	// goneTTL is how long an entry that is no longer live counts as known, as for its record.
+	// goneTTL is how long an entry that is no longer live counts as known.
 	goneTTL = time.Minute
 	// unlistedAskDelay is when to ask an owner again that doesn't list the upstream yet.
 	unlistedAskDelay = 100 * time.Millisecond
@@ -63,28 +64,28 @@
 	// rate is the number of requests a second that a cold upstream of the pool takes, or zero if
 	// its upstreams are never cold.
 	rate float64
-	// firstHand is the end of the cold time by the row, a response or the start of the process,
-	// reported the latest one that other entries state.
+	// firstHand is the end of the cold time by the row, a response or the start of the process, and
+	// reported the latest end that other entries state.
 	firstHand time.Time
 	reported  time.Time
 	// source is that of firstHand.
 	source string
-	// isUnsure is set if own is from a row of the first snapshot, which may have been written long
+	// isUnsure is set if firstHand is from a row of the first snapshot, which may have been written long
 	// before.
 	isUnsure bool
 	// changedAt is when either end was last changed by more than coldJitter.
 	changedAt time.Time
-	// wholeFrom is the time from which this entry spends more than takeoverShare as the owner, share
-	// the part of the rate that it spends then.
+	// wholeFrom is the time from which this entry as the owner spends the whole of its part of the rate,
+	// which is fraction. Before that it spends takeoverFraction or idleFraction of that part.
 	wholeFrom time.Time
-	share     float64
+	fraction  float64
 	// listedAt is when a process that is new during traffic was first listed, idleAt when the last load
 	// report came that shows next to no requests of others, or zero.
 	listedAt time.Time
 	idleAt   time.Time
 	// delayed is the number of requests that had to wait for this upstream.
 	delayed int
-	// isReported is set between the log lines for the begin and the end.
+	// isReported is set from the log line for the start of the cold time to the one for its end.
 	isReported bool
 }
 
@@ -134,15 +135,15 @@
 	return cold
 }
 
-// currentShare returns the part of the cold rate that this entry spends as the owner.
-func (c *coldState) currentShare(now time.Time) float64 {
+// currentFraction returns the part of the cold rate that this entry spends as the owner.
+func (c *coldState) currentFraction(now time.Time) float64 {
 	switch {
 	case !now.Before(c.wholeFrom):
-		return c.share
+		return c.fraction
 	case now.Sub(c.listedAt) < takeoverTime, now.Sub(c.idleAt) < idleReportAge:
-		return c.share * idleShare
+		return c.fraction * idleFraction
 	}
-	return c.share * takeoverShare
+	return c.fraction * takeoverFraction
 }
 
 // limitOf returns the state of the upstream's limit and creates it if necessary. The caller holds
@@ -190,8 +191,9 @@
 	return "entry"
 }
 
-// setOwnCold records a cold time from the row, a response or the start of the process.
-func (f *Fleet) setOwnCold(now time.Time, u *upstream, left time.Duration, source string) {
+// setFirstHandCold records a cold time from the row, a response or the start of the process, and whether
+// it is unsure.
+func (f *Fleet) setFirstHandCold(now time.Time, u *upstream, left time.Duration, source string) {
 	if u.coldRate == 0 {
 		return
 	}
@@ -200,8 +202,8 @@
 	f.setCold(now, u, &s.cold.firstHand, now.Add(min(left, maxCold)), source)
 }
 
-// mergeCold records a cold time that another entry reports. It only lengthens the time. One that the other
-// entry is unsure of is ignored if this entry has known of a cold time before.
+// mergeCold records a cold time that another entry reports, if it is longer than the known one. One that
+// the other entry is unsure of is ignored if this entry has known of a cold time before and is sure of it.
 func (f *Fleet) mergeCold(now time.Time, u *upstream, l UpstreamLimit, from string) {
 	if u.coldRate == 0 || l.Cold <= 0 {
 		return
@@ -215,8 +217,7 @@
 	}
 }
 
-// correctCold ends a cold time of which this entry is unsure and of which the owner, which responds, knows
-// that it is over.
+// correctCold ends a cold time of which this entry is unsure if the owner's grant states that it is over.
 func (f *Fleet) correctCold(now time.Time, u *upstream, g Grant) {
 	if s := u.demands.limit; s != nil && s.cold.isUnsure && g.Count > 0 && g.Limit.Cold == 0 && s.cold.firstHand.After(now) {
 		s.cold.isUnsure = false
@@ -237,16 +238,16 @@
 	before := s.cold.changedAt
 	switch until := now.Add(min(left, maxCold)); {
 	case r.startedAt.After(before):
-		// A response supersedes what was known when the request was sent.
+		// The request was sent after the last change, so its response is newer.
 		if !s.cold.until().After(now) && left <= 0 {
 			return false
 		}
 		if s.cold.reported.After(until) {
 			s.cold.reported = until
 		}
-		f.setOwnCold(now, u, left, coldByResponse)
+		f.setFirstHandCold(now, u, left, coldByResponse)
 	case until.After(s.cold.until()):
-		f.setOwnCold(now, u, left, coldByResponse)
+		f.setFirstHandCold(now, u, left, coldByResponse)
 	}
 	return s.cold.changedAt != before
 }
@@ -262,9 +263,8 @@
 	}
 }
 
-// applyColdRow records the cold time that a row states. Known is the state that the id had before and
-// last its row then, or nil. A row states the time that was left when it was written, so that it counts
-// only when it is new.
+// applyColdRow records the cold time that a row states. Known is the former state of the id and last its
+// former row, or nil. A row states the time that was left when it was written, so it is applied only once.
 func (f *Fleet) applyColdRow(now time.Time, u *upstream, p *state.Pool, known *upstream, last *state.Upstream) {
 	u.setColdRate(p)
 	row, isNew := u.row, isNewProcess(last, u.row)
@@ -303,8 +303,8 @@
 	}
 }
 
-// applyColdTime sets the cold time of a row. What a response has told may be newer than the row, which
-// only lengthens it then.
+// applyColdTime sets the cold time of a row. What a response has stated may be newer than the row, which
+// then only lengthens the cold time.
 func (f *Fleet) applyColdTime(now time.Time, u *upstream, left time.Duration, source string) {
 	known := time.Time{}
 	if s := u.demands.limit; s != nil {
@@ -314,7 +314,7 @@
 		}
 	}
 	if left > 0 || known.After(now) {
-		f.setOwnCold(now, u, left, source)
+		f.setFirstHandCold(now, u, left, source)
 	}
 }
 
@@ -338,8 +338,8 @@
 		a.ColdFor == b.ColdFor && a.HasCold == b.HasCold && slices.Equal(a.Held, b.Held)
 }
 
-// countDelayed counts a request that no upstream could take but those that are kept back because they are
-// cold, once for each of these.
+// countDelayed counts a request that has to wait for upstreams because of their cold rates, once for each of
+// them.
 func (f *Fleet) countDelayed(now time.Time, u *upstream, g *GrantRequest) {
 	if s := u.demands.limit; !g.isCounted && s.cold.currentRate(now) > 0 {
 		s.cold.delayed++
@@ -364,9 +364,9 @@
 	goneAt time.Time
 }
 
-// updateShares recomputes the parts of cold rates that this entry would spend as an owner. The caller
+// updateFractions recomputes the parts of cold rates that this entry would spend as an owner. The caller
 // holds the mutex.
-func (f *Fleet) updateShares(now time.Time) {
+func (f *Fleet) updateFractions(now time.Time) {
 	live := f.options.Entries()
 	isLive := make(map[hosts.Name]bool, len(live))
 	for _, h := range live {
@@ -392,12 +392,12 @@
 	if len(live) <= 1 {
 		known = max(known, f.knownEntries)
 	}
-	f.liveShare, f.regionShares = 1, make(map[hosts.Region]float64)
+	f.liveFraction, f.regionFractions = 1, make(map[hosts.Region]float64)
 	if known > 0 {
-		f.liveShare = float64(max(len(live), 1)) / float64(known)
+		f.liveFraction = float64(max(len(live), 1)) / float64(known)
 	}
 	for r, n := range liveIn {
-		f.regionShares[r] = float64(n) / float64(knownIn[r])
+		f.regionFractions[r] = float64(n) / float64(knownIn[r])
 	}
 	f.updateViews(now, live)
 }
@@ -408,7 +408,7 @@
 	changedAt time.Time
 }
 
-// updateViews records which regions' live entries have changed.
+// updateViews records in which regions the set of live entries has changed.
 func (f *Fleet) updateViews(now time.Time, live []hosts.Host) {
 	hashes := make(map[hosts.Region]uint64)
 	for _, h := range live {
@@ -426,8 +426,8 @@
 	}
 }
 
-// viewChangedAt returns when the live entries of a region last changed, or the current time if there are
-// none.
+// viewChangedAt returns when the set of live entries of a region last changed, or the current time if there
+// are none.
 func (f *Fleet) viewChangedAt(now time.Time, r hosts.Region) time.Time {
 	if v, ok := f.regionViews[r]; ok {
 		return v.changedAt
@@ -435,11 +435,11 @@
 	return now
 }
 
-// coldShare returns the part of the rate of cold upstreams of a region that this entry spends as the
-// owner. An entry that is cut off may still take itself for the owner beside another one.
-func (f *Fleet) coldShare(region hosts.Region) float64 {
-	if r, ok := f.regionShares[region]; ok {
-		return min(r, f.liveShare)
+// coldFraction returns the part of the rate of cold upstreams of a region that this entry spends as the
+// owner. An entry that is cut off may consider itself the owner beside another one.
+func (f *Fleet) coldFraction(region hosts.Region) float64 {
+	if r, ok := f.regionFractions[region]; ok {
+		return min(r, f.liveFraction)
 	}
-	return f.liveShare
+	return f.liveFraction
 }
--- a/entry/internal/target/cold_test.go
+++ b/entry/internal/target/cold_test.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	// coldSpan is the span of the users' rule for cold upstreams, which has limitRatio and limitSlack.
+	// coldSpan is the window of the users' bound for cold upstreams, which has limitRatio and limitSlack.
 	coldSpan = time.Second
 	// coldTime is how long the upstream of a cold crowd is cold, settleTime the time before.
 	coldTime   = 8 * time.Second
@@ -95,8 +95,8 @@
 	}
 }
 
-// coldTroubles befall entries while the upstream is cold.
-var coldTroubles = map[string]func(c *crowd, owner *crowdEntry, demand float64){
+// coldFaults are faults of entries and messages while the upstream is cold.
+var coldFaults = map[string]func(c *crowd, owner *crowdEntry, demand float64){
 	"the owner is killed": func(c *crowd, owner *crowdEntry, demand float64) {
 		owner.pausedUntil = c.now.Add(time.Hour)
 		c.run(demand, 2*time.Second+7*tick)
@@ -116,7 +116,7 @@
 		for i, e := range c.members {
 			c.setView(e, without(c.entries, owner))
 			if i == len(c.members)/2 {
-				// The owner still takes the entries of other regions for live.
+				// The owner still considers the entries of other regions live.
 				c.setView(owner, slices.DeleteFunc(slices.Clone(c.entries), func(h hosts.Host) bool { return h.Place == owner.host.Place && h.Name != owner.host.Name }))
 			}
 			c.run(demand, 100*time.Millisecond/time.Duration(len(c.members))+tick)
@@ -131,7 +131,7 @@
 		}
 		c.setView(other, []hosts.Host{other.host})
 	},
-	"two entries take themselves for the owner": func(c *crowd, owner *crowdEntry, demand float64) {
+	"two entries consider themselves the owner": func(c *crowd, owner *crowdEntry, demand float64) {
 		for i, e := range c.members {
 			if i%2 == 1 && e != owner || i == 0 {
 				c.setView(e, without(c.entries, owner))
@@ -153,11 +153,12 @@
 	},
 }
 
-// TestColdRateIsKeptInTrouble plays the troubles. The rule holds for all entries, also those that they
-// befall. It is red without takeoverDelay and without the parts of entries that see a part of the others.
+// TestColdRateIsKeptInTrouble guards against more than the cold rate during faults, counting the requests
+// of all entries, also of the faulty ones. It fails without takeoverTime, and without the reduced parts of
+// owners that see only some of the entries.
 func TestColdRateIsKeptInTrouble(t *testing.T) {
 	t.Parallel()
-	for name, trouble := range coldTroubles {
+	for name, fault := range coldFaults {
 		for _, entries := range []int{6, 34} {
 			for _, rate := range []float64{2, 14, 100} {
 				for seed := range uint64(3) {
@@ -166,7 +167,7 @@
 					c.list(1, true)
 					demand := coldDemand(rate)
 					c.run(demand, 1300*time.Millisecond)
-					trouble(c, c.owner(), demand)
+					fault(c, c.owner(), demand)
 					c.run(demand, c.coldUntil.Add(2*coldSpan).Sub(c.now))
 					if most := c.mostCold(); most > allowedCold(rate) {
 						t.Errorf("%s, %d entries, %g a second: %d requests in %s, allowed %d", name, entries, rate, most, coldSpan, allowedCold(rate))
@@ -178,8 +179,9 @@
 	}
 }
 
-// TestNoBurstFollowsTheColdTime sends far more than the cold rate and checks the seconds in which the
-// upstream is warm again. Without a ramp all entries send what they have at once.
+// TestNoBurstFollowsTheColdTime sends far more than the cold rate. It guards against a burst when the
+// upstream is warm again, since without a ramp all entries send their waiting requests at once, and
+// against a limit that remains.
 func TestNoBurstFollowsTheColdTime(t *testing.T) {
 	const rate, demand = 14, 2000
 	c := newColdCrowd(t, 1, 34, rate)
@@ -201,8 +203,8 @@
 	}
 }
 
-// TestDomainReturnsCold lists all upstreams of a failure domain at once, cold, while others are busy. The
-// bound is that of each upstream.
+// TestDomainReturnsCold lists all upstreams of a failure domain as cold at once. It guards against more
+// than the cold rate at any of them, and against rates that are hardly used.
 func TestDomainReturnsCold(t *testing.T) {
 	const rate, upstreams = 2, 15
 	for _, entries := range []int{6, 34} {
@@ -223,8 +225,8 @@
 	}
 }
 
-// TestUpstreamThatBecomesColdUnannounced has an upstream that was listed all along become cold, which
-// only its responses state. From half a second after the first of them the bound holds.
+// TestUpstreamThatBecomesColdUnannounced has an upstream that was listed all along become cold, which only
+// its responses state. It guards against more than the cold rate from half a second after that on.
 func TestUpstreamThatBecomesColdUnannounced(t *testing.T) {
 	for _, entries := range []int{6, 34, 100} {
 		for _, rate := range []float64{2, 14, 100} {
--- a/entry/internal/target/coldrows_test.go
+++ b/entry/internal/target/coldrows_test.go
@@ -11,7 +11,7 @@
 	"currantport.example/entry/internal/target"
 )
 
-// isCold reports whether the only upstream takes a single request of many at once.
+// isCold reports whether the only upstream gets fewer than 20 requests at once.
 func (w *world) isCold(now time.Time) bool {
 	for range 20 {
 		if w.plainUpstream(now) == "none" {
@@ -42,7 +42,8 @@
 
 func ptr[T any](v T) *T { return &v }
 
-// TestWhichProcessesAreCold checks which rows tell that an upstream is cold, and until when.
+// TestWhichProcessesAreCold guards against an upstream that isn't limited although its row or its start
+// shows that it is cold, and against one that is limited without that or for too long.
 func TestWhichProcessesAreCold(t *testing.T) {
 	const cold = coldPoolTime
 	end := cold + 3*time.Second
@@ -100,7 +101,8 @@
 }
 
 // TestOwnerLearnsOfTheColdTimeByAnAsk has an entry ask an owner that knows of no cold time, with and
-// without the upstream in its list. An ask without a response keeps the upstream unused for half a second.
+// without the upstream in its list. It guards against an ask without a response, after which the upstream
+// is unused for half a second, and against an owner that ignores the cold time in the ask.
 func TestOwnerLearnsOfTheColdTimeByAnAsk(t *testing.T) {
 	owner, other := coldOwner()
 	u := plain(0, start)
@@ -123,13 +125,13 @@
 		}
 		w.publish(now, w.upstream(u))
 		if !w.isCold(now) {
-			t.Errorf("listed %t: the owner doesn't take the upstream for cold", isListed)
+			t.Errorf("listed %t: the owner doesn't consider the upstream cold", isListed)
 		}
 	}
 }
 
-// TestHeardColdTimesDontGrow lets entries tell each other of a cold time for its whole length, each
-// message 250 ms old. Passed on as it was heard, the time would never end.
+// TestHeardColdTimesDontGrow lets entries report a cold time to each other for its whole length, each
+// message 250 ms old. It guards against a cold time that never ends because it is passed on unchanged.
 func TestHeardColdTimesDontGrow(t *testing.T) {
 	const age = 250 * time.Millisecond
 	owner, other := coldOwner()
@@ -147,12 +149,12 @@
 		b.fleet.ReceiveGrants(now.Add(2*age), grants)
 	}
 	if a.isCold(now) || b.isCold(now) {
-		t.Error("the upstream is still taken for cold")
+		t.Error("the upstream still counts as cold")
 	}
 }
 
-// TestResponsesCorrectTheColdTime checks that the upstream's own word ends a cold time, but not that of a
-// response to a request of before.
+// TestResponsesCorrectTheColdTime guards against a cold time that outlasts a response which states its end,
+// and against one that ends by the response to an earlier request.
 func TestResponsesCorrectTheColdTime(t *testing.T) {
 	owner, _ := coldOwner()
 	w := newColdWorld(t, owner, ptr(plain(0, start)))
@@ -167,7 +169,8 @@
 	}
 }
 
-// TestStricterLimitHolds names a limit at a cold upstream, once below the cold rate and once above.
+// TestStricterLimitHolds names a limit at a cold upstream, once below the cold rate and once above. It
+// guards against either of them replacing the stricter one.
 func TestStricterLimitHolds(t *testing.T) {
 	for _, named := range []float64{2, 50} {
 		const rate = 14
@@ -188,8 +191,8 @@
 	}
 }
 
-// TestWithoutColdTimesDecisionsAreTheSame plays entries with a pool whose upstreams may be cold, none of
-// which is, and with one that has no cold time.
+// TestWithoutColdTimesDecisionsAreTheSame guards pools whose upstreams may be cold, while none is, against
+// other decisions than in pools without a cold time.
 func TestWithoutColdTimesDecisionsAreTheSame(t *testing.T) {
 	cold := state.Pool{Cold: coldTime, ColdRate: 2}
 	for seed := range uint64(3) {
@@ -216,8 +219,8 @@
 	}
 }
 
-// TestRefusedClientsReturnWhenTheUpstreamIsWarm guards against clients that are told to wait for their turn
-// at the cold rate, which many of them would get long after the upstream is warm.
+// TestRefusedClientsReturnWhenTheUpstreamIsWarm guards against retry times that follow from the cold rate
+// alone and lie long after the upstream is warm.
 func TestRefusedClientsReturnWhenTheUpstreamIsWarm(t *testing.T) {
 	u := plain(0, start)
 	u.ColdFor = time.Second
@@ -229,7 +232,8 @@
 	}
 }
 
-// TestColdEngineIsKeptToItsRate checks the choice of engines, with a warm one that is full.
+// TestColdEngineIsKeptToItsRate has a cold engine beside a warm one that is full. It guards against a choice
+// of engines that ignores the cold rate or hardly uses it.
 func TestColdEngineIsKeptToItsRate(t *testing.T) {
 	const rate = 2
 	owner, _ := coldOwner()
@@ -252,9 +256,10 @@
 	}
 }
 
-// TestStartedEntryChillsNoOther has an entry start long after an upstream has written that it is cold, and
-// ask an owner that knows that this is over. The row alone would keep both back as long as it says.
-func TestStartedEntryChillsNoOther(t *testing.T) {
+// TestStartedEntryDoesNotRenewAColdTime has an entry start long after an upstream's row stated that it is cold, and
+// ask an owner that knows that this is over. It guards against either of them limiting the upstream again
+// for the time in the row.
+func TestStartedEntryDoesNotRenewAColdTime(t *testing.T) {
 	owner, other := coldOwner()
 	u := plain(0, start)
 	u.ColdFor = coldPoolTime
@@ -262,16 +267,16 @@
 	w.publish(start, w.upstream(u))
 	now := start.Add(time.Minute)
 	if !late.isCold(now) {
-		t.Fatal("an entry that starts doesn't heed the row")
+		t.Fatal("an entry that starts ignores the row")
 	}
 	var g target.GrantRequest
 	late.fleet.AwaitLimited(now, toPlain(), &g)
 	grants := w.fleet.ReceiveAsks(now, other, late.fleet.TakeAsks(now)[owner])
 	late.fleet.ReceiveGrants(now, grants)
 	if len(grants) != 1 || grants[0].Count == 0 || w.isCold(now) {
-		t.Errorf("the owner takes the upstream for cold: %+v", grants)
+		t.Errorf("the owner considers the upstream cold: %+v", grants)
 	}
 	if late.isCold(now.Add(coldPoolTime / 2)) {
-		t.Error("the entry still takes the upstream for cold")
+		t.Error("the entry still considers the upstream cold")
 	}
 }
--- a/entry/internal/target/evacuate.go
+++ b/entry/internal/target/evacuate.go
@@ -7,8 +7,8 @@
 	"currantport.example/core/state"
 )
 
-// applyEvacuations adopts the evacuated failure domains of a snapshot. Requests that run in such a
-// domain end in their own time. The caller holds the mutex.
+// applyEvacuations applies the evacuated failure domains of a snapshot. Requests that run in such a
+// domain aren't ended. The caller holds the mutex.
 func (f *Fleet) applyEvacuations(s *state.Snapshot) {
 	before := f.evacuated
 	f.evacuated = make(map[hosts.Domain]bool)
@@ -52,8 +52,8 @@
 	return all
 }
 
-// logHomeConflicts logs the routes and workspaces whose requests no region may serve, each once as
-// long as it lasts. The caller holds the mutex.
+// logHomeConflicts logs the conflicts between the homes of routes and workspaces, and unknown regions
+// among them, each once as long as it lasts. The caller holds the mutex.
 func (f *Fleet) logHomeConflicts(all []state.HomeConflict) {
 	before := f.homeConflicts
 	f.homeConflicts = make(map[state.HomeConflict]bool, len(all))
--- a/entry/internal/target/exclude.go
+++ b/entry/internal/target/exclude.go
@@ -18,7 +18,7 @@
 	ExclusionHome Exclusion = "home"
 	// ExclusionEvacuated is an upstream of an evacuated failure domain.
 	ExclusionEvacuated Exclusion = "evacuated"
-	// ExclusionDraining is an upstream that is shutting down, by its row or by its own word.
+	// ExclusionDraining is an upstream that is shutting down, by its row or its own statement.
 	ExclusionDraining Exclusion = "draining"
 	// ExclusionHeld is one that has asked for a pause.
 	ExclusionHeld Exclusion = "held"
@@ -47,7 +47,7 @@
 	return version, minVersion, reason
 }
 
-// standingExclusion is exclusion without the limit of requests per second, which passes by itself.
+// standingExclusion is exclusion without the limit of requests per second, which soon allows others.
 func (f *Fleet) standingExclusion(now time.Time, u *upstream, reqs Requirements) (version, minVersion int, reason Exclusion) {
 	if reason = f.boundExclusion(u, reqs); reason != ExclusionNone {
 		return 0, 0, reason
@@ -105,7 +105,7 @@
 	return ExclusionNone
 }
 
-// demandExclusion returns what the upstream has asked for, or that the request was already sent to it.
+// demandExclusion returns the exclusion that the upstream itself has asked for, or ExclusionTried.
 func (u *upstream) demandExclusion(now time.Time, reqs Requirements) Exclusion {
 	switch {
 	case u.row.Draining || u.demands.leaving:
@@ -148,9 +148,9 @@
 		case bound == ExclusionNone:
 			isMet = true
 		case other == ExclusionNone:
-			sole = moreTelling(sole, bound)
+			sole = reportedBound(sole, bound)
 		default:
-			anyBound = moreTelling(anyBound, bound)
+			anyBound = reportedBound(anyBound, bound)
 		}
 	}
 	if sole == ExclusionNone && !isMet {
@@ -159,9 +159,9 @@
 	return sole
 }
 
-// moreTelling returns the bound to report of two. An evacuation ends, and is the reason where homes
-// are evacuated.
-func moreTelling(a, b Exclusion) Exclusion {
+// reportedBound returns which of two bounds to report. An evacuation has precedence, because it ends,
+// and because it is the reason if the home regions are evacuated.
+func reportedBound(a, b Exclusion) Exclusion {
 	if a == ExclusionEvacuated {
 		return a
 	}
--- a/entry/internal/target/explain.go
+++ b/entry/internal/target/explain.go
@@ -51,8 +51,8 @@
 	Costs     []Cost
 	Cost      float64
 	MaxJitter float64
-	// Free is the number of places that the request may use, and Needed how many must be free
-	// for it. They are zero for plain services.
+	// Free is how many further requests of this kind the engine can take, and Needed how many that
+	// must be for the request to be admitted. They are zero for plain services.
 	Free   int
 	Needed int
 	// IsAdmitted is set if it may get the request and has room.
--- a/entry/internal/target/explain_test.go
+++ b/entry/internal/target/explain_test.go
@@ -102,7 +102,7 @@
 	return row
 }
 
-// end ends a request that runs, maybe after its upstream asked for a pause.
+// end ends a random request in progress, in some cases after its upstream asked for a pause.
 func (w *twins) end(t *rapid.T) {
 	if len(w.running) == 0 || rapid.IntRange(0, 2).Draw(t, "end") > 0 {
 		return
@@ -205,7 +205,7 @@
 }
 
 // TestExplainNamesEachExclusion guards against an explanation that shows the first reason only, so that
-// an operator removes it in vain.
+// an operator who removes it finds the next one.
 func TestExplainNamesEachExclusion(t *testing.T) {
 	w := newWorld(t, "e0")
 	u := engine(1, "d1", 1)
--- a/entry/internal/target/figures_test.go
+++ b/entry/internal/target/figures_test.go
@@ -35,7 +35,7 @@
 	}
 	h.measured.spread += math.Sqrt(max(squares/n-sum/n*sum/n, 0))
 	h.measured.idle += float64(min(idle, waiting)) / (n * float64(h.pool.Engine.Slots))
-	h.measured.late++ // The number of samples, until figures replaces it.
+	h.samples++
 }
 
 // turn counts a change of direction of a queue's length by half of the slots or more.
@@ -60,7 +60,7 @@
 
 func (h *herd) figures(span time.Duration) herdFigures {
 	f := h.measured
-	f.spread, f.idle, f.remote = f.spread/f.late, f.idle/f.late, f.remote/float64(max(h.samples, 1))
+	f.spread, f.idle, f.remote = f.spread/h.samples, f.idle/h.samples, f.remote/float64(max(h.placements, 1))
 	seconds := (span - herdWarmup).Seconds()
 	f.swings /= seconds * float64(h.servers)
 	f.messages, f.bytes = f.messages/seconds, f.bytes/seconds
--- a/entry/internal/target/fork.go
+++ b/entry/internal/target/fork.go
@@ -7,11 +7,10 @@
 	"go.uber.org/zap"
 )
 
-// Fork returns a copy of the state of one pool. Choices there have no effect on this fleet and are
-// made without randomness: it draws zero. The copy is meant for a few decisions, since it gets no
-// further messages.
+// Fork returns a copy of the state of one pool. Choices there have no effect on this fleet, and its
+// random numbers are all zero. The copy is meant for a few decisions, since it gets no further messages.
 //
-// Whatever decisions change must be copied.
+// Invariant: state that a decision changes is copied, not shared.
 func (f *Fleet) Fork(pool string) *Fleet {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -21,7 +20,7 @@
 	c.limitedReturns, c.releases, c.evacuated = maps.Clone(f.limitedReturns), maps.Clone(f.releases), f.evacuated
 	c.stated = maps.Clone(f.stated)
 	c.knownEntries, c.asksSince = f.knownEntries, f.asksSince
-	c.seen, c.liveShare, c.regionShares, c.regionViews = maps.Clone(f.seen), f.liveShare, maps.Clone(f.regionShares), maps.Clone(f.regionViews)
+	c.seen, c.liveFraction, c.regionFractions, c.regionViews = maps.Clone(f.seen), f.liveFraction, maps.Clone(f.regionFractions), maps.Clone(f.regionViews)
 	c.hasSnapshot, c.even = f.hasSnapshot, maps.Clone(f.even)
 	if m := f.meters[pool]; m != nil {
 		c.meters[pool] = m.Clone()
--- a/entry/internal/target/grants.go
+++ b/entry/internal/target/grants.go
@@ -28,7 +28,7 @@
 	// upstream is the one whose owner was asked last, askedAt the time of that.
 	upstream *upstream
 	askedAt  time.Time
-	// isCounted is set once the request counts as kept back.
+	// isCounted is set once the request counts as delayed at the upstreams that are cold.
 	isCounted bool
 }
 
@@ -160,8 +160,8 @@
 		case u != nil && u.demands.limit != nil:
 			all = append(all, f.grant(now, u, from, a))
 		case u != nil && !a.Limit.Limit.IsSet() && a.Limit.Cold == 0 && u.isOffered(now):
-			// The asking entry limits itself after a cold time that is over and was never known here. One
-			// at a time, since others may ask too.
+			// The asking entry is in the ramp after a cold time that was never known here. One request
+			// is granted at a time, since others may ask too.
 			all = append(all, Grant{Limit: a.Limit, Count: 1, Stamp: a.Stamp})
 		case a.Limit.Cold > 0:
 			all = append(all, Grant{Limit: UpstreamLimit{ID: a.Limit.ID, Started: a.Limit.Started}, Stamp: a.Stamp, Wait: unlistedAskDelay})
@@ -180,7 +180,7 @@
 	case s.isSet(now):
 		g.Count, g.Wait = s.allotter.Take(now, s.rate(f, now), from, count)
 	case !a.Limit.Limit.IsSet() && !s.cold.until().IsZero():
-		// The asking entry takes it for cold a little longer than this one.
+		// The cold time and its ramp end a little later at the asking entry than here.
 		g.Count, g.Wait = count, 0
 	}
 	return g
--- a/entry/internal/target/herd_test.go
+++ b/entry/internal/target/herd_test.go
@@ -112,7 +112,7 @@
 // herd runs many entries before many engines, without a network.
 type herd struct {
 	herdShape
-	// demand gives what doesn't depend on the policy, so that all policies get the same; random the rest.
+	// demand draws what doesn't depend on the policy, so that all policies get the same; random the rest.
 	demand   *rand.Rand
 	random   *rand.Rand
 	pool     *state.Pool
@@ -135,7 +135,9 @@
 	slowEnds  time.Time
 	occupancy []float64
 	measured  herdFigures
-	samples   int
+	// samples is the number of calls of sample, placements that of placed requests after the warm-up.
+	samples    float64
+	placements int
 }
 
 var herdRegions = map[hosts.Domain]hosts.Region{"d0": "r0", "d1": "r1", "d2": "r2"}
@@ -359,7 +361,7 @@
 	}
 	if now.Sub(start) > herdWarmup {
 		h.measured.remote += float64(min(max(entry%3-k%3, k%3-entry%3), 1))
-		h.samples++
+		h.placements++
 	}
 	h.trace = append(h.trace, k)
 	h.engines[k].queue = append(h.engines[k].queue, a)
--- a/entry/internal/target/history.go
+++ b/entry/internal/target/history.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// statusAge is the age of the status in a load report when it arrives. What the entry knew of the engine's
-// load at that time is compared with the report; requests sent since aren't in it. Reports are 200 to
-// 400 ms old in the deployments, and the model gives the best results with the lower figure.
+// statusAge is the assumed age of the status in a load report when it arrives. The report is compared with
+// what the entry knew of the engine's load at that time, because later requests aren't in it. Statuses are
+// 200 to 400 ms old in the deployments, and the model gives the best results with the lower figure.
 const statusAge = 200 * time.Millisecond
 
 // loadHistory holds what was known of an engine's load over the last statusAge. The zero value is
--- a/entry/internal/target/levels.go
+++ b/entry/internal/target/levels.go
@@ -16,7 +16,7 @@
 }
 
 // lastReserveDivisor is the part of an engine's slots, as a divisor, that is reserved against clients
-// that return with the last level. Those that are in time go first.
+// that return with the last level, for newcomers that can still be in time.
 const lastReserveDivisor = 6
 
 // RecordArrival counts a first request to a pool with several levels, and whether it found room
@@ -35,7 +35,8 @@
 // maxDemands bounds the pools in one message, which is a single datagram. Each takes up to 110 bytes.
 const maxDemands = 64
 
-// Demands returns the counts of this entry, for one message, of maxDemands pools at most.
+// Demands returns the counts of this entry for one message. If there are more than maxDemands pools, each
+// call returns a random selection.
 func (f *Fleet) Demands(now time.Time) []PoolDemand {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -52,8 +53,8 @@
 	return all
 }
 
-// ReceiveDemands replaces the counts of another entry of the region. A pool for which this entry has
-// had no requests needs none.
+// ReceiveDemands replaces the counts of another entry of the region. Counts of pools for which this entry
+// has had no requests are dropped.
 func (f *Fleet) ReceiveDemands(now time.Time, from hosts.Name, all []PoolDemand) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -86,13 +87,13 @@
 	case reqs.Level == reqs.Levels-1:
 		return (m.Reserves(now)[reqs.Levels] + 1.0/lastReserveDivisor) * slots
 	}
-	// A client that returns can only be late, so it counts as less urgent than newcomers of its
-	// level.
+	// A response to a client that returns is late in any case, so the request counts as less urgent
+	// than those of newcomers of its level.
 	return m.Reserves(now)[reqs.Level+1] * slots
 }
 
-// urgentReserve returns the slots that the request leaves free at an engine for more urgent ones. A fraction
-// of a slot is reserved at that part of the engines, the same ones for all entries.
+// urgentReserve returns the slots that the request leaves free at an engine for more urgent ones. If the
+// reserve isn't a whole number, it is rounded up at a part of the engines, the same ones for all entries.
 func (f *Fleet) urgentReserve(reqs Requirements, u *upstream, reserve float64) int {
 	if reqs.Levels <= 1 {
 		return 0
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -44,11 +44,11 @@
 }
 
 // rate returns the rate that this entry may spend as the owner. An entry that sees no majority of
-// the entries may be cut off from another owner, and uses its part. To a cold upstream each owner uses
-// its part.
+// the entries may be cut off from another owner, and uses the part of the live entries. For a cold
+// upstream each owner uses currentFraction.
 func (s *limitState) rate(f *Fleet, now time.Time) float64 {
 	if s.cold.currentRate(now) > 0 {
-		return s.effectiveRate(now) * s.cold.currentShare(now)
+		return s.effectiveRate(now) * s.cold.currentFraction(now)
 	}
 	live := max(len(f.options.Entries()), 1)
 	if f.knownEntries > 1 && 2*live <= f.knownEntries {
@@ -149,7 +149,7 @@
 
 // assignLimits recomputes the owners of all limits. The caller holds the mutex.
 func (f *Fleet) assignLimits(now time.Time) {
-	f.updateShares(now)
+	f.updateFractions(now)
 	for _, u := range f.limited {
 		f.assignLimit(now, u)
 	}
@@ -174,7 +174,7 @@
 		}
 	}
 	isOwner := owner == f.options.Self || owner == ""
-	s.cold.share = f.coldShare(region)
+	s.cold.fraction = f.coldFraction(region)
 	if isOwner && !s.isOwner {
 		s.allotter.Reset(now)
 		s.cold.wholeFrom = f.viewChangedAt(now, region).Add(takeoverTime)
--- a/entry/internal/target/loads.go
+++ b/entry/internal/target/loads.go
@@ -39,8 +39,8 @@
 // HashOf returns the hash that identifies an engine in an EntryLoad.
 func HashOf(id string) uint64 { return xxhash.Sum64String(id) }
 
-// EntryLoads returns the load of this entry at the upstreams where it has requests in progress or is
-// kept back, at most maxEntryLoads. If there are more, these are the ones with most requests.
+// EntryLoads returns the load of this entry at the upstreams where it has requests in progress or that
+// want none from it, at most maxEntryLoads. If there are more, these are the ones with most requests.
 func (f *Fleet) EntryLoads(now time.Time) []EntryLoad {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/entry/internal/target/places_test.go
+++ b/entry/internal/target/places_test.go
@@ -19,8 +19,8 @@
 	}), logged
 }
 
-// TestHomeConflictIsLoggedOnceForEachChange guards against conflicts that nobody hears of, and against
-// a line for each snapshot, of which there are several a second.
+// TestHomeConflictIsLoggedOnceForEachChange guards against conflicts that aren't logged, and against a line
+// for each snapshot, of which there are several a second.
 func TestHomeConflictIsLoggedOnceForEachChange(t *testing.T) {
 	w, logged := observed(t)
 	route := func(name string, homes ...hosts.Region) state.Row {
--- a/entry/internal/target/releases.go
+++ b/entry/internal/target/releases.go
@@ -44,8 +44,8 @@
 	}
 }
 
-// firstReleases returns the releases of a model when it is first seen. The times of those before
-// them are unknown. The zero time means that the versions before have already expired.
+// firstReleases returns the releases of a model when it is first seen, after one of unknown time for the
+// version before them. The zero time means that still older versions have already expired.
 func firstReleases(current state.Release) []release {
 	all := []release{{version: current.Since(0)[0].Version - 1}}
 	for _, r := range current.Since(0) {
@@ -68,15 +68,15 @@
 	version int
 }
 
-// reportTransit is the time by which a report may precede the subscription of this process: one that
-// was sent to a process before it at the same address.
+// reportTransit bounds the time by which a report may precede the subscription of this process. Such a
+// report was sent to an earlier process at the same address.
 const reportTransit = 250 * time.Millisecond
 
 // recordStated records the releases that an agent states. A report may have waited before it was
-// received, but it was sent after this process had subscribed, so that its ages count from then on.
-// Only the first statement of an agent counts: by that rule, the later ones are older. The time is
-// one before which the agent knows that the version wasn't released, so one agent is enough. If
-// several differ, the earliest is used, so that a version is never used for too long.
+// received, but it was sent after this process had subscribed, so its ages count from the subscription.
+// Only the first statement of an agent is used, because the ages in later ones are larger by the time
+// since. The agent knows that the version wasn't released before the resulting time, so one agent is
+// enough. If several differ, the earliest time is used, so that a version is never used for too long.
 func (f *Fleet) recordStated(u *upstream, all []StatedRelease) {
 	if u.subscribedAt.IsZero() {
 		return
@@ -98,7 +98,7 @@
 	}
 }
 
-// isBoundUnknown reports whether this process knows no time of the release of a version.
+// isBoundUnknown reports whether the version is released and this process doesn't know when.
 func (f *Fleet) isBoundUnknown(model string, version int) bool {
 	newest := f.newestVersion(model)
 	if version > newest || version <= newest-maxReleases {
--- a/entry/internal/target/rivals_test.go
+++ b/entry/internal/target/rivals_test.go
@@ -20,7 +20,7 @@
 	own, unread, sent int
 	report            target.LoadReport
 	reportedAt        time.Time
-	// others is the load that the entries of the region have told.
+	// others and othersUnread are the load that the other entries of the region report.
 	others, othersUnread int
 	// unknown is the part of the last report that nobody in the region accounts for.
 	unknown        int
@@ -76,7 +76,7 @@
 }
 
 // deal assigns the engines of the region to its entries: in turn, or in proportion to the load that the
-// entries have told.
+// entries report.
 func (v *rival) deal() {
 	var mine []int
 	var ends []float64
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -12,7 +12,8 @@
 // Fleet.ChooseEngine returns the engine with the earliest predicted first event among
 // those that admit the request. Each engine is assigned to one entry of its region and to
 // a few entries of other regions; other entries use it at a cost. All entries compute the
-// assignment from the same names, without messages.
+// assignment from the same names, without messages. In a pool with even load, shares of the
+// engines take the place of the assignment (balance.go).
 package target
 
 import (
@@ -97,8 +98,8 @@
 	hasServed bool
 	// even is what this entry may use of the engine if its pool has even load.
 	even evenShare
-	// history is what was known of its load, slowness what its first events say about its pace. Both are
-	// empty unless the pool has even load.
+	// history is what was known of its load, slowness its pace as concluded from first events. Both are
+	// recorded only while the pool has even load.
 	history  loadHistory
 	slowness slowness
 	// sentSinceReport is the number of requests sent since the last load report.
@@ -142,7 +143,7 @@
 	// Random returns a number in [0, 1).
 	Random func() float64
 	Log    *zap.Logger
-	// Metrics counts cold upstreams and the requests that they keep back. It may be nil.
+	// Metrics counts cold upstreams and the requests that have to wait for them. It may be nil.
 	Metrics tally.Scope
 }
 
@@ -169,11 +170,11 @@
 	limitedReturns map[string]time.Time
 	// knownEntries is the number of known entries, silent ones included.
 	knownEntries int
-	// seen are the entries that are live or lately were. liveShare is the part of the known entries
-	// that is live, regionShares the same by region.
-	seen         map[hosts.Name]knownEntry
-	liveShare    float64
-	regionShares map[hosts.Region]float64
+	// seen are the entries that are live or lately were. liveFraction is the part of the known entries
+	// that is live, regionFractions the same by region.
+	seen            map[hosts.Name]knownEntry
+	liveFraction    float64
+	regionFractions map[hosts.Region]float64
 	// regionViews holds what is known of the live entries of each region.
 	regionViews map[hosts.Region]regionView
 	// hasSnapshot is set once a snapshot with pools was applied. The first one has all rows.
@@ -200,7 +201,7 @@
 	freeSlotsAt time.Time
 	// running are the requests of this entry in progress by failure domain.
 	running map[hosts.Domain]int
-	// homeConflicts are those of the last snapshot, which have been logged.
+	// homeConflicts are the conflicts of the last snapshot, all of which have been logged.
 	homeConflicts map[state.HomeConflict]bool
 }
 
--- a/entry/internal/target/urgency_test.go
+++ b/entry/internal/target/urgency_test.go
@@ -358,8 +358,8 @@
 	}
 }
 
-// TestUrgentKindsAreServedFirst sends twice the capacity. It guards against the order of refusals that
-// the longest objective gave, and against a kind, a workspace or long prompts that starve.
+// TestUrgentKindsAreServedFirst sends twice the capacity. It guards against refusals in the order of the
+// objectives instead of the levels, and against a kind, a workspace or long prompts that starve.
 func TestUrgentKindsAreServedFirst(t *testing.T) {
 	t.Parallel()
 	m := newKindsModel(t, policyLevels, 1, 12, 16)
@@ -397,8 +397,8 @@
 	}
 }
 
-// TestOneLevelChangesNoDecision runs an overload with and without what the proxy states of requests of
-// equal urgency, and with counts of another pool. It guards earlier deployments against this part.
+// TestOneLevelChangesNoDecision runs an overload with and without the requirements that the proxy states for
+// requests of equal urgency. It guards earlier deployments against other decisions than before.
 func TestOneLevelChangesNoDecision(t *testing.T) {
 	var results [2][]string
 	for i := range results {
@@ -410,7 +410,7 @@
 		}
 	}
 	if !slices.Equal(results[0], results[1]) {
-		t.Error("requests of one level are treated otherwise")
+		t.Error("requests of one level are treated differently")
 	}
 }
 
@@ -468,8 +468,8 @@
 	}
 }
 
-// TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing compares the seconds of a burst with the same
-// ones without it.
+// TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing compares the seconds of a burst with the same ones
+// without it. It guards against reserves that come too late or are too small for the most urgent kind.
 func TestBurstOfTheLeastUrgentKindCostsTheMostUrgentNothing(t *testing.T) {
 	t.Parallel()
 	const seeds = 8
