entry: mend faults that readers of the whole change found

Arrays of levels were read out of range; the request would have failed. - Requests with levels of urgency never counted exclusions, so that the metrics promised for an evacuation stayed empty. - Retry-After had no spread once the wait reached its upper bound: all clients with a timeout of 1.5 s were told 500 ms by an entry that starts.

Ruled out: a change of the wait of an entry that is alone in its region (up to 0.6 s at its start): it can't know that before a seed answers.

Change: as above. The neighbors are sorted only while an entry starts.

Measured: TestUrgencyIsWithinTheLevels, TestRetriesAreSpread and TestRefusalWithLevelsCountsExclusions fail without their change (level 2 of 2; 100 of 100 clients after 500 ms; counted 0 times).

--- a/core/calls/call.go
+++ b/core/calls/call.go
@@ -102,6 +102,8 @@
 	// also if it is zero.
 	ColdFor time.Duration
 	HasCold bool
+	// ColdInvalid is the text of a value that states no such time, or empty.
+	ColdInvalid string
 	// Limited is true if the upstream names the number of requests a second that it takes
 	// from all entries together. Limit is that number, finite and not negative.
 	Limited bool
--- a/core/feed/start.go
+++ b/core/feed/start.go
@@ -19,8 +19,10 @@
 // abandonForNeighbor starts a watch if this is an entry's first read and no ready entry of its region is
 // known. The returned function stops it and reports whether the read was abandoned.
 func (f *Follower) abandonForNeighbor(cancel context.CancelFunc) func() bool {
-	_, hasNeighbor := f.options.Identity.NearestFirst(f.options.Entries())
-	if hasNeighbor || !f.isStarting() || f.options.Identity.Role != hosts.RoleEntry {
+	if !f.isStarting() || f.options.Identity.Role != hosts.RoleEntry {
+		return func() bool { return false }
+	}
+	if _, ok := f.options.Identity.NearestFirst(f.options.Entries()); ok {
 		return func() bool { return false }
 	}
 	w := &neighborWatch{follower: f, cancel: cancel}
--- a/core/state/levels.go
+++ b/core/state/levels.go
@@ -60,8 +60,9 @@
 // there are requests to which no workspace's priority applies.
 func workspacesByPriority(routes map[string]*Route, workspaces map[string]*Workspace) []*Workspace {
 	var distinct []*Workspace
-	hasOther := len(workspaces) == 0
+	hasOther, requiresKey := false, false
 	for _, w := range workspaces {
+		requiresKey = requiresKey || len(w.Keys) > 0
 		switch {
 		case !w.HasPriority:
 			hasOther = true
@@ -72,7 +73,7 @@
 	for _, r := range routes {
 		hasOther = hasOther || r.Anonymous
 	}
-	if hasOther {
+	if hasOther || !requiresKey {
 		distinct = append(distinct, nil)
 	}
 	return distinct
@@ -86,6 +87,8 @@
 	if len(all) == 0 {
 		return 0, 1
 	}
+	levels = min(len(all), MaxLevels)
+	// The route or the workspace may be of an earlier snapshot, so that its urgency isn't listed.
 	at, _ := slices.BinarySearchFunc(all, urgencyOf(r, w), compareUrgency)
-	return min(at, MaxLevels-1), min(len(all), MaxLevels)
+	return min(at, levels-1), levels
 }
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -235,3 +235,30 @@
 		}
 	}
 }
+
+// TestUrgencyIsWithinTheLevels guards against a level that arrays of the pool's levels don't have: for a
+// route or workspace of an earlier snapshot, and for requests without a workspace where none has a key.
+func TestUrgencyIsWithinTheLevels(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		priority, keys := rapid.IntRange(0, 9), rapid.SliceOfN(rapid.Just("k"), 0, 1)
+		var rows []state.Row
+		for i := range rapid.IntRange(1, 4).Draw(rt, "routes") {
+			r := route(fmt.Sprint(i), "h", fmt.Sprintf("/%d/", i))
+			r.Priority = priority.Draw(rt, "priority")
+			rows = append(rows, encodeRow(rt, state.EncodeRoute, r))
+		}
+		for i := range rapid.IntRange(0, 3).Draw(rt, "workspaces") {
+			w := &state.Workspace{Name: fmt.Sprint(i), Keys: keys.Draw(rt, "keys"), HasPriority: true, Priority: priority.Draw(rt, "priority")}
+			rows = append(rows, encodeRow(rt, state.EncodeWorkspace, w))
+		}
+		var b state.Builder
+		s, _ := b.Apply(1, rows)
+		w := &state.Workspace{HasPriority: true, Priority: priority.Draw(rt, "priority")}
+		for _, w := range []*state.Workspace{nil, w} {
+			level, levels := s.Urgency("p", &state.Route{Priority: priority.Draw(rt, "priority")}, w)
+			if level < 0 || level >= levels || levels > state.MaxLevels {
+				rt.Fatalf("level %d of %d", level, levels)
+			}
+		}
+	})
+}
--- a/entry/internal/proxy/bounds_test.go
+++ b/entry/internal/proxy/bounds_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -35,11 +36,7 @@
 		"6000": {1500 * time.Millisecond, 2 * time.Second}, "1500": {400 * time.Millisecond, 500 * time.Millisecond},
 	} {
 		play(t, 0, nil, func(w *world) {
-			w.mirror = feed.NewMirror()
-			w.handler = proxy.New(proxy.Options{
-				Mirror: w.mirror, Fleet: w.fleet, Conns: w.conns, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
-				Random: func() float64 { return 0.5 }, Scope: w.scope, Log: zap.NewNop(),
-			})
+			w.startWithoutRows(func() float64 { return 0.5 })
 			a := w.request(context.Background(), "/any/x", "Timeout", timeout)
 			wait, err := time.ParseDuration(a.Header().Get("Wait"))
 			if err != nil || wait < want[0] || wait > want[1] || a.Header().Get("Outcome") != string(calls.OutcomeNotRun) {
@@ -67,3 +64,31 @@
 		}
 	})
 }
+
+// startWithoutRows replaces the handler by one that has no rows yet.
+func (w *world) startWithoutRows(random func() float64) {
+	w.mirror = feed.NewMirror()
+	w.handler = proxy.New(proxy.Options{
+		Mirror: w.mirror, Fleet: w.fleet, Conns: w.conns, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
+		Random: random, Scope: w.scope, Log: zap.NewNop(),
+	})
+}
+
+// TestRetriesAreSpread guards against clients that all get the longest Retry-After, and so return at once,
+// if there won't be capacity before that.
+func TestRetriesAreSpread(t *testing.T) {
+	for _, timeout := range []string{"1500", "6000", "9000"} {
+		play(t, 0, nil, func(w *world) {
+			w.startWithoutRows(rand.New(rand.NewPCG(1, 1)).Float64)
+			times := make(map[string]int)
+			for range 100 {
+				times[w.request(context.Background(), "/any/x", "Timeout", timeout).Header().Get("Wait")]++
+			}
+			for wait, n := range times {
+				if n > 5 {
+					t.Errorf("timeout %s: %d of 100 clients return after %s", timeout, n, wait)
+				}
+			}
+		})
+	}
+}
--- a/entry/internal/proxy/demands.go
+++ b/entry/internal/proxy/demands.go
@@ -33,14 +33,14 @@
 	if reply.Kind == calls.ReplyMoved {
 		return
 	}
-	if reply.HasCold && f.RecordCold(clocks.Now(), reply.ColdFor) {
-		l.handler.metrics.countDemand("cold", f.Row.ID)
+	if reply.HasCold {
+		f.RecordCold(clocks.Now(), reply.ColdFor)
+	}
+	if reply.ColdInvalid != "" {
+		l.logInvalid(f, "cold-invalid", reply.ColdInvalid)
 	}
 	if reply.LimitInvalid != "" {
-		value := reply.LimitInvalid[:min(len(reply.LimitInvalid), maxLoggedValue)]
-		if f.RecordInvalidLimit(value) {
-			l.handler.options.Log.Warn("limit-invalid", zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID), zap.String("value", value))
-		}
+		l.logInvalid(f, "limit-invalid", reply.LimitInvalid)
 		if !reply.Limited {
 			return
 		}
@@ -52,3 +52,12 @@
 
 // maxLoggedValue bounds the part of an invalid header that is logged, in bytes.
 const maxLoggedValue = 64
+
+// logInvalid logs a value of a response that can't be read, unless the upstream has just given the same
+// one for the same event.
+func (l *lifecycle) logInvalid(f *target.InFlight, event, value string) {
+	value = value[:min(len(value), maxLoggedValue)]
+	if f.RecordInvalid(event, value) {
+		l.handler.options.Log.Warn(event, zap.String("request", string(l.call.ID)), zap.String("upstream", f.Row.ID), zap.String("value", value))
+	}
+}
--- a/entry/internal/proxy/explain.go
+++ b/entry/internal/proxy/explain.go
@@ -65,7 +65,10 @@
 	e := Explanation{View: l.view}
 	// Before the first configuration all requests are refused alike, and no route is known.
 	if !l.view.State.Configured {
-		_, e.Refusal = h.options.Bounds.Admit(l.view, &l.call)
+		l.call.Timeout = q.Timeout
+		if _, e.Refusal = h.options.Bounds.Admit(l.view, &l.call); e.Refusal != nil {
+			e.Refusal.RetryAfter = l.withDraw(0).retryAfter(e.Refusal.RetryAfter)
+		}
 		return e, nil
 	}
 	err := l.buildCall(q)
@@ -76,7 +79,7 @@
 		e.Pools, err = l.explainPools(q)
 	}
 	if err == nil && e.Refusal == nil && len(e.Pools) == 0 {
-		e.Refusal = noPoolRefusal()
+		e.Refusal = l.withDraw(0).noPoolRefusal()
 	}
 	return e, err
 }
@@ -162,14 +165,20 @@
 // almostOne stands for the largest number that Options.Random returns. It gives the latest retry.
 const almostOne = 1 - 1e-9
 
+// withDraw returns a copy in which draw takes the place of the random number that spreads the retries.
+func (l *lifecycle) withDraw(draw float64) *lifecycle {
+	o := l.handler.options
+	o.Random = func() float64 { return draw }
+	return &lifecycle{handler: &Handler{options: o}, arrived: l.arrived, view: l.view, call: l.call, admission: l.admission, pool: l.pool}
+}
+
 // explainRefusal returns the refusal of a request that no upstream takes, and whether the request
-// waits before it is refused. Draw takes the place of the random number that spreads the retries. The
-// choice is made on a copy of the fleet, since it changes limits and the times of retries.
+// waits before it is refused, with the given draw. The choice is made on a copy of the fleet, since it
+// changes limits and the times of retries.
 func (l *lifecycle) explainRefusal(fleet *target.Fleet, now time.Time, reqs target.Requirements, draw float64) (refusal *calls.Refusal, canWait bool) {
-	o := l.handler.options
-	o.Fleet, o.Random = fleet.Fork(l.pool.Name), func() float64 { return draw }
-	copied := &lifecycle{handler: &Handler{options: o}, arrived: l.arrived, view: l.view, call: l.call, admission: l.admission, pool: l.pool}
+	copied := l.withDraw(draw)
+	copied.handler.options.Fleet = fleet.Fork(l.pool.Name)
 	_, full := copied.choose(now, reqs)
-	limited, hasLimited := o.Fleet.AwaitLimited(now, reqs, &target.GrantRequest{})
+	limited, hasLimited := copied.handler.options.Fleet.AwaitLimited(now, reqs, &target.GrantRequest{})
 	return copied.placementRefusal(reqs, full, limited, hasLimited), full > 0 || hasLimited
 }
--- a/entry/internal/proxy/levels.go
+++ b/entry/internal/proxy/levels.go
@@ -110,8 +110,13 @@
 	// allows a request.
 	full, limited time.Duration
 	hasLimited    bool
+	// limitedAt is when limited was determined last.
+	limitedAt time.Time
 }
 
+// limitedPollInterval is the time between two checks of limits for a request that waits behind others.
+const limitedPollInterval = 25 * time.Millisecond
+
 // acquireByLevel chooses an engine of a pool with several levels of urgency. If none has room the
 // request waits in the queue of the pool.
 func (l *lifecycle) acquireByLevel(ctx context.Context, reqs target.Requirements) (*target.InFlight, *calls.Refusal) {
@@ -132,6 +137,9 @@
 		defer w.queue.remove(w.ticket)
 		f, refusal = w.run(ctx)
 	}
+	if f == nil {
+		l.handler.metrics.countExclusions(l.handler.options.Fleet.Exclusions(clocks.Now(), w.reqs))
+	}
 	l.levelReserve = l.handler.options.Fleet.LevelReserve(clocks.Now(), w.reqs)
 	w.count(f != nil || refusal.Reason == calls.ReasonOverload, f != nil)
 	w.report(f != nil)
@@ -214,8 +222,12 @@
 	if f != nil {
 		return f, nil
 	}
-	// Those that wait behind others ask the owners of limits too, so that the grants arrive together.
-	w.limited, w.hasLimited = l.handler.options.Fleet.AwaitLimited(now, w.reqs, &w.grant)
+	// Those that wait behind others ask the owners of limits too, so that the grants arrive together. They
+	// do so less often, since each time all upstreams of the pool are considered.
+	if polled || now.Sub(w.limitedAt) >= limitedPollInterval {
+		w.limitedAt = now
+		w.limited, w.hasLimited = l.handler.options.Fleet.AwaitLimited(now, w.reqs, &w.grant)
+	}
 	if polled && w.full == 0 && !w.hasLimited {
 		return nil, l.placementRefusal(w.reqs, 0, 0, false)
 	}
@@ -245,7 +257,7 @@
 	case a.Workspace != nil && l.admission.Workspace != nil && a.Workspace.Name != l.admission.Workspace.Name:
 		return calls.NotRun(calls.ReasonStale, minRetryAfter, "the key belongs to another workspace now")
 	case v.State.Pool(l.pool.Name) == nil:
-		return calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "the pool was removed")
+		return calls.NotRun(calls.ReasonNoPool, l.retryAfter(noUpstreamRetryAfter), "the pool was removed")
 	}
 	return nil
 }
--- a/entry/internal/proxy/levels_test.go
+++ b/entry/internal/proxy/levels_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
+	"currantport.example/core/calls"
 	"currantport.example/core/hosts"
 	"currantport.example/core/state"
 )
@@ -166,3 +167,16 @@
 		})
 	}
 }
+
+// TestRefusalWithLevelsCountsExclusions guards against an evacuation that the metrics don't show where
+// requests differ in urgency.
+func TestRefusalWithLevelsCountsExclusions(t *testing.T) {
+	playLevels(t, 1, func(w *world, apply func(rows ...state.Row), send func(ctx context.Context, path string) *leveledCall, done chan struct{}) {
+		apply(evacuate("d")(w)...)
+		send(context.Background(), "/later/x")
+		if refused, excluded := w.refusals(string(calls.ReasonEvacuated)); refused != string(calls.ReasonEvacuated) || excluded != 1 {
+			t.Errorf("refused because of %q, counted %d times", refused, excluded)
+		}
+		close(done)
+	})
+}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -32,6 +32,9 @@
 	// retriesPerTimeout is the minimum number of such waits that fit into a client's
 	// timeout.
 	retriesPerTimeout = 3
+	// minSpreadDivisor divides the range of such waits. The result is the least part of it over
+	// which clients are spread.
+	minSpreadDivisor = 4
 	// holdSpread is the time over which clients return that were refused because of holds.
 	holdSpread = time.Second
 	// noUpstreamRetryAfter is when to retry if no upstream is available.
@@ -146,7 +149,7 @@
 		return f, nil
 	}
 	if l.pool == nil && !l.choosePool() {
-		return nil, noPoolRefusal()
+		return nil, l.noPoolRefusal()
 	}
 	l.isRetry = l.handler.timeouts.IsRetry(l.admission.Route.Name, &l.call)
 	reqs := l.requirements()
@@ -240,15 +243,16 @@
 
 // retryAfter returns when a client that was refused because of load should retry: when
 // there will be capacity, but not so early that IsRetry can't tell the retry, which goes
-// first, from a first request. The times are spread, so that requests refused together
-// aren't retried together.
+// first, from a first request. The times are spread up to the longest one, so that requests
+// refused together aren't retried together, also if there is no capacity before that.
 func (l *lifecycle) retryAfter(wait time.Duration) time.Duration {
 	shortest, longest := l.shortestReturn(), maxRetryAfter
 	if timeout := l.call.Timeout; timeout > 0 {
 		longest = min(longest, timeout/retriesPerTimeout)
 	}
-	spread := time.Duration(l.handler.options.Random() * float64(longest-shortest))
-	return min(max(wait, shortest)+max(spread, 0), max(longest, shortest))
+	longest = max(longest, shortest)
+	earliest := min(max(wait, shortest), longest-(longest-shortest)/minSpreadDivisor)
+	return earliest + time.Duration(l.handler.options.Random()*float64(longest-earliest))
 }
 
 // shortestReturn returns the shortest time after which a client may return, so that IsRetry can tell the
--- a/entry/internal/proxy/refusals.go
+++ b/entry/internal/proxy/refusals.go
@@ -32,13 +32,13 @@
 	}
 	switch l.handler.options.Fleet.SoleExclusion(clocks.Now(), reqs) {
 	case target.ExclusionHome:
-		return calls.NotRun(calls.ReasonHome, noUpstreamRetryAfter, "no upstream in the home regions of the request")
+		return calls.NotRun(calls.ReasonHome, l.retryAfter(noUpstreamRetryAfter), "no upstream in the home regions of the request")
 	case target.ExclusionEvacuated:
-		return calls.NotRun(calls.ReasonEvacuated, noUpstreamRetryAfter, "the failure domains that could serve the request are evacuated")
+		return calls.NotRun(calls.ReasonEvacuated, l.retryAfter(noUpstreamRetryAfter), "the failure domains that could serve the request are evacuated")
 	}
 	return calls.NotRun(calls.ReasonNoUpstream, l.retryAfter(noUpstreamRetryAfter), "no upstream serves the request")
 }
 
-func noPoolRefusal() *calls.Refusal {
-	return calls.NotRun(calls.ReasonNoPool, noUpstreamRetryAfter, "none of the route's pools is in the configuration")
+func (l *lifecycle) noPoolRefusal() *calls.Refusal {
+	return calls.NotRun(calls.ReasonNoPool, l.retryAfter(noUpstreamRetryAfter), "none of the route's pools is in the configuration")
 }
--- a/entry/internal/target/cold.go
+++ b/entry/internal/target/cold.go
@@ -338,11 +338,15 @@
 		a.ColdFor == b.ColdFor && a.HasCold == b.HasCold && slices.Equal(a.Held, b.Held)
 }
 
-// countDelayed counts a request that has to wait for upstreams because of their cold rates, once for each of
-// them.
+// countDelayed counts a request that has to wait for upstreams because of their cold rates.
 func (f *Fleet) countDelayed(now time.Time, u *upstream, g *GrantRequest) {
-	if s := u.demands.limit; !g.isCounted && s.cold.currentRate(now) > 0 {
-		s.cold.delayed++
+	s := u.demands.limit
+	if g.isCounted || s.cold.currentRate(now) == 0 {
+		return
+	}
+	s.cold.delayed++
+	if !g.isDelayed {
+		g.isDelayed = true
 		f.options.Metrics.Counter("cold_kept").Inc(1)
 	}
 }
--- a/entry/internal/target/demands.go
+++ b/entry/internal/target/demands.go
@@ -40,10 +40,10 @@
 	announcements int
 	// heldUntil is the time until which the upstream wants no requests.
 	heldUntil time.Time
-	// limit is the limit that it has named, or nil if it never named one. InvalidLimit is the
-	// last value that it gave in place of one.
-	limit        *limitState
-	invalidLimit string
+	// limit is the limit that it has named, or nil if it never named one.
+	limit *limitState
+	// invalid is the last value of each kind that couldn't be read.
+	invalid map[string]string
 }
 
 // isHeld reports whether the upstream wants no requests from this entry now.
--- a/entry/internal/target/grants.go
+++ b/entry/internal/target/grants.go
@@ -28,8 +28,9 @@
 	// upstream is the one whose owner was asked last, askedAt the time of that.
 	upstream *upstream
 	askedAt  time.Time
-	// isCounted is set once the request counts as delayed at the upstreams that are cold.
-	isCounted bool
+	// isCounted is set once the request has been counted at the upstreams whose cold rates delay it,
+	// isDelayed if there is one.
+	isCounted, isDelayed bool
 }
 
 // isPending reports whether the owner hasn't responded yet.
--- a/entry/internal/target/limits.go
+++ b/entry/internal/target/limits.go
@@ -125,13 +125,17 @@
 	return true
 }
 
-// RecordInvalidLimit records a value that names no limit. It reports whether the upstream hasn't given
-// the same one just before.
-func (r *InFlight) RecordInvalidLimit(value string) bool {
+// RecordInvalid records a value of a response that can't be read. Kind tells the values of one upstream
+// apart, of which few exist. It reports whether the upstream hasn't given the same one just before.
+func (r *InFlight) RecordInvalid(kind, value string) bool {
 	r.fleet.mutex.Lock()
 	defer r.fleet.mutex.Unlock()
-	isNew := r.upstream.demands.invalidLimit != value
-	r.upstream.demands.invalidLimit = value
+	d := &r.upstream.demands
+	isNew := d.invalid[kind] != value
+	if d.invalid == nil {
+		d.invalid = make(map[string]string)
+	}
+	d.invalid[kind] = value
 	return isNew
 }
 
--- a/entry/internal/target/slow.go
+++ b/entry/internal/target/slow.go
@@ -54,7 +54,7 @@
 	case ratio <= recoveredRatio && isLater:
 		u.slowness = slowness{}
 	case u.slowness.pace > 0 && isLater:
-		u.slowness.pace = ratio
+		u.slowness.pace = min(ratio, maxSlowPace)
 	}
 }
 
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -131,7 +131,7 @@
 	// Self and Place identify this entry.
 	Self  hosts.Name
 	Place hosts.Place
-	// Entries returns the live entries.
+	// Entries returns the entries that are live and ready.
 	Entries func() []hosts.Host
 	// Regions maps failure domains to regions.
 	Regions map[hosts.Domain]hosts.Region
