scripts: point two mutants at the moved code

Cause: the mutant waited changed nothing since reserveRetry lost a parameter in this work, and workspace since the attempt has its own file. A mutant that changes nothing shows no check red.

Ruled out: others; each expression was applied to a copy, and the rest change something.

Change: both expressions.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -18,7 +18,7 @@
 target~unchanged~platform/internal/bridge/upstream.go~s/Target: c\.Target,/Target: c.Path,/~config
 unasked~unasked~platform/internal/bridge/upstream.go~s/(\th\.Set\(forms\.HeaderDeadline)/\th.Set(forms.HeaderID, string(c.ID)+"x")\n$1/~config
 address~address~entry/server/build.go~s/ClientAddress: s\.ClientAddress/ClientAddress: s.MeshAddress/~config
-workspace~workspace~entry/internal/proxy/lifecycle.go~s/a\.Workspace = l\.admission\.Workspace\.Name/a.Workspace = "workspace-0"/~config
+workspace~workspace~entry/internal/proxy/attempt.go~s/a\.Workspace = l\.admission\.Workspace\.Name/a.Workspace = "workspace-0"/~config
 secret~workspace~platform/internal/bridge/client.go~s/forms\.HeaderAPIKey: true, //~config
 revoked~revoked~entry/internal/proxy/admit.go~s/if v\.Staleness > b\.MaxKeyStaleness \{/if false {/~store-hung,config-revoke
 drain~drain~entry/internal/target/exclude.go~s/case u\.row\.Draining \|\| u\.demands\.leaving:/case false:/~upstream-drain
@@ -51,7 +51,7 @@
 evacuated~evacuated~entry/internal/target/exclude.go~s/case f\.evacuated\[domain\]:/case false:/~evacuate~2s
 reload~reload~agent/internal/loader/loader.go~s/(\tif lost \{\n)/\tif lost \&\& !l.statusAt.IsZero() {\n\t\ts.Held = nil\n\t}\n$1/~upstream-stall,upstream-stalls,config
 quarantined~quarantined~.~s/(outcome = target\.OutcomeTimeout\n)/$1\t\tl.handler.options.Crashes.RecordLoss(l.identity, f.Row.ID, l.sentAt)\n\t\tl.handler.options.Crashes.RecordCrash(f.Row.ID, "silence")\n/; s/(func \(r \*Registry\) RecordSurvival\(q Request\) \{\n)/$1\tif len(q.Parts) > 0 {\n\t\treturn\n\t}\n/~upstream-stall,upstream-stalls
-waited~waited~entry/internal/proxy/watchdog.go~s/ && !w\.lifecycle\.reserveRetry\(now, w\.reqs\)/ \&\& false/~upstream-stall,upstream-stalls
+waited~waited~entry/internal/proxy/watchdog.go~s/ && w\.lifecycle\.reserveRetry\(reqs\)/ \&\& true/~upstream-stall,upstream-stalls
 power~recover~agent/internal/loader/loader.go~s/if !l\.stager\.isComplete\(t\) \|\| /if len(l.status.Held) == 0 || !l.stager.isComplete(t) || /~config,power
 memory~memory~entry/internal/proxy/handler.go~s/(l\.run\(r\.Context\(\)\)\n)/$1\tpart := make([]byte, 1<<20); for i := range part { part[i] = 1 }; kept.Store(l, part)\n/; s/\z/\nvar kept sync.Map\n/; s/"sync"\n//; s/import \(\n/import (\n\t"sync"\n/~config
 exit~exit~core/parts/server.go~s/(func \(s SeedWatcher\) reload\(\) \{\n)/$1\tpanic("settings")\n/~settings
