watch: see the close of a connection behind bytes sent ahead

What callers saw: nothing; upstreams went on working for clients that had closed their connection, to the end of the run or to the timeout of the route, if the client had sent anything on the connection behind the request: its next request, or an empty line after a body.

Cause: net/http watches a connection during a request by reading one byte. Once it has that byte it stops, so that no close behind it is seen. Of runs that write nothing for a while all go on, whatever the route.

Evidence: proxy.TestRunEndsWhenClientClosesBehindBytesSentAhead failed before this change in 72 of 120 cases: in all with further bytes, but for 24 streams whose upstream writes an event each 100 ms, where the write to the client fails. In the 72 the upstream worked on for 2.2 s after the close, to its own end.

Ruled out: the delay of the bytes (0, 20 and 250 ms alike), the kind of route, and what the bytes are.

Fix: from the end of a request's body until its handler returns, core/watch reads what follows into a buffer, bounded for each connection (256 KiB) and in sum (16 MiB), and cancels the request when the connection ends. Buffered bytes are served in order while the client stays and dropped when it has left; a request that was read before the close and not handled yet is aborted. Beyond the bounds flow control stops the client, and a close isn't seen there (counted as client_ahead_full). The product's own port for clients (entry/serve) had the same fault over HTTP/1.1 and takes the same wrapper; over HTTP/2 requests are canceled one by one.

Measured: the test passes, and those of core/watch for order, bounds, idle connections and real sockets, with the race detector.

--- a/core/links/links.go
+++ b/core/links/links.go
@@ -31,6 +31,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"currantport.example/core/watch"
 )
 
 const (
@@ -223,6 +225,7 @@
 		Protocols:         serverProtocols(),
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 		ErrorLog:          zap.NewStdLog(log.Named("http")),
+		ConnContext:       watch.ConnContext,
 	}, done: make(chan struct{})}
 	go s.run(l)
 	return func() { s.stop(shutdownTimeout) }
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -24,11 +24,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
 	"currantport.example/core/clocks"
 	"currantport.example/core/shell"
 	"currantport.example/core/state"
+	"currantport.example/core/watch"
 )
 
 const (
@@ -56,12 +58,15 @@
 	DrainTime time.Duration
 	// ShutdownTimeout bounds the whole shutdown.
 	ShutdownTimeout time.Duration
-	Log             *zap.Logger
+	// Scope is for the metrics. It may be nil.
+	Scope tally.Scope
+	Log   *zap.Logger
 }
 
 // Server accepts the connections of clients.
 type Server struct {
-	options    Options
+	options Options
+	watcher *watch.Watcher
 	inProgress atomic.Int64
 	// draining and then refusing are set during a shutdown.
 	draining atomic.Bool
@@ -78,7 +83,10 @@
 // New starts accepting connections. The clean-up function closes the server and all
 // connections at once.
 func New(o Options) (*Server, func()) {
-	s := &Server{options: o, servers: make(map[*connServer]struct{}), group: shell.NewGroup()}
+	if o.Scope == nil {
+		o.Scope = tally.NoopScope
+	}
+	s := &Server{options: o, watcher: watch.New(o.Scope), servers: make(map[*connServer]struct{}), group: shell.NewGroup()}
 	s.replaceServer()
 	s.group.Go(s.run)
 	return s, s.close
@@ -103,9 +111,9 @@
 func (s *Server) replaceServer() {
 	l := s.limits
 	h := &http.Server{
-		Handler: s, ErrorLog: zap.NewStdLog(s.options.Log.Named("http")),
+		Handler: watch.Handler(s), ErrorLog: zap.NewStdLog(s.options.Log.Named("http")),
 		MaxHeaderBytes: defaultMaxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		ConnContext: withConn,
+		ConnContext: watch.ConnContext,
 	}
 	if l.HeaderBytes > 0 {
 		h.MaxHeaderBytes = l.HeaderBytes
@@ -138,7 +146,7 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		if !s.dispatch(ctx, c) {
+		if !s.dispatch(ctx, s.watcher.Wrap(c)) {
 			_ = c.Close()
 		}
 	}
@@ -181,13 +189,6 @@
 	s.options.Handler.ServeHTTP(w, r)
 }
 
-// connKey is the key of the connection in the context of a request.
-type connKey struct{}
-
-func withConn(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
-}
-
 // resetAborted makes the server reset the connection of a response that is being aborted, if
 // nothing but the end of the connection marks that of the response.
 func (s *Server) resetAborted(r *http.Request) {
@@ -195,8 +196,7 @@
 	if cause == nil {
 		return
 	}
-	c, ok := r.Context().Value(connKey{}).(interface{ SetLinger(seconds int) error })
-	if ok && !r.ProtoAtLeast(1, 1) {
+	if c := watch.ConnOf(r); c != nil && !r.ProtoAtLeast(1, 1) {
 		if err := c.SetLinger(0); err != nil {
 			s.options.Log.Debug("reset-failed", zap.Error(err))
 		}
--- a/entry/serve/build.go
+++ b/entry/serve/build.go
@@ -22,6 +22,7 @@
 	"currantport.example/core/roster"
 	"currantport.example/core/shell"
 	"currantport.example/core/tables"
+	"currantport.example/core/watch"
 	"currantport.example/core/wire"
 	"currantport.example/entry/internal/fleet"
 	"currantport.example/entry/internal/front"
@@ -110,12 +111,12 @@
 	lc.Append(fx.StopHook(stop))
 }
 
-func startServer(lc fx.Lifecycle, s Settings, network links.Network, f *front.Front, r *mux.Router, t *audit.Trail, log *zap.Logger, trigger *shell.ShutdownTrigger) error {
+func startServer(lc fx.Lifecycle, s Settings, network links.Network, f *front.Front, r *mux.Router, t *audit.Trail, m parts.Metrics, log *zap.Logger, trigger *shell.ShutdownTrigger) error {
 	l, err := network.Listen(context.Background(), s.Listen)
 	if err != nil {
 		return err
 	}
-	stop := links.Serve(l, r, log, closeTimeout)
+	stop := links.Serve(watch.New(m.Scope).Listen(l), watch.Handler(r), log, closeTimeout)
 	t.Add(audit.EventStart, string(s.Host), "start of the process")
 	g := shell.NewGroup()
 	w := &drainWatcher{front: f, trigger: trigger}
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -150,13 +150,13 @@
 	})
 }
 
-func newServer(lc fx.Lifecycle, s Settings, network links.Network, handler *proxy.Handler, log *zap.Logger) (*httpd.Server, error) {
+func newServer(lc fx.Lifecycle, s Settings, network links.Network, handler *proxy.Handler, metrics parts.Metrics, log *zap.Logger) (*httpd.Server, error) {
 	l, err := network.Listen(context.Background(), s.ClientAddress)
 	if err != nil {
 		return nil, err
 	}
 	server, stop := httpd.New(httpd.Options{
-		Listener: l, Handler: handler, Refuse: handler.RefusalHandler(), Refusing: handler.EndWaits, Log: log,
+		Listener: l, Handler: handler, Refuse: handler.RefusalHandler(), Refusing: handler.EndWaits, Scope: metrics.Scope, Log: log,
 		DrainTime: min(drainTTLs*s.AddressTTL, s.ShutdownTimeout/2), ShutdownTimeout: s.ShutdownTimeout - shutdownReserve,
 	})
 	return shell.WithCleanup(lc, server, stop), nil
