watch: send nothing for a client that left before its request was read

What callers saw: nothing; a request whose client had given up, since the entry was too busy to read it, was sent to an upstream all the same and withdrawn there at once.

Cause: the close lies behind the request in the receive buffer. net/http looks for it in a goroutine of its own, beside the handler, which sends the request before that goroutine runs.

Evidence: watch.TestCloseReceivedWithTheRequestCancelsItFirst and proxy.TestNothingIsSentForAClientThatLeftBeforeItsRequestWasRead failed before: with one processor none of 50 requests was canceled when its handler had read the body; over the in-memory network one of 50 was sent on most routes.

Ruled out: a wait for a place and the time between two attempts, where the context is checked by reading; the check before each attempt and before the first byte is sent closes the rest.

Fix: when the body has been read, the connection is read once without waiting; a close cancels the request before the handler goes on. It costs a read of the socket for each request. A request whose client left while it waited is logged as ending=left in place of a refusal.

Measured: both tests pass, with one and four processors and the race detector.

--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -134,6 +134,9 @@
 func (c *Conn) Do(ctx context.Context, r *Request) (*Response, error) {
 	c.used++
 	x := &exchange{conn: c, data: r.encode(), written: make(chan struct{})}
+	if ctx.Err() != nil {
+		return nil, c.fail(ctx, func() bool { return true }, x, ctx.Err())
+	}
 	stop := context.AfterFunc(ctx, c.Close)
 	concurrent := len(x.data) > concurrentWriteBytes
 	if concurrent {
--- a/core/memnet/conn.go
+++ b/core/memnet/conn.go
@@ -29,6 +29,9 @@
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) { return c.incoming.receive(b) }
 
+// TryRead reads without waiting. If nothing has been received the error is os.ErrDeadlineExceeded.
+func (c *conn) TryRead(b []byte) (int, error) { return c.incoming.tryReceive(b) }
+
 // Write implements net.Conn.
 func (c *conn) Write(b []byte) (int, error) { return c.outgoing.send(b) }
 
@@ -169,6 +172,21 @@
 	}
 }
 
+func (p *pipe) tryReceive(b []byte) (int, error) {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	switch {
+	case p.silent:
+	case p.readerClosed:
+		return 0, net.ErrClosed
+	case len(p.segments) > 0 && !p.segments[0].due.After(time.Now()):
+		return p.dequeue(b), nil
+	case p.writerClosed && len(p.segments) == 0:
+		return 0, io.EOF
+	}
+	return 0, os.ErrDeadlineExceeded
+}
+
 func (p *pipe) dequeue(b []byte) int {
 	s := &p.segments[0]
 	n := copy(b, s.data)
--- a/core/watch/conn.go
+++ b/core/watch/conn.go
@@ -123,10 +123,14 @@
 	started bool
 	stopped chan struct{}
 	done    chan struct{}
-	// first is the buffer of the first read.
+	// first is the buffer of the first read, and rest that of the others.
 	first [1]byte
-	// holdsToken is set if run has ended because of an expired deadline and left the token of the
-	// connection to close. It is valid once done is closed.
+	rest  []byte
+	// hasAhead is set once the client has sent something ahead.
+	hasAhead bool
+	// holdsToken is true while the session has the token of the connection. It keeps it until close, so
+	// that the server never reads with the expired deadline that interrupts run. It is set by start or
+	// run, and read by close once run has ended.
 	holdsToken bool
 
 	mutex sync.Mutex
@@ -138,15 +142,32 @@
 	return &session{conn: c, cancel: cancel, stopped: make(chan struct{}), done: make(chan struct{})}
 }
 
-// start begins to watch the connection.
+// start begins to watch the connection. A close that has been received already cancels the request
+// before start returns, so that nothing is sent for a client that left before its request was read.
 func (s *session) start() {
 	if s.started {
 		return
 	}
 	s.started = true
+	select {
+	case s.conn.reading <- struct{}{}:
+		s.holdsToken = true
+		s.poll()
+	default:
+	}
 	go s.run()
 }
 
+// poll reads what has been received already.
+func (s *session) poll() {
+	for s.hasRoom() {
+		p := s.space()
+		if n, err := receive(s.conn.Conn, p); !s.record(p[:n], err) {
+			return
+		}
+	}
+}
+
 // close ends the session. The server may read from the connection again afterwards.
 func (s *session) close() {
 	defer s.cancel()
@@ -186,53 +207,63 @@
 // run reads what the client sends ahead. It takes turns with net/http, which reads at most one byte.
 func (s *session) run() {
 	defer close(s.done)
-	select {
-	case s.conn.reading <- struct{}{}:
-	case <-s.stopped:
-		return
+	if !s.holdsToken {
+		select {
+		case s.conn.reading <- struct{}{}:
+		case <-s.stopped:
+			return
+		}
+		s.holdsToken = true
+	}
+	if !s.conn.HasEnded() {
+		s.readAll()
 	}
-	// Without the token the server can't read with the expired deadline of close.
-	s.holdsToken = true
-	s.readAll()
 }
 
 // readAll reads until the connection ends, a bound is reached or the session is closed.
 func (s *session) readAll() {
-	// Few clients send anything ahead.
-	if !s.read(s.first[:]) {
-		return
-	}
-	s.conn.watcher.ahead.Inc(1)
-	p := make([]byte, readBytes)
-	for s.conn.hasRoom() {
-		if !s.read(p) {
+	for s.hasRoom() && s.setReading(true) {
+		p := s.space()
+		n, err := s.conn.Conn.Read(p)
+		s.setReading(false)
+		if !s.record(p[:n], err) {
 			return
 		}
 	}
-	s.conn.watcher.full.Inc(1)
 }
 
-// read buffers what is received next. It returns false if the connection has ended or the session is
-// closed.
-func (s *session) read(p []byte) bool {
-	if !s.setReading(true) {
-		return false
-	}
-	n, err := s.conn.Conn.Read(p)
-	s.setReading(false)
-	s.conn.buffer(p[:n])
-	if err == nil {
+// hasRoom reports whether more bytes may be buffered.
+func (s *session) hasRoom() bool {
+	if s.conn.hasRoom() {
 		return true
 	}
-	if !isTimeout(err) {
-		s.recordEnd(err)
-	}
+	s.conn.watcher.full.Inc(1)
 	return false
 }
 
-// recordEnd ends the connection and cancels the request.
-func (s *session) recordEnd(err error) {
-	s.conn.end(err)
-	s.conn.watcher.closed.Inc(1)
-	s.cancel()
+// space returns the buffer for the next read. It is small at first, since few clients send anything
+// ahead.
+func (s *session) space() []byte {
+	if !s.hasAhead {
+		return s.first[:]
+	}
+	if s.rest == nil {
+		s.rest = make([]byte, readBytes)
+	}
+	return s.rest
+}
+
+// record takes the result of a read. It returns false if no other one may follow.
+func (s *session) record(p []byte, err error) bool {
+	if len(p) > 0 && !s.hasAhead {
+		s.hasAhead = true
+		s.conn.watcher.ahead.Inc(1)
+	}
+	s.conn.buffer(p)
+	if err != nil && !isTimeout(err) {
+		s.conn.end(err)
+		s.conn.watcher.closed.Inc(1)
+		s.cancel()
+	}
+	return err == nil
 }
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -43,6 +44,8 @@
 	listener net.Listener
 	done     chan struct{}
 	scope    tally.TestScope
+	// early counts the requests that were canceled by the time their body had been read.
+	early atomic.Int64
 
 	mutex   sync.Mutex
 	endings []ending
@@ -67,6 +70,9 @@
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body, _ := io.ReadAll(r.Body)
+	if r.Context().Err() != nil {
+		s.early.Add(1)
+	}
 	e := ending{Path: r.URL.Path}
 	select {
 	case <-time.After(workTime):
@@ -230,6 +236,40 @@
 	})
 }
 
+// TestCloseReceivedWithTheRequestCancelsItFirst has clients leave before the server accepts their
+// connections. It runs in real time, since virtual time has no sockets.
+func TestCloseReceivedWithTheRequestCancelsItFirst(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const clients = 50
+	for i := range clients {
+		c, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, request("/a", strings.Repeat("body", i%2)))
+		_ = c.Close()
+	}
+	s, stop := newServer(l)
+	defer stop()
+	s.awaitEnded(t, clients)
+	if n := s.early.Load(); n != clients {
+		t.Errorf("%d of %d requests were canceled first", n, clients)
+	}
+}
+
+func (s *server) awaitEnded(t *testing.T, requests int) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); len(s.ended()) < requests && time.Now().Before(deadline); {
+		time.Sleep(10 * time.Millisecond)
+	}
+	if n := len(s.ended()); n != requests {
+		t.Fatalf("%d of %d requests ended", n, requests)
+	}
+}
+
 // TestCloseIsSeenOnSockets runs in real time, since virtual time has no sockets.
 func TestCloseIsSeenOnSockets(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -246,12 +286,7 @@
 		}
 		go (&leaver{conn: c, ahead: i%2 == 0}).run()
 	}
-	for deadline := time.Now().Add(10 * time.Second); len(s.ended()) < clients && time.Now().Before(deadline); {
-		time.Sleep(10 * time.Millisecond)
-	}
-	if n := len(s.ended()); n != clients {
-		t.Errorf("%d of %d requests ended", n, clients)
-	}
+	s.awaitEnded(t, clients)
 	for _, e := range s.ended() {
 		if !e.Canceled || e.Path != "/a" {
 			t.Errorf("%s, canceled %t", e.Path, e.Canceled)
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -65,8 +65,8 @@
 
 // Server accepts the connections of clients.
 type Server struct {
-	options Options
-	watcher *watch.Watcher
+	options    Options
+	watcher    *watch.Watcher
 	inProgress atomic.Int64
 	// draining and then refusing are set during a shutdown.
 	draining atomic.Bool
--- a/entry/internal/proxy/leave_test.go
+++ b/entry/internal/proxy/leave_test.go
@@ -163,3 +163,27 @@
 		}
 	}
 }
+
+// TestNothingIsSentForAClientThatLeftBeforeItsRequestWasRead has the close arrive together with the
+// request, as at an entry that was too busy to read.
+func TestNothingIsSentForAClientThatLeftBeforeItsRequestWasRead(t *testing.T) {
+	for _, path := range []string{"/once/x", "/any/x", "/flow/x", "/live/x"} {
+		for name, ahead := range map[string]string{"nothing": "", "next request": requestText("/any/y", "next")} {
+			k := &worker{}
+			play(t, 1, k.run, func(w *world) {
+				defer w.listen()()
+				for range 50 {
+					conn := w.connect()
+					w.write(conn, requestText(path, "q")+ahead)
+					if err := conn.Close(); err != nil {
+						t.Error(err)
+					}
+					time.Sleep(2 * workTime)
+				}
+				if n := len(w.received()); n > 0 {
+					t.Errorf("%s ahead, %s: %d of 50 requests were sent", name, path, n)
+				}
+			})
+		}
+	}
+}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -107,6 +107,13 @@
 	}
 	for {
 		inFlight, refusal := l.acquireUpstream(ctx)
+		if errors.Is(ctx.Err(), context.Canceled) {
+			if inFlight != nil {
+				inFlight.Finish(clocks.Now(), target.OutcomeNeutral)
+			}
+			l.abandon()
+			return
+		}
 		if inFlight == nil {
 			l.finish(l.attempts.NextUnplaced(), refusal)
 			return
