state: refuse registrations that no upstream can have

What callers saw: nothing here; another operator reported processes that ended, or stopped following the list, over one odd entry.

Cause: entries that can't be decoded (too deeply nested, numbers too large for their type, ports above 65535) have always been refused one by one, and the others hold.

Ruled out: the end of the process by deep nesting: encoding/json gives up at a depth of 10,000.

Fix: the invariants of an upstream are checked where its row is encoded and decoded.

--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -5,7 +5,9 @@
 	"errors"
 	"net/netip"
 	"slices"
+	"strings"
 	"time"
+	"unicode"
 
 	"currantport.example/core/hosts"
 )
@@ -18,6 +20,8 @@
 	errTimes   = errors.New("times must not be negative")
 	errCounts  = errors.New("numbers must not be negative")
 	errAddress = errors.New("the address is invalid")
+	errID      = errors.New("the id is missing or has control characters")
+	errRange   = errors.New("a number is out of range")
 	errHomes   = errors.New("a home region has no name")
 	errDomain  = errors.New("the row doesn't name its failure domain")
 	// errRevision is returned by NewRevision.
@@ -333,9 +337,6 @@
 	if err := json.Unmarshal(value, &d); err != nil {
 		return nil, err
 	}
-	if d.ID == "" || d.Pool == "" {
-		return nil, errName
-	}
 	address, err := netip.ParseAddrPort(d.Address)
 	if err != nil {
 		return nil, errAddress
@@ -350,11 +351,44 @@
 	for _, h := range d.Held {
 		u.Held = append(u.Held, HeldVersion(h))
 	}
+	if err := u.validate(); err != nil {
+		return nil, err
+	}
 	return u, nil
 }
 
-// EncodeUpstream returns the row of an upstream.
+const (
+	// maxSlots bounds the slots of an upstream, and maxVersion the versions that it holds, so that sums
+	// of them can't overflow.
+	maxSlots   = 1 << 16
+	maxVersion = 1 << 31
+)
+
+// validate reports what no upstream can have. Registrations come from many writers.
+func (u *Upstream) validate() error {
+	switch a := u.Address.Addr(); {
+	case u.ID == "" || strings.ContainsFunc(u.ID, unicode.IsControl):
+		return errID
+	case u.Pool == "":
+		return errName
+	case u.Address.Port() == 0 || a.IsUnspecified() || a.IsMulticast() || a.Zone() != "":
+		return errAddress
+	case u.Slots < 0 || u.Slots > maxSlots:
+		return errRange
+	}
+	for _, h := range u.Held {
+		if h.Version < 0 || h.Version > maxVersion {
+			return errRange
+		}
+	}
+	return nil
+}
+
+// EncodeUpstream returns the row of an upstream. The error says what no upstream can have.
 func EncodeUpstream(u *Upstream) (Row, error) {
+	if err := u.validate(); err != nil {
+		return Row{}, err
+	}
 	d := upstreamDocument{
 		ID: u.ID, Pool: u.Pool, Address: u.Address.String(), Domain: u.Domain, Draining: u.Draining, Slots: u.Slots,
 	}
