bridge: take no repeated refusal without an id for the next request's

Cause: a refusal that names its request has always been matched by that id. One without an id counted as the response to whatever request was in progress on the connection, so that a repeated one declined a request which the upstream was running.

Evidence: bridge.TestRepeatedRefusalDoesNotDeclineTheNextRequest failed before for a refusal without an id that arrives in place of the next response. It passed where the refusal names its request, and where it arrives before the next request is sent: a connection that has received anything while idle isn't used again.

Ruled out: requests that may run only once, by reading: they get a new connection each, so that no earlier refusal can lie on it. For the others the error was a false refusal or a needless retry, not a second run of one that may not run twice.

Fix: a refusal without an id belongs to a request only if it is the first response on its connection. Elsewhere it is skipped like any other mismatched response. An upstream that leaves out the id on a kept connection is waited for until the time for its first byte.

--- a/core/conns/conns_test.go
+++ b/core/conns/conns_test.go
@@ -77,7 +77,7 @@
 func request(id, body string) *conns.Request {
 	return &conns.Request{
 		Method: http.MethodPost, Target: "/x/%2F?a=b//c", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body),
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == id },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == id },
 	}
 }
 
--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -73,8 +73,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
-	// Matches reports whether a response belongs to the request, by its status and header.
-	Matches func(status int, h http.Header) bool
+	// Matches reports whether a response belongs to the request, by its header. IsFirst is true if the
+	// upstream has written nothing else on the connection, so that the response can't be an earlier one.
+	Matches func(h http.Header, isFirst bool) bool
 }
 
 // Response is the head of a response. The owner reads Body to its end or calls Close.
@@ -191,7 +192,7 @@
 				return nil, errInterim
 			}
 			continue
-		case r.Matches(response.StatusCode, response.Header):
+		case r.Matches(response.Header, !c.Reused() && mismatched == 0):
 			return response, nil
 		}
 		if mismatched++; mismatched > maxMismatched || response.Close {
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -72,7 +72,7 @@
 	}
 	return &conns.Request{
 		Method: c.Method, Target: c.Target, Host: c.Host, Header: h, Body: c.Body,
-		Matches: func(_ int, h http.Header) bool { return h.Get("Id") == string(c.ID) },
+		Matches: func(h http.Header, _ bool) bool { return h.Get("Id") == string(c.ID) },
 	}
 }
 
