proxy: forward no failure of the upstream that was to resume a stream

What callers saw: a stream that had begun and broke off, then the text of an error in it, or its end as if it were complete.

Cause: an attempt that resumes a stream handled a response without success like that of a request without a beginning: a redirect, a 4xx, or a 5xx longer than 256 KiB was written to the client, whose head had long been sent.

Ruled out: short 5xx responses, which were kept back; responses without a signature, which count as lost; the product's own protocol, which resumes no stream.

Fix: once the head of a stream has been sent, a response without success ends the attempt. Another upstream may resume the stream if the route and the budget allow; otherwise the stream is aborted, so that it can't be taken for complete.

--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"syscall"
 	"time"
 
@@ -84,9 +86,22 @@
 	if l.admission.Route.Stream && reply.Success {
 		return l.forwardStream(ctx, f, wd, response, reply)
 	}
+	if l.stream.started {
+		return failedWithinStream(response.Status)
+	}
 	return l.forwardUnary(ctx, f, wd, response, reply)
 }
 
+// failedWithinStream returns the result of an upstream that was to resume a stream and failed. Its
+// response can't be forwarded, since only events may follow the head of a stream.
+func failedWithinStream(status int) (tries.Result, target.Outcome, error) {
+	outcome := target.OutcomeNeutral
+	if status >= http.StatusInternalServerError {
+		outcome = target.OutcomeFailed
+	}
+	return tries.ResultFailed, outcome, fmt.Errorf("status %d within a stream", status)
+}
+
 func (l *lifecycle) connect(ctx context.Context, f *target.InFlight) (*conns.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
--- a/entry/internal/proxy/ends_test.go
+++ b/entry/internal/proxy/ends_test.go
@@ -175,3 +175,52 @@
 		}
 	})
 }
+
+// TestFailureOfResumedStreamIsNotForwarded has the upstream that is to resume a stream fail. Only events
+// may follow the head of a stream.
+func TestFailureOfResumedStreamIsNotForwarded(t *testing.T) {
+	bodies := map[string]string{"no body": "", "text": "an error\n", "event": numbered(9), "long body": strings.Repeat("x", 300<<10)}
+	for _, status := range []string{"301 Moved", "400 Bad", "404 Missing", "429 Slow", "500 Failed", "503 Busy", "504 Late"} {
+		for name, body := range bodies {
+			for _, f := range framings {
+				first := func(w *world, v visit, out io.Writer) bool {
+					if v.number > 0 {
+						return false
+					}
+					begin(out, v.id)
+					event(out, numbered(1))
+					time.Sleep(10 * time.Millisecond)
+					w.reset(v)
+					return true
+				}
+				var w *world
+				play(t, 2, func(out io.Writer, v visit) {
+					if !first(w, v, out) {
+						f.writeStatus(out, v.id, status, body)
+					}
+				}, func(played *world) {
+					w = played
+					a := w.request(context.Background(), "/flow/x")
+					if !a.aborted || a.Code != http.StatusOK || a.Body.String() != numbered(1) || len(w.received()) != 2 {
+						t.Errorf("%s, %s, %s: aborted %t, %d, %d bytes, %d attempts", status, name, f, a.aborted, a.Code, a.Body.Len(), len(w.received()))
+					}
+				})
+				play(t, 3, func(out io.Writer, v visit) {
+					switch {
+					case first(w, v, out):
+					case v.number == 1:
+						f.writeStatus(out, v.id, status, body)
+					default:
+						framingChunks.write(out, v.id, numbered(2))
+					}
+				}, func(played *world) {
+					w = played
+					a := w.request(context.Background(), "/many/x")
+					if a.aborted || a.Body.String() != numbered(1)+numbered(2) {
+						t.Errorf("%s, %s, %s: aborted %t, %d bytes, %d attempts", status, name, f, a.aborted, a.Body.Len(), len(w.received()))
+					}
+				})
+			}
+		}
+	}
+}
