proxy: log how long a client had received nothing when it left

Two hypotheses of the incident couldn't be told apart by logs: clients that leave for reasons of their own, and clients that give up on a silent upstream.

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -83,13 +83,17 @@
 	// maxGap is the longest time between two events, lastEventAt the time of the last one.
 	maxGap      time.Duration
 	lastEventAt time.Time
-	logFields   []zap.Field
+	// silence is how long the client had received nothing when it left.
+	silence   time.Duration
+	logFields []zap.Field
 }
 
-// Endings of requests, for the log. A broken response is aborted towards the client.
+// Endings of requests, for the log. A broken response is aborted towards the client, and endingLeft means
+// that the client has closed its connection first.
 const (
 	endingAnswered = "answered"
 	endingBroken   = "broken"
+	endingLeft     = "left"
 )
 
 // run serves an admitted request to its end.
@@ -317,13 +321,22 @@
 // direction would get an empty success if the handler returned.
 func (l *lifecycle) abandon() {
 	if l.ending == "" {
-		l.ending = "left"
+		l.ending, l.silence = endingLeft, l.silentFor()
+		l.handler.metrics.leftSilence.RecordDuration(l.silence)
 	}
 	if l.ending != endingAnswered {
 		panic(http.ErrAbortHandler)
 	}
 }
 
+// silentFor returns how long the client has received nothing.
+func (l *lifecycle) silentFor() time.Duration {
+	if l.events > 0 {
+		return time.Since(l.lastEventAt)
+	}
+	return time.Since(l.arrived)
+}
+
 // contain ends a request whose handling has panicked. It is deferred.
 func (l *lifecycle) contain() {
 	cause := recover()
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -26,6 +26,8 @@
 	seconds   tally.Histogram
 	firstByte tally.Histogram
 	waitTime  tally.Histogram
+	// leftSilence is how long the clients that have left had received nothing.
+	leftSilence tally.Histogram
 	// staleness is the staleness of the rows that requests were served by, loadAge the age
 	// of the load report of their engine.
 	staleness tally.Histogram
@@ -38,6 +40,7 @@
 		scope: s, retries: s.Counter("repeats"), resumed: s.Counter("resumed"), suspects: s.Counter("suspects"),
 		attempts: make(map[tries.Result]tally.Counter), seconds: s.Histogram("seconds", buckets), firstByte: s.Histogram("first_seconds", buckets),
 		waitTime: s.Histogram("held_seconds", buckets), staleness: s.Histogram("copyage_seconds", buckets), loadAge: s.Histogram("loadage_seconds", buckets),
+		leftSilence: s.Histogram("left_silence_seconds", buckets),
 	}
 	for r, name := range resultNames {
 		m.attempts[r] = s.Tagged(map[string]string{"result": name}).Counter("attempts")
@@ -135,6 +138,9 @@
 		m.firstByte.RecordDuration(l.firstByte)
 		fields = append(fields, zap.Duration("first", l.firstByte), zap.Int("events", l.events), zap.Duration("pause", l.maxGap))
 	}
+	if l.ending == endingLeft {
+		fields = append(fields, zap.Duration("silence", l.silence))
+	}
 	fields = append(fields, l.levelFields()...)
 	fields = append(fields, zap.Uint64("era", l.view.State.Revision.Era()), zap.Uint64("revision", l.view.State.Revision.Number()), zap.Duration("copyage", l.view.Staleness))
 	fields = append(fields, l.logFields...)
