conns: reset a connection whose request may not have been read

What callers saw: nothing; requests reached upstreams seconds after their clients had left.

Cause: a canceled request was withdrawn by an orderly close. What the upstream hadn't received or read by then stayed deliverable, and an upstream that had stood still read the request when it went on.

One of them: sent to the entry at 16.019 s, the client leaves at 16.121 s, the upstream stands still from 16.0 s on and reads the request at 19.000 s.

Ruled out: the entry's own delay; its log has ending=left within a millisecond of the close.

Fix: a request that is canceled before its response has begun resets the connection, so that the network drops what wasn't delivered. After that the close stays orderly, since it is repeated when it is lost and a reset isn't. A reset that is lost on the way leaves an upstream at work until it writes.

--- a/core/conns/conns.go
+++ b/core/conns/conns.go
@@ -31,6 +31,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"currantport.example/core/links"
@@ -182,6 +183,9 @@
 	used int
 	// expires is when the idle connection may no longer be reused.
 	expires time.Time
+	// answered is set once the response to the last request has begun, which shows that the upstream has
+	// read the request.
+	answered atomic.Bool
 	// closed guards Close, which any goroutine may call.
 	closed sync.Once
 }
@@ -192,6 +196,17 @@
 // Close closes the connection. It may be called more than once and by any goroutine.
 func (c *Conn) Close() { c.closed.Do(func() { _ = c.raw.Close() }) }
 
+// cancel closes the connection during a request. If the upstream may not have read the request yet, the
+// connection is reset: an orderly close would still deliver what hasn't been received, and a suspended
+// upstream would read it later. Once it has answered, an orderly close is better, since the network
+// repeats that and not a reset.
+func (c *Conn) cancel() {
+	if l, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok && !c.answered.Load() {
+		_ = l.SetLinger(0)
+	}
+	c.Close()
+}
+
 // release returns the connection to the pool. The last response was read completely and has
 // the given header.
 func (c *Conn) release(h http.Header) {
--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -138,7 +138,8 @@
 	if ctx.Err() != nil {
 		return nil, c.fail(ctx, func() bool { return true }, x, ctx.Err())
 	}
-	stop := context.AfterFunc(ctx, c.Close)
+	c.answered.Store(false)
+	stop := context.AfterFunc(ctx, c.cancel)
 	concurrent := len(x.data) > concurrentWriteBytes
 	if concurrent {
 		go x.run()
@@ -156,6 +157,7 @@
 		}
 		return nil, c.fail(ctx, stop, x, err)
 	}
+	c.answered.Store(true)
 	response := &Response{
 		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength,
 		conn: c, raw: raw, exchange: x, stopCancel: stop,
