proxy: answer a request without an event before its client leaves

What callers saw: no answer until they gave up by themselves, 3.2 s after the request, at an upstream that stood still.

Cause: an entry waits for a silent upstream until the deadline if no other has a place, longer than its client does. Those who leave in such a second are just the clients of silent upstreams, and an upstream that stands still can't be told.

Ruled out: that the entry was late (its log has ending=left within a millisecond of the close, after silence=3.2s); a reset in place of an orderly close (14 of 17): the upstream had read these requests.

Fix: a route states how long its clients wait for the next event, which the adapter derives from the times by which the platform's clients abandon a stream. A stream without a first event is ended 150 ms before that, with the answer that it isn't known whether it ran, and its attempt is canceled. Nothing that would have been answered in time for the client is given up, but for events of those 150 ms. A stream that has begun isn't cut for silence.

--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -65,6 +65,8 @@
 	ReasonUpstream    Reason = "upstream"
 	ReasonOwner       Reason = "owner"
 	ReasonCanceled    Reason = "canceled"
+	// ReasonStalled is used if the upstream was silent for as long as clients wait.
+	ReasonStalled Reason = "stalled"
 	// ReasonStale is used by a process whose replica of the platform's rows is too stale.
 	ReasonStale Reason = "stale"
 	// ReasonKeyUnknown is used for an API key that belongs to no workspace.
--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -42,6 +42,7 @@
 	Timeout   int64            `json:"timeout,omitempty"`
 	Objective int64            `json:"objective,omitempty"`
 	Gap       int64            `json:"gap,omitempty"`
+	Stall     int64            `json:"stall,omitempty"`
 	Attempts  int              `json:"attempts,omitempty"`
 	Priority  int              `json:"priority,omitempty"`
 	Anonymous bool             `json:"anonymous,omitempty"`
@@ -144,7 +145,7 @@
 	}
 	r := &Route{
 		Name: d.Name, Host: d.Host, Prefix: d.Prefix, Idempotent: d.Repeat, Stream: d.Stream, Resumable: d.Resume,
-		Timeout: micros(d.Timeout), Objective: micros(d.Objective), MaxEventGap: micros(d.Gap),
+		Timeout: micros(d.Timeout), Objective: micros(d.Objective), MaxEventGap: micros(d.Gap), StallTimeout: micros(d.Stall),
 		MaxAttempts: max(d.Attempts, 1), Priority: d.Priority, Anonymous: d.Anonymous, Homes: d.Homes,
 	}
 	for _, t := range d.Targets {
@@ -160,7 +161,7 @@
 		return nil, errPrefix
 	case len(r.Targets) == 0:
 		return nil, errTargets
-	case d.Timeout < 0 || d.Objective < 0 || d.Gap < 0:
+	case d.Timeout < 0 || d.Objective < 0 || d.Gap < 0 || d.Stall < 0:
 		return nil, errTimes
 	case slices.Contains(d.Homes, ""):
 		return nil, errHomes
@@ -172,7 +173,7 @@
 func EncodeRoute(r *Route) (Row, error) {
 	d := routeDocument{
 		Name: r.Name, Host: r.Host, Prefix: r.Prefix, Repeat: r.Idempotent, Stream: r.Stream, Resume: r.Resumable,
-		Timeout: r.Timeout.Microseconds(), Objective: r.Objective.Microseconds(), Gap: r.MaxEventGap.Microseconds(),
+		Timeout: r.Timeout.Microseconds(), Objective: r.Objective.Microseconds(), Gap: r.MaxEventGap.Microseconds(), Stall: r.StallTimeout.Microseconds(),
 		Attempts: r.MaxAttempts, Priority: r.Priority, Anonymous: r.Anonymous, Homes: r.Homes,
 	}
 	for _, t := range r.Targets {
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -70,6 +70,9 @@
 	// MaxEventGap is the longest event gap with which a stream still meets its
 	// objective. Zero means no bound.
 	MaxEventGap time.Duration
+	// StallTimeout is how long clients wait for the next event of a stream before they disconnect. Zero
+	// means that it isn't known.
+	StallTimeout time.Duration
 	// MaxAttempts is the maximum number of upstreams to which one request is sent, at
 	// least one.
 	MaxAttempts int
--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return l.connectFailed(ctx, f, err)
 	}
-	wd.reset(l.firstByteTimeout(f), l.startLimit(f))
+	wd.reset(l.firstByteTimeout(f), earliest(l.startLimit(f), l.stallEnd()))
 	f.OnStartDeadline(wd.shorten)
 	a := calls.Attempt{Upstream: f.Row, Remaining: time.Until(l.deadline), LastEventID: l.stream.lastEventID}
 	if l.admission.Workspace != nil {
@@ -165,6 +165,13 @@
 	return l.deadline
 }
 
+func earliest(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
 // firstByteTimeout returns how long to wait for the first byte of a response before another
 // upstream is tried.
 func (l *lifecycle) firstByteTimeout(f *target.InFlight) time.Duration {
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -110,6 +110,10 @@
 		return
 	}
 	for {
+		if l.isStalled() {
+			l.finish(l.attempts.NextUnplaced(), nil)
+			return
+		}
 		inFlight, refusal := l.acquireUpstream(ctx)
 		if errors.Is(ctx.Err(), context.Canceled) {
 			if inFlight != nil {
@@ -150,7 +154,7 @@
 }
 
 func (l *lifecycle) trySpend() bool {
-	return l.reserved.Load() != nil || l.handler.trySpend(l.pool.Name)
+	return !l.isStalled() && (l.reserved.Load() != nil || l.handler.trySpend(l.pool.Name))
 }
 
 // acquireUpstream chooses an upstream. If no engine has free capacity it waits for a short
@@ -302,6 +306,9 @@
 // finish ends the request after its last attempt.
 func (l *lifecycle) finish(step tries.Step, refusal *calls.Refusal) {
 	reason := l.attempts.Reason(time.Now())
+	if l.isStalled() {
+		reason = calls.ReasonStalled
+	}
 	switch {
 	case step == tries.StepAbort || l.stream.started:
 		l.ending = endingBroken
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -160,6 +160,8 @@
 	{Name: "rush", Prefix: "/rush/", Stream: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "many", Prefix: "/many/", Stream: true, Resumable: true, MaxAttempts: 5, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
 	{Name: "gush", Prefix: "/gush/", Stream: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
+	{Name: "stall", Prefix: "/stall/", Stream: true, MaxAttempts: 2, Timeout: 6 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond, StallTimeout: stallTimeout},
+	{Name: "wait", Prefix: "/wait/", Stream: true, Resumable: true, MaxAttempts: 3, Timeout: 6 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond, StallTimeout: stallTimeout},
 	{Name: "open", Prefix: "/open/", Idempotent: true, Anonymous: true, MaxAttempts: 1, Timeout: time.Second},
 }
 
