soak: let clients send ahead and leave, and count only runs that would last

Cause: the check left divided by all runs that had started of requests whose clients had left, also by those that ended by themselves before the half second had passed, and no client sent anything ahead of a response.

Ruled out: that sent-ahead bytes alone show the fault: most runs of the soak write an event each 20 ms, and a failed write ends them.

Change: the ledger of the stand-ins states when a run would have ended; left counts those that would have outlived the half second, for each way to disconnect. The line soak=run prints their number.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -35,6 +35,7 @@
 unsettled~weights~agent/internal/loader/loader.go~s/if l\.open != nil \{\n\t\tl\.stager/if false {\n\t\tl.stager/; s/if l\.open == nil && len/if len/~orders-late,release-series~1s
 budget~budget~entry/internal/proxy/handler.go~s/return h\.budgetOf\(pool\)\.TrySpend\(clocks\.Now\(\), h\.options\.Entries\(\)\)/return true/~upstream-grey~100ms
 left~left~entry/internal/proxy~s/l\.run\(r\.Context\(\)\)/l.run(context.WithoutCancel(r.Context()))/; s/(if err := l\.stream\.writeEvent\(e, r\.HasBuffered\(\)\); err != nil) \{/$1 \&\& false {/~config
+ahead~left~core/watch/conn.go~s/if s\.started \{\n\t\treturn/if true {\n\t\treturn/~upstreams-late,config
 held~held~entry/internal/proxy/handler.go~s/l\.deadline = l\.arrived\.Add\(timeoutOf\(&l\.call, l\.admission\.Route\)\)/l.deadline = l.arrived.Add(timeoutOf(\&l.call, l.admission.Route) + 1500*time.Millisecond)/~link-dark
 stop~stop~entry/internal/httpd/httpd.go~s/(start := time\.Now\(\)\n\ts\.draining)/return 0\n\t$1/~entry-stop
 lost~lost~entry/internal/proxy/handler.go~s/(l\.run\(r\.Context\(\)\)\n)/$1\tif l.arrived.UnixNano()%20 == 0 { panic(http.ErrAbortHandler) }\n/~config
--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -68,8 +68,9 @@
 	// endedCount counts the requests that have ended, successCount those that succeeded.
 	endedCount   int
 	successCount int
-	// retries is set by finish.
-	retries int
+	// retries is set by finish, and longCanceled, the number of runs for clients that had disconnected
+	// which would have lasted for cancelGrace longer.
+	retries, longCanceled int
 }
 
 // processStart identifies one start of a process.
--- a/stand/internal/soak/checks.go
+++ b/stand/internal/soak/checks.go
@@ -147,32 +147,53 @@
 	return n
 }
 
-// checkCanceled checks that work for clients that have disconnected ends soon.
+// canceledRuns counts the runs of requests whose clients have disconnected in one way.
+type canceledRuns struct {
+	// late runs arrived after cancelGrace. Long ones would have lasted for longer than that, and running
+	// ones did.
+	late, long, running int
+	// first is the id of a request with a violation.
+	first string
+}
+
+// checkCanceled checks that work for clients that have disconnected ends soon, for each way to
+// disconnect. Runs that would have ended by themselves before that don't count.
 func (c *checker) checkCanceled(all []*sentRequest) {
-	lateArrivals, running, started := 0, 0, 0
-	var first string
+	counts := make(map[wayToLeave]*canceledRuns)
 	for _, s := range all {
 		if s.canceledAt.IsZero() || !c.world.timeline.undisturbed(s.sentAt, s.canceledAt.Add(cancelGrace), s.entry.name) {
 			continue
 		}
-		limit := s.canceledAt.Add(cancelGrace)
+		n := counts[s.leaves]
+		if n == nil {
+			n = &canceledRuns{}
+			counts[s.leaves] = n
+		}
 		for _, r := range c.world.ledger.RunsOf(s.ID) {
-			if r.ReceivedAt.After(limit) {
-				lateArrivals++
-				first = s.ID
-			}
-			if r.StartedAt.IsZero() || !s.kind.retryable && !s.kind.stream {
-				continue
-			}
-			started++
-			if r.EndedAt.After(limit) {
-				running++
-				first = s.ID
-			}
+			n.add(s, &r)
 		}
 	}
-	if lateArrivals > maxMisses || started > maxMisses && float64(running) > maxRunningRatio*float64(started) {
-		c.recordViolation("left", "%d requests arrived and %d of %d were running %s after their clients had disconnected, such as %s", lateArrivals, running, started, cancelGrace, first)
+	for way, n := range counts {
+		c.longCanceled += n.long
+		if n.late > maxMisses || n.long > maxMisses && float64(n.running) > maxRunningRatio*float64(n.long) {
+			c.recordViolation("left", "%d requests arrived and %d of %d were running %s after their clients had left (%s), such as %s", n.late, n.running, n.long, cancelGrace, way, n.first)
+		}
+	}
+}
+
+func (n *canceledRuns) add(s *sentRequest, r *fakes.Run) {
+	limit := s.canceledAt.Add(cancelGrace)
+	if r.ReceivedAt.After(limit) {
+		n.late++
+		n.first = s.ID
+	}
+	if r.StartedAt.IsZero() || !s.kind.retryable && !s.kind.stream || !r.ExpectedEnd.After(limit) {
+		return
+	}
+	n.long++
+	if r.EndedAt.IsZero() || r.EndedAt.After(limit) {
+		n.running++
+		n.first = s.ID
 	}
 }
 
--- a/stand/internal/soak/load.go
+++ b/stand/internal/soak/load.go
@@ -68,8 +68,9 @@
 	probedGeneration int
 	sentAt           time.Time
 	endedAt          time.Time
-	// canceledAt is when the client disconnected early, or zero.
+	// canceledAt is when the client disconnected early, or zero, and leaves how it did.
 	canceledAt time.Time
+	leaves     wayToLeave
 	response   fakes.Response
 }
 
@@ -184,8 +185,22 @@
 	return append(parts, fakes.PromptPart{ID: strings.ReplaceAll(id, "-", "0"), Tokens: ownTokens})
 }
 
+// wayToLeave is how a client disconnects early.
+type wayToLeave string
+
+const (
+	// leavesAlone closes a connection on which nothing follows the request, and leavesAhead one on which
+	// something was sent ahead of the response.
+	leavesAlone wayToLeave = "alone"
+	leavesAhead wayToLeave = "ahead"
+)
+
+// sentAhead is what clients send ahead: an empty line, or the beginning of a request.
+var sentAhead = [][]byte{[]byte("\r\n"), []byte("POST " + prefixRead)}
+
 func (c *client) exchange(ctx context.Context, at netip.AddrPort, s *sentRequest) {
 	timeout := clientTimeout
+	s.leaves = leavesAlone
 	cancels := c.random.IntN(12) == 0
 	if cancels {
 		timeout = time.Duration(c.random.Int64N(int64(maxCancelDelay)))
@@ -194,7 +209,12 @@
 	defer cancel()
 	s.sentAt, s.startNumber = time.Now(), s.entry.startNumber()
 	c.world.checker.requestStarted(s)
-	s.response = fakes.Send(ctx, c.httpClient, at, s.Request)
+	if cancels && c.random.IntN(2) == 0 {
+		s.leaves = leavesAhead
+		s.response.Err = fakes.SendAndLeave(ctx, at, s.Request, sentAhead[c.random.IntN(len(sentAhead))])
+	} else {
+		s.response = fakes.Send(ctx, c.httpClient, at, s.Request)
+	}
 	s.endedAt = time.Now()
 	if ctx.Err() != nil {
 		s.canceledAt = s.endedAt
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -83,6 +83,9 @@
 	Successes int
 	// Retries is the number of arrivals at upstreams beyond the first of each request.
 	Retries int
+	// LongCanceled is the number of runs for clients that had disconnected which would have lasted for
+	// long.
+	LongCanceled int
 	// Events are the lines of the timeline.
 	Events []string
 	// Violations are the checks that failed, sorted by name.
@@ -133,7 +136,7 @@
 	w.checker.finish(servedSince)
 	r := Result{Seed: o.Seed, Events: w.timeline.lines(), Violations: w.checker.violations()}
 	r.Requests, r.Successes = w.checker.totals()
-	r.Retries = w.checker.retries
+	r.Retries, r.LongCanceled = w.checker.retries, w.checker.longCanceled
 	return r, w.timeline.write(filepath.Join(o.Dir, "timeline"))
 }
 
@@ -142,5 +145,5 @@
 	for _, v := range r.Violations {
 		fmt.Printf("soak=broken seed=%d check=%s count=%d first=%q\n", r.Seed, v.Check, v.Count, v.First)
 	}
-	fmt.Printf("soak=run seed=%d requests=%d good=%d repeats=%d faults=%d broken=%d\n", r.Seed, r.Requests, r.Successes, r.Retries, len(r.Events), len(r.Violations))
+	fmt.Printf("soak=run seed=%d requests=%d good=%d repeats=%d left=%d faults=%d broken=%d\n", r.Seed, r.Requests, r.Successes, r.Retries, r.LongCanceled, len(r.Events), len(r.Violations))
 }
