joint: show that a close behind bytes sent ahead ends a run of the product's own protocol

The entry's own port for clients got core/watch with the adapter's; nothing tested its wiring. No change of the product.

--- a/stand/internal/joint/world_test.go
+++ b/stand/internal/joint/world_test.go
@@ -75,6 +75,9 @@
 	client  *http.Client
 	// runTime is the duration of a run. The client timeout is two seconds longer.
 	runTime time.Duration
+	// canceledAt receives the times at which services see that a run is canceled. If it is nil they
+	// run on.
+	canceledAt chan time.Time
 	// extraDelay is the additional delay, in nanoseconds, of new connections from the
 	// first entry to an agent.
 	extraDelay atomic.Int64
@@ -191,8 +194,15 @@
 	if string(body) == poison {
 		runTime /= 2
 	}
+	var canceled <-chan struct{}
+	if w.canceledAt != nil {
+		canceled = r.Context().Done()
+	}
 	select {
 	case <-time.After(runTime):
+	case <-canceled:
+		w.canceledAt <- time.Now()
+		return
 	case <-crash:
 		panic(http.ErrAbortHandler)
 	}
