proxy: test clients that leave in numbers, within a body, and beside stops and new limits

All pass on the code as it is: 40 clients at one moment, half of them with an empty line ahead, with the server unchanged, stopping, or with its limits replaced; and clients that leave within their body, for which nothing is sent. No change of the product.

--- a/entry/internal/proxy/leave_test.go
+++ b/entry/internal/proxy/leave_test.go
@@ -1,17 +1,20 @@
 package proxy_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"go.uber.org/zap"
 
+	"currantport.example/core/state"
 	"currantport.example/entry/internal/httpd"
 )
 
@@ -82,7 +85,10 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	_, stop := httpd.New(httpd.Options{Listener: l, Handler: w.handler, Refuse: http.NotFoundHandler(), Log: zap.NewNop()})
+	s, stop := httpd.New(httpd.Options{
+		Listener: l, Handler: w.handler, Refuse: http.NotFoundHandler(), Log: zap.NewNop(), DrainTime: 3 * time.Second, ShutdownTimeout: 7 * time.Second,
+	})
+	w.server = s
 	return stop
 }
 
@@ -187,3 +193,56 @@
 		}
 	}
 }
+
+func TestRunsEndWhenClientsLeaveDuringAChangeOfTheServer(t *testing.T) {
+	changes := map[string]func(w *world){
+		"none": func(*world) {},
+		"stop": func(w *world) { w.server.Stop(context.Background()) },
+		"limits": func(w *world) {
+			for n := range 5 {
+				w.server.SetLimits(state.Limits{HeaderBytes: 4096 + n})
+				time.Sleep(30 * time.Millisecond)
+			}
+		},
+	}
+	const clients = 40
+	for name, change := range changes {
+		for _, path := range []string{"/any/x", "/flow/x", "/live/x"} {
+			k := &worker{}
+			play(t, 3, k.run, func(w *world) {
+				defer w.listen()()
+				time.AfterFunc(150*time.Millisecond, func() { change(w) })
+				closedAt := time.Now().Add(300 * time.Millisecond)
+				var group sync.WaitGroup
+				for i := range clients {
+					group.Go(func() {
+						w.leave(leaver{path: path, ahead: strings.Repeat("\r\n", i%2), aheadAfter: 20 * time.Millisecond, closeAfter: 300 * time.Millisecond})
+					})
+				}
+				group.Wait()
+				time.Sleep(4 * workTime)
+				if took := k.longestAfter(closedAt); took > maxWorkAfterClose || len(w.received()) < clients {
+					t.Errorf("%s, %s: upstreams worked on for %v; %d requests were sent", name, path, took, len(w.received()))
+				}
+			})
+		}
+	}
+}
+
+func TestNothingIsSentForAClientThatLeavesWithinItsBody(t *testing.T) {
+	for _, path := range []string{"/once/x", "/any/x", "/flow/x", "/live/x"} {
+		play(t, 1, (&worker{}).run, func(w *world) {
+			defer w.listen()()
+			conn := w.connect()
+			w.write(conn, strings.TrimSuffix(requestText(path, "q"), "dy"))
+			time.Sleep(100 * time.Millisecond)
+			if err := conn.Close(); err != nil {
+				t.Error(err)
+			}
+			time.Sleep(2 * workTime)
+			if n := len(w.received()); n > 0 {
+				t.Errorf("%s: %d requests were sent", path, n)
+			}
+		})
+	}
+}
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -29,6 +29,7 @@
 	"currantport.example/core/hosts"
 	"currantport.example/core/memnet"
 	"currantport.example/core/state"
+	"currantport.example/entry/internal/httpd"
 	"currantport.example/entry/internal/proxy"
 	"currantport.example/entry/internal/target"
 )
@@ -134,8 +135,10 @@
 	fleet   *target.Fleet
 	handler *proxy.Handler
 	mirror  *feed.Mirror
-	script  func(w io.Writer, v visit)
-	scope   tally.TestScope
+	// server is the server for clients, if it was started.
+	server *httpd.Server
+	script func(w io.Writer, v visit)
+	scope  tally.TestScope
 	// wrap replaces the writer of responses, or is nil.
 	wrap func(r http.ResponseWriter) http.ResponseWriter
 
