--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -110,20 +110,8 @@
 		return
 	}
 	for {
-		if l.isStalled() {
-			l.finish(l.attempts.NextUnplaced(), nil)
-			return
-		}
-		inFlight, refusal := l.acquireUpstream(ctx)
-		if errors.Is(ctx.Err(), context.Canceled) {
-			if inFlight != nil {
-				inFlight.Finish(clocks.Now(), target.OutcomeNeutral)
-			}
-			l.abandon()
-			return
-		}
+		inFlight := l.place(ctx)
 		if inFlight == nil {
-			l.finish(l.attempts.NextUnplaced(), refusal)
 			return
 		}
 		result := l.attempt(ctx, inFlight)
@@ -153,6 +141,26 @@
 	}
 }
 
+// place acquires the upstream of the next attempt. It returns nil if it has ended the request instead.
+func (l *lifecycle) place(ctx context.Context) *target.InFlight {
+	if l.isStalled() {
+		l.finish(l.attempts.NextUnplaced(), nil)
+		return nil
+	}
+	f, refusal := l.acquireUpstream(ctx)
+	if errors.Is(ctx.Err(), context.Canceled) {
+		if f != nil {
+			f.Finish(clocks.Now(), target.OutcomeNeutral)
+		}
+		l.abandon()
+		return nil
+	}
+	if f == nil {
+		l.finish(l.attempts.NextUnplaced(), refusal)
+	}
+	return f
+}
+
 func (l *lifecycle) trySpend() bool {
 	return !l.isStalled() && (l.reserved.Load() != nil || l.handler.trySpend(l.pool.Name))
 }
