--- a/core/conns/conns.go
+++ b/core/conns/conns.go
@@ -197,9 +197,9 @@
 func (c *Conn) Close() { c.closed.Do(func() { _ = c.raw.Close() }) }
 
 // cancel closes the connection during a request. If the upstream may not have read the request yet, the
-// connection is reset: an orderly close would still deliver what hasn't been received, and a suspended
-// upstream would read it later. Once it has answered, an orderly close is better, since the network
-// repeats that and not a reset.
+// connection is reset, so that what hasn't been delivered is dropped; an orderly close would deliver it,
+// however late. Once the upstream has answered, the close is orderly, since one that is lost on the way
+// is sent again and a reset isn't.
 func (c *Conn) cancel() {
 	if l, ok := c.raw.(interface{ SetLinger(seconds int) error }); ok && !c.answered.Load() {
 		_ = l.SetLinger(0)
