--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"math"
 	"net/netip"
 	"slices"
 	"strings"
@@ -362,7 +363,7 @@
 	// maxSlots bounds the slots of an upstream, and maxVersion the versions that it holds, so that sums
 	// of them can't overflow.
 	maxSlots   = 1 << 16
-	maxVersion = 1 << 31
+	maxVersion = math.MaxInt32
 )
 
 // validate reports what no upstream can have. Registrations come from many writers.
