watch: see a close that net/http is about to read

What callers saw: nothing; a request without a body whose client had left before it was read could still be sent, if net/http's own read of the connection was under way at that moment.

Cause: that read holds the connection, so that the session couldn't look at it and the request went on until the read returned.

Fix: where net/http is reading, the receive buffer is peeked at.

--- a/core/watch/receive.go
+++ b/core/watch/receive.go
@@ -45,3 +45,24 @@
 	}
 	return n, nil
 }
+
+// isAtEnd reports whether the end of a connection is all that is left to read. Another goroutine may be
+// reading. It is false for connections without a file descriptor.
+func isAtEnd(c net.Conn) bool {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	atEnd := false
+	// Unlike Read, Control doesn't wait for the other goroutine.
+	err = raw.Control(func(fd uintptr) {
+		var p [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), p[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		atEnd = n == 0 && err == nil
+	})
+	return err == nil && atEnd
+}
--- a/core/watch/session.go
+++ b/core/watch/session.go
@@ -44,6 +44,10 @@
 		s.holdsToken = true
 		s.poll()
 	default:
+		// net/http is reading, and may not have seen yet what it has received.
+		if isAtEnd(s.conn.Conn) {
+			s.cancel()
+		}
 	}
 	go s.run()
 }
