sched: run the cases of the long tests in parallel

Ruled out: the code under test; core/sched hasn't changed in this work. One test alone took 60 s with the race detector, one processor busy.

Change: each case is a subtest of its own and runs beside the others. Cases share nothing; bounds, seeds and cases are the same.

--- a/core/sched/faults_test.go
+++ b/core/sched/faults_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -40,14 +41,17 @@
 		}, 9500 * time.Millisecond, 1.2},
 	} {
 		for seed := range uint64(2) {
-			f := newFleet(t, 34, 45, seed)
-			c.prepare(f)
-			f.play()
-			copies := f.origin.bytes / fleetCopy
-			t.Logf("fault=%q time=%v copies=%.2f refused=%d most=%d", name, f.now, copies, f.refused, f.mostSent)
-			if f.now > c.latest || copies > c.copies {
-				t.Errorf("%s: %v, %.2f copies from the origin", name, f.now, copies)
-			}
+			t.Run(fmt.Sprintf("%s, seed %d", name, seed), func(t *testing.T) {
+				t.Parallel()
+				f := newFleet(t, 34, 45, seed)
+				c.prepare(f)
+				f.play()
+				copies := f.origin.bytes / fleetCopy
+				t.Logf("fault=%q time=%v copies=%.2f refused=%d most=%d", name, f.now, copies, f.refused, f.mostSent)
+				if f.now > c.latest || copies > c.copies {
+					t.Errorf("%s: %v, %.2f copies from the origin", name, f.now, copies)
+				}
+			})
 		}
 	}
 }
--- a/core/sched/outage_test.go
+++ b/core/sched/outage_test.go
@@ -411,11 +411,14 @@
 	}{{10, 15, 1.15}, {34, 45, 1.15}, {64, 156, 1.2}} {
 		for _, down := range []time.Duration{0, 2 * time.Second, 6 * time.Second} {
 			for _, second := range []time.Duration{0, 2 * time.Second} {
-				f := newFleet(t, c.entries, c.agents, 1)
-				f.second, f.notBefore = second, second+100*time.Millisecond
-				f.downFrom, f.downTo = second+500*time.Millisecond, second+500*time.Millisecond+down
-				f.play()
-				f.check(down, c.most)
+				t.Run(fmt.Sprintf("%d agents, down %v, second %v", c.agents, down, second), func(t *testing.T) {
+					t.Parallel()
+					f := newFleet(t, c.entries, c.agents, 1)
+					f.second, f.notBefore = second, second+100*time.Millisecond
+					f.downFrom, f.downTo = second+500*time.Millisecond, second+500*time.Millisecond+down
+					f.play()
+					f.check(down, c.most)
+				})
 			}
 		}
 	}
