--- a/review/stand/procs.go
+++ b/review/stand/procs.go
@@ -168,8 +168,13 @@
 		if err != nil {
 			return err
 		}
+		storeAt, err := w.serve(address(30, 1), storeAddress{w.store, e.name})
+		if err != nil {
+			return err
+		}
 		file, err := w.fill("platform/entry.ini", map[string]string{
-			"NodeName": e.name, "Region": e.zone.region, "Zone": e.zone.name, "Limits.MemoryMb": "284",
+			"Platform.Address": storeAt,
+			"NodeName":         e.name, "Region": e.zone.region, "Zone": e.zone.name, "Limits.MemoryMb": "284",
 			"Listen.Frontend": e.frontend, "Listen.Control": e.control, "Listen.Directory": e.directory, "Listen.Readiness": e.readiness,
 			"Ip": e.ip, "PortRange.1": fmt.Sprint(admin), "PortRange.0": fmt.Sprint(w.agentPort), "Seeds": strings.Join(seeds, ","),
 		})
@@ -194,7 +199,8 @@
 		seeds = append(seeds, e.control)
 	}
 	file, err := w.fill("platform/agent.ini", map[string]string{
-		"NodeName": name, "Region": region, "Zone": domain, "Limits.MemoryMb": "152", "Ip": ip,
+		"Platform.Address": w.storeAt,
+		"NodeName":         name, "Region": region, "Zone": domain, "Limits.MemoryMb": "152", "Ip": ip,
 		"PortRange.0": fmt.Sprint(w.agentPort), "PortRange.1": fmt.Sprint(admin), "Seeds": strings.Join(seeds, ","), "Service": service, "app": app,
 	})
 	if err != nil {
@@ -214,7 +220,6 @@
 		"{{#Zones}}{{@}}:{{.}}{{,}}{{/Zones}}": zoneList(),
 		"{{Seeds}}{{^Seeds}}none{{/Seeds}}":    values["Seeds"],
 		"{{#Bounds.version_ms}}{{.}}{{/Bounds.version_ms}}{{^Bounds.version_ms}}0{{/Bounds.version_ms}}": fmt.Sprint(versionTime.Milliseconds()),
-		"{{Platform.Address}}":     w.storeAt,
 		"{{Bounds.GraceS}}":        fmt.Sprint(graceTime.Seconds()),
 		"{{Bounds.RevokeMs}}":      fmt.Sprint(revokeTime.Milliseconds()),
 		"{{Bounds.ConfigApplyMs}}": fmt.Sprint(applyTime.Milliseconds()),
--- a/review/stand/stale.go
+++ b/review/stand/stale.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"strings"
@@ -26,11 +27,34 @@
 	}
 }
 
+var errFewReaders = errors.New("fewer than two machines read the store")
+
 // pair is two machines that freeze together.
 type pair struct{ a, b int }
 
-// playStale freezes each pair of an entry in may-pen-a and one in montego-a in turn. While a pair is frozen
-// the operator moves a route to another service. It returns whether no entry that is in touch had a request that was sent later than
+// readerPair returns two of the machines that have read the store lately, another pair each time.
+func (w *world) readerPair(n int) (pair, error) {
+	const lately = 2 * time.Second
+	var readers []int
+	for i, e := range w.entries {
+		if w.store.hasRead(e.name, lately) {
+			readers = append(readers, i)
+		}
+	}
+	var pairs []pair
+	for i, a := range readers {
+		for _, b := range readers[i+1:] {
+			pairs = append(pairs, pair{a, b})
+		}
+	}
+	if len(pairs) == 0 {
+		return pair{}, errFewReaders
+	}
+	return pairs[n%len(pairs)], nil
+}
+
+// playStale freezes two of the machines that have read the store lately, again and again. While they are
+// frozen the operator moves a route to another service. It returns whether no entry that is in touch had a request that was sent later than
 // ConfigApplyMs after the ack run by the old service.
 func playStale(w *world, trouble bool) (bool, error) {
 	const (
@@ -41,8 +65,8 @@
 		// what they do at intervals.
 		pause = 3300 * time.Millisecond
 		step  = 30 * time.Millisecond
-		// rounds is how often each pair is frozen.
-		rounds = 2
+		// freezes is how often two machines are frozen.
+		freezes = 13
 	)
 	services := []string{"ledger", "newledger"}
 	version := 4
@@ -75,7 +99,7 @@
 	served, lateCount, late := 0, 0, make(map[string][]time.Duration)
 	stop := make(chan struct{})
 	var group sync.WaitGroup
-	for n, e := range w.entries {
+	for number, e := range w.entries {
 		group.Go(func() {
 			for {
 				select {
@@ -84,7 +108,7 @@
 				case <-time.After(interval):
 				}
 				mutex.Lock()
-				skip := isFrozen[n]
+				skip := isFrozen[number]
 				mutex.Unlock()
 				if skip {
 					continue
@@ -100,7 +124,7 @@
 				if len(changes) > 0 {
 					c := changes[len(changes)-1]
 					age := a.sentAt.Sub(c.ackedAt)
-					inTouch := n != c.frozen.a && n != c.frozen.b
+					inTouch := number != c.frozen.a && number != c.frozen.b
 					old := runners[slices.Index(services, c.old)]
 					if inTouch && age > applyTime && len(old.runsOf(q.id)) > 0 {
 						late[e.name] = append(late[e.name], age)
@@ -112,15 +136,11 @@
 			}
 		})
 	}
-	var pairs []pair
-	for a := len(w.entries) - 1; a >= 0; a-- {
-		for b := range w.entries {
-			if w.entries[a].zone.name == "may-pen-a" && w.entries[b].zone.name == "montego-a" {
-				pairs = append(pairs, pair{a, b})
-			}
+	for n := range freezes {
+		p, err := w.readerPair(n)
+		if err != nil {
+			return false, err
 		}
-	}
-	for round, p := range slices.Repeat(pairs, rounds) {
 		first, second := w.entries[p.a], w.entries[p.b]
 		mutex.Lock()
 		isFrozen[p.a], isFrozen[p.b] = trouble, trouble
@@ -147,7 +167,7 @@
 		mutex.Lock()
 		clear(isFrozen)
 		mutex.Unlock()
-		time.Sleep(pause + time.Duration(round)*step)
+		time.Sleep(pause + time.Duration(n)*step)
 	}
 	close(stop)
 	group.Wait()
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -28,10 +28,12 @@
 	history []storeItem
 	rev     uint64
 	changed chan struct{}
+	// readAt is when each machine last called.
+	readAt map[string]time.Time
 }
 
 func newStore() *store {
-	return &store{items: make(map[string]storeItem), rev: 1, changed: make(chan struct{})}
+	return &store{items: make(map[string]storeItem), rev: 1, changed: make(chan struct{}), readAt: make(map[string]time.Time)}
 }
 
 // put writes a document and returns the time of the ack.
@@ -152,3 +154,24 @@
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(document)
 }
+
+// storeAddress is the store at the address that one machine was given, so that it sees which one calls.
+type storeAddress struct {
+	*store
+	machine string
+}
+
+// ServeHTTP implements http.Handler.
+func (a storeAddress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	a.mutex.Lock()
+	a.readAt[a.machine] = time.Now()
+	a.mutex.Unlock()
+	a.store.ServeHTTP(w, r)
+}
+
+// hasRead reports whether a machine has called within the last time.
+func (s *store) hasRead(machine string, within time.Duration) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return time.Since(s.readAt[machine]) < within
+}
