--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -28,7 +28,7 @@
 	"pieces": playPieces,
 	"polls":  playPolls,
 	"stale":  playStale,
-	"limits": playLimits,
+	"odd":    playOdd,
 }
 
 func main() { os.Exit(play()) }
