--- a/review/stand/crash.go
+++ b/review/stand/crash.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 )
@@ -95,11 +96,11 @@
 }
 
 // lookupConfig returns a configuration with one idempotent route.
-func lookupConfig() map[string]any {
+func lookupConfig(version, timeoutMs int) map[string]any {
 	return map[string]any{
-		"Version": 4,
+		"Version": version,
 		"Routes": []any{map[string]any{
-			"Name": "r-lookup", "Host": "book.example", "Prefix": "/status/", "RouteKind": "idempotent", "TimeoutMs": 800, "SloMs": 150,
+			"Name": "r-lookup", "Host": "book.example", "Prefix": "/status/", "RouteKind": "idempotent", "TimeoutMs": timeoutMs, "SloMs": 150,
 			"Priority": 2, "Service": "entrybook", "MaxAttempts": 2, "Anonymous": false,
 		}},
 		"Services": []any{map[string]any{"Name": "entrybook", "HealthPath": "/healthz", "MaxConns": 100, "Protocol": "h1", "Tls": false}},
@@ -108,17 +109,39 @@
 	}
 }
 
-// playPolls has kiosks look up the same status again and again, while two of three runners crash, one
-// after the other. It returns whether requests are served again later than RecoverS after the last one is
-// back.
+// loseMachines has the first machines lose power right after a change was acknowledged, as the final fault of
+// a day does, and starts them again after a while. It returns when they are ready.
+func (w *world) loseMachines(count int, down time.Duration) error {
+	w.store.put("op/config", lookupConfig(6, 820))
+	for _, e := range w.entries[:count] {
+		w.record.say("final fault: %s loses power right after the ack of version 6", e.name)
+		_ = e.process.cmd.Process.Kill()
+	}
+	for _, e := range w.entries[:count] {
+		<-e.process.done
+	}
+	time.Sleep(down)
+	for _, e := range w.entries[:count] {
+		if err := w.run(e.process); err != nil {
+			return err
+		}
+	}
+	return w.awaitReady(20 * time.Second)
+}
+
+// playPolls has kiosks look up the same status again and again. Two of three runners crash, one after the
+// other, and then two of four machines lose power as the final fault. It returns whether requests are served
+// again later than RecoverS after all are back. With TROUBLE=closing only the final fault is played.
 func playPolls(w *world, trouble bool) (bool, error) {
 	const (
 		recoverTime = 12 * time.Second
 		down        = 4500 * time.Millisecond
 		interval    = 25 * time.Millisecond
 		judged      = 20 * time.Second
+		lost        = 2
+		lostFor     = time.Second
 	)
-	w.store.put("op/config", lookupConfig())
+	w.store.put("op/config", lookupConfig(4, 800))
 	var runners []*crashRunner
 	for i := range 3 {
 		c, err := w.addCrashRunner(fmt.Sprintf("book%d", i+1), "entrybook", address(21, i+1), 60*time.Millisecond)
@@ -127,7 +150,7 @@
 		}
 		runners = append(runners, c)
 	}
-	if err := w.addEntries(2); err != nil {
+	if err := w.addEntries(4); err != nil {
 		return false, err
 	}
 	if err := w.awaitReady(20 * time.Second); err != nil {
@@ -163,24 +186,24 @@
 		}
 	}()
 	time.Sleep(3 * time.Second)
-	var faultAt, backAt time.Time
-	for i, c := range runners[:2] {
-		if i > 0 {
-			time.Sleep(4 * time.Second)
-		}
-		if i == 1 {
-			faultAt = time.Now()
-		}
-		if !trouble {
+	onlyClosing := os.Getenv("TROUBLE") == "closing"
+	for _, c := range runners[:2] {
+		if !trouble || onlyClosing {
 			time.Sleep(down)
-			continue
+		} else if err := c.crash(down); err != nil {
+			return false, err
 		}
-		if err := c.crash(down); err != nil {
+		time.Sleep(3 * time.Second)
+	}
+	w.record.line("all runners are there")
+	faultAt := time.Now()
+	if trouble {
+		if err := w.loseMachines(lost, lostFor); err != nil {
 			return false, err
 		}
 	}
-	backAt = time.Now()
-	w.record.say("all runners are there since the last crash")
+	backAt := time.Now()
+	w.record.say("all machines and runners are back")
 	time.Sleep(recoverTime + judged)
 	close(stop)
 	<-sent
@@ -205,7 +228,7 @@
 		}
 	}
 	w.record.say("before the final fault %d of %d requests were served", beforeServed, before)
-	w.record.say("later than RecoverS after the runners were back %d of %d were served; others by status %v", afterServed, after, refused)
+	w.record.say("later than RecoverS after all were back %d of %d were served; others by status %v", afterServed, after, refused)
 	if before == 0 || after == 0 || 4*beforeServed < before {
 		return false, errNothingServed
 	}
--- a/review/stand/odd.go
+++ b/review/stand/odd.go
@@ -1,63 +1,91 @@
 package main
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
 )
 
-// heartbeats writes the entry of a runner again every ping interval, as runners do, until stop is closed.
-func (w *world) heartbeats(p *plainRunner, service string, born int64, stop chan struct{}) {
-	for seq := 2; ; seq++ {
-		w.store.put("servers/"+p.id, map[string]any{
-			"Service": service, "Address": p.address, "Zone": domain, "Version": "v1", "Slots": 6, "State": "ready", "ColdLeftMs": 0, "Seq": seq,
-			"born": born,
-		})
+// registration is the entry of a plain runner in the store.
+type registration struct {
+	world  *world
+	runner *plainRunner
+	born   int64
+
+	mutex   sync.Mutex
+	service string
+	state   string
+}
+
+// entry returns the entry that the runner writes.
+func (r *registration) entry() map[string]any {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return map[string]any{
+		"Service": r.service, "Address": r.runner.address, "Zone": domain, "Version": "v1", "Slots": 6, "State": r.state, "ColdLeftMs": 0, "Seq": 1,
+		"born": r.born,
+	}
+}
+
+// write writes the entry and returns the time of the ack.
+func (r *registration) write() time.Time { return r.world.store.put("servers/"+r.runner.id, r.entry()) }
+
+// drain reports the runner as draining and returns the time of the ack.
+func (r *registration) drain() time.Time {
+	r.mutex.Lock()
+	r.state = "draining"
+	r.mutex.Unlock()
+	return r.write()
+}
+
+// run pings the store until stop is closed. The entry changes only if another writer has changed it, since
+// pings differ in nothing but Seq.
+func (r *registration) run(stop chan struct{}) {
+	for {
 		select {
 		case <-time.After(pingInterval):
 		case <-stop:
 			return
 		}
+		if r.world.store.differs("servers/"+r.runner.id, r.entry()) {
+			r.write()
+		}
 	}
 }
 
-// playOdd has another writer leave an entry with fields missing in place of a runner's, several times. The
-// runner's next ping replaces it. It returns whether all requests were run by the service of their route.
+// playOdd drains one of two runners. While it drains, another writer leaves an entry of it with fields missing,
+// several times; the runner's next ping replaces it. It returns whether no request reached the runner later
+// than DrainMs after the ack of its draining.
 func playOdd(w *world, trouble bool) (bool, error) {
 	const (
-		interval = 40 * time.Millisecond
-		entries  = 6
-		pause    = 3 * time.Second
+		drainTime = 2 * time.Second
+		interval  = 40 * time.Millisecond
+		entries   = 4
+		pause     = 2500 * time.Millisecond
 	)
-	c := movedConfig(4, "ledger")
-	c["Services"] = []any{
-		map[string]any{"Name": "ledger", "HealthPath": "/healthz", "MaxConns": 100, "Protocol": "h1", "Tls": false},
-		map[string]any{"Name": "notes", "HealthPath": "/healthz", "MaxConns": 100, "Protocol": "h1", "Tls": false},
-	}
-	c["Routes"] = append(c["Routes"].([]any), map[string]any{
-		"Name": "r-notes", "Host": "notes.example", "Prefix": "/notes/", "RouteKind": "idempotent", "TimeoutMs": 800, "SloMs": 150,
-		"Priority": 2, "Service": "notes", "MaxAttempts": 2, "Anonymous": false,
-	})
-	w.store.put("op/config", c)
+	w.store.put("op/config", movedConfig(4, "ledger"))
 	stop := make(chan struct{})
 	var group sync.WaitGroup
-	var runners []*plainRunner
-	for i, service := range []string{"ledger", "notes"} {
-		p, err := w.addPlain("i-"+service+"-1", service, address(21, i+1), 20*time.Millisecond)
+	var all []*registration
+	for i, id := range []string{"i-ledger-1", "i-ledger-2"} {
+		p, err := w.addPlain(id, "ledger", address(21, i+1), 20*time.Millisecond)
 		if err != nil {
 			return false, err
 		}
-		runners = append(runners, p)
-		group.Go(func() { w.heartbeats(p, service, time.Now().UnixMilli(), stop) })
+		r := &registration{world: w, runner: p, born: time.Now().UnixMilli(), service: "ledger", state: "ready"}
+		r.write()
+		all = append(all, r)
+		group.Go(func() { r.run(stop) })
 	}
-	ledger, notes := runners[0], runners[1]
+	leaving := all[0]
 	if err := w.addEntries(2); err != nil {
 		return false, err
 	}
 	if err := w.awaitReady(20 * time.Second); err != nil {
 		return false, err
 	}
-	time.Sleep(2 * time.Second)
+	time.Sleep(4 * time.Second)
 
 	var mutex sync.Mutex
 	var fees []answer
@@ -78,31 +106,41 @@
 			mutex.Unlock()
 		}
 	})
+	time.Sleep(2 * time.Second)
+	ackedAt := leaving.drain()
+	w.record.say("ack that %s is draining; it goes on serving", leaving.runner.id)
 	for range entries {
 		time.Sleep(pause)
 		if trouble {
-			w.store.put("servers/"+notes.id, map[string]any{"Service": "ledger", "Address": notes.address, "Zone": domain, "State": "ready"})
-			w.record.line("another writer left an entry of %s without Version, Slots, ColdLeftMs and Seq, with the service ledger", notes.id)
+			d := leaving.entry()
+			d["State"] = "ready"
+			maps.DeleteFunc(d, func(name string, _ any) bool {
+				return slices.Contains([]string{"Version", "Slots", "ColdLeftMs", "Seq"}, name)
+			})
+			w.store.put("servers/"+leaving.runner.id, d)
+			w.record.line("another writer left an entry of %s without Version, Slots, ColdLeftMs and Seq, with the state ready", leaving.runner.id)
 		}
 	}
 	time.Sleep(pause)
 	close(stop)
 	group.Wait()
-	served, wrong := 0, 0
+	served, reached := 0, 0
+	var late []time.Duration
 	for _, a := range fees {
 		if a.status == 200 {
 			served++
 		}
-		for _, r := range slices.Concat(ledger.runsOf(a.id), notes.runsOf(a.id)) {
-			if r.runner == notes.id {
-				wrong++
-				w.record.line("wrong   %s was run by %s of the service notes and answered %v", a.id, r.runner, a)
+		for _, r := range leaving.runner.runsOf(a.id) {
+			reached++
+			if age := r.at.Sub(ackedAt); age > drainTime {
+				late = append(late, age.Round(time.Millisecond))
+				w.record.line("late    %s reached %s %v after the ack that it is draining", a.id, r.runner, age.Round(time.Millisecond))
 			}
 		}
 	}
-	w.record.say("of %d requests to the ledger %d were answered 200; %d were run by the service notes", len(fees), served, wrong)
-	if served == 0 {
+	w.record.say("of %d requests %d were answered 200; %d were run by %s in all, %d of them later than DrainMs after the ack", len(fees), served, reached, leaving.runner.id, len(late))
+	if served == 0 || reached == 0 {
 		return false, errNothingServed
 	}
-	return wrong == 0, nil
+	return len(late) == 0, nil
 }
--- a/review/stand/store.go
+++ b/review/stand/store.go
@@ -54,6 +54,17 @@
 	return time.Now()
 }
 
+// differs reports whether the value of a key isn't the document.
+func (s *store) differs(key string, document any) bool {
+	data, err := json.Marshal(document)
+	if err != nil {
+		panic(err)
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.items[key].Value != base64.StdEncoding.EncodeToString(data)
+}
+
 // remove deletes an item and returns the time of the ack.
 func (s *store) remove(key string) time.Time {
 	s.mutex.Lock()
