--- a/review/stand/procs.go
+++ b/review/stand/procs.go
@@ -84,7 +84,10 @@
 	return l.Addr().String(), nil
 }
 
-// freePort returns a port that is free for TCP and UDP at all of the addresses.
+// givenPorts are the ports that freePort has returned. The kernel may offer a port again before it is used.
+var givenPorts = make(map[int]bool)
+
+// freePort returns a port that is free for TCP and UDP at all of the addresses and wasn't returned before.
 func freePort(ips ...string) (int, error) {
 	for range 50 {
 		l, err := net.Listen("tcp", ips[0]+":0")
@@ -93,7 +96,8 @@
 		}
 		port := l.Addr().(*net.TCPAddr).Port
 		_ = l.Close()
-		if isFree(port, ips) {
+		if !givenPorts[port] && isFree(port, ips) {
+			givenPorts[port] = true
 			return port, nil
 		}
 	}
