loader: number staged pieces by their position in the manifest

Cause: the agent took the index in the list of distinct chunks for the number of a piece at the engine, when it staged, read back and reused pieces. From the first repetition on the two differ.

Ruled out: the origin, relays and the swarm, which use either the path of the file or indexes of one list on both sides.

Result: manifests offer the sequence of all chunks, which gives the numbers.

--- a/agent/internal/loader/fetcher.go
+++ b/agent/internal/loader/fetcher.go
@@ -175,12 +175,12 @@
 	}
 	reused := 0
 	for i, n := range numbers {
-		if n >= len(v.Pieces) || n < 0 {
+		if n >= len(v.Sequence) || n < 0 {
 			continue
 		}
 		data, err := f.options.Engine.ReadStaged(ctx, t.model, n)
 		if err == nil {
-			err = f.options.Cache.Add(v.Pieces[n].Digest, data)
+			err = f.options.Cache.Add(v.Sequence[n], data)
 		}
 		if err == nil {
 			reused++
@@ -190,7 +190,7 @@
 		}
 	}
 	if reused > 0 {
-		f.options.Log.Info("staged-pieces-reused", zap.Int("version", t.version), zap.Int("pieces", reused), zap.Int("of", len(v.Pieces)))
+		f.options.Log.Info("staged-pieces-reused", zap.Int("version", t.version), zap.Int("pieces", reused), zap.Int("of", len(v.Sequence)))
 	}
 }
 
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -32,10 +33,17 @@
 
 var engineAddress = netip.MustParseAddrPort("10.0.0.1:80")
 
-func pieceOf(version, piece int) []byte {
+// pieceOf returns the content of a piece.
+func (w *world) pieceOf(version, piece int) []byte {
+	if c := w.contents.Load(); c != nil && version == 2 {
+		version, piece = c[piece].version, c[piece].piece
+	}
 	return []byte(fmt.Sprintf("version %d piece %d", version, piece))
 }
 
+// contents names the piece whose content each piece of a version has.
+type contents [pieceCount]struct{ version, piece int }
+
 // world simulates an engine with its agent and the source of its weights.
 type world struct {
 	t      *testing.T
@@ -73,6 +81,8 @@
 	others int
 	// fetchTime is the time that the fetch of a version takes.
 	fetchTime map[int]time.Duration
+	// contents are those of version 2, if its pieces don't have contents of their own.
+	contents atomic.Pointer[contents]
 }
 
 // play runs a test of a loader in virtual time.
@@ -163,9 +173,9 @@
 
 func (w *world) Manifest(_ context.Context, name chunks.Digest) (*cache.Version, error) {
 	v := w.versionOf(name)
-	m := &chunks.Manifest{ChunkBytes: int64(len(pieceOf(v, 0)))}
+	m := &chunks.Manifest{ChunkBytes: int64(len(w.pieceOf(v, 0)))}
 	for i := range pieceCount {
-		m.Files = append(m.Files, chunks.File{Path: strconv.Itoa(i), Size: m.ChunkBytes, Chunks: []chunks.Digest{chunks.Sum(pieceOf(v, i))}})
+		m.Files = append(m.Files, chunks.File{Path: strconv.Itoa(i), Size: m.ChunkBytes, Chunks: []chunks.Digest{chunks.Sum(w.pieceOf(v, i))}})
 	}
 	data, err := m.Encode()
 	if err != nil {
@@ -187,7 +197,7 @@
 		return nil, ctx.Err()
 	}
 	for i := range pieceCount {
-		if err := w.cache.Add(chunks.Sum(pieceOf(v, i)), pieceOf(v, i)); err != nil {
+		if err := w.cache.Add(chunks.Sum(w.pieceOf(v, i)), w.pieceOf(v, i)); err != nil {
 			return nil, err
 		}
 	}
@@ -256,7 +266,7 @@
 		return engine.AckConflict, nil
 	}
 	for i := range pieceCount {
-		if !bytes.Equal(w.staged[i], pieceOf(version, i)) {
+		if !bytes.Equal(w.staged[i], w.pieceOf(version, i)) {
 			w.t.Errorf("version %d is ordered with %q as piece %d", version, w.staged[i], i)
 		}
 	}
@@ -329,6 +339,35 @@
 	})
 }
 
+// TestEqualPiecesAreStagedUnderEachOfTheirNumbers releases versions in which pieces repeat, or have the
+// content of a piece that the version before held under another number. It guards against pieces that are
+// numbered by their position among the distinct ones: engines loaded the wrong content.
+func TestEqualPiecesAreStagedUnderEachOfTheirNumbers(t *testing.T) {
+	for name, c := range map[string]contents{
+		"two equal":         {{2, 0}, {2, 1}, {2, 0}, {2, 3}},
+		"run at the start":  {{2, 0}, {2, 0}, {2, 0}, {2, 3}},
+		"run at the end":    {{2, 0}, {2, 1}, {2, 1}, {2, 1}},
+		"all equal":         {{2, 0}, {2, 0}, {2, 0}, {2, 0}},
+		"moved":             {{1, 1}, {1, 0}, {1, 3}, {1, 2}},
+		"moved and equal":   {{1, 3}, {1, 3}, {2, 2}, {1, 0}},
+		"unchanged and run": {{1, 0}, {1, 1}, {1, 1}, {1, 1}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 0, 0, func(w *world) {
+				w.contents.Store(&c)
+				w.release(2)
+				time.Sleep(versionTimeout)
+				w.check(2, 1, 2)
+				// A new agent takes the staged pieces into its cache.
+				w.crash()
+				w.restartLoader()
+				time.Sleep(versionTimeout)
+				w.check(2, 1, 2, 2)
+			})
+		})
+	}
+}
+
 func TestReleaseSeenLateIsLoadedInTime(t *testing.T) {
 	play(t, 1, 5, func(w *world) {
 		// The tables were last confirmed 4 s before the release is seen.
--- a/agent/internal/loader/order_test.go
+++ b/agent/internal/loader/order_test.go
@@ -50,7 +50,7 @@
 		return engine.AckDone, true
 	}
 	for i := range pieceCount {
-		if !bytes.Equal(w.staged[i], pieceOf(version, i)) {
+		if !bytes.Equal(w.staged[i], w.pieceOf(version, i)) {
 			w.mixed = append(w.mixed, version)
 			break
 		}
--- a/agent/internal/loader/stage.go
+++ b/agent/internal/loader/stage.go
@@ -26,7 +26,7 @@
 	mutex  sync.Mutex
 	target targetVersion
 	// verifiedAt is the time at which each piece of the target was last known to be staged
-	// and valid.
+	// and valid. A piece has the number of its chunk in cache.Version.Sequence.
 	verifiedAt []time.Time
 	// lost holds the pieces of the target whose storing got no response. The engine may still store
 	// them, over a later piece; replaceable are those over which it may store one of another version.
@@ -72,8 +72,8 @@
 	if !ok {
 		return s.target, nil
 	}
-	if len(s.verifiedAt) != len(v.Pieces) {
-		s.verifiedAt = make([]time.Time, len(v.Pieces))
+	if len(s.verifiedAt) != len(v.Sequence) {
+		s.verifiedAt = make([]time.Time, len(v.Sequence))
 	}
 	return s.target, v
 }
@@ -148,7 +148,7 @@
 		return
 	}
 	for _, n := range s.unverified(time.Time{}) {
-		if data, ok := s.options.Cache.Chunk(v.Pieces[n].Digest); ok {
+		if data, ok := s.options.Cache.Chunk(v.Sequence[n]); ok {
 			s.stagePiece(ctx, t, n, data)
 		}
 	}
@@ -181,7 +181,7 @@
 	}
 	valid := true
 	for _, n := range s.expired(clocks.Now().Add(-verifiedTTL)) {
-		digest := v.Pieces[n].Digest
+		digest := v.Sequence[n]
 		data, err := s.options.Engine.ReadStaged(ctx, t.model, n)
 		if err == nil && chunks.Verify(digest, data) {
 			s.markVerified(t, n)
--- a/core/cache/cache.go
+++ b/core/cache/cache.go
@@ -22,6 +22,8 @@
 	Manifest *chunks.Manifest
 	// Pieces are the distinct chunks in manifest order.
 	Pieces []chunks.Piece
+	// Sequence holds the digests of all chunks of the files in manifest order, with repetitions.
+	Sequence []chunks.Digest
 	// Layout lists the files, sorted by path.
 	Layout []chunks.FileLayout
 
@@ -159,7 +161,7 @@
 	if err != nil {
 		return nil, err
 	}
-	v := &Version{Digest: digest, Encoded: encoded, Manifest: m, Pieces: m.Pieces(digest), Layout: m.Layout()}
+	v := &Version{Digest: digest, Encoded: encoded, Manifest: m, Pieces: m.Pieces(digest), Sequence: m.Sequence(), Layout: m.Layout()}
 	slices.SortFunc(v.Layout, func(a, b chunks.FileLayout) int { return cmp.Compare(a.Path, b.Path) })
 	v.index = make(map[chunks.Digest]uint32, len(v.Pieces))
 	for i, p := range v.Pieces {
--- a/core/chunks/manifest.go
+++ b/core/chunks/manifest.go
@@ -81,6 +81,16 @@
 	return pieces
 }
 
+// Sequence returns the digest of each chunk of the files in their order. Equal chunks repeat, so that an
+// index in it is the position of a chunk, which one in Pieces isn't.
+func (m *Manifest) Sequence() []Digest {
+	var all []Digest
+	for _, f := range m.Files {
+		all = append(all, f.Chunks...)
+	}
+	return all
+}
+
 // Bytes returns the sum of the file sizes.
 func (m *Manifest) Bytes() int64 {
 	var sum int64
--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -31,6 +31,7 @@
 poison~poison~core/crash/crash.go~s/if r\.parts\.isQuarantined\(q\.Parts\) \{/if false {/~poison-part~6s
 innocent~innocent~core/crash/parts.go~s/(\) isQuarantined\(parts \[\]Fingerprint\) bool \{\n)/$1\tif len(t.convicted) > 0 { return true }\n/~poison-part~6s
 weights~weights~agent/internal/loader/stage.go~s/(func \(s \*stager\) verify\(ctx context\.Context\) bool \{\n)/$1\tif true { return true }\n/~release,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt,upstream-spoilt~250ms
+numbered~weights~agent/internal/loader~s/v\.Sequence\[n\]/v.Pieces[n].Digest/g; s/len\(v\.Sequence\)/len(v.Pieces)/g~release
 outdated~older~platform/internal/bridge/engine.go~s/, Expected: &expected//~orders-late,release-series~1s
 unsettled~weights~agent/internal/loader/loader.go~s/if l\.open != nil \{\n\t\tl\.stager/if false {\n\t\tl.stager/; s/if l\.open == nil && len/if len/~orders-late,release-series~1s
 budget~budget~entry/internal/proxy/handler.go~s/return h\.budgetOf\(pool\)\.TrySpend\(clocks\.Now\(\), h\.options\.Entries\(\)\)/return true/~upstream-grey~100ms
