state: require a key also when no workspace has one left

Cause: RequiresKey was the size of the index of workspaces by key, which is empty both without workspaces and with workspaces that have no key.

Ruled out: a stale replica, and the order in which rows arrive.

Result: the row of the configuration states whether requests need a key, so that processes that start later or pull from others know it too. Rows of an earlier release fall back on the existence of workspaces. An empty key belongs to no workspace.

--- a/core/feed/eras_test.go
+++ b/core/feed/eras_test.go
@@ -38,7 +38,7 @@
 	w := &state.Workspace{Name: "meadow", Keys: keys}
 	r := &state.Route{Name: fmt.Sprint("route-", version), Prefix: "/", Targets: []state.Target{{Pool: "p", Weight: 1}}, MaxAttempts: 1}
 	return []state.Row{
-		encoded(state.EncodeConfig(version)), encoded(state.EncodeWorkspace(w)), encoded(state.EncodeRoute(r)),
+		encoded(state.EncodeConfig(state.Config{Version: version})), encoded(state.EncodeWorkspace(w)), encoded(state.EncodeRoute(r)),
 		encoded(state.EncodePool(&state.Pool{Name: "p"})),
 	}
 }
--- a/core/state/build.go
+++ b/core/state/build.go
@@ -42,7 +42,8 @@
 	upstreams  map[string]*Upstream
 	evacuated  map[string]Evacuation
 	limits     Limits
-	config     int64
+	// config keeps RequiresKey if the row is deleted, so that a missing row admits nobody.
+	config     Config
 	configured bool
 	last       Snapshot
 }
@@ -96,12 +97,12 @@
 		return putRow(b.evacuated, name, value, decodeEvacuation)
 	case KindConfig:
 		if value == nil {
-			b.config = 0
+			b.config.Version = 0
 			return nil
 		}
-		v, err := decodeConfig(value)
+		c, err := decodeConfig(value)
 		if err == nil {
-			b.config = v
+			b.config = c
 		}
 		return err
 	case KindLimits:
@@ -130,12 +131,14 @@
 // previous snapshot.
 func (b *Builder) snapshot(revision Revision, changed map[string]bool) *Snapshot {
 	s := b.last
-	s.Revision, s.Limits, s.Config, s.Configured = revision, b.limits, b.config, b.configured
+	s.Revision, s.Limits, s.Config, s.Configured = revision, b.limits, b.config.Version, b.configured
+	// Rows of an earlier release of the program don't state whether keys are required.
+	s.requiresKey = b.config.RequiresKey || len(b.workspaces) > 0
 	if changed[KindRoute] {
 		s.routes, s.objectives = indexRoutes(b.routes), objectivesOf(b.routes)
 	}
-	if changed[KindRoute] || changed[KindWorkspace] {
-		s.levels, s.homeRows = levelsOf(b.routes, b.workspaces), homeRowsOf(b.routes, b.workspaces)
+	if changed[KindRoute] || changed[KindWorkspace] || s.requiresKey != b.last.requiresKey {
+		s.levels, s.homeRows = levelsOf(b.routes, b.workspaces, s.requiresKey), homeRowsOf(b.routes, b.workspaces)
 	}
 	if changed[KindPool] {
 		s.pools = make(map[string]*Pool, len(b.pools))
@@ -147,7 +150,10 @@
 		s.workspaces = make(map[string]*Workspace)
 		for _, w := range b.workspaces {
 			for _, k := range w.Keys {
-				s.workspaces[k] = w
+				// An empty key would match the requests that have none.
+				if k != "" {
+					s.workspaces[k] = w
+				}
 			}
 		}
 	}
--- a/core/state/codec.go
+++ b/core/state/codec.go
@@ -296,23 +296,24 @@
 }
 
 type configDocument struct {
-	Version int64 `json:"version"`
+	Version     int64 `json:"version"`
+	RequiresKey bool  `json:"keys,omitempty"`
 }
 
-func decodeConfig(value []byte) (int64, error) {
+func decodeConfig(value []byte) (Config, error) {
 	var d configDocument
 	if err := json.Unmarshal(value, &d); err != nil {
-		return 0, err
+		return Config{}, err
 	}
 	if d.Version < 0 {
-		return 0, errCounts
+		return Config{}, errCounts
 	}
-	return d.Version, nil
+	return Config(d), nil
 }
 
-// EncodeConfig returns the row that states the version of the configuration.
-func EncodeConfig(version int64) (Row, error) {
-	return encode(KindConfig, "all", configDocument{Version: version})
+// EncodeConfig returns the row with the properties of the whole configuration.
+func EncodeConfig(c Config) (Row, error) {
+	return encode(KindConfig, "all", configDocument(c))
 }
 
 func decodeRelease(value []byte) (Release, error) {
--- a/core/state/eras.go
+++ b/core/state/eras.go
@@ -37,8 +37,8 @@
 	}
 	switch kind, _, _ := strings.Cut(r.Key, "/"); kind {
 	case KindConfig:
-		v, err := decodeConfig(r.Value)
-		return RowFacts{Version: v}, err == nil
+		c, err := decodeConfig(r.Value)
+		return RowFacts{Version: c.Version}, err == nil
 	case KindRelease:
 		d, err := decodeRelease(r.Value)
 		return RowFacts{Version: int64(d.Version)}, err == nil
--- a/core/state/levels.go
+++ b/core/state/levels.go
@@ -29,7 +29,7 @@
 
 // levelsOf returns the urgencies that occur in each pool whose routes differ in priority, the most
 // urgent one first.
-func levelsOf(routes map[string]*Route, workspaces map[string]*Workspace) map[string][]urgency {
+func levelsOf(routes map[string]*Route, workspaces map[string]*Workspace, requiresKey bool) map[string][]urgency {
 	priorities := make(map[string][]int)
 	for _, r := range routes {
 		for _, t := range r.Targets {
@@ -38,7 +38,7 @@
 			}
 		}
 	}
-	distinct := workspacesByPriority(routes, workspaces)
+	distinct := workspacesByPriority(routes, workspaces, requiresKey)
 	levels := make(map[string][]urgency)
 	for pool, all := range priorities {
 		if len(all) < 2 {
@@ -58,11 +58,10 @@
 
 // workspacesByPriority returns one workspace for each priority that workspaces have, and nil too if
 // there are requests to which no workspace's priority applies.
-func workspacesByPriority(routes map[string]*Route, workspaces map[string]*Workspace) []*Workspace {
+func workspacesByPriority(routes map[string]*Route, workspaces map[string]*Workspace, requiresKey bool) []*Workspace {
 	var distinct []*Workspace
-	hasOther, requiresKey := false, false
+	hasOther := !requiresKey
 	for _, w := range workspaces {
-		requiresKey = requiresKey || len(w.Keys) > 0
 		switch {
 		case !w.HasPriority:
 			hasOther = true
@@ -73,7 +72,7 @@
 	for _, r := range routes {
 		hasOther = hasOther || r.Anonymous
 	}
-	if hasOther || !requiresKey {
+	if hasOther {
 		distinct = append(distinct, nil)
 	}
 	return distinct
--- a/core/state/snapshot.go
+++ b/core/state/snapshot.go
@@ -19,15 +19,17 @@
 	Config int64
 	Limits Limits
 
-	routes     map[string]hostRoutes
-	pools      map[string]*Pool
-	workspaces map[string]*Workspace
-	releases   map[string]Release
-	upstreams  map[string][]*Upstream
-	objectives map[string]time.Duration
-	levels     map[string][]urgency
-	homeRows   homeRows
-	evacuated  map[hosts.Domain]bool
+	routes map[string]hostRoutes
+	pools  map[string]*Pool
+	// workspaces holds those with an API key, by key.
+	workspaces  map[string]*Workspace
+	requiresKey bool
+	releases    map[string]Release
+	upstreams   map[string][]*Upstream
+	objectives  map[string]time.Duration
+	levels      map[string][]urgency
+	homeRows    homeRows
+	evacuated   map[hosts.Domain]bool
 }
 
 // Pool returns the pool with the name, or nil.
@@ -80,9 +82,9 @@
 // Workspace returns the workspace that the API key belongs to, or nil.
 func (s *Snapshot) Workspace(key string) *Workspace { return s.workspaces[key] }
 
-// RequiresKey reports whether requests need an API key, which is so once a workspace
-// has one.
-func (s *Snapshot) RequiresKey() bool { return len(s.workspaces) > 0 }
+// RequiresKey reports whether requests need an API key. They do if the configuration has workspaces,
+// even if none of them has a key.
+func (s *Snapshot) RequiresKey() bool { return s.requiresKey }
 
 // Release returns the version of a model that engines should serve, or FirstVersion if
 // none was released.
--- a/core/state/state.go
+++ b/core/state/state.go
@@ -84,6 +84,14 @@
 	Homes []hosts.Region
 }
 
+// Config holds the properties of the whole configuration.
+type Config struct {
+	// Version is zero if the operator states none.
+	Version int64
+	// RequiresKey means that requests need an API key, unless their route is anonymous.
+	RequiresKey bool
+}
+
 // IsRetryable reports whether a request that may already have run may be sent again.
 func (r *Route) IsRetryable() bool { return r.Idempotent || r.Stream && r.Resumable }
 
--- a/core/state/state_test.go
+++ b/core/state/state_test.go
@@ -131,6 +131,37 @@
 	}
 }
 
+// TestWorkspacesWithoutKeysStillRequireOne guards against a fleet that admits every request once the last
+// key is revoked.
+func TestWorkspacesWithoutKeysStillRequireOne(t *testing.T) {
+	var b state.Builder
+	if s, _ := b.Apply(1, nil); s.RequiresKey() {
+		t.Error("a key is required without workspaces")
+	}
+	workspace := func(keys ...string) state.Row {
+		return encodeRow(t, state.EncodeWorkspace, &state.Workspace{Name: "one", Keys: keys})
+	}
+	config := func(version int64, requiresKey bool) state.Row {
+		return encodeRow(t, state.EncodeConfig, state.Config{Version: version, RequiresKey: requiresKey})
+	}
+	for i, c := range []struct {
+		rows     []state.Row
+		required bool
+	}{
+		{[]state.Row{workspace("k1")}, true},
+		{[]state.Row{workspace()}, true},
+		{[]state.Row{config(1, true), {Key: "workspace/one"}}, true},
+		{[]state.Row{{Key: state.ConfigKey}}, true},
+		{[]state.Row{config(2, false)}, false},
+		{[]state.Row{workspace("")}, true},
+	} {
+		s, invalid := b.Apply(state.Revision(i+2), c.rows)
+		if len(invalid) > 0 || s.RequiresKey() != c.required || s.Workspace("") != nil {
+			t.Errorf("step %d: a key is required: %t, invalid %v", i, s.RequiresKey(), invalid)
+		}
+	}
+}
+
 func TestReleaseDefaultsToFirstVersion(t *testing.T) {
 	var b state.Builder
 	s, _ := b.Apply(1, nil)
--- a/entry/internal/proxy/change_test.go
+++ b/entry/internal/proxy/change_test.go
@@ -17,7 +17,6 @@
 
 	"currantport.example/core/calls"
 	"currantport.example/core/clocks"
-	"currantport.example/core/feed"
 	"currantport.example/core/state"
 	"currantport.example/entry/internal/httpd"
 )
@@ -333,13 +332,7 @@
 // apply applies rows as the parts of an entry do.
 func (f *front) apply(rows []state.Row) {
 	w := f.world
-	head := w.mirror.Head() + 1
-	for i := range rows {
-		rows[i].Revision = head
-	}
-	if _, err := w.mirror.Apply(feed.Update{Head: head, Rows: rows, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
-		w.t.Error(err)
-	}
+	w.apply(rows...)
 	s := w.mirror.Snapshot()
 	f.server.SetLimits(s.Limits)
 	for _, r := range rows {
--- a/entry/internal/proxy/proxy_test.go
+++ b/entry/internal/proxy/proxy_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"currantport.example/core/calls"
+	"currantport.example/core/state"
 	"currantport.example/entry/internal/proxy"
 )
 
@@ -233,6 +234,41 @@
 	})
 }
 
+// TestRevokedKeysAreRefusedByEveryKindOfRoute revokes keys until none is left and moves one to another
+// workspace. It guards against requests that run without a key once the last one is revoked.
+func TestRevokedKeysAreRefusedByEveryKindOfRoute(t *testing.T) {
+	keys := func(name string, keys ...string) state.Row {
+		return encoded(state.EncodeWorkspace(&state.Workspace{Name: name, Keys: keys}))
+	}
+	play(t, 1, func(w io.Writer, v visit) { good(w, v.id, v.workspace) }, func(w *world) {
+		check := func(step, key string, status int, workspace string) {
+			t.Helper()
+			for _, path := range []string{"/any/x", "/once/x"} {
+				a := w.request(context.Background(), path, "Key", key)
+				if a.Code != status || workspace != "" && a.Body.String() != workspace {
+					t.Errorf("%s, %s with %q: status %d, %q", step, path, key, a.Code, a.Body.String())
+				}
+			}
+		}
+		check("before", "secret", http.StatusOK, "harbour")
+		w.apply(keys("harbour", "other"), keys("quay", "secret"))
+		check("moved", "secret", http.StatusOK, "quay")
+		w.apply(keys("quay"))
+		check("revoked", "secret", http.StatusUnauthorized, "")
+		check("revoked", "other", http.StatusOK, "harbour")
+		w.apply(keys("harbour"))
+		for _, key := range []string{"secret", "other", "never", ""} {
+			check("none left", key, http.StatusUnauthorized, "")
+		}
+		if a := w.request(context.Background(), "/open/x"); a.Code != http.StatusOK {
+			t.Errorf("a route without keys: %d", a.Code)
+		}
+		w.apply(keys("harbour", "third"))
+		check("added", "third", http.StatusOK, "harbour")
+		check("added", "secret", http.StatusUnauthorized, "")
+	})
+}
+
 func TestSlowUpstreamEndsAtTheTimeout(t *testing.T) {
 	play(t, 1, func(_ io.Writer, v visit) { <-v.ended }, func(w *world) {
 		began := time.Now()
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -252,6 +252,17 @@
 	}
 }
 
+// apply applies changed rows to the replica of the entry.
+func (w *world) apply(rows ...state.Row) {
+	head := w.mirror.Head() + 1
+	for i := range rows {
+		rows[i].Revision = head
+	}
+	if _, err := w.mirror.Apply(feed.Update{Head: head, Rows: rows, ConfirmedAt: clocks.Now(), LastContact: clocks.Now()}); err != nil {
+		w.t.Error(err)
+	}
+}
+
 // reset resets the connections between the entry and the upstream of a visit.
 func (w *world) reset(v visit) { w.network.Cut(entry, address(v.upstream).Addr()) }
 
