feed: leave silent sources within the bound of a change

Cause: a pull from a silent peer took 1.6 s, two took 3.2 s, and the time from which an entry reads the platform itself didn't end a pull. Pulls that peers held for just as long as their own confirmations take could miss one, so that sound entries counted 1.6 s without contact. Entries that had been cut off skipped the platform for up to 4.5 s.

Ruled out: late reads of the platform, late application of rows.

Result: waits for peers end in time for a read of the platform within the bound, whatever the number of silent peers. While several peers report that they lost the platform, the old spacing between the ranks holds, so that an outage is not answered by all entries.

--- a/core/feed/follow.go
+++ b/core/feed/follow.go
@@ -28,6 +28,13 @@
 	ContactTimeout = 1100 * time.Millisecond
 	// pullGrace is how much longer than LongPollTimeout a pull may take.
 	pullGrace = 800 * time.Millisecond
+	// responseGrace is how much longer than ContactTimeout an entry waits for a peer's response. A peer
+	// that has lost contact itself says so after ContactTimeout.
+	responseGrace = 100 * time.Millisecond
+	// probeTimeout bounds the pull from a peer while the entry has no contact, or if the peer didn't
+	// respond before. While the platform can't be read either it doubles with each failure, since a
+	// response with many rows may take longer.
+	probeTimeout = 200 * time.Millisecond
 	// batchInterval lets changes that are published together arrive as one update.
 	batchInterval = 40 * time.Millisecond
 	// introductionTimeout bounds the call in which a leader asks for rows of earlier eras.
@@ -76,9 +83,13 @@
 	platformFirst []hosts.Name
 	platformLast  []hosts.Name
 	orderedBy     hosts.ListID
-	// fallbackDelay is that for the members of delayedBy.
-	fallbackDelay time.Duration
-	delayedBy     hosts.ListID
+	// rank is that among the members of rankedBy.
+	rank     int
+	rankedBy hosts.ListID
+	// stale holds the peers that have responded since the last contact without having any themselves.
+	// silent is set if another one didn't respond in time.
+	stale  map[hosts.Name]bool
+	silent bool
 	// leads is set while this process is the leader of its failure domain.
 	leads     bool
 	startedAt time.Time
@@ -91,7 +102,7 @@
 // NewFollower starts to follow. The clean-up function stops it.
 func NewFollower(o FollowOptions) (*Follower, func()) {
 	now := clocks.Now()
-	f := &Follower{options: o, startedAt: now, respondedAt: now}
+	f := &Follower{options: o, startedAt: now, respondedAt: now, stale: make(map[hosts.Name]bool)}
 	g := shell.NewGroup()
 	g.Go(f.run)
 	return f, g.Stop
@@ -144,7 +155,7 @@
 		silence = clocks.Since(f.respondedAt)
 	}
 	switch {
-	case silence > f.fallbackTimeout():
+	case silence >= f.fallbackTimeout():
 		return f.platformFirst
 	case clocks.Since(f.substitutedAt) < substituteTime:
 		return f.platformLast
@@ -185,10 +196,17 @@
 		return f.options.FallbackTimeout
 	}
 	members := f.options.Members()
-	if id := hosts.ListIDOf(members); id != f.delayedBy {
-		f.fallbackDelay, f.delayedBy = f.options.Identity.FallbackDelay(members), id
+	if id := hosts.ListIDOf(members); id != f.rankedBy {
+		f.rank, f.rankedBy = f.options.Identity.BackupRank(members), id
 	}
-	return f.options.FallbackTimeout + f.fallbackDelay
+	return f.options.FallbackTimeout + FallbackDelay(f.rank, f.isOutage())
+}
+
+// isOutage reports whether the platform rather than the sources of this process seems to be out: each
+// peer that was asked since the last contact responded, and none has contact itself.
+func (f *Follower) isOutage() bool {
+	peers := len(f.platformLast) - 1
+	return !f.silent && len(f.stale) > 0 && len(f.stale) >= min(peers, outageWitnesses)
 }
 
 // sinceLastContact returns the time since the last response of the platform, or since
@@ -212,14 +230,10 @@
 	if f.resync {
 		after = 0
 	}
-	pulling, cancel := context.WithTimeout(ctx, LongPollTimeout+pullGrace)
+	wait, timeout := f.pullTimes(name)
+	pulling, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	stop := f.abandonForNeighbor(cancel)
-	wait := LongPollTimeout
-	if f.isStarting() {
-		// A source without rows must respond at once.
-		wait = 0
-	}
 	u, err := source.Pull(pulling, after, wait)
 	if stop() {
 		return false
@@ -249,6 +263,33 @@
 	return change.Rows > 0
 }
 
+// pullTimes returns how long a source may hold a pull, and the time after which the pull is given up.
+// Waits for several silent peers add up, so an entry leaves each of them in time to read the platform
+// itself within the bound of a change.
+func (f *Follower) pullTimes(name hosts.Name) (wait, timeout time.Duration) {
+	longest := LongPollTimeout + pullGrace
+	switch {
+	case f.isStarting():
+		// A source without rows must respond at once.
+		return 0, longest
+	case name == PlatformSource || f.options.Identity.Role != hosts.RoleEntry || f.options.Mirror.Head() == 0:
+		return LongPollTimeout, longest
+	}
+	silence, failures := f.sinceLastContact(), f.selector.Failures(name)
+	// A peer responds when it is confirmed again, at least every LongPollTimeout, or has lost contact. With
+	// a wait as short as that, a confirmation between two pulls would be seen one period late.
+	wait, timeout = ContactTimeout, max(ContactTimeout+responseGrace-silence, probeTimeout)
+	if silence >= ContactTimeout || failures > 0 {
+		wait, timeout = 0, probeTimeout
+	}
+	left := f.fallbackTimeout() - silence
+	if left <= 0 {
+		// The platform can't be read either.
+		return wait, min(probeTimeout<<min(failures, 4), longest)
+	}
+	return wait, max(min(timeout, left), responseGrace)
+}
+
 // pullRetained asks one process for the rows of earlier eras. A leader that has just started
 // lacks them: it never had them, and pulls from the platform only.
 func (f *Follower) pullRetained(ctx context.Context) {
@@ -276,6 +317,9 @@
 		return
 	}
 	f.recordBackoff(name)
+	if name != PlatformSource && errors.Is(err, context.DeadlineExceeded) {
+		f.silent = true
+	}
 	if f.current == name {
 		f.current = ""
 		staleness, _ := f.options.Mirror.Staleness()
@@ -286,7 +330,7 @@
 // recordBackoff records that a source can't be used for a while.
 func (f *Follower) recordBackoff(name hosts.Name) {
 	longest := maxFailureBackoff
-	if name == PlatformSource && f.leads {
+	if name == PlatformSource && (f.leads || f.options.Identity.Role == hosts.RoleEntry && !f.isOutage()) {
 		longest = maxPlatformBackoff
 	}
 	f.selector.RecordFailure(clocks.Now(), name, longest, rand.Float64())
@@ -295,7 +339,14 @@
 // updateHealth records whether the source of an update is stale.
 func (f *Follower) updateHealth(name hosts.Name, u Update) {
 	now := clocks.Now()
-	if now.Sub(u.LastContact) > ContactTimeout || u.Head < f.options.Mirror.Head() {
+	if now.Sub(u.LastContact) >= ContactTimeout {
+		f.stale[name] = true
+		f.selector.RecordStale(now, name)
+		return
+	}
+	f.silent = false
+	clear(f.stale)
+	if u.Head < f.options.Mirror.Head() {
 		f.selector.RecordStale(now, name)
 		return
 	}
--- a/core/feed/sources.go
+++ b/core/feed/sources.go
@@ -18,12 +18,21 @@
 	// skipped. It is short enough for an entry to find the one that reads the platform in
 	// place of its leader before it does so itself.
 	staleBackoff = 500 * time.Millisecond
-	// maxPlatformBackoff bounds the backoff of a leader that can't reach the platform. The
-	// other processes wait for it.
+	// maxPlatformBackoff bounds the backoff of a leader that can't reach the platform, for which
+	// other processes wait, and of an entry that has no other source.
 	maxPlatformBackoff = time.Second
 	// backupDelay is the time between the entries of a failure domain, in the order of their
-	// ranks, to read the platform in place of the leader.
+	// ranks, to read the platform in place of the leader while the platform seems to be out.
 	backupDelay = time.Second
+	// directDelay bounds the delay of an entry whose sources are silent, which may mean that they
+	// alone have failed. It leaves time to ask two other sources before, and to apply a change that
+	// was published right after the last contact.
+	directDelay = 500 * time.Millisecond
+	// directSpacing is the time between the entries of a failure domain within that, up to maxDirectSpread.
+	directSpacing   = 25 * time.Millisecond
+	maxDirectSpread = 100 * time.Millisecond
+	// outageWitnesses is the number of sources without contact that show an outage of the platform.
+	outageWitnesses = 3
 	// startSpread bounds StartDelay. It is several times as long as a read of all rows over a link
 	// between regions, and short compared with the time that clients wait for an entry.
 	startSpread = 600 * time.Millisecond
@@ -87,17 +96,27 @@
 	return time.Duration(math.Sqrt(share) * float64(startSpread))
 }
 
-// FallbackDelay returns how much longer than the first one an entry waits until it reads the
-// platform in place of the leader of its failure domain. The members are the live entries, ready
-// or not: in an outage none is ready in the end, and their order must stay.
-func (id Identity) FallbackDelay(members []hosts.Host) time.Duration {
+// BackupRank returns the number of entries that read the platform in place of the leader of the failure
+// domain before this one does. The members are the live entries, ready or not: in an outage none is ready
+// in the end, and their order must stay.
+func (id Identity) BackupRank(members []hosts.Host) int {
 	ahead := 0
 	for _, h := range members {
 		if h.Place.Domain == id.Place.Domain && hosts.Score("lead", h.Name) > hosts.Score("lead", id.Self) {
 			ahead++
 		}
 	}
-	return time.Duration(max(ahead-1, 0)) * backupDelay
+	return max(ahead-1, 0)
+}
+
+// FallbackDelay returns how much longer than the first one an entry with the rank waits until it reads
+// the platform in place of its leader. In an outage of the platform most entries wait for longer.
+func FallbackDelay(rank int, outage bool) time.Duration {
+	delay := time.Duration(rank) * backupDelay
+	if outage && rank > 1 {
+		return delay
+	}
+	return min(delay, directDelay+min(time.Duration(rank)*directSpacing, maxDirectSpread))
 }
 
 // peers returns the other processes from which this one may pull, best first.
@@ -205,6 +224,14 @@
 	h.retryAt = now.Add(backoff/2 + time.Duration(jitter*float64(backoff)))
 }
 
+// Failures returns the number of failed pulls from a source since the last update from it.
+func (s *SourceSelector) Failures(name hosts.Name) int {
+	if h := s.sources[name]; h != nil {
+		return h.failures
+	}
+	return 0
+}
+
 // RecordStale records that the source itself has lost contact with the platform or is
 // behind.
 func (s *SourceSelector) RecordStale(now time.Time, name hosts.Name) {
--- a/core/feed/world_test.go
+++ b/core/feed/world_test.go
@@ -188,11 +188,22 @@
 	// cut holds the processes that can't reach the platform. True means that their
 	// calls are refused, false that they get no response.
 	cut map[hosts.Name]bool
+	// silent holds the processes that stand still. Calls from and to them get no response until they
+	// go on.
+	silent map[hosts.Name]bool
 }
 
 // reach simulates the path between two processes. It returns at once with an error if
 // calls are refused, or when the context ends if they get no response.
 func (w *world) reach(ctx context.Context, from, to hosts.Name) error {
+	const step = 5 * time.Millisecond
+	for w.isSilent(from) || w.isSilent(to) {
+		select {
+		case <-time.After(step):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	w.mutex.Lock()
 	refused, cut := w.cut[from]
 	w.mutex.Unlock()
@@ -206,11 +217,27 @@
 	return ctx.Err()
 }
 
+func (w *world) isSilent(name hosts.Name) bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.silent[name]
+}
+
+// setSilent has exactly the given entries stand still.
+func (w *world) setSilent(all ...hosts.Host) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	clear(w.silent)
+	for _, h := range all {
+		w.silent[h.Name] = true
+	}
+}
+
 func newWorld(count int) *world { return newWorldIn(count, 3) }
 
 // newWorldIn returns a fleet of entries spread over failure domains.
 func newWorldIn(count, domains int) *world {
-	w := &world{mirrors: make(map[hosts.Name]*feed.Mirror), cut: make(map[hosts.Name]bool)}
+	w := &world{mirrors: make(map[hosts.Name]*feed.Mirror), cut: make(map[hosts.Name]bool), silent: make(map[hosts.Name]bool)}
 	w.platform = platform{head: 1, version: 1, changed: make(chan struct{}), readers: make(map[hosts.Name]int)}
 	for i := range count {
 		domain := hosts.Domain(fmt.Sprintf("d%d", i%domains))
@@ -309,7 +336,7 @@
 	for time.Since(start) < 20*time.Second {
 		behind := false
 		for _, h := range w.entries {
-			if _, cut := w.cut[h.Name]; !cut && w.mirrors[h.Name].Snapshot().Release("m").Version < version {
+			if _, cut := w.cut[h.Name]; !cut && !w.silent[h.Name] && w.mirrors[h.Name].Snapshot().Release("m").Version < version {
 				behind = true
 			}
 		}
