events: bound what all streams together keep of unfinished events

Ruled out: heads, trailers, refusals and other bodies, which have bounds and tests; so have the readers of the agents and of the platform.

Result: events beyond 32 KiB take from 16 MiB that all streams of an entry share; a stream that needs more counts as lost.

--- a/core/events/events_test.go
+++ b/core/events/events_test.go
@@ -7,12 +7,16 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 
 	"currantport.example/core/events"
 )
 
-func collect(r io.Reader) ([]events.Event, error) {
-	e := events.NewReader(r)
+func collect(r io.Reader) ([]events.Event, error) { return readAll(r, events.NewAllowance(2<<20)) }
+
+func readAll(r io.Reader, a *events.Allowance) ([]events.Event, error) {
+	e := events.NewReader(r, a)
+	defer e.Release()
 	var all []events.Event
 	for {
 		next, err := e.Next()
@@ -80,6 +84,68 @@
 	}
 }
 
+// pausedSource returns a text without end, and pauses at the given length until it is closed.
+type pausedSource struct {
+	text   string
+	length int
+	read   int
+	closed chan struct{}
+}
+
+// Read implements io.Reader.
+func (p *pausedSource) Read(b []byte) (int, error) {
+	if p.read >= p.length {
+		<-p.closed
+		return 0, io.ErrUnexpectedEOF
+	}
+	n := copy(b, strings.Repeat(p.text, len(b)/len(p.text)+1))
+	p.read += n
+	return n, nil
+}
+
+// run reads an event.
+func (p *pausedSource) run(a *events.Allowance, results chan<- error) {
+	r := events.NewReader(p, a)
+	defer r.Release()
+	_, err := r.Next()
+	results <- err
+}
+
+// TestReadersOfOneAllowanceKeepBoundedBytes has many sources send bytes that never end an event. It guards
+// against a process that runs out of memory by them.
+func TestReadersOfOneAllowanceKeepBoundedBytes(t *testing.T) {
+	const count, length, allowance = 50, 900 << 10, 8 << 20
+	for _, text := range []string{"x", ":\n", "\n", "data: x\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			a, results, closed := events.NewAllowance(allowance), make(chan error, count), make(chan struct{})
+			var sources []*pausedSource
+			for range count {
+				s := &pausedSource{text: text, length: length, closed: closed}
+				sources = append(sources, s)
+				go s.run(a, results)
+			}
+			synctest.Wait()
+			kept, failed := 0, len(results)
+			for _, s := range sources {
+				if s.read >= s.length {
+					kept += s.read
+				}
+			}
+			if most := allowance + count*(32<<10); kept > most || failed == 0 {
+				t.Errorf("%q: %d bytes are kept, want at most %d; %d of %d were refused", text, kept, most, failed, count)
+			}
+			close(closed)
+			for range count {
+				<-results
+			}
+			// All is given back.
+			if all, err := readAll(strings.NewReader("data: "+strings.Repeat("x", length)+"\n\n"), a); !errors.Is(err, io.EOF) || len(all) != 1 {
+				t.Errorf("%q: %d events afterwards, %v", text, len(all), err)
+			}
+		})
+	}
+}
+
 func TestLongEventIsAnError(t *testing.T) {
 	if _, err := collect(strings.NewReader("data: " + strings.Repeat("x", 2<<20))); !errors.Is(err, events.ErrTooLong) {
 		t.Errorf("%v", err)
--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -88,7 +88,7 @@
 		return result, outcome, err
 	}
 	if l.admission.Route.Stream && reply.Success {
-		return l.forwardStream(ctx, f, wd, response, reply, &eventSource{reader: events.NewReader(response.Body)})
+		return l.forwardStream(ctx, f, wd, response, reply, &eventSource{reader: events.NewReader(response.Body, l.handler.events)})
 	}
 	if l.stream.started {
 		return failedWithinStream(response.Status)
--- a/entry/internal/proxy/endless_test.go
+++ b/entry/internal/proxy/endless_test.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
+	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -198,3 +200,46 @@
 		}
 	}
 }
+
+// TestStreamsWithoutEventsKeepBoundedMemory has many streams send bytes that never end an event, beside a
+// sound one. It guards against an entry that runs out of memory, with which all its requests would end.
+func TestStreamsWithoutEventsKeepBoundedMemory(t *testing.T) {
+	const streams, length, most = 80, 900 * kilobyte, 48 << 20
+	play(t, 2, func(w io.Writer, v visit) {
+		begin(w, v.id)
+		event(w, numbered(1))
+		if v.id == "sound" {
+			event(w, numbered(2))
+			end(w)
+			return
+		}
+		for range length / kilobyte {
+			event(w, strings.Repeat("x", kilobyte))
+		}
+		<-v.ended
+	}, func(w *world) {
+		ctx, stop := context.WithCancel(context.Background())
+		var group sync.WaitGroup
+		before := heapBytes()
+		for i := range streams {
+			group.Go(func() { w.request(ctx, "/gush/x", "Id", fmt.Sprint(i)) })
+		}
+		time.Sleep(2 * time.Second)
+		if kept := heapBytes() - before; kept > most {
+			t.Errorf("%d streams keep %d bytes, want at most %d", streams, kept, most)
+		}
+		if a := w.request(context.Background(), "/gush/x", "Id", "sound"); a.aborted || a.Body.String() != numbered(1)+numbered(2) {
+			t.Errorf("a sound stream: aborted %t, %q", a.aborted, a.Body)
+		}
+		stop()
+		group.Wait()
+	})
+}
+
+// heapBytes returns the bytes in use.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -34,6 +34,7 @@
 	"currantport.example/core/conns"
 	"currantport.example/core/crash"
 	"currantport.example/core/edges"
+	"currantport.example/core/events"
 	"currantport.example/core/feed"
 	"currantport.example/core/state"
 	"currantport.example/entry/internal/target"
@@ -44,6 +45,8 @@
 	defaultTimeout = 30 * time.Second
 	// defaultMaxBodyBytes bounds a request body if the configuration doesn't.
 	defaultMaxBodyBytes = 4 << 20
+	// maxUnfinishedEvents bounds the bytes that all requests together keep of long events.
+	maxUnfinishedEvents = 16 << 20
 	// writeSlack is how long after the deadline of a request its response may still be
 	// written to a slow client.
 	writeSlack = time.Second
@@ -72,6 +75,7 @@
 type Handler struct {
 	options Options
 	metrics *metrics
+	events  *events.Allowance
 
 	timeouts Timeouts
 	queues   queues
@@ -82,7 +86,7 @@
 
 // New returns a handler for client requests.
 func New(o Options) *Handler {
-	return &Handler{options: o, metrics: newMetrics(o.Scope), budgets: make(map[string]*budget.Budget)}
+	return &Handler{options: o, metrics: newMetrics(o.Scope), events: events.NewAllowance(maxUnfinishedEvents), budgets: make(map[string]*budget.Budget)}
 }
 
 // ServeHTTP implements http.Handler.
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -181,6 +181,7 @@
 // forwardStream forwards the events of a response as they arrive. A stream that ends within an
 // event was interrupted, whatever its framing.
 func (l *lifecycle) forwardStream(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply, source *eventSource) (tries.Result, target.Outcome, error) {
+	defer source.reader.Release()
 	var firstEventAt time.Time
 	for {
 		e, err := source.Next()
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -94,11 +94,12 @@
 		response.Close()
 		return result, outcome, err
 	}
-	s.events = &eventSource{reader: events.NewReader(response.Body)}
+	s.events = &eventSource{reader: events.NewReader(response.Body, l.handler.events)}
 	written := streamWriter{lastEventID: s.attempt.LastEventID}
 	for {
 		e, err := s.events.reader.Next()
 		if err != nil && !errors.Is(err, io.EOF) {
+			s.events.reader.Release()
 			response.Close()
 			return s.lost(err)
 		}
@@ -125,6 +126,7 @@
 	s.cancel()
 	if s.response != nil {
 		s.response.Close()
+		s.events.reader.Release()
 	}
 	s.inFlight.Finish(clocks.Now(), target.OutcomeNeutral)
 }
