proxy: answer the requests that come late in a planned stop

Cause: whether a request is taken was decided once, by its head. A body that came later, or a wait for an upstream, was not considered, and the end of the shutdown closed connections whatever was in progress.

Ruled out: requests that come after the drain time, refused before too.

Result: a request that no upstream got is refused as not run once the entry refuses requests; 0.2 s before connections are closed, the others without a part of a response are told that their outcome is unknown.

--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -54,6 +54,9 @@
 	Refuse http.Handler
 	// Refusing is called when a shutdown begins to refuse requests. It may be nil.
 	Refusing func()
+	// Ending is called shortly before a shutdown closes the connections of requests that are still in
+	// progress, so that they can be answered. It may be nil.
+	Ending func()
 	// DrainTime is how long a server that shuts down still serves requests.
 	DrainTime time.Duration
 	// ShutdownTimeout bounds the whole shutdown.
@@ -242,11 +245,14 @@
 	}
 	// Requests of clients that still use the address are refused during this wait, so that
 	// they go to another entry.
-	for s.InProgress() > 0 && ctx.Err() == nil && time.Since(start) < s.options.ShutdownTimeout {
+	for s.InProgress() > 0 && ctx.Err() == nil && time.Since(start) < s.options.ShutdownTimeout-answerTime {
 		clocks.Sleep(ctx, drainPollInterval)
 	}
-	clocks.Sleep(ctx, min(minRefuseTime, s.options.ShutdownTimeout-time.Since(start)))
+	clocks.Sleep(ctx, min(minRefuseTime, s.options.ShutdownTimeout-answerTime-time.Since(start)))
 	_ = s.options.Listener.Close()
+	if s.options.Ending != nil {
+		s.options.Ending()
+	}
 	for s.InProgress() > 0 && ctx.Err() == nil && time.Since(start) < s.options.ShutdownTimeout {
 		clocks.Sleep(ctx, drainPollInterval)
 	}
@@ -259,6 +265,8 @@
 	// minRefuseTime is how long a server without requests still refuses new ones before it
 	// closes its listener.
 	minRefuseTime = 300 * time.Millisecond
+	// answerTime is the part of the shutdown in which requests that are still in progress are answered.
+	answerTime = 200 * time.Millisecond
 )
 
 func (s *Server) close() {
--- a/entry/internal/proxy/change_test.go
+++ b/entry/internal/proxy/change_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -304,9 +305,17 @@
 	world  *world
 	server *httpd.Server
 	stop   func()
-	began  time.Time
+	// closeServer closes all connections of clients.
+	closeServer func()
+	began       time.Time
 }
 
+// drainTime and shutdownTime are those of an entry that may take 8 s to stop.
+const (
+	drainTime    = 3 * time.Second
+	shutdownTime = 7400 * time.Millisecond
+)
+
 var frontAddress = netip.AddrPortFrom(entry, 80)
 
 // serve puts the server for clients before the handler of the world, and adds a second pool.
@@ -316,10 +325,11 @@
 	if err != nil {
 		w.t.Fatal(err)
 	}
-	s, stop := httpd.New(httpd.Options{Listener: l, Handler: w.handler, Refuse: w.handler.RefusalHandler(), Log: zap.NewNop()})
-	f := &front{world: w, server: s, began: clocks.Now()}
+	s, stop := httpd.New(httpd.Options{Listener: l, Handler: w.handler, Refuse: w.handler.RefusalHandler(), Refusing: w.handler.EndWaits, Ending: w.handler.EndRequests,
+		DrainTime: drainTime, ShutdownTimeout: shutdownTime, Log: zap.NewNop()})
+	f := &front{world: w, server: s, closeServer: sync.OnceFunc(stop), began: clocks.Now()}
 	f.stop = func() {
-		stop()
+		f.closeServer()
 		w.network.Kill(entry)
 		synctest.Wait()
 	}
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -77,6 +77,10 @@
 	metrics *metrics
 	events  *events.Allowance
 
+	// ending is done once EndRequests was called.
+	ending      context.Context //nolint:containedctx // it ends requests, not the handler
+	endRequests context.CancelFunc
+
 	timeouts Timeouts
 	queues   queues
 
@@ -86,9 +90,15 @@
 
 // New returns a handler for client requests.
 func New(o Options) *Handler {
-	return &Handler{options: o, metrics: newMetrics(o.Scope), events: events.NewAllowance(maxUnfinishedEvents), budgets: make(map[string]*budget.Budget)}
+	h := &Handler{options: o, metrics: newMetrics(o.Scope), events: events.NewAllowance(maxUnfinishedEvents), budgets: make(map[string]*budget.Budget)}
+	h.ending, h.endRequests = context.WithCancel(context.Background())
+	return h
 }
 
+// EndRequests answers the requests in progress that have no part of a response yet: as not run, or with
+// an unknown outcome. Call it when the connections of clients are about to be closed.
+func (h *Handler) EndRequests() { h.endRequests() }
+
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l := &lifecycle{handler: h, writer: w, arrived: time.Now(), view: h.view()}
@@ -115,6 +125,10 @@
 	if err := control.SetWriteDeadline(l.deadline.Add(writeSlack)); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		h.options.Log.Debug("deadline-set-failed", zap.Error(err))
 	}
+	if refusal := l.leavingRefusal(); refusal != nil {
+		l.refuse(refusal)
+		return
+	}
 	l.run(r.Context())
 	if err := control.SetWriteDeadline(time.Time{}); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		h.options.Log.Debug("deadline-set-failed", zap.Error(err))
@@ -137,11 +151,24 @@
 	defer l.contain()
 	var refusal *calls.Refusal
 	if l.call, refusal = f.handler.options.ClientCodec.ParseRequest(r); refusal == nil {
-		refusal = calls.NotRun(calls.ReasonLeaving, drainingRetryAfter, "the entry is stopping")
+		refusal = newLeavingRefusal()
 	}
 	l.refuse(refusal)
 }
 
+func newLeavingRefusal() *calls.Refusal {
+	return calls.NotRun(calls.ReasonLeaving, drainingRetryAfter, "the entry is stopping")
+}
+
+// leavingRefusal refuses a request that was sent to no upstream before the entry began to refuse
+// requests. Its head may have arrived long before.
+func (l *lifecycle) leavingRefusal() *calls.Refusal {
+	if l.counted || !l.handler.queues.ended.Load() {
+		return nil
+	}
+	return newLeavingRefusal()
+}
+
 func (h *Handler) view() View {
 	staleness, confirmed := h.options.Mirror.Staleness()
 	return View{State: h.options.Mirror.Snapshot(), Staleness: staleness, Confirmed: confirmed}
@@ -194,11 +221,16 @@
 	if err := control.SetReadDeadline(l.deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		l.handler.options.Log.Debug("deadline-set-failed", zap.Error(err))
 	}
+	stop := context.AfterFunc(l.handler.ending, func() { _ = control.SetReadDeadline(time.Now()) })
+	defer stop()
 	body, err := io.ReadAll(http.MaxBytesReader(l.writer, r.Body, maxBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		return calls.NotRun(calls.ReasonTooLarge, 0, "the body is too long")
 	}
+	if refusal := l.leavingRefusal(); err != nil && refusal != nil {
+		return refusal
+	}
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return calls.NotRun(calls.ReasonDeadline, 0, "the body came too late")
 	}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -68,6 +68,8 @@
 	reserved atomic.Pointer[target.InFlight]
 	// prepared is the next attempt of a stream if it has begun before the last one was given up.
 	prepared atomic.Pointer[successor]
+	// ended is set once the server is about to close the connection of the client.
+	ended atomic.Bool
 	// isRetry is true if the client was refused before.
 	isRetry bool
 	// level is the level of urgency of the request, below levels, their number in its pool.
@@ -107,6 +109,11 @@
 	defer l.releaseReserved()
 	ctx, cancel := context.WithDeadline(ctx, l.deadline)
 	defer cancel()
+	stop := context.AfterFunc(l.handler.ending, func() {
+		l.ended.Store(true)
+		cancel()
+	})
+	defer stop()
 	if l.handler.options.Crashes.IsQuarantined(l.identity) {
 		l.refuse(calls.NotRun(calls.ReasonQuarantined, maxRetryAfter, "the request has crashed upstreams"))
 		return
@@ -120,7 +127,7 @@
 		if l.ending == endingBroken {
 			panic(http.ErrAbortHandler)
 		}
-		if errors.Is(ctx.Err(), context.Canceled) {
+		if l.hasLeft(ctx) {
 			l.abandon()
 			return
 		}
@@ -149,8 +156,12 @@
 		l.finish(l.attempts.NextUnplaced(), nil)
 		return nil
 	}
+	if refusal := l.leavingRefusal(); refusal != nil {
+		l.finish(l.attempts.NextUnplaced(), refusal)
+		return nil
+	}
 	f, refusal := l.acquireUpstream(ctx)
-	if errors.Is(ctx.Err(), context.Canceled) {
+	if l.hasLeft(ctx) {
 		if f != nil {
 			f.Finish(clocks.Now(), target.OutcomeNeutral)
 		}
@@ -163,8 +174,13 @@
 	return f
 }
 
+// hasLeft reports whether the client has left, by the context of the request.
+func (l *lifecycle) hasLeft(ctx context.Context) bool {
+	return errors.Is(ctx.Err(), context.Canceled) && !l.ended.Load()
+}
+
 func (l *lifecycle) trySpend() bool {
-	return !l.isStalled() && (l.prepared.Load() != nil || l.reserved.Load() != nil || l.handler.trySpend(l.pool.Name))
+	return !l.ended.Load() && !l.isStalled() && (l.prepared.Load() != nil || l.reserved.Load() != nil || l.handler.trySpend(l.pool.Name))
 }
 
 // acquireUpstream chooses an upstream. If no engine has free capacity it waits for a short
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -156,7 +156,7 @@
 		return nil, err
 	}
 	server, stop := httpd.New(httpd.Options{
-		Listener: l, Handler: handler, Refuse: handler.RefusalHandler(), Refusing: handler.EndWaits, Scope: metrics.Scope, Log: log,
+		Listener: l, Handler: handler, Refuse: handler.RefusalHandler(), Refusing: handler.EndWaits, Ending: handler.EndRequests, Scope: metrics.Scope, Log: log,
 		DrainTime: min(drainTTLs*s.AddressTTL, s.ShutdownTimeout/2), ShutdownTimeout: s.ShutdownTimeout - shutdownReserve,
 	})
 	return shell.WithCleanup(lc, server, stop), nil
