--- a/entry/internal/proxy/ends_test.go
+++ b/entry/internal/proxy/ends_test.go
@@ -8,6 +8,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"currantport.example/core/calls"
 )
 
 // framing is how the end of a response is marked.
@@ -224,3 +226,41 @@
 		}
 	}
 }
+
+// TestResponseCutAtAnyByteIsNeitherWholeNorNotRun has all upstreams close within their response, at each
+// byte of it. It guards against a head or a body that ends early and is framed as whole for the client.
+func TestResponseCutAtAnyByteIsNeitherWholeNorNotRun(t *testing.T) {
+	const head = "HTTP/1.1 %s\r\nId: q\r\nSignature: s\r\n"
+	stream := numbered(1) + numbered(2)
+	for name, c := range map[string]struct {
+		text   string
+		paths  []string
+		whole  string
+		notRun bool
+	}{
+		"length":     {text: fmt.Sprintf(head, "200 OK") + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(stream), stream), paths: kinds, whole: stream},
+		"chunked":    {text: fmt.Sprintf(head, "200 OK") + fmt.Sprintf("Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", len(stream), stream), paths: kinds, whole: stream},
+		"two chunks": {text: fmt.Sprintf(head, "200 OK") + "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n2\r\nyz\r\n0\r\n\r\n", paths: []string{"/once/x", "/any/x"}, whole: "xyz"},
+		"failure":    {text: fmt.Sprintf(head, "500 Failed") + "Content-Length: 4\r\n\r\nfail", paths: kinds},
+		"refusal":    {text: fmt.Sprintf(head, "503 Busy") + "Not-Run: 1\r\nContent-Length: 0\r\n\r\n", paths: kinds, notRun: true},
+	} {
+		for _, path := range c.paths {
+			for n := range len(c.text) + 1 {
+				play(t, 2, func(w io.Writer, _ visit) { _, _ = io.WriteString(w, c.text[:n]) }, func(w *world) {
+					a := w.request(context.Background(), path)
+					isWhole := n == len(c.text)
+					if !a.aborted && a.Code == http.StatusOK && (!isWhole || a.Body.String() != c.whole) {
+						t.Errorf("%s, %s: cut after %q: status 200, %q", name, path, c.text[:n], a.Body)
+					}
+					if isWhole && c.whole != "" && (a.aborted || a.Body.String() != c.whole) {
+						t.Errorf("%s, %s: whole: aborted %t, %q", name, path, a.aborted, a.Body)
+					}
+					// The body of a refusal is empty, so that it is whole once its head is.
+					if a.Header().Get("Outcome") == string(calls.OutcomeNotRun) && !(c.notRun && isWhole) {
+						t.Errorf("%s, %s: cut after %q: said not to have run", name, path, c.text[:n])
+					}
+				})
+			}
+		}
+	}
+}
