crash: an answered request has not caused the crashes before

Cause: two crashes of upstreams that lost a request make it their cause, whatever number of equal requests were answered in between. Answers counted for parts of prompts only.

Result: a whole response makes the losses before it count no more, at other processes too. A request that crashes upstreams and is never answered is quarantined as before.

--- a/core/crash/crash.go
+++ b/core/crash/crash.go
@@ -17,7 +17,7 @@
 //
 // The same request arrives again and again, at any entry. Marks are gossiped to all
 // entries, so that such a request crashes a few upstreams of the fleet, not a few for each
-// entry.
+// entry. One that an upstream has answered since isn't such a request, and others are told so.
 package crash
 
 import (
@@ -120,7 +120,7 @@
 	defer r.mutex.Unlock()
 	now := clocks.Now()
 	k := markKey{fingerprint: q.Whole, upstream: upstream}
-	if _, ok := r.marks[k]; !ok {
+	if m, ok := r.marks[k]; !ok || !m.at.After(r.parts.survivedAt(q.Whole)) {
 		r.put(now, k, mark{at: now})
 	}
 	r.parts.recordLoss(event{upstream: upstream, at: now, sentAt: sentAt}, q.Parts)
@@ -176,6 +176,21 @@
 	}
 }
 
+// RecordAnswer records that an upstream wrote a whole response to a request and survived. Upstreams that
+// were lost before with an equal request have another cause.
+func (r *Registry) RecordAnswer(q Request) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := clocks.Now()
+	for k := range r.marks {
+		if k.fingerprint == q.Whole {
+			r.parts.recordSurvival(now, now, q.Whole)
+			r.parts.notify(now, q.Whole)
+			return
+		}
+	}
+}
+
 // RecordCrash records evidence that an upstream has crashed. It confirms the recent marks
 // of the upstream.
 func (r *Registry) RecordCrash(upstream, evidence string) {
@@ -207,11 +222,12 @@
 }
 
 // count returns the number of marks of a request that no quarantined part of other requests
-// explains.
+// explains, since an upstream last answered an equal one.
 func (r *Registry) count(now time.Time, f Fingerprint) int {
 	n := 0
+	answeredAt := r.parts.survivedAt(f)
 	for k, m := range r.marks {
-		if k.fingerprint == f && m.confirmed && now.Sub(m.at) < markTTL && !r.parts.isExplained(event{upstream: k.upstream, at: m.at}) {
+		if k.fingerprint == f && m.confirmed && m.at.After(answeredAt) && now.Sub(m.at) < markTTL && !r.parts.isExplained(event{upstream: k.upstream, at: m.at}) {
 			n++
 		}
 	}
@@ -229,7 +245,7 @@
 	all := r.parts.export(now, limit/2)
 	var keys []markKey
 	for k, m := range r.marks {
-		if m.confirmed {
+		if m.confirmed && m.at.After(r.parts.survivedAt(k.fingerprint)) {
 			keys = append(keys, k)
 		}
 	}
@@ -266,15 +282,26 @@
 			judge = r.parts.merge(now, k.fingerprint, m) || judge
 			continue
 		}
-		if r.marks[k].confirmed {
-			continue
-		}
-		r.put(now, k, mark{at: now.Add(-time.Duration(m.Age) * time.Millisecond), confirmed: true})
-		r.log.Warn("crash-mark", zap.String("fingerprint", hex.EncodeToString(k.fingerprint[:])),
-			zap.String("upstream", m.Upstream), zap.String("evidence", "reported by "+string(from)),
-			zap.Int("marks", r.count(now, k.fingerprint)))
+		r.mergeMark(now, k, now.Add(-time.Duration(m.Age)*time.Millisecond), from)
 	}
 	if judge {
 		r.parts.judge(now)
 	}
 }
+
+// mergeMark adds the mark of a whole request that another process reports, unless it is known or an
+// upstream has answered the request since.
+func (r *Registry) mergeMark(now time.Time, k markKey, at time.Time, from hosts.Name) {
+	answeredAt := r.parts.survivedAt(k.fingerprint)
+	if !answeredAt.IsZero() && !at.After(answeredAt) {
+		r.parts.notify(now, k.fingerprint)
+		return
+	}
+	if known := r.marks[k]; known.confirmed && known.at.After(answeredAt) {
+		return
+	}
+	r.put(now, k, mark{at: at, confirmed: true})
+	r.log.Warn("crash-mark", zap.String("fingerprint", hex.EncodeToString(k.fingerprint[:])),
+		zap.String("upstream", k.upstream), zap.String("evidence", "reported by "+string(from)),
+		zap.Int("marks", r.count(now, k.fingerprint)))
+}
--- a/core/crash/crash_test.go
+++ b/core/crash/crash_test.go
@@ -35,6 +35,68 @@
 	})
 }
 
+// TestAnsweredRequestIsNotQuarantined has upstreams that ran an equal request crash one after the other, at
+// two processes that tell each other. It guards against a sound request that is refused for minutes because
+// it happened to run at two upstreams when they crashed.
+func TestAnsweredRequestIsNotQuarantined(t *testing.T) {
+	exchange := func(a, b *crash.Registry) {
+		a.Merge("b", b.Export(100))
+		b.Merge("a", a.Export(100))
+	}
+	crashOf := func(r *crash.Registry, q crash.Request, upstream string) {
+		r.RecordLoss(q, upstream, time.Now())
+		time.Sleep(50 * time.Millisecond)
+		r.RecordCrash(upstream, "connection refused")
+	}
+	for name, c := range map[string]struct {
+		// answered is how often an upstream answers the request between the crashes, late whether one does after
+		// the last of them only, afterwards how many crashes follow.
+		answered    int
+		late        bool
+		afterwards  int
+		quarantined bool
+	}{
+		"answered in between":            {answered: 3},
+		"never answered":                 {quarantined: true},
+		"answered by one that runs it":   {late: true},
+		"two more crashes":               {answered: 1, afterwards: 1, quarantined: true},
+		"two more after a late response": {late: true, afterwards: 2, quarantined: true},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			a, b := crash.NewRegistry(zap.NewNop()), crash.NewRegistry(zap.NewNop())
+			crashOf(a, poison, "u1")
+			exchange(a, b)
+			time.Sleep(time.Second)
+			for range c.answered {
+				a.RecordAnswer(poison)
+				time.Sleep(time.Second)
+			}
+			exchange(a, b)
+			crashOf(b, poison, "u2")
+			exchange(a, b)
+			time.Sleep(time.Second)
+			if c.late {
+				a.RecordAnswer(poison)
+				time.Sleep(time.Second)
+				exchange(a, b)
+			}
+			for i := range c.afterwards {
+				crashOf(a, poison, fmt.Sprint("u", 3+i))
+				exchange(a, b)
+				time.Sleep(time.Second)
+			}
+			exchange(a, b)
+			started := crash.NewRegistry(zap.NewNop())
+			exchange(started, b)
+			for at, r := range map[string]*crash.Registry{"a": a, "b": b, "a new process": started} {
+				if got := r.IsQuarantined(poison); got != c.quarantined {
+					t.Errorf("%s, at %s: quarantined %t", name, at, got)
+				}
+			}
+		})
+	}
+}
+
 func TestLostResponseAloneIsNoCrash(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := crash.NewRegistry(zap.NewNop())
--- a/core/crash/marks.go
+++ b/core/crash/marks.go
@@ -34,6 +34,9 @@
 	return marks[:min(len(marks), limit)]
 }
 
+// notify has other processes be told that upstreams survived a part or a whole request.
+func (t *partTable) notify(now time.Time, f Fingerprint) { t.notices[f] = now.Add(survivalNotice) }
+
 // newestNotices returns the parts that other processes suspected last though upstreams survived
 // them, at most the given number.
 func (t *partTable) newestNotices(limit int) []Fingerprint {
@@ -90,7 +93,7 @@
 		return t.recordSurvival(now, at, p)
 	}
 	if !t.survivedAt(p).IsZero() {
-		t.notices[p] = now.Add(survivalNotice)
+		t.notify(now, p)
 	}
 	s := t.suspect(p, int(m.Part))
 	isNews := m.Quarantined && !s.adopted && t.survivedAt(p).IsZero()
--- a/core/crash/parts.go
+++ b/core/crash/parts.go
@@ -210,7 +210,7 @@
 	earlier := func(e event) bool { return !e.at.After(at) }
 	s.losses, s.crashes = slices.DeleteFunc(s.losses, earlier), slices.DeleteFunc(s.crashes, earlier)
 	if suspected {
-		t.notices[p] = now.Add(survivalNotice)
+		t.notify(now, p)
 	}
 	if len(s.losses)+len(s.crashes) == 0 {
 		delete(t.suspects, p)
--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -198,6 +198,14 @@
 	}
 }
 
+// recordAnswer records that the upstream has written a whole response to the request and lives. Where a
+// response ends with its connection, the end may be that of an upstream that crashed.
+func (l *lifecycle) recordAnswer(response *conns.Response, isWhole bool) {
+	if isWhole && !response.IsCloseDelimited() {
+		l.handler.options.Crashes.RecordAnswer(l.identity)
+	}
+}
+
 // startLimit returns the time by which a response must have begun.
 func (l *lifecycle) startLimit(f *target.InFlight) time.Time {
 	if !f.StartDeadline.IsZero() && f.StartDeadline.Before(l.deadline) {
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -101,6 +101,7 @@
 	}
 	if reply.Success {
 		l.recordSurvival()
+		l.recordAnswer(response, b.remainder == nil)
 	}
 	l.writeResponse(b)
 	if b.remainder != nil && l.ending == endingAnswered {
@@ -193,6 +194,7 @@
 			if !response.IsCloseDelimited() && !firstEventAt.IsZero() {
 				l.recordSurvival()
 			}
+			l.recordAnswer(response, true)
 			return l.finishStream(response, reply, e)
 		}
 		if err != nil {
