events: count only what readers keep in the test of their allowance

Nothing changes for callers.

Cause: the test counted the bytes of each source that was read to its length. A reader that is refused at the last part has read that far too, and keeps nothing: 9 readers of 900 KiB were left, 8.3 MB.

Ruled out: an allowance that is exceeded; the bound is unchanged.

Result: a source counts once its reader has kept all of it and waits.

--- a/core/events/events_test.go
+++ b/core/events/events_test.go
@@ -89,12 +89,15 @@
 	text   string
 	length int
 	read   int
+	// paused is set once a reader has kept all that was read and wants more.
+	paused bool
 	closed chan struct{}
 }
 
 // Read implements io.Reader.
 func (p *pausedSource) Read(b []byte) (int, error) {
 	if p.read >= p.length {
+		p.paused = true
 		<-p.closed
 		return 0, io.ErrUnexpectedEOF
 	}
@@ -127,7 +130,7 @@
 			synctest.Wait()
 			kept, failed := 0, len(results)
 			for _, s := range sources {
-				if s.read >= s.length {
+				if s.paused {
 					kept += s.read
 				}
 			}
