proxy: continue a stream elsewhere although a second upstream is silent too

A caller's stream was cut at its deadline although a sound upstream could have continued it: its upstream and the one that was asked to continue it were both silent, and no third one was asked.

Cause: one attempt beside the silent upstream was kept, and while it was in progress the watchdog waited for the end of the request. Evidence: proxy.TestTwoSilentUpstreamsAreFollowedByAThird, a stream that has begun: before "aborted true, status 200" after the first of two events, now whole. Result: the watchdog keeps all attempts in progress, counts each as a run against the attempts of the route and the retry budget, and starts a further one after the same time. The first to respond is taken, and the others are canceled.

--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -45,7 +45,7 @@
 	defer wd.stop()
 	result, outcome, err := l.exchange(s.request, s, wd)
 	if result == tries.ResultTruncated {
-		wd.awaitSuccessor()
+		wd.awaitSuccessors()
 	}
 	wd.stop()
 	for _, b := range wd.failures() {
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -40,10 +40,10 @@
 	// last event of it.
 	started     bool
 	lastEventID string
-	// successor is the attempt to continue the stream elsewhere, or nil if there is none in progress.
-	// failed are the earlier ones.
-	successor *successor
-	failed    []failedSuccessor
+	// successors are the attempts in progress to continue the stream elsewhere. failed are the earlier
+	// ones.
+	successors []*successor
+	failed     []failedSuccessor
 }
 
 func newWatchdog(l *lifecycle, request context.Context, cancel context.CancelFunc) *watchdog { //nolint:revive // the context is kept
@@ -60,17 +60,17 @@
 	for _, f := range w.failed {
 		w.exclude(f)
 	}
-	w.dropSuccessor()
+	w.dropSuccessors()
 	w.arm(timeout)
 }
 
-// dropSuccessor ends an attempt to continue the stream elsewhere. The caller holds the mutex.
-func (w *watchdog) dropSuccessor() {
-	if s := w.successor; s != nil {
-		w.successor = nil
+// dropSuccessors ends the attempts to continue the stream elsewhere. The caller holds the mutex.
+func (w *watchdog) dropSuccessors() {
+	for _, s := range w.successors {
 		s.cancel()
 		w.recordFailed(failedSuccessor{upstream: s.inFlight.Row.ID, result: tries.ResultLost})
 	}
+	w.successors = nil
 }
 
 // recordFailed counts an attempt to continue the stream elsewhere. The caller holds the mutex.
@@ -127,6 +127,9 @@
 	now := time.Now()
 	w.mutex.Lock()
 	dueAt, isOver, attempts, reqs := w.dueAt, !now.Before(w.limit), w.attempts, w.reqs
+	for range w.successors {
+		attempts.RecordBeside(tries.ResultLost)
+	}
 	isDue, started := !w.stopped && !now.Before(dueAt), w.started
 	w.mutex.Unlock()
 	if !isDue {
@@ -175,9 +178,11 @@
 	if w.stopped || !w.dueAt.Equal(dueAt) {
 		return false
 	}
-	w.successor = newSuccessor(w, f, reqs)
-	go w.successor.run()
-	w.schedule(w.limit)
+	s := newSuccessor(w, f, reqs)
+	w.successors = append(w.successors, s)
+	w.reqs.Exclude = append(slices.Clip(w.reqs.Exclude), f.Row.ID)
+	go s.run()
+	w.arm(w.timeout)
 	return true
 }
 
@@ -186,11 +191,13 @@
 func (w *watchdog) finishSuccessor(s *successor, result tries.Result) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.successor != s {
+	i := slices.Index(w.successors, s)
+	if i < 0 {
 		return false
 	}
-	w.successor = nil
+	w.successors = slices.Delete(w.successors, i, i+1)
 	if result == tries.ResultAnswered {
+		w.dropSuccessors()
 		w.expired = true
 		w.lifecycle.prepared.Store(s)
 		w.cancel()
@@ -203,16 +210,23 @@
 	return true
 }
 
-// awaitSuccessor waits for the successor in progress, if any, after the watched attempt has failed.
-func (w *watchdog) awaitSuccessor() {
-	w.mutex.Lock()
-	s := w.successor
-	w.mutex.Unlock()
-	if s != nil {
+// awaitSuccessors waits for the successors in progress after the watched attempt has failed, until one
+// has responded.
+func (w *watchdog) awaitSuccessors() {
+	for s := w.anySuccessor(); s != nil; s = w.anySuccessor() {
 		<-s.done
 	}
 }
 
+func (w *watchdog) anySuccessor() *successor {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.successors) == 0 {
+		return nil
+	}
+	return w.successors[0]
+}
+
 // finishCheck cancels the attempt or waits on. It returns false if the attempt has ended or made
 // progress since the check began.
 func (w *watchdog) finishCheck(dueAt time.Time, mayCancel bool) bool {
@@ -240,7 +254,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.stopped = true
-	w.dropSuccessor()
+	w.dropSuccessors()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
