proxy: bound and count the attempts beside a silent upstream

- a response that was ready after 0.4 s delivered at the deadline, since a further attempt was started and awaited after one had responded; its place at an engine stayed taken for good;
- a client that read slowly was taken for a silent upstream: 4 upstreams got a request that allows 2;
- a request that was quarantined meanwhile was sent to one upstream more, and one that crashes upstreams took 4 in place of 2;
- a panic beside the handling of a request ended the process;
- a response that had begun beside a silent engine was withdrawn at the end of the engine's version (502);
- a third engine wasn't asked once the version of the first had ended (504);
- the health of upstreams, their places, the log and the metrics missed what happened beside.

Cause: the watchdog went on after its successor had responded, and what an attempt does at its beginning and end was not done for successors. Result: the watchdog stops with the first response, waits while a part is written to the client, asks for quarantine, and looks for further upstreams until the request ends.

--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -45,6 +45,14 @@
 	wd := newWatchdog(l, outer, s.cancel)
 	defer wd.stop()
 	result, outcome, err := l.exchange(s.request, s, wd)
+	switch {
+	case outcome == target.OutcomeFailed && errors.Is(outer.Err(), context.Canceled):
+		outcome = target.OutcomeNeutral
+	case outcome == target.OutcomeFailed && wd.hasFired():
+		outcome = target.OutcomeTimeout
+	}
+	f.Finish(clocks.Now(), outcome)
+	l.logAttempt(f, result, l.sentAt, err)
 	if result != tries.ResultAnswered {
 		wd.awaitSuccessors()
 	}
@@ -54,14 +62,6 @@
 		l.attempted = append(l.attempted, b.upstream)
 		l.lastFailure = cmp.Or(l.lastFailure, b.failure)
 	}
-	switch {
-	case outcome == target.OutcomeFailed && errors.Is(outer.Err(), context.Canceled):
-		outcome = target.OutcomeNeutral
-	case outcome == target.OutcomeFailed && wd.hasFired():
-		outcome = target.OutcomeTimeout
-	}
-	f.Finish(clocks.Now(), outcome)
-	l.logAttempt(f, result, l.sentAt, err)
 	return result
 }
 
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -20,7 +20,8 @@
 	resumed tally.Counter
 	// suspects counts lost upstreams that a request may have crashed.
 	suspects tally.Counter
-	attempts map[tries.Result]tally.Counter
+	// attempts count by the name of the result.
+	attempts map[string]tally.Counter
 	// seconds is the total time of a request, firstByte the time to the first byte of its
 	// response, waitTime the time before its first attempt.
 	seconds   tally.Histogram
@@ -38,13 +39,14 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(minDuration, 2, durationBuckets)
 	m := &metrics{
 		scope: s, retries: s.Counter("repeats"), resumed: s.Counter("resumed"), suspects: s.Counter("suspects"),
-		attempts: make(map[tries.Result]tally.Counter), seconds: s.Histogram("seconds", buckets), firstByte: s.Histogram("first_seconds", buckets),
+		attempts: make(map[string]tally.Counter), seconds: s.Histogram("seconds", buckets), firstByte: s.Histogram("first_seconds", buckets),
 		waitTime: s.Histogram("held_seconds", buckets), staleness: s.Histogram("copyage_seconds", buckets), loadAge: s.Histogram("loadage_seconds", buckets),
 		leftSilence: s.Histogram("left_silence_seconds", buckets),
 	}
-	for r, name := range resultNames {
-		m.attempts[r] = s.Tagged(map[string]string{"result": name}).Counter("attempts")
+	for _, name := range resultNames {
+		m.attempts[name] = s.Tagged(map[string]string{"result": name}).Counter("attempts")
 	}
+	m.attempts[resultDropped] = s.Tagged(map[string]string{"result": resultDropped}).Counter("attempts")
 	return m
 }
 
@@ -74,6 +76,10 @@
 	tries.ResultDeclined: "declined", tries.ResultLost: "lost", tries.ResultTruncated: "broken",
 }
 
+// resultDropped is the result of an attempt at a further upstream that isn't needed, since another one has
+// responded or the request has ended.
+const resultDropped = "dropped"
+
 // logAttempt logs the result of an attempt. A successful one is covered by the log line of
 // the request.
 func (l *lifecycle) logAttempt(f *target.InFlight, result tries.Result, start time.Time, err error) {
@@ -87,7 +93,7 @@
 	}
 	l.logFields = fields
 	m := l.handler.metrics
-	m.attempts[result].Inc(1)
+	m.attempts[resultNames[result]].Inc(1)
 	if l.pool.Engine != nil {
 		m.loadAge.RecordDuration(f.LoadAge)
 		m.scope.Tagged(map[string]string{"usage": string(f.Usage)}).Counter("choices").Inc(1)
@@ -105,12 +111,12 @@
 	l.handler.options.Log.Info("attempt", all...)
 }
 
-// logSuccessor logs a failed attempt to continue a stream beside the one in progress.
-func (l *lifecycle) logSuccessor(f *target.InFlight, result tries.Result, start time.Time, err error) {
+// logSuccessor logs an attempt beside the one in progress that has failed or was dropped.
+func (l *lifecycle) logSuccessor(f *target.InFlight, result string, start time.Time, err error) {
 	l.handler.metrics.retries.Inc(1)
 	l.handler.metrics.attempts[result].Inc(1)
 	l.handler.options.Log.Info("attempt", zap.String("id", string(l.call.ID)), zap.Bool("beside", true), zap.String("upstream", f.Row.ID),
-		zap.String("result", resultNames[result]), zap.Duration("took", clocks.Since(start)), zap.Error(err))
+		zap.String("result", result), zap.Duration("took", clocks.Since(start)), zap.Error(err))
 }
 
 // report logs one line for each request and counts it. It also runs while the connection to
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -34,6 +34,7 @@
 
 var (
 	errMismatched = errors.New("the response belongs to another request")
+	errPanicked   = errors.New("the handling of the response failed")
 	errNoEvent    = errors.New("the connection was closed before the first event")
 )
 
@@ -204,18 +205,7 @@
 	for {
 		e, err := source.Next()
 		if errors.Is(err, io.EOF) {
-			// Without framing, the end may be that of an upstream that crashed.
-			if response.IsCloseDelimited() && firstEventAt.IsZero() && l.stream.lastEventID == "" {
-				return l.streamLost(ctx, f, errNoEvent)
-			}
-			if !response.IsCloseDelimited() && !firstEventAt.IsZero() {
-				l.recordSurvival()
-			}
-			l.recordAnswer(response, true)
-			if !l.stream.started && !wd.claim() {
-				return l.streamLost(ctx, f, ctx.Err())
-			}
-			return l.finishStream(response, reply, e)
+			return l.endStream(ctx, f, wd, response, reply, e, !firstEventAt.IsZero())
 		}
 		if err != nil {
 			return l.streamLost(ctx, f, err)
@@ -230,22 +220,37 @@
 		if e.ID != "" && !l.stream.isNew(e.ID) {
 			continue
 		}
+		if !wd.claim() {
+			return l.streamLost(ctx, f, ctx.Err())
+		}
 		if !l.stream.started {
-			if !wd.claim() {
-				return l.streamLost(ctx, f, ctx.Err())
-			}
 			l.firstByte = time.Since(l.arrived)
 			l.status = response.Status
 			l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), cmp.Or(reply.Version, f.Version))
 		}
-		// The watchdog needs the id of the event, after which another upstream would continue.
 		l.recordEvent(e)
-		wd.reset(l.gapTimeout(), l.deadline)
 		if err := l.stream.writeEvent(e, source.reader.HasBuffered()); err != nil {
 			l.ending = "unwritten"
 			return tries.ResultAnswered, target.OutcomeNeutral, err
 		}
+		wd.reset(l.gapTimeout(), l.deadline)
+	}
+}
+
+// endStream ends a response whose events have all been forwarded. The rest is what follows the last one.
+func (l *lifecycle) endStream(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply, rest events.Event, hasEvents bool) (tries.Result, target.Outcome, error) {
+	// Without framing, the end may be that of an upstream that crashed.
+	if response.IsCloseDelimited() && !hasEvents && l.stream.lastEventID == "" {
+		return l.streamLost(ctx, f, errNoEvent)
+	}
+	if !response.IsCloseDelimited() && hasEvents {
+		l.recordSurvival()
+	}
+	l.recordAnswer(response, true)
+	if !l.stream.started && !wd.claim() {
+		return l.streamLost(ctx, f, ctx.Err())
 	}
+	return l.finishStream(response, reply, rest)
 }
 
 // recordEvent counts an event that is forwarded and measures the gap before it.
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -73,7 +73,7 @@
 		return
 	}
 	if result != tries.ResultAnswered {
-		l.logSuccessor(s.inFlight, result, s.sentAt, err)
+		l.logSuccessor(s.inFlight, resultNames[result], s.sentAt, err)
 		s.inFlight.Finish(clocks.Now(), outcome)
 		s.cancel()
 	}
@@ -82,8 +82,22 @@
 // shorten moves the time of the withdrawal to an earlier one.
 func (s *successor) shorten(limit time.Time) { s.withdrawal.Reset(time.Until(limit)) }
 
-// begin sends the request and reads the response: of a stream up to the first event that the client lacks.
-func (s *successor) begin() (tries.Result, target.Outcome, error) {
+// begin calls send, and takes a panic for a lost attempt.
+func (s *successor) begin() (result tries.Result, outcome target.Outcome, err error) {
+	defer s.contain(&result, &outcome, &err)
+	return s.send()
+}
+
+// contain is deferred by begin.
+func (s *successor) contain(result *tries.Result, outcome *target.Outcome, err *error) {
+	if cause := recover(); cause != nil {
+		s.watchdog.lifecycle.logPanic(cause)
+		*result, *outcome, *err = tries.ResultLost, target.OutcomeNeutral, errPanicked
+	}
+}
+
+// send sends the request and reads the response: of a stream up to the first event that the client lacks.
+func (s *successor) send() (tries.Result, target.Outcome, error) {
 	l, f := s.watchdog.lifecycle, s.inFlight
 	conn, err := l.connect(s.request, f)
 	if err != nil {
@@ -98,13 +112,12 @@
 		}
 		return s.lost(err)
 	}
+	defer s.closeUnless(response)
 	s.reply = l.handler.options.UpstreamCodec.ClassifyResponse(&l.call, response.Status, response.Header)
-	result, outcome, err := l.classify(f, response, s.reply)
-	if err == nil {
-		result, outcome, err = s.read(response)
+	if result, outcome, err := l.classify(f, response, s.reply); err != nil {
+		return result, outcome, err
 	}
-	if err != nil {
-		response.Close()
+	if result, outcome, err := s.read(response); err != nil {
 		return result, outcome, err
 	}
 	f.RecordFirstEvent(clocks.Now())
@@ -112,6 +125,13 @@
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
+// closeUnless closes a response that isn't the successor's result.
+func (s *successor) closeUnless(response *conns.Response) {
+	if s.response != response {
+		response.Close()
+	}
+}
+
 // read reads what decides whether a response replaces that of the silent upstream.
 func (s *successor) read(response *conns.Response) (tries.Result, target.Outcome, error) {
 	l := s.watchdog.lifecycle
@@ -119,7 +139,8 @@
 	switch {
 	case isStream && s.reply.Success:
 		s.events = &eventSource{reader: events.NewReader(response.Body, l.handler.events)}
-		if err := s.events.readAhead(s.attempt.LastEventID); err != nil {
+		err := s.events.readAhead(s.attempt.LastEventID)
+		if err != nil {
 			s.events.reader.Release()
 			return s.lost(err)
 		}
@@ -127,6 +148,9 @@
 	case s.withinStream:
 		return failedWithinStream(response.Status)
 	}
+	// The response has begun, so that only the deadline of the request bounds it.
+	s.inFlight.RecordFirstEvent(clocks.Now())
+	s.withdrawal.Stop()
 	b, err := l.readUnary(response)
 	switch {
 	case err != nil:
@@ -146,7 +170,11 @@
 // lost returns the result of an attempt whose response was interrupted.
 func (s *successor) lost(err error) (tries.Result, target.Outcome, error) {
 	if s.request.Err() != nil {
-		return tries.ResultLost, target.OutcomeNeutral, err
+		outcome := target.OutcomeTimeout
+		if errors.Is(s.watchdog.request.Err(), context.Canceled) {
+			outcome = target.OutcomeNeutral
+		}
+		return tries.ResultLost, outcome, err
 	}
 	l := s.watchdog.lifecycle
 	l.suspect(s.inFlight, l.identity, s.sentAt)
@@ -162,6 +190,7 @@
 	if s.events != nil {
 		s.events.reader.Release()
 	}
+	s.watchdog.lifecycle.logSuccessor(s.inFlight, resultDropped, s.sentAt, nil)
 	s.inFlight.Finish(clocks.Now(), target.OutcomeNeutral)
 }
 
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -36,6 +36,9 @@
 	reqs     target.Requirements
 	expired  bool
 	stopped  bool
+	// isWriting is set while a part of the response is written to the client. A client that reads slowly
+	// isn't a silent upstream.
+	isWriting bool
 	// started is set once the client has received a part of the stream, and lastEventID the id of the
 	// last event of it.
 	started     bool
@@ -60,11 +63,12 @@
 		w.exclude(f)
 	}
 	w.dropSuccessors()
+	w.isWriting = false
 	w.arm(timeout)
 }
 
-// claim reports whether the watched attempt may write the first part of the response, which a successor
-// may have done before. From then on there is no other one until reset.
+// claim reports whether the watched attempt may write the next part of the response, unless a successor has
+// taken its place. No other one is started until reset.
 func (w *watchdog) claim() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -72,7 +76,7 @@
 		return false
 	}
 	w.dropSuccessors()
-	w.schedule(w.limit)
+	w.isWriting = true
 	return true
 }
 
@@ -136,13 +140,14 @@
 }
 
 func (w *watchdog) run() {
+	defer w.lifecycle.containBeside()
 	now := time.Now()
 	w.mutex.Lock()
 	dueAt, isOver, attempts, reqs := w.dueAt, !now.Before(w.limit), w.attempts, w.reqs
 	for range w.successors {
 		attempts.RecordBeside(tries.ResultLost)
 	}
-	isDue := !w.stopped && !now.Before(dueAt)
+	isDue := !w.stopped && !now.Before(dueAt) && (isOver || !w.isWriting)
 	w.mutex.Unlock()
 	if !isDue {
 		return
@@ -160,7 +165,7 @@
 // other has responded: it may decline or be lost, and the silent one may go on.
 func (w *watchdog) succeed(dueAt time.Time, attempts *tries.Attempts, reqs target.Requirements) {
 	var next *target.InFlight
-	if attempts.MayRunBeside(time.Now()) {
+	if attempts.MayRunBeside(time.Now()) && !w.lifecycle.handler.options.Crashes.IsQuarantined(w.lifecycle.identity) {
 		next = w.lifecycle.reserveRetry(reqs)
 	}
 	if next == nil {
@@ -176,7 +181,7 @@
 func (w *watchdog) startSuccessor(dueAt time.Time, f *target.InFlight, reqs target.Requirements) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.stopped || !w.dueAt.Equal(dueAt) {
+	if w.stopped || w.isWriting || !w.dueAt.Equal(dueAt) {
 		return false
 	}
 	s := newSuccessor(w, f, reqs)
@@ -199,7 +204,7 @@
 	w.successors = slices.Delete(w.successors, i, i+1)
 	if result == tries.ResultAnswered {
 		w.dropSuccessors()
-		w.expired = true
+		w.expired, w.stopped = true, true
 		w.lifecycle.prepared.Store(s)
 		w.cancel()
 		return true
@@ -212,8 +217,11 @@
 }
 
 // awaitSuccessors waits for the successors in progress after the watched attempt has failed, until one
-// has responded.
+// has responded. Further ones may be started meanwhile.
 func (w *watchdog) awaitSuccessors() {
+	w.mutex.Lock()
+	w.limit = w.requestLimit()
+	w.mutex.Unlock()
 	for s := w.anySuccessor(); s != nil; s = w.anySuccessor() {
 		<-s.done
 	}
@@ -228,21 +236,30 @@
 	return w.successors[0]
 }
 
-// finishCheck cancels the attempt or waits on. It returns false if the attempt has ended or made
-// progress since the check began.
-func (w *watchdog) finishCheck(dueAt time.Time, mayCancel bool) bool {
+// finishCheck cancels the attempt or waits on, unless it has ended or made progress since the check began.
+func (w *watchdog) finishCheck(dueAt time.Time, mayCancel bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.stopped || !w.dueAt.Equal(dueAt) {
-		return false
+		return
 	}
 	if mayCancel {
 		w.expired = true
 		w.cancel()
-		return true
+		w.limit = w.requestLimit()
+		if len(w.successors) == 0 || !time.Now().Before(w.limit) {
+			return
+		}
 	}
 	w.arm(min(w.timeout, recheckInterval))
-	return true
+}
+
+// requestLimit returns the time at which attempts at all upstreams end. The caller holds the mutex.
+func (w *watchdog) requestLimit() time.Time {
+	if w.started {
+		return w.lifecycle.deadline
+	}
+	return w.lifecycle.firstEventLimit()
 }
 
 func (w *watchdog) hasFired() bool {
