proxy: take a head without framing and events for a lost response in a resumed stream too

A caller got a stream that looked complete and wasn't, or 502 although its silent upstream would have responded: the upstream that was to take the request over wrote a head without a length or chunks, and closed.

Cause: the end of such a connection counted as the end of the stream if the client had received an event, and a successor that ended without an event counted as one that has responded. Evidence: proxy.TestHeadWithoutEventsDoesNotReplaceASilentUpstream: before status 200 with one of two events, and 502. Result: both count as lost; the silent upstream is waited for.

--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -240,7 +240,7 @@
 // endStream ends a response whose events have all been forwarded. The rest is what follows the last one.
 func (l *lifecycle) endStream(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply, rest events.Event, hasEvents bool) (tries.Result, target.Outcome, error) {
 	// Without framing, the end may be that of an upstream that crashed.
-	if response.IsCloseDelimited() && !hasEvents && l.stream.lastEventID == "" {
+	if response.IsCloseDelimited() && !hasEvents {
 		return l.streamLost(ctx, f, errNoEvent)
 	}
 	if !response.IsCloseDelimited() && hasEvents {
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -140,6 +140,9 @@
 	case isStream && s.reply.Success:
 		s.events = &eventSource{reader: events.NewReader(response.Body, l.handler.events)}
 		err := s.events.readAhead(s.attempt.LastEventID)
+		if err == nil && s.events.firstErr != nil && response.IsCloseDelimited() {
+			err = errNoEvent
+		}
 		if err != nil {
 			s.events.reader.Release()
 			return s.lost(err)
