--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -204,13 +204,15 @@
 		go (&upstream{world: w, number: i, listener: l}).run()
 		listeners = append(listeners, l)
 	}
-	p, stop := conns.New(n.Dialer(netip.MustParseAddr("10.0.0.1")), nil)
+	p, stop := conns.New(n.Dialer(entry), nil)
+	w.network, w.conns, w.crashes = n, p, crash.NewRegistry(zap.NewNop())
 	fleet := target.New(target.Options{
 		Entries: func() []hosts.Host { return nil }, Regions: map[hosts.Domain]hosts.Region{"d": "r"}, Place: hosts.Place{Region: "r"},
 		VersionTimeout: versionTimeout, Random: func() float64 { return 0.5 }, Log: zap.NewNop(),
 	})
+	w.fleet = fleet
 	w.handler = proxy.New(proxy.Options{
-		Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: modelCodec{}, UpstreamCodec: codec{}, Crashes: crash.NewRegistry(zap.NewNop()),
+		Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: modelCodec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
 		Bounds: proxy.Bounds{MaxKeyStaleness: time.Minute, MaxMissStaleness: time.Minute}, RetryLimits: plenty, Entries: func() int { return 1 },
 		Random: func() float64 { return 0.5 }, Scope: w.scope, Log: zap.NewNop(),
 	})
