proxy: contain a panic of an attempt beside a silent upstream

All callers of an entry lost their connections at once, with responses in progress: a codec that panicked at the response of an upstream that was asked beside a silent one ended the process.

Cause: such an attempt runs in its own goroutine, where the handler's recover doesn't reach it. Before a response has begun, this is new with the attempts beside a silent upstream; within streams it is older. Result: the panic is logged, the attempt counts as lost, and the silent upstream is waited for.

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -385,7 +385,7 @@
 	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(cause)
 	}
-	l.handler.options.Log.Error("handler-panicked", zap.String("id", string(l.call.ID)), zap.Any("cause", cause), zap.Stack("stack"))
+	l.logPanic(cause)
 	if l.status != 0 {
 		l.ending = endingBroken
 		panic(http.ErrAbortHandler)
@@ -393,6 +393,10 @@
 	l.refuse(calls.Unknown(calls.ReasonLost, 0, "the handler failed"))
 }
 
+func (l *lifecycle) logPanic(cause any) {
+	l.handler.options.Log.Error("handler-panicked", zap.String("id", string(l.call.ID)), zap.Any("cause", cause), zap.Stack("stack"))
+}
+
 func (l *lifecycle) refuse(r *calls.Refusal) {
 	l.ending, l.refusal = string(r.Outcome), r
 	l.status = calls.StatusOf(r)
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -35,6 +35,7 @@
 var (
 	errMismatched = errors.New("the response belongs to another request")
 	errNoEvent    = errors.New("the connection was closed before the first event")
+	errPanicked   = errors.New("the handler failed")
 )
 
 // declinedError reports that an upstream has not run the request. Its value is the HTTP
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -65,7 +65,7 @@
 
 func (s *successor) run() {
 	defer close(s.done)
-	result, outcome, err := s.begin()
+	result, outcome, err := s.beginContained()
 	s.withdrawal.Stop()
 	l := s.watchdog.lifecycle
 	if !s.watchdog.finishSuccessor(s, result) {
@@ -82,6 +82,17 @@
 // shorten moves the time of the withdrawal to an earlier one.
 func (s *successor) shorten(limit time.Time) { s.withdrawal.Reset(time.Until(limit)) }
 
+// beginContained takes a panic for the loss of the attempt: the silent upstream may still respond.
+func (s *successor) beginContained() (result tries.Result, outcome target.Outcome, err error) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.watchdog.lifecycle.logPanic(cause)
+			result, outcome, err = tries.ResultLost, target.OutcomeNeutral, errPanicked
+		}
+	}()
+	return s.begin()
+}
+
 // begin sends the request and reads the response: of a stream up to the first event that the client lacks.
 func (s *successor) begin() (tries.Result, target.Outcome, error) {
 	l, f := s.watchdog.lifecycle, s.inFlight
--- /dev/null
+++ b/entry/internal/proxy/successor_test.go
@@ -0,0 +1,40 @@
+package proxy_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// TestPanicBesideASilentUpstreamLeavesItsRequest has a codec panic at the response of the upstream that is
+// asked beside a silent one. It guards against the end of the process.
+func TestPanicBesideASilentUpstreamLeavesItsRequest(t *testing.T) {
+	for _, path := range repeatable {
+		for _, begun := range begunCases(path) {
+			core, logged := observer.New(zap.ErrorLevel)
+			playLogged(t, 2, plenty, zap.New(core), func(w io.Writer, v visit) {
+				if v.number > 0 {
+					answered(w, v.id, "Panic: 1")
+					return
+				}
+				c := momentCase{begun: begun, first: wayWhole, at: time.Now().Add(silence)}
+				v.id = "first"
+				c.script(w, v)
+			}, func(w *world) {
+				a := w.request(context.Background(), path, "Id", "first")
+				if want := (&momentCase{}).body(); a.aborted || a.Code != http.StatusOK || a.Body.String() != want {
+					t.Errorf("%s, begun %t: aborted %t, status %d, %q", path, begun, a.aborted, a.Code, a.Body)
+				}
+				if n := logged.FilterMessage("handler-panicked").Len(); n == 0 {
+					t.Errorf("%s, begun %t: not logged", path, begun)
+				}
+				w.checkNothingLeft(t)
+			})
+		}
+	}
+}
