proxy: don't take the end of a connection beside a silent upstream for a response

A caller got a stream with one of three events and a proper end, or 502, although the silent upstream that had the request went on 0.7 s later.

Cause: the upstream that was asked beside it wrote a head without framing and crashed. The end of its connection counted as the end of a response, so that the silent upstream was given up for it. Result: without framing, such an attempt has responded only with an event that the client lacks. Otherwise it counts as lost. If the silent upstream is lost as well, the next attempt is judged as before.

--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -130,7 +130,12 @@
 	switch {
 	case isStream && s.reply.Success:
 		s.events = &eventSource{reader: events.NewReader(response.Body, l.handler.events)}
-		if err := s.events.readAhead(s.attempt.LastEventID); err != nil {
+		err := s.events.readAhead(s.attempt.LastEventID)
+		// Without framing, the end may be that of an upstream that crashed.
+		if err == nil && s.events.firstErr != nil && response.IsCloseDelimited() {
+			err = errNoEvent
+		}
+		if err != nil {
 			s.events.reader.Release()
 			return s.lost(err)
 		}
--- a/entry/internal/proxy/successor_test.go
+++ b/entry/internal/proxy/successor_test.go
@@ -38,3 +38,29 @@
 		}
 	}
 }
+
+// TestEndOfAConnectionBesideASilentUpstreamIsNoResponse has the upstream that is asked beside a silent one
+// crash before the first event that the client lacks, in a response that only the connection's end ends.
+func TestEndOfAConnectionBesideASilentUpstreamIsNoResponse(t *testing.T) {
+	for _, path := range []string{"/flow/x", "/many/x"} {
+		for _, c := range []struct {
+			begun    bool
+			repeated string
+		}{{false, ""}, {true, ""}, {true, numbered(1)}} {
+			play(t, 2, func(w io.Writer, v visit) {
+				if v.number > 0 {
+					framingClose.write(w, v.id, c.repeated)
+					v.crash()
+					return
+				}
+				m := momentCase{begun: c.begun, first: wayWhole, at: time.Now().Add(silence)}
+				m.script(w, v)
+			}, func(w *world) {
+				a := w.request(context.Background(), path, "Id", "first")
+				if want := (&momentCase{}).body(); a.aborted || a.Code != http.StatusOK || a.Body.String() != want {
+					t.Errorf("%s, begun %t, %q repeated: aborted %t, status %d, %q", path, c.begun, c.repeated, a.aborted, a.Code, a.Body)
+				}
+			})
+		}
+	}
+}
