proxy: cut no response that begins as the time for its begin ends

A caller got the head and the first event of a stream, and then the end of the connection, where the upstream's first event came just as the entry gave up to wait for one, or as its version ended. Another got 502 for a short response that an engine beside a silent one had begun before its version ended.

Cause: an attempt that had been canceled could still claim the response for its first part. The attempt beside a silent one was withdrawn at the end of its version until its body was whole. Result: an attempt that was given up claims nothing, and one that has claimed is bounded by the deadline only. The withdrawal ends with the head of a short response, as for the first attempt, and an event that comes after it is none.

--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -35,6 +35,7 @@
 var (
 	errMismatched = errors.New("the response belongs to another request")
 	errNoEvent    = errors.New("the connection was closed before the first event")
+	errWithdrawn  = errors.New("the request was withdrawn")
 	errPanicked   = errors.New("the handler failed")
 )
 
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -118,7 +118,6 @@
 		response.Close()
 		return result, outcome, err
 	}
-	f.RecordFirstEvent(clocks.Now())
 	s.response = response
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
@@ -135,6 +134,9 @@
 		if err == nil && s.events.firstErr != nil && response.IsCloseDelimited() {
 			err = errNoEvent
 		}
+		if err == nil {
+			err = s.recordBegun()
+		}
 		if err != nil {
 			s.events.reader.Release()
 			return s.lost(err)
@@ -143,6 +145,9 @@
 	case s.withinStream:
 		return failedWithinStream(response.Status)
 	}
+	if err := s.recordBegun(); err != nil {
+		return s.lost(err)
+	}
 	b, err := l.readUnary(response)
 	switch {
 	case err != nil:
@@ -159,6 +164,17 @@
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
+// recordBegun records that the upstream has begun the request, which isn't withdrawn from then on. It returns
+// an error if it was.
+func (s *successor) recordBegun() error {
+	s.inFlight.RecordFirstEvent(clocks.Now())
+	if !s.withdrawal.Stop() {
+		s.cancel()
+		return errWithdrawn
+	}
+	return nil
+}
+
 // lost returns the result of an attempt whose response was interrupted.
 func (s *successor) lost(err error) (tries.Result, target.Outcome, error) {
 	if s.request.Err() != nil {
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -63,15 +63,17 @@
 	w.arm(timeout)
 }
 
-// claim reports whether the watched attempt may write the first part of the response, which a successor
-// may have done before. From then on there is no other one until reset.
+// claim reports whether the watched attempt may write the first part of the response. It may not if it was
+// given up, since the rest would be missing. From then on there is no other one until reset, and only the
+// deadline bounds it.
 func (w *watchdog) claim() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.lifecycle.prepared.Load() != nil {
+	if w.expired {
 		return false
 	}
 	w.dropSuccessors()
+	w.limit = w.lifecycle.deadline
 	w.schedule(w.limit)
 	return true
 }
