proxy: give up a silent request in time although a version is released

A caller got its refusal after 6 s, when it had left long ago, instead of shortly before it leaves: two engines were silent and a version was released meanwhile.

Cause: the release set the time of the withdrawal beside the silent engine to the end of the version, although it was due earlier. Result: a release only shortens that time.

--- a/entry/internal/proxy/silent_limit_test.go
+++ b/entry/internal/proxy/silent_limit_test.go
@@ -154,3 +154,22 @@
 		}
 	})
 }
+
+// TestReleaseDoesNotExtendTheClientsPatience has a version released while two engines are silent. It guards
+// against a request that the end of the version bounds alone from then on.
+func TestReleaseDoesNotExtendTheClientsPatience(t *testing.T) {
+	for _, releasedAfter := range []time.Duration{100 * time.Millisecond, time.Second, 2 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			w, apply, stop := newEngineWorld(t, 3, func(_ io.Writer, v visit) { <-v.ended })
+			defer stop()
+			apply(engineRow(0), engineRow(1), engineRow(2))
+			time.AfterFunc(releasedAfter, func() { apply(encoded(state.EncodeRelease(state.Release{Model: "m", Version: 2}))) })
+			began := time.Now()
+			a := w.request(context.Background(), "/wait/x")
+			if took := time.Since(began); a.aborted || a.Code < http.StatusInternalServerError || took > stallTimeout {
+				t.Errorf("released after %v: aborted %t, status %d after %v", releasedAfter, a.aborted, a.Code, took)
+			}
+			w.checkNothingLeft(t)
+		})
+	}
+}
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -27,8 +27,10 @@
 	// withdrawal cancels the attempt if it hasn't begun by the end of its version, or before the client
 	// gives up waiting for the first event.
 	withdrawal *time.Timer
-	sentAt     time.Time
-	attempt    calls.Attempt
+	// limit is the time of the withdrawal.
+	limit   time.Time
+	sentAt  time.Time
+	attempt calls.Attempt
 	// withinStream is set if the client has received a part of the response.
 	withinStream bool
 	// response, reply and either events or unary are set by run if the attempt has succeeded.
@@ -54,11 +56,11 @@
 	l := w.lifecycle
 	s := &successor{watchdog: w, inFlight: f, sentAt: clocks.Now(), withinStream: w.started, done: make(chan struct{})}
 	s.request, s.cancel = context.WithCancel(w.request)
-	limit := l.startLimit(f)
+	s.limit = l.startLimit(f)
 	if !w.started {
-		limit = earliest(limit, l.firstEventLimit())
+		s.limit = earliest(s.limit, l.firstEventLimit())
 	}
-	s.withdrawal = time.AfterFunc(time.Until(limit), s.cancel)
+	s.withdrawal = time.AfterFunc(time.Until(s.limit), s.cancel)
 	s.attempt = l.buildAttempt(f, w.lastEventID, reqs.Level, reqs.Levels)
 	return s
 }
@@ -80,7 +82,12 @@
 }
 
 // shorten moves the time of the withdrawal to an earlier one.
-func (s *successor) shorten(limit time.Time) { s.withdrawal.Reset(time.Until(limit)) }
+func (s *successor) shorten(limit time.Time) {
+	if limit.Before(s.limit) {
+		s.limit = limit
+		s.withdrawal.Reset(time.Until(limit))
+	}
+}
 
 // beginContained takes a panic for the loss of the attempt: the silent upstream may still respond.
 func (s *successor) beginContained() (result tries.Result, outcome target.Outcome, err error) {
