proxy: ask another upstream in place of a silent one that declines

A caller got 504 at its deadline although a sound upstream was idle: the silent upstream that had the request declined it after a second, and the one asked beside it stayed silent.

Cause: the upstream that had declined still counted as one that may run the request, so that a route with two attempts had none left until the other one ended. Evidence: proxy.TestRequestThatASilentUpstreamDeclinesIsSentToAnother, red for both routes with two attempts, on as well; now green. Result: the end of the watched attempt is counted when it comes. If it proves that the request hasn't run, another upstream is asked at once, as without an attempt beside it.

--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -46,7 +46,7 @@
 	defer wd.stop()
 	result, outcome, err := l.exchange(s.request, s, wd)
 	if result != tries.ResultAnswered {
-		wd.awaitSuccessors()
+		wd.awaitSuccessors(result)
 	}
 	wd.stop()
 	for _, b := range wd.failures() {
--- a/entry/internal/proxy/successor_test.go
+++ b/entry/internal/proxy/successor_test.go
@@ -64,3 +64,28 @@
 		}
 	}
 }
+
+// TestRequestThatASilentUpstreamDeclinesIsSentToAnother has the first upstream be silent and then decline,
+// while the one that is asked beside it stays silent.
+func TestRequestThatASilentUpstreamDeclinesIsSentToAnother(t *testing.T) {
+	for _, path := range repeatable {
+		play(t, 3, func(w io.Writer, v visit) {
+			switch v.number {
+			case 0:
+				time.Sleep(time.Second)
+				declined(w, v.id)
+			case 1:
+				<-v.ended
+			default:
+				framingLength.write(w, v.id, numbered(1))
+			}
+		}, func(w *world) {
+			began := time.Now()
+			a := w.request(context.Background(), path)
+			if took := time.Since(began); a.aborted || a.Code != http.StatusOK || a.Body.String() != numbered(1) || took > 1500*time.Millisecond {
+				t.Errorf("%s: aborted %t, status %d, %q after %v", path, a.aborted, a.Code, a.Body, took)
+			}
+			w.checkNothingLeft(t)
+		})
+	}
+}
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -143,13 +143,14 @@
 	now := time.Now()
 	w.mutex.Lock()
 	dueAt, isOver, attempts, reqs := w.dueAt, !now.Before(w.limit), w.attempts, w.reqs
-	for range w.successors {
-		attempts.RecordBeside(tries.ResultLost)
-	}
 	inProgress := len(w.successors)
 	if !w.over {
 		inProgress++
 	}
+	// MayRunBeside counts one of them.
+	for range inProgress - 1 {
+		attempts.RecordBeside(tries.ResultLost)
+	}
 	isDue := !w.stopped && !now.Before(dueAt)
 	w.mutex.Unlock()
 	if !isDue {
@@ -233,15 +234,25 @@
 
 // awaitSuccessors waits for the successors in progress after the watched attempt has failed, until one
 // has responded.
-func (w *watchdog) awaitSuccessors() {
-	w.mutex.Lock()
-	w.over = true
-	w.mutex.Unlock()
+func (w *watchdog) awaitSuccessors(result tries.Result) {
+	w.recordEnd(result)
 	for s := w.anySuccessor(); s != nil; s = w.anySuccessor() {
 		<-s.done
 	}
 }
 
+// recordEnd counts the watched attempt, which has failed. Another upstream may be asked at once in place of one
+// that hasn't run the request.
+func (w *watchdog) recordEnd(result tries.Result) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.over = true
+	w.attempts.RecordBeside(result)
+	if len(w.successors) > 0 && (result == tries.ResultDeclined || result == tries.ResultUnsent) {
+		w.arm(0)
+	}
+}
+
 func (w *watchdog) anySuccessor() *successor {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
