--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -54,7 +54,7 @@
 	f.Finish(clocks.Now(), outcome)
 	l.logAttempt(f, result, l.sentAt, err)
 	if result != tries.ResultAnswered {
-		wd.awaitSuccessors()
+		wd.awaitSuccessors(result)
 	}
 	wd.stop()
 	for _, b := range wd.failures() {
@@ -189,6 +189,7 @@
 	if f.Row.Draining || l.handler.options.Fleet.IsLeaving(f.Row.ID) {
 		return
 	}
+	l.suspected.Store(true)
 	l.handler.metrics.suspects.Inc(1)
 	l.handler.options.Crashes.RecordLoss(identity, f.Row.ID, sentAt)
 	p := &probe{handler: l.handler, row: f.Row}
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -34,6 +34,7 @@
 
 var (
 	errMismatched = errors.New("the response belongs to another request")
+	errWithdrawn  = errors.New("the request was withdrawn")
 	errPanicked   = errors.New("the handling of the response failed")
 	errNoEvent    = errors.New("the connection was closed before the first event")
 )
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -27,8 +27,10 @@
 	// withdrawal cancels the attempt if it hasn't begun by the end of its version, or before the client
 	// gives up waiting for the first event.
 	withdrawal *time.Timer
-	sentAt     time.Time
-	attempt    calls.Attempt
+	// limit is the time of the withdrawal.
+	limit   time.Time
+	sentAt  time.Time
+	attempt calls.Attempt
 	// withinStream is set if the client has received a part of the response.
 	withinStream bool
 	// response, reply and either events or unary are set by run if the attempt has succeeded.
@@ -54,11 +56,11 @@
 	l := w.lifecycle
 	s := &successor{watchdog: w, inFlight: f, sentAt: clocks.Now(), withinStream: w.started, done: make(chan struct{})}
 	s.request, s.cancel = context.WithCancel(w.request)
-	limit := l.startLimit(f)
+	s.limit = l.startLimit(f)
 	if !w.started {
-		limit = earliest(limit, l.firstEventLimit())
+		s.limit = earliest(s.limit, l.firstEventLimit())
 	}
-	s.withdrawal = time.AfterFunc(time.Until(limit), s.cancel)
+	s.withdrawal = time.AfterFunc(time.Until(s.limit), s.cancel)
 	s.attempt = l.buildAttempt(f, w.lastEventID, reqs.Level, reqs.Levels)
 	return s
 }
@@ -80,7 +82,12 @@
 }
 
 // shorten moves the time of the withdrawal to an earlier one.
-func (s *successor) shorten(limit time.Time) { s.withdrawal.Reset(time.Until(limit)) }
+func (s *successor) shorten(limit time.Time) {
+	if limit.Before(s.limit) {
+		s.limit = limit
+		s.withdrawal.Reset(time.Until(limit))
+	}
+}
 
 // begin calls send, and takes a panic for a lost attempt.
 func (s *successor) begin() (result tries.Result, outcome target.Outcome, err error) {
@@ -120,7 +127,6 @@
 	if result, outcome, err := s.read(response); err != nil {
 		return result, outcome, err
 	}
-	f.RecordFirstEvent(clocks.Now())
 	s.response = response
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
@@ -143,6 +149,9 @@
 		if err == nil && s.events.firstErr != nil && response.IsCloseDelimited() {
 			err = errNoEvent
 		}
+		if err == nil {
+			err = s.recordBegun()
+		}
 		if err != nil {
 			s.events.reader.Release()
 			return s.lost(err)
@@ -151,9 +160,9 @@
 	case s.withinStream:
 		return failedWithinStream(response.Status)
 	}
-	// The response has begun, so that only the deadline of the request bounds it.
-	s.inFlight.RecordFirstEvent(clocks.Now())
-	s.withdrawal.Stop()
+	if err := s.recordBegun(); err != nil {
+		return s.lost(err)
+	}
 	b, err := l.readUnary(response)
 	switch {
 	case err != nil:
@@ -170,6 +179,17 @@
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
+// recordBegun records that the upstream has begun the request, which isn't withdrawn from then on. It returns
+// an error if it was.
+func (s *successor) recordBegun() error {
+	s.inFlight.RecordFirstEvent(clocks.Now())
+	if !s.withdrawal.Stop() {
+		s.cancel()
+		return errWithdrawn
+	}
+	return nil
+}
+
 // lost returns the result of an attempt whose response was interrupted.
 func (s *successor) lost(err error) (tries.Result, target.Outcome, error) {
 	if s.request.Err() != nil {
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -36,6 +36,8 @@
 	reqs     target.Requirements
 	expired  bool
 	stopped  bool
+	// over is set once the watched attempt has ended while successors are in progress.
+	over bool
 	// isWriting is set while a part of the response is written to the client. A client that reads slowly
 	// isn't a silent upstream.
 	isWriting bool
@@ -67,16 +69,17 @@
 	w.arm(timeout)
 }
 
-// claim reports whether the watched attempt may write the next part of the response, unless a successor has
-// taken its place. No other one is started until reset.
+// claim reports whether the watched attempt may write the next part of the response. It may not if it was
+// given up, since the rest would be missing. No successor is started until reset, and only the deadline
+// bounds the attempt.
 func (w *watchdog) claim() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.lifecycle.prepared.Load() != nil {
+	if w.expired {
 		return false
 	}
 	w.dropSuccessors()
-	w.isWriting = true
+	w.isWriting, w.limit = true, w.lifecycle.deadline
 	return true
 }
 
@@ -144,7 +147,12 @@
 	now := time.Now()
 	w.mutex.Lock()
 	dueAt, isOver, attempts, reqs := w.dueAt, !now.Before(w.limit), w.attempts, w.reqs
-	for range w.successors {
+	inProgress := len(w.successors)
+	if !w.over {
+		inProgress++
+	}
+	// MayRunBeside counts one of them.
+	for range inProgress - 1 {
 		attempts.RecordBeside(tries.ResultLost)
 	}
 	isDue := !w.stopped && !now.Before(dueAt) && (isOver || !w.isWriting)
@@ -158,14 +166,14 @@
 	}
 	// The fleet must not be called with the mutex held, since it calls shorten.
 	reqs.Homes = w.lifecycle.homes()
-	w.succeed(dueAt, &attempts, reqs)
+	w.succeed(dueAt, &attempts, reqs, inProgress)
 }
 
 // succeed has another upstream take over the request if one can. The silent one is left only once the
 // other has responded: it may decline or be lost, and the silent one may go on.
-func (w *watchdog) succeed(dueAt time.Time, attempts *tries.Attempts, reqs target.Requirements) {
+func (w *watchdog) succeed(dueAt time.Time, attempts *tries.Attempts, reqs target.Requirements, inProgress int) {
 	var next *target.InFlight
-	if attempts.MayRunBeside(time.Now()) && !w.lifecycle.handler.options.Crashes.IsQuarantined(w.lifecycle.identity) {
+	if attempts.MayRunBeside(time.Now()) && w.lifecycle.mayRisk(inProgress) {
 		next = w.lifecycle.reserveRetry(reqs)
 	}
 	if next == nil {
@@ -177,6 +185,18 @@
 	}
 }
 
+// maxSuspectRuns bounds the upstreams that run a request at the same time once one of them was lost. It may
+// be the request that crashes them.
+const maxSuspectRuns = 2
+
+// mayRisk reports whether another upstream may run a request that a number of upstreams run already.
+func (l *lifecycle) mayRisk(inProgress int) bool {
+	if l.suspected.Load() && inProgress >= maxSuspectRuns {
+		return false
+	}
+	return !l.handler.options.Crashes.IsQuarantined(l.identity)
+}
+
 // startSuccessor returns false if the attempt has ended or made progress since the check began.
 func (w *watchdog) startSuccessor(dueAt time.Time, f *target.InFlight, reqs target.Requirements) bool {
 	w.mutex.Lock()
@@ -218,15 +238,25 @@
 
 // awaitSuccessors waits for the successors in progress after the watched attempt has failed, until one
 // has responded. Further ones may be started meanwhile.
-func (w *watchdog) awaitSuccessors() {
-	w.mutex.Lock()
-	w.limit = w.requestLimit()
-	w.mutex.Unlock()
+func (w *watchdog) awaitSuccessors(result tries.Result) {
+	w.recordEnd(result)
 	for s := w.anySuccessor(); s != nil; s = w.anySuccessor() {
 		<-s.done
 	}
 }
 
+// recordEnd counts the watched attempt, which has failed. Another upstream may be asked at once in place of one
+// that hasn't run the request.
+func (w *watchdog) recordEnd(result tries.Result) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.over, w.limit = true, w.requestLimit()
+	w.attempts.RecordBeside(result)
+	if len(w.successors) > 0 && (result == tries.ResultDeclined || result == tries.ResultUnsent) {
+		w.arm(0)
+	}
+}
+
 func (w *watchdog) anySuccessor() *successor {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
