proxy: name the timer or event that ended a response

For on-call engineers who have the log alone. A response that the entry cut at the deadline was logged with ending=broken, result=broken and "use of closed network connection", as one that its upstream broke off was. How long the upstream had been silent, the timeout and what was left of it when the attempt was sent were not logged.

Lines of attempts and requests that were not answered have "cause": deadline, client, upstream, connect, silence, version, successor, stop or panic. Lines of attempts have "remaining" and "quiet", those of requests "timeout". Answered requests have no further field. The counter causes{ending,cause} counts them.

TestLines... end requests in each of these ways but panic, in virtual time, and check the fields.

--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -87,9 +87,10 @@
 	// Body returns io.EOF only at the proper end of the response, never after Close.
 	Body io.Reader
 
-	conn     *Conn
-	raw      *http.Response
-	exchange *exchange
+	conn       *Conn
+	raw        *http.Response
+	exchange   *exchange
+	lastReadAt time.Time
 	// ended is true once the response was read to its end or closed, whole only in the
 	// first case.
 	ended      bool
@@ -160,7 +161,7 @@
 	c.answered.Store(true)
 	response := &Response{
 		Status: raw.StatusCode, Header: raw.Header, Length: raw.ContentLength,
-		conn: c, raw: raw, exchange: x, stopCancel: stop,
+		conn: c, raw: raw, exchange: x, stopCancel: stop, lastReadAt: time.Now(),
 	}
 	response.reusable = !raw.Close && raw.ProtoAtLeast(1, 1)
 	response.Body = &responseBody{response: response}
@@ -259,12 +260,18 @@
 		return 0, errClosed
 	}
 	n, err := r.raw.Body.Read(p)
+	if n > 0 {
+		r.lastReadAt = time.Now()
+	}
 	if err == io.EOF {
 		r.finish()
 	}
 	return n, err
 }
 
+// LastReadAt returns when the last bytes of the response were read.
+func (r *Response) LastReadAt() time.Time { return r.lastReadAt }
+
 // finish ends a response that was read completely.
 func (r *Response) finish() {
 	r.ended, r.whole = true, true
--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -36,7 +36,7 @@
 	outer := ctx
 	s := l.prepared.Swap(nil)
 	if s == nil {
-		s = &successor{inFlight: f}
+		s = &successor{inFlight: f, sentAt: l.sentAt}
 		s.request, s.cancel = context.WithCancel(ctx)
 	} else {
 		l.sentAt = s.sentAt
@@ -45,6 +45,7 @@
 	wd := newWatchdog(l, outer, s.cancel)
 	defer wd.stop()
 	result, outcome, err := l.exchange(s.request, s, wd)
+	e := l.endOf(s, result, l.causeOf(outer, s.request, wd, result))
 	if result != tries.ResultAnswered {
 		wd.awaitSuccessors()
 	}
@@ -57,11 +58,11 @@
 	switch {
 	case outcome == target.OutcomeFailed && errors.Is(outer.Err(), context.Canceled):
 		outcome = target.OutcomeNeutral
-	case outcome == target.OutcomeFailed && wd.hasFired():
+	case outcome == target.OutcomeFailed && wd.fired() != "":
 		outcome = target.OutcomeTimeout
 	}
 	f.Finish(clocks.Now(), outcome)
-	l.logAttempt(f, result, l.sentAt, err)
+	l.logAttempt(f, result, l.sentAt, e, err)
 	return result
 }
 
@@ -82,8 +83,9 @@
 	}
 	wd.reset(l.firstByteTimeout(f), earliest(l.startLimit(f), l.stallEnd()))
 	f.OnStartDeadline(wd.shorten)
-	a := l.buildAttempt(f, l.stream.lastEventID, l.level, l.levels)
-	response, err := conn.Do(ctx, l.handler.options.UpstreamCodec.BuildRequest(&l.call, a))
+	s.attempt = l.buildAttempt(f, l.stream.lastEventID, l.level, l.levels)
+	response, err := conn.Do(ctx, l.handler.options.UpstreamCodec.BuildRequest(&l.call, s.attempt))
+	s.response = response
 	if err != nil {
 		return l.responseLost(ctx, f, err)
 	}
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -77,7 +77,9 @@
 	counted bool
 	status  int
 	// ending is how the request ended, for the log.
-	ending    string
+	ending string
+	// cause is what ended the request or its last attempt.
+	cause     cause
 	refusal   *calls.Refusal
 	events    int
 	firstByte time.Duration
@@ -95,6 +97,8 @@
 	endingAnswered = "answered"
 	endingBroken   = "broken"
 	endingLeft     = "left"
+	// endingUnwritten means that the response couldn't be written to the client.
+	endingUnwritten = "unwritten"
 )
 
 // run serves an admitted request to its end.
@@ -162,11 +166,11 @@
 		return s.inFlight
 	}
 	if l.isStalled() {
-		l.finish(l.attempts.NextUnplaced(), nil)
+		l.finishUnplaced(nil)
 		return nil
 	}
 	if refusal := l.leavingRefusal(); refusal != nil {
-		l.finish(l.attempts.NextUnplaced(), refusal)
+		l.finishUnplaced(refusal)
 		return nil
 	}
 	f, refusal := l.acquireUpstream(ctx)
@@ -178,7 +182,7 @@
 		return nil
 	}
 	if f == nil {
-		l.finish(l.attempts.NextUnplaced(), refusal)
+		l.finishUnplaced(refusal)
 	}
 	return f
 }
@@ -335,6 +339,19 @@
 	return false
 }
 
+// finishUnplaced ends a request that finds no upstream any more.
+func (l *lifecycle) finishUnplaced(refusal *calls.Refusal) {
+	switch {
+	case l.ended.Load():
+		l.cause = causeStop
+	case !time.Now().Before(l.deadline):
+		l.cause = causeDeadline
+	case l.isStalled():
+		l.cause = causeSilence
+	}
+	l.finish(l.attempts.NextUnplaced(), refusal)
+}
+
 // finish ends the request after its last attempt.
 func (l *lifecycle) finish(step tries.Step, refusal *calls.Refusal) {
 	reason := l.attempts.Reason(time.Now())
@@ -360,7 +377,7 @@
 // direction would get an empty success if the handler returned.
 func (l *lifecycle) abandon() {
 	if l.ending == "" {
-		l.ending, l.silence = endingLeft, l.silentFor()
+		l.ending, l.cause, l.silence = endingLeft, causeClient, l.silentFor()
 		l.handler.metrics.leftSilence.RecordDuration(l.silence)
 	}
 	if l.ending != endingAnswered {
@@ -386,6 +403,7 @@
 		panic(cause)
 	}
 	l.handler.options.Log.Error("handler-panicked", zap.String("id", string(l.call.ID)), zap.Any("cause", cause), zap.Stack("stack"))
+	l.cause = causePanic
 	if l.status != 0 {
 		l.ending = endingBroken
 		panic(http.ErrAbortHandler)
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -62,6 +62,11 @@
 	}
 }
 
+// countCause counts a request without a whole response.
+func (m *metrics) countCause(ending string, c cause) {
+	m.scope.Tagged(map[string]string{"ending": ending, "cause": string(c)}).Counter("causes").Inc(1)
+}
+
 const (
 	// minDuration and durationBuckets give buckets from 4 ms to 8 s, which cover the hops
 	// between hosts and the longest timeouts.
@@ -76,7 +81,7 @@
 
 // logAttempt logs the result of an attempt. A successful one is covered by the log line of
 // the request.
-func (l *lifecycle) logAttempt(f *target.InFlight, result tries.Result, start time.Time, err error) {
+func (l *lifecycle) logAttempt(f *target.InFlight, result tries.Result, start time.Time, e attemptEnd, err error) {
 	fields := []zap.Field{
 		zap.String("upstream", f.Row.ID), zap.Int("version", f.Version), zap.Int("served", f.Served), zap.Int("running", f.Running),
 		zap.Duration("age", f.LoadAge), zap.Duration("predicted", f.Predicted),
@@ -99,6 +104,7 @@
 		zap.String("id", string(l.call.ID)), zap.Int("try", len(l.attempted)), zap.String("result", resultNames[result]),
 		zap.Duration("took", clocks.Since(start)), zap.Int("events", l.events), zap.Error(err),
 	}, fields...)
+	all = append(all, e.fields()...)
 	if len(l.call.PromptParts) > 0 {
 		all = append(all, zap.Strings("parts", l.call.PromptParts))
 	}
@@ -106,11 +112,13 @@
 }
 
 // logSuccessor logs a failed attempt to continue a stream beside the one in progress.
-func (l *lifecycle) logSuccessor(f *target.InFlight, result tries.Result, start time.Time, err error) {
+func (l *lifecycle) logSuccessor(s *successor, result tries.Result, err error) {
 	l.handler.metrics.retries.Inc(1)
 	l.handler.metrics.attempts[result].Inc(1)
-	l.handler.options.Log.Info("attempt", zap.String("id", string(l.call.ID)), zap.Bool("beside", true), zap.String("upstream", f.Row.ID),
-		zap.String("result", resultNames[result]), zap.Duration("took", clocks.Since(start)), zap.Error(err))
+	l.handler.options.Log.Info("attempt", append([]zap.Field{
+		zap.String("id", string(l.call.ID)), zap.Bool("beside", true), zap.String("upstream", s.inFlight.Row.ID),
+		zap.String("result", resultNames[result]), zap.Duration("took", clocks.Since(s.sentAt)), zap.Error(err),
+	}, l.endOf(s, result, l.causeOfSuccessor(s, result)).fields()...)...)
 }
 
 // report logs one line for each request and counts it. It also runs while the connection to
@@ -150,6 +158,7 @@
 		fields = append(fields, zap.Duration("silence", l.silence))
 	}
 	fields = append(fields, l.levelFields()...)
+	fields = append(fields, l.causeFields()...)
 	fields = append(fields, zap.Uint64("era", l.view.State.Revision.Era()), zap.Uint64("revision", l.view.State.Revision.Number()), zap.Duration("copyage", l.view.Staleness))
 	fields = append(fields, l.logFields...)
 	if l.status >= http.StatusInternalServerError || l.ending == endingBroken {
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -150,7 +150,7 @@
 	}
 	l.writer.WriteHeader(b.status)
 	if _, err := l.writer.Write(b.body); err != nil {
-		l.ending = "unwritten"
+		l.ending = endingUnwritten
 	}
 }
 
@@ -242,7 +242,7 @@
 		l.recordEvent(e)
 		wd.reset(l.gapTimeout(), l.deadline)
 		if err := l.stream.writeEvent(e, source.reader.HasBuffered()); err != nil {
-			l.ending = "unwritten"
+			l.ending = endingUnwritten
 			return tries.ResultAnswered, target.OutcomeNeutral, err
 		}
 	}
@@ -269,7 +269,7 @@
 	}
 	l.ending = endingAnswered
 	if _, err := l.writer.Write(rest.Data); err != nil {
-		l.ending = "unwritten"
+		l.ending = endingUnwritten
 		return tries.ResultAnswered, target.OutcomeNeutral, err
 	}
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -31,7 +31,8 @@
 	attempt    calls.Attempt
 	// withinStream is set if the client has received a part of the response.
 	withinStream bool
-	// response, reply and either events or unary are set by run if the attempt has succeeded.
+	// response is set once its head was read, reply and either events or unary by run if the attempt has
+	// succeeded.
 	response *conns.Response
 	reply    calls.Reply
 	events   *eventSource
@@ -73,7 +74,7 @@
 		return
 	}
 	if result != tries.ResultAnswered {
-		l.logSuccessor(s.inFlight, result, s.sentAt, err)
+		l.logSuccessor(s, result, err)
 		s.inFlight.Finish(clocks.Now(), outcome)
 		s.cancel()
 	}
@@ -91,6 +92,7 @@
 	}
 	f.OnStartDeadline(s.shorten)
 	response, err := conn.Do(s.request, l.handler.options.UpstreamCodec.BuildRequest(&l.call, s.attempt))
+	s.response = response
 	if err != nil {
 		var lost *conns.LostError
 		if errors.As(err, &lost) && lost.State == conns.SendStateUnsent {
@@ -108,7 +110,6 @@
 		return result, outcome, err
 	}
 	f.RecordFirstEvent(clocks.Now())
-	s.response = response
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -34,8 +34,9 @@
 	// copies, since the attempt may end while another upstream is looked for.
 	attempts tries.Attempts
 	reqs     target.Requirements
-	expired  bool
-	stopped  bool
+	// cause is why the attempt was canceled, or empty.
+	cause   cause
+	stopped bool
 	// started is set once the client has received a part of the stream, and lastEventID the id of the
 	// last event of it.
 	started     bool
@@ -199,7 +200,7 @@
 	w.successors = slices.Delete(w.successors, i, i+1)
 	if result == tries.ResultAnswered {
 		w.dropSuccessors()
-		w.expired = true
+		w.cause = causeSuccessor
 		w.lifecycle.prepared.Store(s)
 		w.cancel()
 		return true
@@ -237,7 +238,7 @@
 		return false
 	}
 	if mayCancel {
-		w.expired = true
+		w.cause = w.lifecycle.causeAt(w.limit)
 		w.cancel()
 		return true
 	}
@@ -245,10 +246,11 @@
 	return true
 }
 
-func (w *watchdog) hasFired() bool {
+// fired returns why the watchdog has canceled the attempt, or an empty cause.
+func (w *watchdog) fired() cause {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.expired
+	return w.cause
 }
 
 func (w *watchdog) stop() {
--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -192,6 +192,11 @@
 // newEngineWorld returns an entry before engines that follow a script, of which none is listed yet, a
 // function that applies rows, and one that stops all.
 func newEngineWorld(t *testing.T, engines int, script func(w io.Writer, v visit)) (*world, func(rows ...state.Row), func()) {
+	t.Helper()
+	return newLoggedEngineWorld(t, engines, zap.NewNop(), script)
+}
+
+func newLoggedEngineWorld(t *testing.T, engines int, log *zap.Logger, script func(w io.Writer, v visit)) (*world, func(rows ...state.Row), func()) {
 	t.Helper()
 	w := &world{t: t, mirror: feed.NewMirror(), scope: tally.NewTestScope("", nil), script: script}
 	n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
@@ -212,7 +217,7 @@
 	w.handler = proxy.New(proxy.Options{
 		Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: modelCodec{}, UpstreamCodec: codec{}, Crashes: crash.NewRegistry(zap.NewNop()),
 		Bounds: proxy.Bounds{MaxKeyStaleness: time.Minute, MaxMissStaleness: time.Minute}, RetryLimits: plenty, Entries: func() int { return 1 },
-		Random: func() float64 { return 0.5 }, Scope: w.scope, Log: zap.NewNop(),
+		Random: func() float64 { return 0.5 }, Scope: w.scope, Log: log,
 	})
 	apply := func(rows ...state.Row) {
 		t.Helper()
