proxy: log for how long the rows of a cut response had been active

For on-call engineers who check whether a response was cut beside a change of the configuration. The revision was logged, but not since when it was active, nor whether another one had replaced it by the end.

Lines of requests with a cause have "active", and "latest" and "changed" if the rows were replaced during the request. TestLinesTellSinceWhenTheRowsWereActive cuts a response with and without a change.

--- a/core/feed/feed_test.go
+++ b/core/feed/feed_test.go
@@ -12,6 +12,7 @@
 
 	"go.uber.org/goleak"
 
+	"currantport.example/core/clocks"
 	"currantport.example/core/feed"
 	"currantport.example/core/hosts"
 	"currantport.example/core/state"
@@ -57,6 +58,32 @@
 	}
 }
 
+func TestSnapshotIsActiveSinceTheLastChange(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		began := clocks.Now()
+		m := feed.NewMirror()
+		for _, c := range []struct {
+			head     state.Revision
+			rows     []state.Row
+			since    time.Duration
+			revision state.Revision
+		}{
+			{head: 3, rows: []state.Row{at(3, release(1))}, since: time.Second, revision: 3},
+			{head: 3, since: time.Second, revision: 3},
+			{head: 2, rows: []state.Row{at(2, release(2))}, since: time.Second, revision: 3},
+			{head: 4, rows: []state.Row{at(4, release(2))}, since: 4 * time.Second, revision: 4},
+		} {
+			time.Sleep(time.Second)
+			if _, err := m.Apply(feed.Update{Head: c.head, Rows: c.rows, ConfirmedAt: clocks.Now()}); err != nil {
+				t.Fatal(err)
+			}
+			if s, since := m.ActiveSnapshot(); s.Revision != c.revision || since.Sub(began) != c.since {
+				t.Errorf("revision %d is active since %v, want %d since %v", s.Revision, since.Sub(began), c.revision, c.since)
+			}
+		}
+	})
+}
+
 func TestConfirmedAtNeverDecreases(t *testing.T) {
 	m := feed.NewMirror()
 	if _, ok := m.Staleness(); ok {
--- a/core/feed/mirror.go
+++ b/core/feed/mirror.go
@@ -29,9 +29,15 @@
 	RowErrors []state.RowError
 }
 
+// activeSnapshot is the current state and when it became active.
+type activeSnapshot struct {
+	snapshot *state.Snapshot
+	since    time.Time
+}
+
 // Mirror is the replica of one process. It is safe for concurrent use.
 type Mirror struct {
-	snapshot atomic.Pointer[state.Snapshot]
+	active atomic.Pointer[activeSnapshot]
 	// confirmedAt is when the replica was last confirmed to be current. It never
 	// decreases.
 	confirmedAt atomic.Pointer[time.Time]
@@ -64,12 +70,18 @@
 // NewMirror returns an empty replica.
 func NewMirror() *Mirror {
 	m := &Mirror{rows: make(map[string]state.Row), retention: newRetention(), changed: make(chan struct{})}
-	m.snapshot.Store(&state.Snapshot{})
+	m.active.Store(&activeSnapshot{snapshot: &state.Snapshot{}, since: clocks.Now()})
 	return m
 }
 
 // Snapshot returns the current state.
-func (m *Mirror) Snapshot() *state.Snapshot { return m.snapshot.Load() }
+func (m *Mirror) Snapshot() *state.Snapshot { return m.active.Load().snapshot }
+
+// ActiveSnapshot returns the current state and when it became active in this process.
+func (m *Mirror) ActiveSnapshot() (*state.Snapshot, time.Time) {
+	a := m.active.Load()
+	return a.snapshot, a.since
+}
 
 // Staleness returns the time since the replica was last confirmed to be current. The
 // second result is false if it never was.
@@ -278,7 +290,7 @@
 		rows = append(rows, r)
 	}
 	snapshot, invalid := m.builder.Apply(m.head, rows)
-	m.snapshot.Store(snapshot)
+	m.active.Store(&activeSnapshot{snapshot: snapshot, since: clocks.Now()})
 	return invalid
 }
 
--- a/entry/internal/proxy/admit.go
+++ b/entry/internal/proxy/admit.go
@@ -21,6 +21,8 @@
 // View is what a process knows when a request arrives.
 type View struct {
 	State *state.Snapshot
+	// Since is when the state became active.
+	Since time.Time
 	// Staleness is the time since the state was last confirmed to be current, Confirmed
 	// whether it ever was.
 	Staleness time.Duration
--- a/entry/internal/proxy/cause.go
+++ b/entry/internal/proxy/cause.go
@@ -145,5 +145,15 @@
 	if !l.deadline.IsZero() {
 		fields = append(fields, zap.Duration("timeout", l.deadline.Sub(l.arrived)))
 	}
+	return append(fields, l.activeFields()...)
+}
+
+// activeFields tell for how long the rows of the request have been active, and the rows that have replaced
+// them since.
+func (l *lifecycle) activeFields() []zap.Field {
+	fields := []zap.Field{zap.Duration("active", clocks.Since(l.view.Since))}
+	if s, since := l.handler.options.Mirror.ActiveSnapshot(); s != l.view.State {
+		fields = append(fields, zap.Uint64("latest", s.Revision.Number()), zap.Duration("changed", clocks.Since(since)))
+	}
 	return fields
 }
--- a/entry/internal/proxy/cause_test.go
+++ b/entry/internal/proxy/cause_test.go
@@ -292,3 +292,21 @@
 		checkFields(t, beside, "attempt", map[string]string{"cause": c.cause})
 	}
 }
+
+// TestLinesTellSinceWhenTheRowsWereActive cuts a response with and without a change of the rows before it.
+func TestLinesTellSinceWhenTheRowsWereActive(t *testing.T) {
+	for _, changed := range []bool{false, true} {
+		want := map[string]string{"revision": "1", "active": "3s", "latest": "", "changed": ""}
+		lines := logged(t, func(log *zap.Logger) {
+			playLogged(t, 1, plenty, log, func(w io.Writer, v visit) { twoEvents(w, v.id); <-v.ended }, func(w *world) {
+				time.Sleep(time.Second)
+				if changed {
+					time.AfterFunc(1500*time.Millisecond, func() { w.apply(encoded(state.EncodeLimits(state.Limits{HeaderBytes: 8 << 10}))) })
+					want["latest"], want["changed"] = "2", "500ms"
+				}
+				w.request(context.Background(), "/live/x", "Timeout", "2000")
+			})
+		})
+		checkFields(t, lines, "request", want)
+	}
+}
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -171,7 +171,8 @@
 
 func (h *Handler) view() View {
 	staleness, confirmed := h.options.Mirror.Staleness()
-	return View{State: h.options.Mirror.Snapshot(), Staleness: staleness, Confirmed: confirmed}
+	snapshot, since := h.options.Mirror.ActiveSnapshot()
+	return View{State: snapshot, Since: since, Staleness: staleness, Confirmed: confirmed}
 }
 
 // timeoutOf returns how long a request may take.
