proxy: log the age and the requests of the connection of a cut response

For on-call engineers who check whether the connection of the client ended rather than its request. Whether it had been kept, its age and how many requests it had carried before were not logged.

watch.Conn keeps when it was accepted and counts its requests. Lines of requests with a cause have "connage" and "carried". TestLinesTellWhetherTheConnectionWasKept cuts the third response on a connection.

--- a/core/watch/conn.go
+++ b/core/watch/conn.go
@@ -3,12 +3,16 @@
 import (
 	"net"
 	"sync"
+	"time"
 )
 
 // Conn is the connection of a client.
 type Conn struct {
 	net.Conn
-	watcher *Watcher
+	watcher    *Watcher
+	acceptedAt time.Time
+	// requests is the number of requests that were handled or are. Only the server's goroutine uses it.
+	requests int
 	// reading holds a token while a goroutine reads from the connection, so that the bytes stay in
 	// order.
 	reading chan struct{}
@@ -21,6 +25,13 @@
 	err error
 }
 
+// AcceptedAt returns when the connection was accepted.
+func (c *Conn) AcceptedAt() time.Time { return c.acceptedAt }
+
+// Requests returns the number of requests on the connection, with the one in progress. Only the handler of
+// a request may call it.
+func (c *Conn) Requests() int { return c.requests }
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	c.reading <- struct{}{}
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -26,6 +26,8 @@
 	"sync/atomic"
 
 	"github.com/uber-go/tally/v4"
+
+	"currantport.example/core/clocks"
 )
 
 const (
@@ -58,7 +60,7 @@
 
 // Wrap returns a connection whose requests can be watched.
 func (w *Watcher) Wrap(c net.Conn) *Conn {
-	return &Conn{Conn: c, watcher: w, reading: make(chan struct{}, 1)}
+	return &Conn{Conn: c, watcher: w, acceptedAt: clocks.Now(), reading: make(chan struct{}, 1)}
 }
 
 // Listen returns a listener of connections whose requests can be watched.
@@ -113,6 +115,7 @@
 		c.watcher.dropped.Inc(1)
 		panic(http.ErrAbortHandler)
 	}
+	c.requests++
 	ctx, cancel := context.WithCancel(r.Context())
 	s := newSession(c, cancel)
 	defer s.close()
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -18,6 +18,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/goleak"
 
+	"currantport.example/core/clocks"
 	"currantport.example/core/memnet"
 	"currantport.example/core/watch"
 )
@@ -38,6 +39,12 @@
 	Canceled bool
 }
 
+// carried is the number of requests that a connection has carried, and its age.
+type carried struct {
+	Requests int
+	Age      time.Duration
+}
+
 // server responds to each request after a while with its path and body.
 type server struct {
 	http     *http.Server
@@ -49,6 +56,8 @@
 
 	mutex   sync.Mutex
 	endings []ending
+	// carried is the state of the connection at the end of each request.
+	carried []carried
 }
 
 func newServer(l net.Listener) (*server, func()) {
@@ -81,6 +90,9 @@
 	}
 	s.mutex.Lock()
 	s.endings = append(s.endings, e)
+	if c := watch.ConnOf(r); c != nil {
+		s.carried = append(s.carried, carried{Requests: c.Requests(), Age: clocks.Since(c.AcceptedAt()).Truncate(workTime)})
+	}
 	s.mutex.Unlock()
 	_, _ = fmt.Fprint(w, r.URL.Path, string(body))
 }
@@ -186,6 +198,23 @@
 	}
 }
 
+func TestConnectionCountsItsRequests(t *testing.T) {
+	play(t, 64<<10, func(s *server, c net.Conn) {
+		go (&writer{conn: c, texts: []string{request("/a", "") + request("/b", "body"), request("/c", "")}}).run()
+		r := bufio.NewReader(c)
+		for range 3 {
+			if _, err := readBody(r); err != nil {
+				t.Fatal(err)
+			}
+		}
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		if diff := cmp.Diff([]carried{{1, workTime}, {2, 2 * workTime}, {3, 3 * workTime}}, s.carried); diff != "" {
+			t.Error(diff)
+		}
+	})
+}
+
 // TestRequestsReceivedTogetherEndWithTheConnection has the server read the second request before it
 // handles the first.
 func TestRequestsReceivedTogetherEndWithTheConnection(t *testing.T) {
--- a/entry/internal/proxy/cause.go
+++ b/entry/internal/proxy/cause.go
@@ -145,6 +145,9 @@
 	if !l.deadline.IsZero() {
 		fields = append(fields, zap.Duration("timeout", l.deadline.Sub(l.arrived)))
 	}
+	if l.conn != nil {
+		fields = append(fields, zap.Duration("connage", clocks.Since(l.conn.AcceptedAt())), zap.Int("carried", l.conn.Requests()-1))
+	}
 	return append(fields, l.activeFields()...)
 }
 
--- a/entry/internal/proxy/cause_test.go
+++ b/entry/internal/proxy/cause_test.go
@@ -310,3 +310,35 @@
 		checkFields(t, lines, "request", want)
 	}
 }
+
+// TestLinesTellWhetherTheConnectionWasKept cuts the third response on a connection.
+func TestLinesTellWhetherTheConnectionWasKept(t *testing.T) {
+	lines := logged(t, func(log *zap.Logger) {
+		playLogged(t, 1, plenty, log, func(w io.Writer, v visit) {
+			if v.id != "cut" {
+				good(w, v.id, "x")
+				return
+			}
+			twoEvents(w, v.id)
+		}, func(w *world) {
+			front := w.serve()
+			defer front.stop()
+			conn := front.dial()
+			defer func() { _ = conn.Close() }()
+			r := bufio.NewReader(conn)
+			for _, q := range [][2]string{{"/any/x", "first"}, {"/any/x", "second"}, {"/live/x", "cut"}} {
+				time.Sleep(time.Second)
+				fmt.Fprint(conn, wholeRequest(q[0], q[1]))
+				response, err := http.ReadResponse(r, nil)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+		})
+	})
+	checkFields(t, lines, "request", map[string]string{"id": "cut", "ending": "broken", "connage": "3.31s", "carried": "2"})
+	checkFields(t, lines[:1], "request", map[string]string{"id": "first", "connage": "", "carried": ""})
+}
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -37,6 +37,7 @@
 	"currantport.example/core/events"
 	"currantport.example/core/feed"
 	"currantport.example/core/state"
+	"currantport.example/core/watch"
 	"currantport.example/entry/internal/target"
 )
 
@@ -101,7 +102,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	l := &lifecycle{handler: h, writer: w, arrived: time.Now(), view: h.view()}
+	l := &lifecycle{handler: h, writer: w, conn: watch.ConnOf(r), arrived: time.Now(), view: h.view()}
 	defer l.report()
 	defer l.contain()
 	var refusal *calls.Refusal
@@ -146,7 +147,7 @@
 
 // ServeHTTP implements http.Handler.
 func (f refuser) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	l := &lifecycle{handler: f.handler, writer: w, arrived: time.Now(), view: f.handler.view()}
+	l := &lifecycle{handler: f.handler, writer: w, conn: watch.ConnOf(r), arrived: time.Now(), view: f.handler.view()}
 	defer l.report()
 	defer l.contain()
 	var refusal *calls.Refusal
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -14,6 +14,7 @@
 	"currantport.example/core/crash"
 	"currantport.example/core/state"
 	"currantport.example/core/tries"
+	"currantport.example/core/watch"
 	"currantport.example/entry/internal/target"
 )
 
@@ -43,8 +44,10 @@
 
 // lifecycle is the state of one request.
 type lifecycle struct {
-	handler   *Handler
-	writer    http.ResponseWriter
+	handler *Handler
+	writer  http.ResponseWriter
+	// conn is the connection of the client, or nil if it isn't watched.
+	conn      *watch.Conn
 	arrived   time.Time
 	deadline  time.Time
 	view      View
