proxy: test the causes of long responses, closed clients and waits

With the check for the deadline in causeOfContext removed, no test of the causes failed. A long response that is cut at the deadline, a response that can't be written, and a wait that the deadline ends are now tested.

--- a/entry/internal/proxy/cause_test.go
+++ b/entry/internal/proxy/cause_test.go
@@ -6,8 +6,10 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -63,6 +65,11 @@
 	}
 }
 
+// closedWriter is the writer of a connection that is closed.
+type closedWriter struct{ http.ResponseWriter }
+
+func (closedWriter) Write([]byte) (int, error) { return 0, net.ErrClosed }
+
 // twoEvents writes two events of a stream, 300 ms apart.
 func twoEvents(w io.Writer, id string) {
 	begin(w, id)
@@ -77,6 +84,7 @@
 		path     string
 		timeout  string
 		leave    time.Duration
+		wrap     func(w http.ResponseWriter) http.ResponseWriter
 		script   func(w io.Writer, v visit)
 		attempt  map[string]string
 		request  map[string]string
@@ -117,6 +125,21 @@
 			attempt: map[string]string{"result": "broken", "cause": "upstream", "quiet": "190ms"},
 			request: map[string]string{"ending": "broken", "cause": "upstream", "timeout": "3s"},
 		},
+		"deadline within a long response": {
+			path: "/any/x", timeout: "1000",
+			script: func(w io.Writer, v visit) {
+				fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: s\r\nContent-Length: 1000000\r\n\r\n%s", v.id, make([]byte, 400000))
+				<-v.ended
+			},
+			attempt: map[string]string{"result": "broken", "cause": "deadline", "remaining": "1s"},
+			request: map[string]string{"ending": "broken", "cause": "deadline", "timeout": "1s"},
+		},
+		"unwritten": {
+			path: "/live/x", wrap: func(w http.ResponseWriter) http.ResponseWriter { return closedWriter{ResponseWriter: w} },
+			script:  func(w io.Writer, v visit) { twoEvents(w, v.id); end(w) },
+			attempt: map[string]string{"result": "answered", "cause": "client"},
+			request: map[string]string{"ending": "unwritten", "cause": "client", "timeout": "5s"},
+		},
 		"broken off before a response": {
 			path:    "/once/x",
 			script:  func(io.Writer, visit) { time.Sleep(100 * time.Millisecond) },
@@ -167,6 +190,7 @@
 					if c.leave > 0 {
 						time.AfterFunc(c.leave, leave)
 					}
+					w.wrap = c.wrap
 					w.request(ctx, c.path, "Timeout", c.timeout)
 					counted = w.counted("causes", map[string]string{"ending": c.request["ending"], "cause": c.request["cause"]})
 				})
@@ -222,6 +246,32 @@
 	}
 }
 
+// TestLinesNameTheDeadlineOfAWait sends a request to an engine without a free slot.
+func TestLinesNameTheDeadlineOfAWait(t *testing.T) {
+	lines := logged(t, func(log *zap.Logger) {
+		synctest.Test(t, func(t *testing.T) {
+			w, apply, stop := newLoggedEngineWorld(t, 1, log, func(_ io.Writer, v visit) { <-v.ended })
+			defer stop()
+			apply(engineRow(0))
+			var group sync.WaitGroup
+			for i := range 20 {
+				group.Go(func() { w.request(context.Background(), "/once/x", "Id", fmt.Sprint("long", i)) })
+			}
+			time.Sleep(100 * time.Millisecond)
+			w.request(context.Background(), "/once/x", "Id", "short", "Timeout", "8")
+			group.Wait()
+			synctest.Wait()
+		})
+	})
+	var short []string
+	for _, l := range lines {
+		if strings.Contains(l, "id=short") {
+			short = append(short, l)
+		}
+	}
+	checkFields(t, short, "request", map[string]string{"ending": "not-run", "tries": "0", "cause": "deadline", "timeout": "8ms"})
+}
+
 // TestLinesNameTheStop stops an entry during requests that take longer.
 func TestLinesNameTheStop(t *testing.T) {
 	for path, want := range map[string]map[string]string{
