--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -14,6 +14,7 @@
 	"currantport.example/core/crash"
 	"currantport.example/core/state"
 	"currantport.example/core/tries"
+	"currantport.example/core/watch"
 	"currantport.example/entry/internal/target"
 )
 
@@ -43,8 +44,10 @@
 
 // lifecycle is the state of one request.
 type lifecycle struct {
-	handler   *Handler
-	writer    http.ResponseWriter
+	handler *Handler
+	writer  http.ResponseWriter
+	// conn is the connection of the client, or nil if it isn't watched.
+	conn      *watch.Conn
 	arrived   time.Time
 	deadline  time.Time
 	view      View
@@ -79,7 +82,9 @@
 	counted bool
 	status  int
 	// ending is how the request ended, for the log.
-	ending    string
+	ending string
+	// cause is what ended the request or its last attempt.
+	cause     cause
 	refusal   *calls.Refusal
 	events    int
 	firstByte time.Duration
@@ -97,6 +102,8 @@
 	endingAnswered = "answered"
 	endingBroken   = "broken"
 	endingLeft     = "left"
+	// endingUnwritten means that the response couldn't be written to the client.
+	endingUnwritten = "unwritten"
 )
 
 // run serves an admitted request to its end.
@@ -164,11 +171,11 @@
 		return s.inFlight
 	}
 	if l.isStalled() {
-		l.finish(l.attempts.NextUnplaced(), nil)
+		l.finishUnplaced(nil)
 		return nil
 	}
 	if refusal := l.leavingRefusal(); refusal != nil {
-		l.finish(l.attempts.NextUnplaced(), refusal)
+		l.finishUnplaced(refusal)
 		return nil
 	}
 	f, refusal := l.acquireUpstream(ctx)
@@ -180,7 +187,7 @@
 		return nil
 	}
 	if f == nil {
-		l.finish(l.attempts.NextUnplaced(), refusal)
+		l.finishUnplaced(refusal)
 	}
 	return f
 }
@@ -337,6 +344,19 @@
 	return false
 }
 
+// finishUnplaced ends a request that finds no upstream any more.
+func (l *lifecycle) finishUnplaced(refusal *calls.Refusal) {
+	switch {
+	case l.ended.Load():
+		l.cause = causeStop
+	case !time.Now().Before(l.deadline):
+		l.cause = causeDeadline
+	case l.isStalled():
+		l.cause = causeSilence
+	}
+	l.finish(l.attempts.NextUnplaced(), refusal)
+}
+
 // finish ends the request after its last attempt.
 func (l *lifecycle) finish(step tries.Step, refusal *calls.Refusal) {
 	reason := l.attempts.Reason(time.Now())
@@ -362,7 +382,7 @@
 // direction would get an empty success if the handler returned.
 func (l *lifecycle) abandon() {
 	if l.ending == "" {
-		l.ending, l.silence = endingLeft, l.silentFor()
+		l.ending, l.cause, l.silence = endingLeft, causeClient, l.silentFor()
 		l.handler.metrics.leftSilence.RecordDuration(l.silence)
 	}
 	if l.ending != endingAnswered {
@@ -388,6 +408,7 @@
 		panic(cause)
 	}
 	l.logPanic(cause)
+	l.cause = causePanic
 	if l.status != 0 {
 		l.ending = endingBroken
 		panic(http.ErrAbortHandler)
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -152,7 +152,7 @@
 	}
 	l.writer.WriteHeader(b.status)
 	if _, err := l.writer.Write(b.body); err != nil {
-		l.ending = "unwritten"
+		l.ending = endingUnwritten
 	}
 }
 
@@ -231,7 +231,7 @@
 		}
 		l.recordEvent(e)
 		if err := l.stream.writeEvent(e, source.reader.HasBuffered()); err != nil {
-			l.ending = "unwritten"
+			l.ending = endingUnwritten
 			return tries.ResultAnswered, target.OutcomeNeutral, err
 		}
 		wd.reset(l.gapTimeout(), l.deadline)
@@ -275,7 +275,7 @@
 	}
 	l.ending = endingAnswered
 	if _, err := l.writer.Write(rest.Data); err != nil {
-		l.ending = "unwritten"
+		l.ending = endingUnwritten
 		return tries.ResultAnswered, target.OutcomeNeutral, err
 	}
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -33,7 +33,8 @@
 	attempt calls.Attempt
 	// withinStream is set if the client has received a part of the response.
 	withinStream bool
-	// response, reply and either events or unary are set by run if the attempt has succeeded.
+	// response is set once its head was read, reply and either events or unary by run if the attempt has
+	// succeeded.
 	response *conns.Response
 	reply    calls.Reply
 	events   *eventSource
@@ -75,7 +76,7 @@
 		return
 	}
 	if result != tries.ResultAnswered {
-		l.logSuccessor(s.inFlight, resultNames[result], s.sentAt, err)
+		l.logSuccessor(s, resultNames[result], l.endOf(s, result, l.causeOfSuccessor(s, result)), err)
 		s.inFlight.Finish(clocks.Now(), outcome)
 		s.cancel()
 	}
@@ -99,6 +100,9 @@
 func (s *successor) contain(result *tries.Result, outcome *target.Outcome, err *error) {
 	if cause := recover(); cause != nil {
 		s.watchdog.lifecycle.logPanic(cause)
+		if s.response != nil {
+			s.response.Close()
+		}
 		*result, *outcome, *err = tries.ResultLost, target.OutcomeNeutral, errPanicked
 	}
 }
@@ -112,6 +116,7 @@
 	}
 	f.OnStartDeadline(s.shorten)
 	response, err := conn.Do(s.request, l.handler.options.UpstreamCodec.BuildRequest(&l.call, s.attempt))
+	s.response = response
 	if err != nil {
 		var lost *conns.LostError
 		if errors.As(err, &lost) && lost.State == conns.SendStateUnsent {
@@ -119,51 +124,51 @@
 		}
 		return s.lost(err)
 	}
-	defer s.closeUnless(response)
-	s.reply = l.handler.options.UpstreamCodec.ClassifyResponse(&l.call, response.Status, response.Header)
-	if result, outcome, err := l.classify(f, response, s.reply); err != nil {
-		return result, outcome, err
-	}
-	if result, outcome, err := s.read(response); err != nil {
-		return result, outcome, err
-	}
-	s.response = response
-	return tries.ResultAnswered, target.OutcomeSuccess, nil
-}
-
-// closeUnless closes a response that isn't the successor's result.
-func (s *successor) closeUnless(response *conns.Response) {
-	if s.response != response {
+	result, outcome, err := s.receive(response)
+	if err != nil {
 		response.Close()
 	}
+	return result, outcome, err
 }
 
-// read reads what decides whether a response replaces that of the silent upstream.
-func (s *successor) read(response *conns.Response) (tries.Result, target.Outcome, error) {
+// receive reads what decides whether a response replaces that of the silent upstream.
+func (s *successor) receive(response *conns.Response) (tries.Result, target.Outcome, error) {
 	l := s.watchdog.lifecycle
-	isStream := l.admission.Route.Stream
+	s.reply = l.handler.options.UpstreamCodec.ClassifyResponse(&l.call, response.Status, response.Header)
+	if result, outcome, err := l.classify(s.inFlight, response, s.reply); err != nil {
+		return result, outcome, err
+	}
 	switch {
-	case isStream && s.reply.Success:
-		s.events = &eventSource{reader: events.NewReader(response.Body, l.handler.events)}
-		err := s.events.readAhead(s.attempt.LastEventID)
-		if err == nil && s.events.firstErr != nil && response.IsCloseDelimited() {
-			err = errNoEvent
-		}
-		if err == nil {
-			err = s.recordBegun()
-		}
-		if err != nil {
-			s.events.reader.Release()
-			return s.lost(err)
-		}
-		return tries.ResultAnswered, target.OutcomeSuccess, nil
+	case l.admission.Route.Stream && s.reply.Success:
+		return s.receiveStream(response)
 	case s.withinStream:
 		return failedWithinStream(response.Status)
 	}
+	return s.receiveUnary(response)
+}
+
+func (s *successor) receiveStream(response *conns.Response) (tries.Result, target.Outcome, error) {
+	s.events = &eventSource{reader: events.NewReader(response.Body, s.watchdog.lifecycle.handler.events)}
+	err := s.events.readAhead(s.attempt.LastEventID)
+	// Without framing, the end may be that of an upstream that crashed.
+	if err == nil && s.events.firstErr != nil && response.IsCloseDelimited() {
+		err = errNoEvent
+	}
+	if err == nil {
+		err = s.recordBegun()
+	}
+	if err != nil {
+		s.events.reader.Release()
+		return s.lost(err)
+	}
+	return tries.ResultAnswered, target.OutcomeSuccess, nil
+}
+
+func (s *successor) receiveUnary(response *conns.Response) (tries.Result, target.Outcome, error) {
 	if err := s.recordBegun(); err != nil {
 		return s.lost(err)
 	}
-	b, err := l.readUnary(response)
+	b, err := s.watchdog.lifecycle.readUnary(response)
 	switch {
 	case err != nil:
 		return s.lost(err)
@@ -213,7 +218,7 @@
 	if s.events != nil {
 		s.events.reader.Release()
 	}
-	s.watchdog.lifecycle.logSuccessor(s.inFlight, resultDropped, s.sentAt, nil)
+	s.watchdog.lifecycle.logSuccessor(s, resultDropped, attemptEnd{}, nil)
 	s.inFlight.Finish(clocks.Now(), target.OutcomeNeutral)
 }
 
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -34,8 +34,9 @@
 	// copies, since the attempt may end while another upstream is looked for.
 	attempts tries.Attempts
 	reqs     target.Requirements
-	expired  bool
-	stopped  bool
+	// cause is why the attempt was canceled, or empty.
+	cause   cause
+	stopped bool
 	// over is set once the watched attempt has ended while successors are in progress.
 	over bool
 	// isWriting is set while a part of the response is written to the client. A client that reads slowly
@@ -75,7 +76,7 @@
 func (w *watchdog) claim() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.expired {
+	if w.cause != "" {
 		return false
 	}
 	w.dropSuccessors()
@@ -224,7 +225,7 @@
 	w.successors = slices.Delete(w.successors, i, i+1)
 	if result == tries.ResultAnswered {
 		w.dropSuccessors()
-		w.expired, w.stopped = true, true
+		w.cause, w.stopped = causeSuccessor, true
 		w.lifecycle.prepared.Store(s)
 		w.cancel()
 		return true
@@ -274,7 +275,7 @@
 		return
 	}
 	if mayCancel {
-		w.expired = true
+		w.cause = w.lifecycle.causeAt(w.limit)
 		w.cancel()
 		w.limit = w.requestLimit()
 		if len(w.successors) == 0 || !time.Now().Before(w.limit) {
@@ -292,10 +293,11 @@
 	return w.lifecycle.firstEventLimit()
 }
 
-func (w *watchdog) hasFired() bool {
+// fired returns why the watchdog has canceled the attempt, or an empty cause.
+func (w *watchdog) fired() cause {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.expired
+	return w.cause
 }
 
 func (w *watchdog) stop() {
