proxy: spend no retry on a place that another request of a silent engine takes

Callers' streams were cut although retries were left to continue them: of 40 streams of an engine that stayed silent, 8 to 15 were continued with a budget of 20, where the other engines took few at a time.

Cause: all of them looked for a place at the same moment, found one, spent a retry each, and only some then got it. Result: they look one after the other.

--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -84,6 +84,9 @@
 	timeouts Timeouts
 	queues   queues
 
+	// reserving is held by the request that looks for an upstream beside a silent one.
+	reserving sync.Mutex
+
 	mutex   sync.Mutex
 	budgets map[string]*budget.Budget
 }
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -300,9 +300,11 @@
 }
 
 // reserveRetry reserves the place at another upstream that can take the request at once, and takes the
-// retry from the budget. It returns nil without both. All streams of a silent upstream look for one at a
-// time.
+// retry from the budget. It returns nil without both. The requests of a silent upstream look for one at the
+// same moment, and a retry must not be spent on a place that another one takes.
 func (l *lifecycle) reserveRetry(reqs target.Requirements) *target.InFlight {
+	l.handler.reserving.Lock()
+	defer l.handler.reserving.Unlock()
 	var available bool
 	fleet := l.handler.options.Fleet
 	if reqs.Levels > 1 {
--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"currantport.example/core/budget"
 	"currantport.example/core/calls"
 	"currantport.example/core/clocks"
 	"currantport.example/core/conns"
@@ -192,6 +193,11 @@
 // newEngineWorld returns an entry before engines that follow a script, of which none is listed yet, a
 // function that applies rows, and one that stops all.
 func newEngineWorld(t *testing.T, engines int, script func(w io.Writer, v visit)) (*world, func(rows ...state.Row), func()) {
+	t.Helper()
+	return newEngineWorldWith(t, engines, plenty, script)
+}
+
+func newEngineWorldWith(t *testing.T, engines int, limits budget.Limits, script func(w io.Writer, v visit)) (*world, func(rows ...state.Row), func()) {
 	t.Helper()
 	w := &world{t: t, mirror: feed.NewMirror(), scope: tally.NewTestScope("", nil), script: script}
 	n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
@@ -213,7 +219,7 @@
 	w.fleet = fleet
 	w.handler = proxy.New(proxy.Options{
 		Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: modelCodec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
-		Bounds: proxy.Bounds{MaxKeyStaleness: time.Minute, MaxMissStaleness: time.Minute}, RetryLimits: plenty, Entries: func() int { return 1 },
+		Bounds: proxy.Bounds{MaxKeyStaleness: time.Minute, MaxMissStaleness: time.Minute}, RetryLimits: limits, Entries: func() int { return 1 },
 		Random: func() float64 { return 0.5 }, Scope: w.scope, Log: zap.NewNop(),
 	})
 	apply := func(rows ...state.Row) {
