--- a/entry/internal/proxy/cause_test.go
+++ b/entry/internal/proxy/cause_test.go
@@ -232,7 +232,7 @@
 	for _, path := range []string{"/once/x", "/rush/x"} {
 		lines := logged(t, func(log *zap.Logger) {
 			synctest.Test(t, func(t *testing.T) {
-				w, apply, stop := newLoggedEngineWorld(t, 1, log, func(_ io.Writer, v visit) { <-v.ended })
+				w, apply, stop := newEngineWorldWith(t, 1, plenty, log, func(_ io.Writer, v visit) { <-v.ended })
 				defer stop()
 				apply(engineRow(0))
 				apply(encoded(state.EncodeRelease(state.Release{Model: "m", Version: 2})))
@@ -250,7 +250,7 @@
 func TestLinesNameTheDeadlineOfAWait(t *testing.T) {
 	lines := logged(t, func(log *zap.Logger) {
 		synctest.Test(t, func(t *testing.T) {
-			w, apply, stop := newLoggedEngineWorld(t, 1, log, func(_ io.Writer, v visit) { <-v.ended })
+			w, apply, stop := newEngineWorldWith(t, 1, plenty, log, func(_ io.Writer, v visit) { <-v.ended })
 			defer stop()
 			apply(engineRow(0))
 			var group sync.WaitGroup
--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -16,6 +16,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"currantport.example/core/budget"
 	"currantport.example/core/calls"
 	"currantport.example/core/clocks"
 	"currantport.example/core/conns"
@@ -193,10 +194,10 @@
 // function that applies rows, and one that stops all.
 func newEngineWorld(t *testing.T, engines int, script func(w io.Writer, v visit)) (*world, func(rows ...state.Row), func()) {
 	t.Helper()
-	return newLoggedEngineWorld(t, engines, zap.NewNop(), script)
+	return newEngineWorldWith(t, engines, plenty, zap.NewNop(), script)
 }
 
-func newLoggedEngineWorld(t *testing.T, engines int, log *zap.Logger, script func(w io.Writer, v visit)) (*world, func(rows ...state.Row), func()) {
+func newEngineWorldWith(t *testing.T, engines int, limits budget.Limits, log *zap.Logger, script func(w io.Writer, v visit)) (*world, func(rows ...state.Row), func()) {
 	t.Helper()
 	w := &world{t: t, mirror: feed.NewMirror(), scope: tally.NewTestScope("", nil), script: script}
 	n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
@@ -218,7 +219,7 @@
 	w.fleet = fleet
 	w.handler = proxy.New(proxy.Options{
 		Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: modelCodec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
-		Bounds: proxy.Bounds{MaxKeyStaleness: time.Minute, MaxMissStaleness: time.Minute}, RetryLimits: plenty, Entries: func() int { return 1 },
+		Bounds: proxy.Bounds{MaxKeyStaleness: time.Minute, MaxMissStaleness: time.Minute}, RetryLimits: limits, Entries: func() int { return 1 },
 		Random: func() float64 { return 0.5 }, Scope: w.scope, Log: log,
 	})
 	apply := func(rows ...state.Row) {
