--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -35,7 +36,7 @@
 	outer := ctx
 	s := l.prepared.Swap(nil)
 	if s == nil {
-		s = &successor{inFlight: f}
+		s = &successor{inFlight: f, sentAt: l.sentAt}
 		s.request, s.cancel = context.WithCancel(ctx)
 	} else {
 		l.sentAt = s.sentAt
@@ -44,22 +45,24 @@
 	wd := newWatchdog(l, outer, s.cancel)
 	defer wd.stop()
 	result, outcome, err := l.exchange(s.request, s, wd)
-	if result == tries.ResultTruncated {
-		wd.awaitSuccessor()
-	}
-	wd.stop()
-	for _, b := range wd.failures() {
-		l.attempts.RecordBeside(b.result)
-		l.attempted = append(l.attempted, b.upstream)
-	}
+	e := l.endOf(s, result, l.causeOf(outer, s.request, wd, result))
 	switch {
 	case outcome == target.OutcomeFailed && errors.Is(outer.Err(), context.Canceled):
 		outcome = target.OutcomeNeutral
-	case outcome == target.OutcomeFailed && wd.hasFired():
+	case outcome == target.OutcomeFailed && wd.fired() != "":
 		outcome = target.OutcomeTimeout
 	}
 	f.Finish(clocks.Now(), outcome)
-	l.logAttempt(f, result, l.sentAt, err)
+	l.logAttempt(f, result, l.sentAt, e, err)
+	if result != tries.ResultAnswered {
+		wd.awaitSuccessors(result)
+	}
+	wd.stop()
+	for _, b := range wd.failures() {
+		l.attempts.RecordBeside(b.result)
+		l.attempted = append(l.attempted, b.upstream)
+		l.lastFailure = cmp.Or(l.lastFailure, b.failure)
+	}
 	return result
 }
 
@@ -69,6 +72,9 @@
 	if s.response != nil {
 		defer s.response.Close()
 		wd.reset(l.gapTimeout(), l.deadline)
+		if s.unary != nil {
+			return l.finishUnary(ctx, wd, s.response, s.reply, s.unary)
+		}
 		return l.forwardStream(ctx, f, wd, s.response, s.reply, s.events)
 	}
 	conn, err := l.connect(ctx, f)
@@ -77,8 +83,9 @@
 	}
 	wd.reset(l.firstByteTimeout(f), earliest(l.startLimit(f), l.stallEnd()))
 	f.OnStartDeadline(wd.shorten)
-	a := l.buildAttempt(f, l.stream.lastEventID, l.level, l.levels)
-	response, err := conn.Do(ctx, l.handler.options.UpstreamCodec.BuildRequest(&l.call, a))
+	s.attempt = l.buildAttempt(f, l.stream.lastEventID, l.level, l.levels)
+	response, err := conn.Do(ctx, l.handler.options.UpstreamCodec.BuildRequest(&l.call, s.attempt))
+	s.response = response
 	if err != nil {
 		return l.responseLost(ctx, f, err)
 	}
@@ -184,6 +191,7 @@
 	if f.Row.Draining || l.handler.options.Fleet.IsLeaving(f.Row.ID) {
 		return
 	}
+	l.suspected.Store(true)
 	l.handler.metrics.suspects.Inc(1)
 	l.handler.options.Crashes.RecordLoss(identity, f.Row.ID, sentAt)
 	p := &probe{handler: l.handler, row: f.Row}
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -37,6 +37,7 @@
 	"currantport.example/core/events"
 	"currantport.example/core/feed"
 	"currantport.example/core/state"
+	"currantport.example/core/watch"
 	"currantport.example/entry/internal/target"
 )
 
@@ -84,6 +85,9 @@
 	timeouts Timeouts
 	queues   queues
 
+	// reserving is held by the request that looks for an upstream beside a silent one.
+	reserving sync.Mutex
+
 	mutex   sync.Mutex
 	budgets map[string]*budget.Budget
 }
@@ -101,7 +105,7 @@
 
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	l := &lifecycle{handler: h, writer: w, arrived: time.Now(), view: h.view()}
+	l := &lifecycle{handler: h, writer: w, conn: watch.ConnOf(r), arrived: time.Now(), view: h.view()}
 	defer l.report()
 	defer l.contain()
 	var refusal *calls.Refusal
@@ -146,7 +150,7 @@
 
 // ServeHTTP implements http.Handler.
 func (f refuser) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	l := &lifecycle{handler: f.handler, writer: w, arrived: time.Now(), view: f.handler.view()}
+	l := &lifecycle{handler: f.handler, writer: w, conn: watch.ConnOf(r), arrived: time.Now(), view: f.handler.view()}
 	defer l.report()
 	defer l.contain()
 	var refusal *calls.Refusal
@@ -171,7 +175,8 @@
 
 func (h *Handler) view() View {
 	staleness, confirmed := h.options.Mirror.Staleness()
-	return View{State: h.options.Mirror.Snapshot(), Staleness: staleness, Confirmed: confirmed}
+	snapshot, since := h.options.Mirror.ActiveSnapshot()
+	return View{State: snapshot, Since: since, Staleness: staleness, Confirmed: confirmed}
 }
 
 // timeoutOf returns how long a request may take.
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -14,6 +14,7 @@
 	"currantport.example/core/crash"
 	"currantport.example/core/state"
 	"currantport.example/core/tries"
+	"currantport.example/core/watch"
 	"currantport.example/entry/internal/target"
 )
 
@@ -43,8 +44,10 @@
 
 // lifecycle is the state of one request.
 type lifecycle struct {
-	handler   *Handler
-	writer    http.ResponseWriter
+	handler *Handler
+	writer  http.ResponseWriter
+	// conn is the connection of the client, or nil if it isn't watched.
+	conn      *watch.Conn
 	arrived   time.Time
 	deadline  time.Time
 	view      View
@@ -63,10 +66,9 @@
 	// lastFailure is an upstream's failure response, which is forwarded if no other attempt
 	// succeeds.
 	lastFailure *bufferedResponse
-	// reserved is the next attempt if it was chosen, and its retry taken from the budget, before the
-	// last one was given up.
-	reserved atomic.Pointer[target.InFlight]
-	// prepared is the next attempt of a stream if it has begun before the last one was given up.
+	// suspected is set once an upstream was lost with the request.
+	suspected atomic.Bool
+	// prepared is the next attempt if it has begun to respond before the last one was given up.
 	prepared atomic.Pointer[successor]
 	// ended is set once the server is about to close the connection of the client.
 	ended atomic.Bool
@@ -80,7 +82,9 @@
 	counted bool
 	status  int
 	// ending is how the request ended, for the log.
-	ending    string
+	ending string
+	// cause is what ended the request or its last attempt.
+	cause     cause
 	refusal   *calls.Refusal
 	events    int
 	firstByte time.Duration
@@ -98,6 +102,8 @@
 	endingAnswered = "answered"
 	endingBroken   = "broken"
 	endingLeft     = "left"
+	// endingUnwritten means that the response couldn't be written to the client.
+	endingUnwritten = "unwritten"
 )
 
 // run serves an admitted request to its end.
@@ -106,7 +112,7 @@
 	l.stream = streamWriter{writer: l.writer, lastEventID: l.call.LastEventID}
 	l.identity = crash.NewRequest(l.call.Target, l.call.Credential, l.call.Body, l.call.PromptParts)
 	l.attempts = tries.New(route, l.deadline)
-	defer l.releaseReserved()
+	defer l.releasePrepared()
 	ctx, cancel := context.WithDeadline(ctx, l.deadline)
 	defer cancel()
 	stop := context.AfterFunc(l.handler.ending, func() {
@@ -134,7 +140,7 @@
 		if l.ending != "" {
 			return
 		}
-		step := l.attempts.Next(time.Now(), result, l.trySpend)
+		step := l.next(result)
 		if step != tries.StepRetry {
 			l.finish(step, nil)
 			return
@@ -143,21 +149,33 @@
 		if l.stream.started {
 			l.handler.metrics.resumed.Inc(1)
 		}
-		if l.handler.options.Crashes.IsQuarantined(l.identity) {
+		if l.prepared.Load() == nil && l.handler.options.Crashes.IsQuarantined(l.identity) {
 			l.finish(l.attempts.NextUnplaced(), calls.NotRun(calls.ReasonQuarantined, maxRetryAfter, "the request has crashed upstreams"))
 			return
 		}
 	}
 }
 
+// next returns the step after an attempt. One that has begun to respond beside it takes its place.
+func (l *lifecycle) next(result tries.Result) tries.Step {
+	if l.prepared.Load() != nil && !l.ended.Load() {
+		l.attempts.RecordBeside(result)
+		return tries.StepRetry
+	}
+	return l.attempts.Next(time.Now(), result, l.trySpend)
+}
+
 // place acquires the upstream of the next attempt. It returns nil if it has ended the request instead.
 func (l *lifecycle) place(ctx context.Context) *target.InFlight {
+	if s := l.prepared.Load(); s != nil {
+		return s.inFlight
+	}
 	if l.isStalled() {
-		l.finish(l.attempts.NextUnplaced(), nil)
+		l.finishUnplaced(nil)
 		return nil
 	}
 	if refusal := l.leavingRefusal(); refusal != nil {
-		l.finish(l.attempts.NextUnplaced(), refusal)
+		l.finishUnplaced(refusal)
 		return nil
 	}
 	f, refusal := l.acquireUpstream(ctx)
@@ -169,7 +187,7 @@
 		return nil
 	}
 	if f == nil {
-		l.finish(l.attempts.NextUnplaced(), refusal)
+		l.finishUnplaced(refusal)
 	}
 	return f
 }
@@ -180,18 +198,12 @@
 }
 
 func (l *lifecycle) trySpend() bool {
-	return !l.ended.Load() && !l.isStalled() && (l.prepared.Load() != nil || l.reserved.Load() != nil || l.handler.trySpend(l.pool.Name))
+	return !l.ended.Load() && !l.isStalled() && l.handler.trySpend(l.pool.Name)
 }
 
 // acquireUpstream chooses an upstream. If no engine has free capacity it waits for a short
 // while.
 func (l *lifecycle) acquireUpstream(ctx context.Context) (*target.InFlight, *calls.Refusal) {
-	if s := l.prepared.Load(); s != nil {
-		return s.inFlight, nil
-	}
-	if f := l.reserved.Swap(nil); f != nil {
-		return f, nil
-	}
 	if l.pool == nil && !l.choosePool() {
 		return nil, l.noPoolRefusal()
 	}
@@ -332,6 +344,19 @@
 	return false
 }
 
+// finishUnplaced ends a request that finds no upstream any more.
+func (l *lifecycle) finishUnplaced(refusal *calls.Refusal) {
+	switch {
+	case l.ended.Load():
+		l.cause = causeStop
+	case !time.Now().Before(l.deadline):
+		l.cause = causeDeadline
+	case l.isStalled():
+		l.cause = causeSilence
+	}
+	l.finish(l.attempts.NextUnplaced(), refusal)
+}
+
 // finish ends the request after its last attempt.
 func (l *lifecycle) finish(step tries.Step, refusal *calls.Refusal) {
 	reason := l.attempts.Reason(time.Now())
@@ -357,7 +382,7 @@
 // direction would get an empty success if the handler returned.
 func (l *lifecycle) abandon() {
 	if l.ending == "" {
-		l.ending, l.silence = endingLeft, l.silentFor()
+		l.ending, l.cause, l.silence = endingLeft, causeClient, l.silentFor()
 		l.handler.metrics.leftSilence.RecordDuration(l.silence)
 	}
 	if l.ending != endingAnswered {
@@ -382,7 +407,8 @@
 	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
 		panic(cause)
 	}
-	l.handler.options.Log.Error("handler-panicked", zap.String("id", string(l.call.ID)), zap.Any("cause", cause), zap.Stack("stack"))
+	l.logPanic(cause)
+	l.cause = causePanic
 	if l.status != 0 {
 		l.ending = endingBroken
 		panic(http.ErrAbortHandler)
@@ -390,6 +416,17 @@
 	l.refuse(calls.Unknown(calls.ReasonLost, 0, "the handler failed"))
 }
 
+// containBeside keeps a panic beside the handling of a request from ending the process. It is deferred.
+func (l *lifecycle) containBeside() {
+	if cause := recover(); cause != nil {
+		l.logPanic(cause)
+	}
+}
+
+func (l *lifecycle) logPanic(cause any) {
+	l.handler.options.Log.Error("handler-panicked", zap.String("id", string(l.call.ID)), zap.Any("cause", cause), zap.Stack("stack"))
+}
+
 func (l *lifecycle) refuse(r *calls.Refusal) {
 	l.ending, l.refusal = string(r.Outcome), r
 	l.status = calls.StatusOf(r)
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -20,7 +20,8 @@
 	resumed tally.Counter
 	// suspects counts lost upstreams that a request may have crashed.
 	suspects tally.Counter
-	attempts map[tries.Result]tally.Counter
+	// attempts count by the name of the result.
+	attempts map[string]tally.Counter
 	// seconds is the total time of a request, firstByte the time to the first byte of its
 	// response, waitTime the time before its first attempt.
 	seconds   tally.Histogram
@@ -38,13 +39,14 @@
 	buckets := tally.MustMakeExponentialDurationBuckets(minDuration, 2, durationBuckets)
 	m := &metrics{
 		scope: s, retries: s.Counter("repeats"), resumed: s.Counter("resumed"), suspects: s.Counter("suspects"),
-		attempts: make(map[tries.Result]tally.Counter), seconds: s.Histogram("seconds", buckets), firstByte: s.Histogram("first_seconds", buckets),
+		attempts: make(map[string]tally.Counter), seconds: s.Histogram("seconds", buckets), firstByte: s.Histogram("first_seconds", buckets),
 		waitTime: s.Histogram("held_seconds", buckets), staleness: s.Histogram("copyage_seconds", buckets), loadAge: s.Histogram("loadage_seconds", buckets),
 		leftSilence: s.Histogram("left_silence_seconds", buckets),
 	}
-	for r, name := range resultNames {
-		m.attempts[r] = s.Tagged(map[string]string{"result": name}).Counter("attempts")
+	for _, name := range resultNames {
+		m.attempts[name] = s.Tagged(map[string]string{"result": name}).Counter("attempts")
 	}
+	m.attempts[resultDropped] = s.Tagged(map[string]string{"result": resultDropped}).Counter("attempts")
 	return m
 }
 
@@ -62,6 +64,11 @@
 	}
 }
 
+// countCause counts a request without a whole response.
+func (m *metrics) countCause(ending string, c cause) {
+	m.scope.Tagged(map[string]string{"ending": ending, "cause": string(c)}).Counter("causes").Inc(1)
+}
+
 const (
 	// minDuration and durationBuckets give buckets from 4 ms to 8 s, which cover the hops
 	// between hosts and the longest timeouts.
@@ -74,9 +81,13 @@
 	tries.ResultDeclined: "declined", tries.ResultLost: "lost", tries.ResultTruncated: "broken",
 }
 
+// resultDropped is the result of an attempt at a further upstream that isn't needed, since another one has
+// responded or the request has ended.
+const resultDropped = "dropped"
+
 // logAttempt logs the result of an attempt. A successful one is covered by the log line of
 // the request.
-func (l *lifecycle) logAttempt(f *target.InFlight, result tries.Result, start time.Time, err error) {
+func (l *lifecycle) logAttempt(f *target.InFlight, result tries.Result, start time.Time, e attemptEnd, err error) {
 	fields := []zap.Field{
 		zap.String("upstream", f.Row.ID), zap.Int("version", f.Version), zap.Int("served", f.Served), zap.Int("running", f.Running),
 		zap.Duration("age", f.LoadAge), zap.Duration("predicted", f.Predicted),
@@ -87,7 +98,7 @@
 	}
 	l.logFields = fields
 	m := l.handler.metrics
-	m.attempts[result].Inc(1)
+	m.attempts[resultNames[result]].Inc(1)
 	if l.pool.Engine != nil {
 		m.loadAge.RecordDuration(f.LoadAge)
 		m.scope.Tagged(map[string]string{"usage": string(f.Usage)}).Counter("choices").Inc(1)
@@ -99,18 +110,21 @@
 		zap.String("id", string(l.call.ID)), zap.Int("try", len(l.attempted)), zap.String("result", resultNames[result]),
 		zap.Duration("took", clocks.Since(start)), zap.Int("events", l.events), zap.Error(err),
 	}, fields...)
+	all = append(all, e.fields()...)
 	if len(l.call.PromptParts) > 0 {
 		all = append(all, zap.Strings("parts", l.call.PromptParts))
 	}
 	l.handler.options.Log.Info("attempt", all...)
 }
 
-// logSuccessor logs a failed attempt to continue a stream beside the one in progress.
-func (l *lifecycle) logSuccessor(f *target.InFlight, result tries.Result, start time.Time, err error) {
+// logSuccessor logs an attempt beside the one in progress that has failed or was dropped.
+func (l *lifecycle) logSuccessor(s *successor, result string, e attemptEnd, err error) {
 	l.handler.metrics.retries.Inc(1)
 	l.handler.metrics.attempts[result].Inc(1)
-	l.handler.options.Log.Info("attempt", zap.String("id", string(l.call.ID)), zap.Bool("beside", true), zap.String("upstream", f.Row.ID),
-		zap.String("result", resultNames[result]), zap.Duration("took", clocks.Since(start)), zap.Error(err))
+	l.handler.options.Log.Info("attempt", append([]zap.Field{
+		zap.String("id", string(l.call.ID)), zap.Bool("beside", true), zap.String("upstream", s.inFlight.Row.ID),
+		zap.String("result", result), zap.Duration("took", clocks.Since(s.sentAt)), zap.Error(err),
+	}, e.fields()...)...)
 }
 
 // report logs one line for each request and counts it. It also runs while the connection to
@@ -150,6 +164,7 @@
 		fields = append(fields, zap.Duration("silence", l.silence))
 	}
 	fields = append(fields, l.levelFields()...)
+	fields = append(fields, l.causeFields()...)
 	fields = append(fields, zap.Uint64("era", l.view.State.Revision.Era()), zap.Uint64("revision", l.view.State.Revision.Number()), zap.Duration("copyage", l.view.Staleness))
 	fields = append(fields, l.logFields...)
 	if l.status >= http.StatusInternalServerError || l.ending == endingBroken {
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -34,6 +34,8 @@
 
 var (
 	errMismatched = errors.New("the response belongs to another request")
+	errWithdrawn  = errors.New("the request was withdrawn")
+	errPanicked   = errors.New("the handling of the response failed")
 	errNoEvent    = errors.New("the connection was closed before the first event")
 )
 
@@ -79,19 +81,33 @@
 	} else {
 		wd.extend(l.deadline)
 	}
-	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header)}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	b, err := l.readUnary(response)
 	if err != nil {
 		if ctx.Err() == nil {
 			l.recordSuspect(f)
 		}
 		return tries.ResultLost, target.OutcomeFailed, err
 	}
+	return l.finishUnary(ctx, wd, response, reply, b)
+}
+
+// readUnary reads a response, or the beginning of a long one.
+func (l *lifecycle) readUnary(response *conns.Response) (*bufferedResponse, error) {
+	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header)}
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	if err != nil {
+		return nil, err
+	}
 	b.body = body
 	if len(body) == maxBufferedBytes {
 		b.remainder = response.Body
 	}
 	b.length = l.lengthOf(response, b)
+	return b, nil
+}
+
+// finishUnary forwards a response that was read, unless it is a short failure.
+func (l *lifecycle) finishUnary(ctx context.Context, wd *watchdog, response *conns.Response, reply calls.Reply, b *bufferedResponse) (tries.Result, target.Outcome, error) {
 	if response.Status >= http.StatusInternalServerError && b.remainder == nil {
 		l.lastFailure = b
 		return tries.ResultFailed, target.OutcomeFailed, fmt.Errorf("status %d", response.Status)
@@ -103,6 +119,9 @@
 		l.recordSurvival()
 		l.recordAnswer(response, b.remainder == nil)
 	}
+	if !wd.claim() {
+		return tries.ResultLost, target.OutcomeFailed, ctx.Err()
+	}
 	l.writeResponse(b)
 	if b.remainder != nil && l.ending == endingAnswered {
 		// The request can't be retried any more, so that only its deadline bounds the response.
@@ -133,7 +152,7 @@
 	}
 	l.writer.WriteHeader(b.status)
 	if _, err := l.writer.Write(b.body); err != nil {
-		l.ending = "unwritten"
+		l.ending = endingUnwritten
 	}
 }
 
@@ -187,15 +206,7 @@
 	for {
 		e, err := source.Next()
 		if errors.Is(err, io.EOF) {
-			// Without framing, the end may be that of an upstream that crashed.
-			if response.IsCloseDelimited() && firstEventAt.IsZero() && l.stream.lastEventID == "" {
-				return l.streamLost(ctx, f, errNoEvent)
-			}
-			if !response.IsCloseDelimited() && !firstEventAt.IsZero() {
-				l.recordSurvival()
-			}
-			l.recordAnswer(response, true)
-			return l.finishStream(response, reply, e)
+			return l.endStream(ctx, f, wd, response, reply, e, !firstEventAt.IsZero())
 		}
 		if err != nil {
 			return l.streamLost(ctx, f, err)
@@ -210,19 +221,37 @@
 		if e.ID != "" && !l.stream.isNew(e.ID) {
 			continue
 		}
+		if !wd.claim() {
+			return l.streamLost(ctx, f, ctx.Err())
+		}
 		if !l.stream.started {
 			l.firstByte = time.Since(l.arrived)
 			l.status = response.Status
 			l.stream.writeHead(response.Status, l.handler.options.UpstreamCodec.ResponseHeader(response.Header), cmp.Or(reply.Version, f.Version))
 		}
-		// The watchdog needs the id of the event, after which another upstream would continue.
 		l.recordEvent(e)
-		wd.reset(l.gapTimeout(), l.deadline)
 		if err := l.stream.writeEvent(e, source.reader.HasBuffered()); err != nil {
-			l.ending = "unwritten"
+			l.ending = endingUnwritten
 			return tries.ResultAnswered, target.OutcomeNeutral, err
 		}
+		wd.reset(l.gapTimeout(), l.deadline)
+	}
+}
+
+// endStream ends a response whose events have all been forwarded. The rest is what follows the last one.
+func (l *lifecycle) endStream(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply, rest events.Event, hasEvents bool) (tries.Result, target.Outcome, error) {
+	// Without framing, the end may be that of an upstream that crashed.
+	if response.IsCloseDelimited() && !hasEvents {
+		return l.streamLost(ctx, f, errNoEvent)
+	}
+	if !response.IsCloseDelimited() && hasEvents {
+		l.recordSurvival()
+	}
+	l.recordAnswer(response, true)
+	if !l.stream.started && !wd.claim() {
+		return l.streamLost(ctx, f, ctx.Err())
 	}
+	return l.finishStream(response, reply, rest)
 }
 
 // recordEvent counts an event that is forwarded and measures the gap before it.
@@ -246,7 +275,7 @@
 	}
 	l.ending = endingAnswered
 	if _, err := l.writer.Write(rest.Data); err != nil {
-		l.ending = "unwritten"
+		l.ending = endingUnwritten
 		return tries.ResultAnswered, target.OutcomeNeutral, err
 	}
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
+	"net/http"
 	"time"
 
 	"currantport.example/core/calls"
@@ -14,22 +16,31 @@
 	"currantport.example/entry/internal/target"
 )
 
-// successor is an attempt to continue a stream at another upstream while the one that is silent may still
-// go on. It ends with its first new event, from where lifecycle.attempt takes over, or fails.
+// successor is an attempt at another upstream while the one that is silent may still go on. It ends with
+// its first new event, or with a whole response, from where lifecycle.attempt takes over, or fails.
 type successor struct {
 	watchdog *watchdog
 	inFlight *target.InFlight
 	// request is the context of the response, whoever reads it.
 	request context.Context //nolint:containedctx // the response outlives run
 	cancel  context.CancelFunc
-	// withdrawal cancels the attempt if it hasn't begun by the end of its version.
+	// withdrawal cancels the attempt if it hasn't begun by the end of its version, or before the client
+	// gives up waiting for the first event.
 	withdrawal *time.Timer
-	sentAt     time.Time
-	attempt    calls.Attempt
-	// response, reply and events are set by run if the attempt has succeeded.
+	// limit is the time of the withdrawal.
+	limit   time.Time
+	sentAt  time.Time
+	attempt calls.Attempt
+	// withinStream is set if the client has received a part of the response.
+	withinStream bool
+	// response is set once its head was read, reply and either events or unary by run if the attempt has
+	// succeeded.
 	response *conns.Response
 	reply    calls.Reply
 	events   *eventSource
+	unary    *bufferedResponse
+	// failure is the failure with which the upstream has responded, or nil.
+	failure *bufferedResponse
 	// done is closed when run has ended.
 	done chan struct{}
 }
@@ -38,14 +49,19 @@
 type failedSuccessor struct {
 	upstream string
 	result   tries.Result
+	failure  *bufferedResponse
 }
 
-// newSuccessor returns an attempt for the stream of the watchdog, whose mutex the caller holds.
+// newSuccessor returns an attempt for the request of the watchdog, whose mutex the caller holds.
 func newSuccessor(w *watchdog, f *target.InFlight, reqs target.Requirements) *successor {
 	l := w.lifecycle
-	s := &successor{watchdog: w, inFlight: f, sentAt: clocks.Now(), done: make(chan struct{})}
+	s := &successor{watchdog: w, inFlight: f, sentAt: clocks.Now(), withinStream: w.started, done: make(chan struct{})}
 	s.request, s.cancel = context.WithCancel(w.request)
-	s.withdrawal = time.AfterFunc(time.Until(l.startLimit(f)), s.cancel)
+	s.limit = l.startLimit(f)
+	if !w.started {
+		s.limit = earliest(s.limit, l.firstEventLimit())
+	}
+	s.withdrawal = time.AfterFunc(time.Until(s.limit), s.cancel)
 	s.attempt = l.buildAttempt(f, w.lastEventID, reqs.Level, reqs.Levels)
 	return s
 }
@@ -60,17 +76,39 @@
 		return
 	}
 	if result != tries.ResultAnswered {
-		l.logSuccessor(s.inFlight, result, s.sentAt, err)
+		l.logSuccessor(s, resultNames[result], l.endOf(s, result, l.causeOfSuccessor(s, result)), err)
 		s.inFlight.Finish(clocks.Now(), outcome)
 		s.cancel()
 	}
 }
 
 // shorten moves the time of the withdrawal to an earlier one.
-func (s *successor) shorten(limit time.Time) { s.withdrawal.Reset(time.Until(limit)) }
+func (s *successor) shorten(limit time.Time) {
+	if limit.Before(s.limit) {
+		s.limit = limit
+		s.withdrawal.Reset(time.Until(limit))
+	}
+}
+
+// begin calls send, and takes a panic for a lost attempt.
+func (s *successor) begin() (result tries.Result, outcome target.Outcome, err error) {
+	defer s.contain(&result, &outcome, &err)
+	return s.send()
+}
 
-// begin sends the request and reads the response up to the first event that the client lacks.
-func (s *successor) begin() (tries.Result, target.Outcome, error) {
+// contain is deferred by begin.
+func (s *successor) contain(result *tries.Result, outcome *target.Outcome, err *error) {
+	if cause := recover(); cause != nil {
+		s.watchdog.lifecycle.logPanic(cause)
+		if s.response != nil {
+			s.response.Close()
+		}
+		*result, *outcome, *err = tries.ResultLost, target.OutcomeNeutral, errPanicked
+	}
+}
+
+// send sends the request and reads the response: of a stream up to the first event that the client lacks.
+func (s *successor) send() (tries.Result, target.Outcome, error) {
 	l, f := s.watchdog.lifecycle, s.inFlight
 	conn, err := l.connect(s.request, f)
 	if err != nil {
@@ -78,6 +116,7 @@
 	}
 	f.OnStartDeadline(s.shorten)
 	response, err := conn.Do(s.request, l.handler.options.UpstreamCodec.BuildRequest(&l.call, s.attempt))
+	s.response = response
 	if err != nil {
 		var lost *conns.LostError
 		if errors.As(err, &lost) && lost.State == conns.SendStateUnsent {
@@ -85,30 +124,85 @@
 		}
 		return s.lost(err)
 	}
-	s.reply = l.handler.options.UpstreamCodec.ClassifyResponse(&l.call, response.Status, response.Header)
-	result, outcome, err := l.classify(f, response, s.reply)
-	if err == nil && !s.reply.Success {
-		result, outcome, err = failedWithinStream(response.Status)
-	}
+	result, outcome, err := s.receive(response)
 	if err != nil {
 		response.Close()
+	}
+	return result, outcome, err
+}
+
+// receive reads what decides whether a response replaces that of the silent upstream.
+func (s *successor) receive(response *conns.Response) (tries.Result, target.Outcome, error) {
+	l := s.watchdog.lifecycle
+	s.reply = l.handler.options.UpstreamCodec.ClassifyResponse(&l.call, response.Status, response.Header)
+	if result, outcome, err := l.classify(s.inFlight, response, s.reply); err != nil {
 		return result, outcome, err
 	}
-	s.events = &eventSource{reader: events.NewReader(response.Body, l.handler.events)}
-	if err := s.events.readAhead(s.attempt.LastEventID); err != nil {
+	switch {
+	case l.admission.Route.Stream && s.reply.Success:
+		return s.receiveStream(response)
+	case s.withinStream:
+		return failedWithinStream(response.Status)
+	}
+	return s.receiveUnary(response)
+}
+
+func (s *successor) receiveStream(response *conns.Response) (tries.Result, target.Outcome, error) {
+	s.events = &eventSource{reader: events.NewReader(response.Body, s.watchdog.lifecycle.handler.events)}
+	err := s.events.readAhead(s.attempt.LastEventID)
+	// Without framing, the end may be that of an upstream that crashed.
+	if err == nil && s.events.firstErr != nil && response.IsCloseDelimited() {
+		err = errNoEvent
+	}
+	if err == nil {
+		err = s.recordBegun()
+	}
+	if err != nil {
 		s.events.reader.Release()
-		response.Close()
 		return s.lost(err)
 	}
-	f.RecordFirstEvent(clocks.Now())
-	s.response = response
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
+func (s *successor) receiveUnary(response *conns.Response) (tries.Result, target.Outcome, error) {
+	if err := s.recordBegun(); err != nil {
+		return s.lost(err)
+	}
+	b, err := s.watchdog.lifecycle.readUnary(response)
+	switch {
+	case err != nil:
+		return s.lost(err)
+	case response.Status >= http.StatusInternalServerError:
+		if b.remainder == nil {
+			s.failure = b
+		}
+		return tries.ResultFailed, target.OutcomeFailed, fmt.Errorf("status %d", response.Status)
+	case !s.reply.Success && response.Status < http.StatusMultipleChoices:
+		return tries.ResultLost, target.OutcomeFailed, errMismatched
+	}
+	s.unary = b
+	return tries.ResultAnswered, target.OutcomeSuccess, nil
+}
+
+// recordBegun records that the upstream has begun the request, which isn't withdrawn from then on. It returns
+// an error if it was.
+func (s *successor) recordBegun() error {
+	s.inFlight.RecordFirstEvent(clocks.Now())
+	if !s.withdrawal.Stop() {
+		s.cancel()
+		return errWithdrawn
+	}
+	return nil
+}
+
 // lost returns the result of an attempt whose response was interrupted.
 func (s *successor) lost(err error) (tries.Result, target.Outcome, error) {
 	if s.request.Err() != nil {
-		return tries.ResultLost, target.OutcomeNeutral, err
+		outcome := target.OutcomeTimeout
+		if errors.Is(s.watchdog.request.Err(), context.Canceled) {
+			outcome = target.OutcomeNeutral
+		}
+		return tries.ResultLost, outcome, err
 	}
 	l := s.watchdog.lifecycle
 	l.suspect(s.inFlight, l.identity, s.sentAt)
@@ -120,8 +214,11 @@
 	s.cancel()
 	if s.response != nil {
 		s.response.Close()
+	}
+	if s.events != nil {
 		s.events.reader.Release()
 	}
+	s.watchdog.lifecycle.logSuccessor(s, resultDropped, attemptEnd{}, nil)
 	s.inFlight.Finish(clocks.Now(), target.OutcomeNeutral)
 }
 
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -34,16 +34,21 @@
 	// copies, since the attempt may end while another upstream is looked for.
 	attempts tries.Attempts
 	reqs     target.Requirements
-	expired  bool
-	stopped  bool
+	// cause is why the attempt was canceled, or empty.
+	cause   cause
+	stopped bool
+	// over is set once the watched attempt has ended while successors are in progress.
+	over bool
+	// isWriting is set while a part of the response is written to the client. A client that reads slowly
+	// isn't a silent upstream.
+	isWriting bool
 	// started is set once the client has received a part of the stream, and lastEventID the id of the
 	// last event of it.
 	started     bool
 	lastEventID string
-	// successor is the attempt to continue the stream elsewhere, or nil if there is none in progress.
-	// failed are the earlier ones.
-	successor *successor
-	failed    []failedSuccessor
+	// successors are the attempts in progress at other upstreams. failed are the earlier ones.
+	successors []*successor
+	failed     []failedSuccessor
 }
 
 func newWatchdog(l *lifecycle, request context.Context, cancel context.CancelFunc) *watchdog { //nolint:revive // the context is kept
@@ -60,20 +65,35 @@
 	for _, f := range w.failed {
 		w.exclude(f)
 	}
-	w.dropSuccessor()
+	w.dropSuccessors()
+	w.isWriting = false
 	w.arm(timeout)
 }
 
-// dropSuccessor ends an attempt to continue the stream elsewhere. The caller holds the mutex.
-func (w *watchdog) dropSuccessor() {
-	if s := w.successor; s != nil {
-		w.successor = nil
+// claim reports whether the watched attempt may write the next part of the response. It may not if it was
+// given up, since the rest would be missing. No successor is started until reset, and only the deadline
+// bounds the attempt.
+func (w *watchdog) claim() bool {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if w.cause != "" {
+		return false
+	}
+	w.dropSuccessors()
+	w.isWriting, w.limit = true, w.lifecycle.deadline
+	return true
+}
+
+// dropSuccessors ends the attempts at other upstreams. The caller holds the mutex.
+func (w *watchdog) dropSuccessors() {
+	for _, s := range w.successors {
 		s.cancel()
 		w.recordFailed(failedSuccessor{upstream: s.inFlight.Row.ID, result: tries.ResultLost})
 	}
+	w.successors = nil
 }
 
-// recordFailed counts an attempt to continue the stream elsewhere. The caller holds the mutex.
+// recordFailed counts a failed attempt at another upstream. The caller holds the mutex.
 func (w *watchdog) recordFailed(f failedSuccessor) {
 	w.failed = append(w.failed, f)
 	w.exclude(f)
@@ -124,10 +144,19 @@
 }
 
 func (w *watchdog) run() {
+	defer w.lifecycle.containBeside()
 	now := time.Now()
 	w.mutex.Lock()
 	dueAt, isOver, attempts, reqs := w.dueAt, !now.Before(w.limit), w.attempts, w.reqs
-	isDue, started := !w.stopped && !now.Before(dueAt), w.started
+	inProgress := len(w.successors)
+	if !w.over {
+		inProgress++
+	}
+	// MayRunBeside counts one of them.
+	for range inProgress - 1 {
+		attempts.RecordBeside(tries.ResultLost)
+	}
+	isDue := !w.stopped && !now.Before(dueAt) && (isOver || !w.isWriting)
 	w.mutex.Unlock()
 	if !isDue {
 		return
@@ -138,25 +167,14 @@
 	}
 	// The fleet must not be called with the mutex held, since it calls shorten.
 	reqs.Homes = w.lifecycle.homes()
-	if started {
-		w.succeed(dueAt, &attempts, reqs)
-		return
-	}
-	var next *target.InFlight
-	if attempts.MayRetry(now) {
-		next = w.lifecycle.reserveRetry(reqs)
-		w.lifecycle.reserved.Store(next)
-	}
-	if !w.finishCheck(dueAt, next != nil) {
-		w.lifecycle.releaseReserved()
-	}
+	w.succeed(dueAt, &attempts, reqs, inProgress)
 }
 
-// succeed has another upstream continue the stream if one can. The silent one is left only once the
-// other has written an event: it may decline or be lost, and then the response would have to be cut.
-func (w *watchdog) succeed(dueAt time.Time, attempts *tries.Attempts, reqs target.Requirements) {
+// succeed has another upstream take over the request if one can. The silent one is left only once the
+// other has responded: it may decline or be lost, and the silent one may go on.
+func (w *watchdog) succeed(dueAt time.Time, attempts *tries.Attempts, reqs target.Requirements, inProgress int) {
 	var next *target.InFlight
-	if attempts.MayRunBeside(time.Now()) {
+	if attempts.MayRunBeside(time.Now()) && w.lifecycle.mayRisk(inProgress) {
 		next = w.lifecycle.reserveRetry(reqs)
 	}
 	if next == nil {
@@ -168,85 +186,131 @@
 	}
 }
 
+// maxSuspectRuns bounds the upstreams that run a request at the same time once one of them was lost. It may
+// be the request that crashes them.
+const maxSuspectRuns = 2
+
+// mayRisk reports whether another upstream may run a request that a number of upstreams run already.
+func (l *lifecycle) mayRisk(inProgress int) bool {
+	if l.suspected.Load() && inProgress >= maxSuspectRuns {
+		return false
+	}
+	return !l.handler.options.Crashes.IsQuarantined(l.identity)
+}
+
 // startSuccessor returns false if the attempt has ended or made progress since the check began.
 func (w *watchdog) startSuccessor(dueAt time.Time, f *target.InFlight, reqs target.Requirements) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.stopped || !w.dueAt.Equal(dueAt) {
+	if w.stopped || w.isWriting || !w.dueAt.Equal(dueAt) {
 		return false
 	}
-	w.successor = newSuccessor(w, f, reqs)
-	go w.successor.run()
-	w.schedule(w.limit)
+	s := newSuccessor(w, f, reqs)
+	w.successors = append(w.successors, s)
+	w.reqs.Exclude = append(slices.Clip(w.reqs.Exclude), f.Row.ID)
+	go s.run()
+	w.arm(w.timeout)
 	return true
 }
 
-// finishSuccessor gives the watched attempt up for a successor that has written an event, or waits on
-// for the watched one. It returns false if the successor was dropped.
+// finishSuccessor gives the watched attempt up for a successor that has responded, or waits on for the
+// watched one. It returns false if the successor was dropped.
 func (w *watchdog) finishSuccessor(s *successor, result tries.Result) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.successor != s {
+	i := slices.Index(w.successors, s)
+	if i < 0 {
 		return false
 	}
-	w.successor = nil
+	w.successors = slices.Delete(w.successors, i, i+1)
 	if result == tries.ResultAnswered {
-		w.expired = true
+		w.dropSuccessors()
+		w.cause, w.stopped = causeSuccessor, true
 		w.lifecycle.prepared.Store(s)
 		w.cancel()
 		return true
 	}
-	w.recordFailed(failedSuccessor{upstream: s.inFlight.Row.ID, result: result})
+	w.recordFailed(failedSuccessor{upstream: s.inFlight.Row.ID, result: result, failure: s.failure})
 	if !w.stopped {
 		w.arm(min(w.timeout, recheckInterval))
 	}
 	return true
 }
 
-// awaitSuccessor waits for the successor in progress, if any, after the watched attempt has failed.
-func (w *watchdog) awaitSuccessor() {
-	w.mutex.Lock()
-	s := w.successor
-	w.mutex.Unlock()
-	if s != nil {
+// awaitSuccessors waits for the successors in progress after the watched attempt has failed, until one
+// has responded. Further ones may be started meanwhile.
+func (w *watchdog) awaitSuccessors(result tries.Result) {
+	w.recordEnd(result)
+	for s := w.anySuccessor(); s != nil; s = w.anySuccessor() {
 		<-s.done
 	}
 }
 
-// finishCheck cancels the attempt or waits on. It returns false if the attempt has ended or made
-// progress since the check began.
-func (w *watchdog) finishCheck(dueAt time.Time, mayCancel bool) bool {
+// recordEnd counts the watched attempt, which has failed. Another upstream may be asked at once in place of one
+// that hasn't run the request.
+func (w *watchdog) recordEnd(result tries.Result) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.over, w.limit = true, w.requestLimit()
+	w.attempts.RecordBeside(result)
+	if len(w.successors) > 0 && (result == tries.ResultDeclined || result == tries.ResultUnsent) {
+		w.arm(0)
+	}
+}
+
+func (w *watchdog) anySuccessor() *successor {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if len(w.successors) == 0 {
+		return nil
+	}
+	return w.successors[0]
+}
+
+// finishCheck cancels the attempt or waits on, unless it has ended or made progress since the check began.
+func (w *watchdog) finishCheck(dueAt time.Time, mayCancel bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.stopped || !w.dueAt.Equal(dueAt) {
-		return false
+		return
 	}
 	if mayCancel {
-		w.expired = true
+		w.cause = w.lifecycle.causeAt(w.limit)
 		w.cancel()
-		return true
+		w.limit = w.requestLimit()
+		if len(w.successors) == 0 || !time.Now().Before(w.limit) {
+			return
+		}
 	}
 	w.arm(min(w.timeout, recheckInterval))
-	return true
 }
 
-func (w *watchdog) hasFired() bool {
+// requestLimit returns the time at which attempts at all upstreams end. The caller holds the mutex.
+func (w *watchdog) requestLimit() time.Time {
+	if w.started {
+		return w.lifecycle.deadline
+	}
+	return w.lifecycle.firstEventLimit()
+}
+
+// fired returns why the watchdog has canceled the attempt, or an empty cause.
+func (w *watchdog) fired() cause {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.expired
+	return w.cause
 }
 
 func (w *watchdog) stop() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.stopped = true
-	w.dropSuccessor()
+	w.dropSuccessors()
 	if w.timer != nil {
 		w.timer.Stop()
 	}
 }
 
-// failures returns the attempts to continue the stream elsewhere that have failed.
+// failures returns the attempts at other upstreams that have failed.
 func (w *watchdog) failures() []failedSuccessor {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -254,9 +318,11 @@
 }
 
 // reserveRetry reserves the place at another upstream that can take the request at once, and takes the
-// retry from the budget. It returns nil without both. All streams of a silent upstream look for one at a
-// time.
+// retry from the budget. It returns nil without both. The requests of a silent upstream look for one at the
+// same moment, and a retry must not be spent on a place that another one takes.
 func (l *lifecycle) reserveRetry(reqs target.Requirements) *target.InFlight {
+	l.handler.reserving.Lock()
+	defer l.handler.reserving.Unlock()
 	var available bool
 	fleet := l.handler.options.Fleet
 	if reqs.Levels > 1 {
@@ -274,11 +340,8 @@
 	return f
 }
 
-// releaseReserved ends a reserved attempt that isn't needed.
-func (l *lifecycle) releaseReserved() {
-	if f := l.reserved.Swap(nil); f != nil {
-		f.Finish(clocks.Now(), target.OutcomeNeutral)
-	}
+// releasePrepared ends a prepared attempt that isn't needed.
+func (l *lifecycle) releasePrepared() {
 	if s := l.prepared.Swap(nil); s != nil {
 		s.discard()
 	}
