proxy: continue a broken stream at an upstream that was left for another one

A caller's stream was cut although a sound upstream of two could have continued it and the route allowed five attempts: its upstream fell silent, another one was asked beside it, and the one of them that was kept broke off later.

Cause: the upstream that the entry had left, since the other one went on or responded first, counted as one that had failed and wasn't asked again. Evidence: proxy.TestBrokenStreamIsContinuedAtAnUpstreamThatWasLeft, red in 12 of 24 cases, those with two upstreams; proxy.TestUpstreamsThatRespondAtOneMomentGiveOneResponse with one that breaks off, red in 14 cases of the route with five attempts. Result: such upstreams are asked again if no other one could serve the request. Each time counts as an attempt as before, so that a route with two attempts still has none left then.

--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"syscall"
 	"time"
 
@@ -45,6 +46,7 @@
 	wd := newWatchdog(l, outer, s.cancel)
 	defer wd.stop()
 	result, outcome, err := l.exchange(s.request, s, wd)
+	l.recordAsked(f.Row.ID, l.prepared.Load() != nil)
 	if result != tries.ResultAnswered {
 		wd.awaitSuccessors(result)
 	}
@@ -52,6 +54,7 @@
 	for _, b := range wd.failures() {
 		l.attempts.RecordBeside(b.result)
 		l.attempted = append(l.attempted, b.upstream)
+		l.recordAsked(b.upstream, b.isDropped)
 		l.lastFailure = cmp.Or(l.lastFailure, b.failure)
 	}
 	switch {
@@ -65,6 +68,15 @@
 	return result
 }
 
+// recordAsked records whether the entry has left an upstream for another one, which doesn't mean that it
+// failed.
+func (l *lifecycle) recordAsked(id string, isLeft bool) {
+	l.left = slices.DeleteFunc(l.left, func(i string) bool { return i == id })
+	if isLeft {
+		l.left = append(l.left, id)
+	}
+}
+
 // exchange sends the request and returns the result of the attempt.
 func (l *lifecycle) exchange(ctx context.Context, s *successor, wd *watchdog) (tries.Result, target.Outcome, error) {
 	f := s.inFlight
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,8 @@
 	pool      *state.Pool
 	attempts  *tries.Attempts
 	attempted []string
+	// left are those of them that may be asked again if no other one could serve the request.
+	left []string
 	// identity identifies the request and the parts of its prompt in the crash marks.
 	identity crash.Request
 	// sentAt is when the attempt began.
@@ -202,6 +205,9 @@
 	}
 	l.isRetry = l.handler.timeouts.IsRetry(l.admission.Route.Name, &l.call)
 	reqs := l.requirements()
+	if len(l.left) > 0 && !l.handler.options.Fleet.CouldServe(clocks.Now(), reqs) {
+		reqs.Exclude = slices.DeleteFunc(slices.Clone(reqs.Exclude), func(id string) bool { return slices.Contains(l.left, id) })
+	}
 	if reqs.Levels > 1 {
 		return l.acquireByLevel(ctx, reqs)
 	}
--- a/entry/internal/proxy/silent_moment_test.go
+++ b/entry/internal/proxy/silent_moment_test.go
@@ -34,7 +34,7 @@
 	wayBreaks = "breaks off"
 )
 
-var ways = []string{wayWhole, wayFails, wayDeclines, wayCrashes}
+var ways = []string{wayWhole, wayFails, wayDeclines, wayCrashes, wayBreaks}
 
 // momentOffsets are the times around a moment at which something else happens.
 func momentOffsets() []time.Duration {
@@ -52,8 +52,9 @@
 		framingChunks.write(w, v.id, c.body())
 		return
 	}
+	// The first request is sent to the first upstream, which may be asked again.
 	way, at := c.first, c.at
-	if v.number > 0 {
+	if v.upstream > 0 {
 		way, at = c.other, c.at.Add(c.offset)
 	}
 	hasBegun := c.begun && v.number == 0
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -49,6 +49,8 @@
 	upstream string
 	result   tries.Result
 	failure  *bufferedResponse
+	// isDropped is set if it was canceled, since another upstream went on or responded first.
+	isDropped bool
 }
 
 // newSuccessor returns an attempt for the request of the watchdog, whose mutex the caller holds.
--- a/entry/internal/proxy/successor_test.go
+++ b/entry/internal/proxy/successor_test.go
@@ -89,3 +89,44 @@
 		})
 	}
 }
+
+// TestBrokenStreamIsContinuedAtAnUpstreamThatWasLeft has a silent upstream go on before the one that was asked
+// beside it, or after, and break off then. It guards against a stream that is cut for want of an upstream.
+func TestBrokenStreamIsContinuedAtAnUpstreamThatWasLeft(t *testing.T) {
+	for _, upstreams := range []int{2, 3} {
+		for _, other := range []time.Duration{200 * time.Millisecond, time.Minute} {
+			for _, after := range []time.Duration{0, 100 * time.Millisecond, 900 * time.Millisecond} {
+				for _, crashes := range []bool{false, true} {
+					play(t, upstreams, func(w io.Writer, v visit) {
+						switch v.number {
+						case 0:
+							begin(w, v.id)
+							event(w, numbered(1))
+							time.Sleep(silence)
+						case 1:
+							time.Sleep(other)
+							begin(w, v.id)
+						default:
+							begin(w, v.id)
+							event(w, numbered(2))
+							event(w, numbered(3))
+							end(w)
+							return
+						}
+						event(w, numbered(2))
+						time.Sleep(after)
+						if crashes {
+							v.crash()
+						}
+					}, func(w *world) {
+						a := w.request(context.Background(), "/many/x")
+						if want := numbered(1) + numbered(2) + numbered(3); a.aborted || a.Body.String() != want {
+							t.Errorf("%d upstreams, other after %v, broken after %v, crashes %t: aborted %t, %q", upstreams, other, after, crashes, a.aborted, a.Body)
+						}
+						w.checkNothingLeft(t)
+					})
+				}
+			}
+		}
+	}
+}
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -84,7 +84,7 @@
 func (w *watchdog) dropSuccessors() {
 	for _, s := range w.successors {
 		s.cancel()
-		w.recordFailed(failedSuccessor{upstream: s.inFlight.Row.ID, result: tries.ResultLost})
+		w.recordFailed(failedSuccessor{upstream: s.inFlight.Row.ID, result: tries.ResultLost, isDropped: true})
 	}
 	w.successors = nil
 }
