memnet: reset connections that a closed listener didn't accept

A client whose connection was in the backlog of a listener that was closed waited forever, where a kernel resets it. A test of the end of a shutdown deadlocked by that in its first run under the race detector; TestClosedListenerResetsConnectionsThatWereNotAccepted deadlocks without the change.

--- a/core/memnet/memnet.go
+++ b/core/memnet/memnet.go
@@ -166,6 +166,7 @@
 	n.mutex.Unlock()
 	select {
 	case l.backlog <- server:
+		l.resetIfClosed()
 		return client, nil
 	case <-l.closed:
 	case <-ctx.Done():
@@ -269,8 +270,26 @@
 		defer l.network.mutex.Unlock()
 		delete(l.network.listeners, l.address)
 	})
+	l.resetIfClosed()
 	return nil
 }
 
+// resetIfClosed closes the connections that a closed listener will not accept.
+func (l *listener) resetIfClosed() {
+	select {
+	case <-l.closed:
+	default:
+		return
+	}
+	for {
+		select {
+		case c := <-l.backlog:
+			_ = c.Close()
+		default:
+			return
+		}
+	}
+}
+
 // Addr implements net.Listener.
 func (l *listener) Addr() net.Addr { return net.TCPAddrFromAddrPort(l.address) }
--- a/core/memnet/memnet_test.go
+++ b/core/memnet/memnet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"net/netip"
@@ -87,3 +88,25 @@
 		}
 	})
 }
+
+// TestClosedListenerResetsConnectionsThatWereNotAccepted guards against clients that wait forever.
+func TestClosedListenerResetsConnectionsThatWereNotAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := memnet.New(nil)
+		l, err := n.Listen(serverAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c, err := n.Dialer(clientAddr)(context.Background(), "tcp", serverAddr.String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := l.Close(); err != nil {
+			t.Error(err)
+		}
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, io.EOF) {
+			t.Errorf("a read got %v", err)
+		}
+		_ = c.Close()
+	})
+}
