httpd: keep open connections for the limits in force, and for a request that began

Callers saw connections that were closed without a response to a request whose first bytes the entry had received, and connections that ended earlier than the published limit on idle ones allows:

- net/http waits for four bytes of the next request under the idle limit.
A head whose first one to three bytes came just before the limit, and the rest just after it, got no response.
- A connection kept the idle limit with which it was accepted after a longer one was in force.
- A read whose deadline has passed doesn't return what was received before, so that a busy entry closed connections with requests that had come in time.
- The time for a head was that of the accepting server as well.

The connection of a client looks at the limits in force when a read meets its deadline, and extends the wait. That happens within Read, by the goroutine of net/http itself, so that no other goroutine races with its deadlines. From the first byte on the time for the head counts. A limit that was lowered applies to connections that are accepted later, as before: closing later harms nobody.

--- a/core/watch/conn.go
+++ b/core/watch/conn.go
@@ -33,6 +33,19 @@
 	return n, err
 }
 
+// TryRead reads what has been received, without waiting for more. If that is nothing, the error is
+// os.ErrDeadlineExceeded.
+func (c *Conn) TryRead(p []byte) (int, error) {
+	c.reading <- struct{}{}
+	defer c.release()
+	if n, err := c.readAhead(p); n > 0 || err != nil {
+		return n, err
+	}
+	n, err := receive(c.Conn, p)
+	c.end(err)
+	return n, err
+}
+
 func (c *Conn) release() { <-c.reading }
 
 // readAhead reads buffered bytes. The error is the one that ended the connection.
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -3,7 +3,7 @@
 // # Limits
 //
 // The limits on request headers and idle connections are configured and may change.
-// Connections that were accepted before keep their limits.
+// Connections that were accepted before keep their limits, but longer times apply to them too.
 //
 // # Shutdown
 //
@@ -74,6 +74,8 @@
 	// draining and then refusing are set during a shutdown.
 	draining atomic.Bool
 	refusing atomic.Bool
+	// inForce holds the current limits.
+	inForce atomic.Pointer[limits]
 
 	mutex  sync.Mutex
 	limits state.Limits
@@ -98,7 +100,28 @@
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
-// SetLimits sets the limits of connections that are accepted from now on.
+// limits are the limits of connections, with defaults for those that aren't configured.
+type limits struct {
+	headerBytes                int
+	headerTimeout, idleTimeout time.Duration
+}
+
+func newLimits(l state.Limits) *limits {
+	r := &limits{headerBytes: defaultMaxHeaderBytes, headerTimeout: defaultHeaderTimeout, idleTimeout: defaultIdleTimeout}
+	if l.HeaderBytes > 0 {
+		r.headerBytes = l.HeaderBytes
+	}
+	if l.HeaderTimeout > 0 {
+		r.headerTimeout = l.HeaderTimeout
+	}
+	if l.IdleTimeout > 0 {
+		r.idleTimeout = l.IdleTimeout + idleSlack
+	}
+	return r
+}
+
+// SetLimits sets the limits of connections that are accepted from now on. Open ones follow the times that
+// are longer than their own.
 func (s *Server) SetLimits(l state.Limits) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -112,26 +135,18 @@
 // replaceServer starts a server with the current limits. The caller holds the mutex, except
 // in New.
 func (s *Server) replaceServer() {
-	l := s.limits
+	l := newLimits(s.limits)
+	s.inForce.Store(l)
 	h := &http.Server{
 		Handler: watch.Handler(s), ErrorLog: zap.NewStdLog(s.options.Log.Named("http")),
-		MaxHeaderBytes: defaultMaxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		ConnContext: watch.ConnContext,
-	}
-	if l.HeaderBytes > 0 {
-		h.MaxHeaderBytes = l.HeaderBytes
-	}
-	if l.HeaderTimeout > 0 {
-		h.ReadHeaderTimeout = l.HeaderTimeout
-	}
-	if l.IdleTimeout > 0 {
-		h.IdleTimeout = l.IdleTimeout + idleSlack
+		MaxHeaderBytes: l.headerBytes, ReadHeaderTimeout: l.headerTimeout, IdleTimeout: l.idleTimeout,
+		ConnContext: connContext,
 	}
 	if s.current != nil {
 		s.current.listener.stop()
 	}
 	c := &connServer{owner: s, http: h, listener: newConnListener(s.options.Listener.Addr()), isServing: true}
-	h.ConnState = c.countConns
+	h.ConnState = c.observe
 	s.current = c
 	s.servers[c] = struct{}{}
 	s.group.Go(c.run)
@@ -149,7 +164,7 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		if !s.dispatch(ctx, s.watcher.Wrap(c)) {
+		if !s.dispatch(ctx, newClientConn(s, c)) {
 			_ = c.Close()
 		}
 	}
@@ -303,8 +318,11 @@
 	c.forgetUnused()
 }
 
-// countConns is called when the state of a connection changes.
-func (c *connServer) countConns(_ net.Conn, state http.ConnState) {
+// observe is called when the state of a connection changes.
+func (c *connServer) observe(conn net.Conn, state http.ConnState) {
+	if k, ok := conn.(*clientConn); ok {
+		k.observe(state)
+	}
 	if state != http.StateNew && state != http.StateClosed && state != http.StateHijacked {
 		return
 	}
--- a/entry/internal/httpd/httpd_test.go
+++ b/entry/internal/httpd/httpd_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"runtime"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -52,6 +53,16 @@
 
 // play runs a test against a server in virtual time.
 func play(t *testing.T, test func(s *httpd.Server, connect func() *client)) {
+	t.Helper()
+	options := func(l net.Listener) httpd.Options {
+		return httpd.Options{Listener: l, Handler: http.HandlerFunc(respondByMethod), Refuse: http.HandlerFunc(refuse)}
+	}
+	playWith(t, options, func(s *httpd.Server, connect func() *client, _ func()) { test(s, connect) })
+}
+
+// playWith runs a test against a server with the handlers of the options, which are made in virtual time.
+// Stop closes the server.
+func playWith(t *testing.T, options func(l net.Listener) httpd.Options, test func(s *httpd.Server, connect func() *client, stop func())) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		n := memnet.New(func(netip.Addr, netip.Addr) memnet.Path { return memnet.Path{Delay: time.Millisecond, Window: 8 << 10} })
@@ -59,9 +70,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s, stop := httpd.New(httpd.Options{
-			Listener: l, Handler: http.HandlerFunc(respondByMethod), Refuse: http.HandlerFunc(refuse), DrainTime: 3 * time.Second, ShutdownTimeout: 7 * time.Second, Log: zap.NewNop(),
-		})
+		o := options(l)
+		o.DrainTime, o.ShutdownTimeout, o.Log = 3*time.Second, 7*time.Second, zap.NewNop()
+		s, stop := httpd.New(o)
+		stop = sync.OnceFunc(stop)
 		dial := n.Dialer(netip.MustParseAddr("10.0.0.2"))
 		test(s, func() *client {
 			c, err := dial(context.Background(), "tcp", clientAddress.String())
@@ -69,7 +81,7 @@
 				return nil
 			}
 			return &client{conn: c, reader: bufio.NewReader(c)}
-		})
+		}, stop)
 		stop()
 		n.Kill(clientAddress.Addr())
 		n.Kill(netip.MustParseAddr("10.0.0.2"))
