httpd: answer the requests that arrive while a stop closes its connections

Callers saw two things at the end of a stop:

- The response to a slow reader was cut although the handler had written all of it: up to 6 KiB were still in the buffers of the server.
The request had been passed on.
- A connection was closed between the first byte of a head and its last one, with no answer.
None of these requests was passed on.

The stop waited for handlers alone, and then closed all connections at once. Now it waits until responses are written, closes the connections on which no request has begun by an expired read deadline, which net/http sees only while it waits for a request, and gives heads that have begun and connections that have just arrived 0.5 s, within the time of the stop.

TestStopCutsNoResponseThatASlowClientReads: 4 of 10 responses were cut before. TestStopAnswersEachRequestThatBeganBeforeTheClose sends six kinds of requests in each 50 ms of a stop: 19 of 4092 got no answer before, all with heads in two pieces. None fails now. 675 requests came after the close, before as well as now. The longest stop of the test took 6.82 s before and 6.88 s now, of 7 s.

--- a/entry/internal/httpd/conn.go
+++ b/entry/internal/httpd/conn.go
@@ -75,7 +75,7 @@
 	switch {
 	case c.phase == phaseHead:
 		until = until.Add(c.server.inForce.Load().headerTimeout)
-	case c.phase == phaseIdle:
+	case c.phase == phaseIdle && !c.server.closing.Load():
 		until = until.Add(c.server.inForce.Load().idleTimeout)
 	}
 	return until.After(time.Now()) && c.SetReadDeadline(until) == nil
@@ -124,6 +124,20 @@
 		c.setPhase(phaseActive)
 	case http.StateIdle:
 		c.setPhase(phaseIdle)
-	case http.StateNew, http.StateClosed, http.StateHijacked:
+	case http.StateClosed, http.StateHijacked:
+		c.server.forget(c)
+	case http.StateNew:
 	}
 }
+
+// closeUnused makes net/http close the connection if no request has begun on it. It reports whether a request
+// is in progress, and whether the connection is worth waiting for.
+func (c *clientConn) closeUnused() (isActive, isLate bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	isRecent := time.Since(c.since) < lateTime
+	if c.phase == phaseIdle || c.phase == phaseNew && !isRecent {
+		_ = c.SetReadDeadline(time.Unix(1, 0))
+	}
+	return c.phase == phaseActive, c.phase == phaseIdle || c.phase != phaseActive && isRecent
+}
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -9,7 +9,8 @@
 //
 // A server that shuts down keeps accepting for a while, since clients cache addresses; it
 // tells each client to close its connection. Then it refuses new requests and waits for
-// those in progress.
+// those in progress. At its end it closes the connections without a request, and waits for
+// the requests that have just begun to arrive.
 package httpd
 
 import (
@@ -74,11 +75,15 @@
 	// draining and then refusing are set during a shutdown.
 	draining atomic.Bool
 	refusing atomic.Bool
+	// closing is set when a shutdown closes the connections without a request.
+	closing atomic.Bool
 	// inForce holds the current limits.
 	inForce atomic.Pointer[limits]
 
 	mutex  sync.Mutex
 	limits state.Limits
+	// conns are the open connections.
+	conns map[*clientConn]struct{}
 	// current serves new connections. servers holds it and the earlier ones that still have some.
 	current *connServer
 	servers map[*connServer]struct{}
@@ -91,7 +96,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	s := &Server{options: o, watcher: watch.New(o.Scope), servers: make(map[*connServer]struct{}), group: shell.NewGroup()}
+	s := &Server{options: o, watcher: watch.New(o.Scope), conns: make(map[*clientConn]struct{}), servers: make(map[*connServer]struct{}), group: shell.NewGroup()}
 	s.replaceServer()
 	s.group.Go(s.run)
 	return s, s.close
@@ -164,12 +169,27 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		if !s.dispatch(ctx, newClientConn(s, c)) {
-			_ = c.Close()
+		k := newClientConn(s, c)
+		s.add(k)
+		if !s.dispatch(ctx, k) {
+			_ = k.Close()
+			s.forget(k)
 		}
 	}
 }
 
+func (s *Server) add(c *clientConn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) forget(c *clientConn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.conns, c)
+}
+
 // dispatch hands a connection to the current server, which may be replaced meanwhile. It returns
 // false if this server is closed.
 func (s *Server) dispatch(ctx context.Context, c net.Conn) bool {
@@ -249,7 +269,7 @@
 }
 
 // Stop shuts the server down gracefully and returns the number of requests that were still
-// in progress.
+// in progress, or whose responses weren't written.
 func (s *Server) Stop(ctx context.Context) int {
 	start := time.Now()
 	s.draining.Store(true)
@@ -268,10 +288,30 @@
 	if s.options.Ending != nil {
 		s.options.Ending()
 	}
-	for s.InProgress() > 0 && ctx.Err() == nil && time.Since(start) < s.options.ShutdownTimeout {
+	s.closing.Store(true)
+	active, others := s.closeUnused()
+	for active+others > 0 && ctx.Err() == nil && time.Since(start) < s.options.ShutdownTimeout {
 		clocks.Sleep(ctx, drainPollInterval)
+		active, others = s.closeUnused()
+	}
+	return active
+}
+
+// closeUnused closes the connections without a request. It returns the number of those with one, until its
+// response is written, and of the others that may be in use or will end soon.
+func (s *Server) closeUnused() (active, others int) {
+	s.mutex.Lock()
+	all := slices.Collect(maps.Keys(s.conns))
+	s.mutex.Unlock()
+	for _, c := range all {
+		switch isActive, isLate := c.closeUnused(); {
+		case isActive:
+			active++
+		case isLate:
+			others++
+		}
 	}
-	return s.InProgress()
+	return active, others
 }
 
 const (
@@ -282,6 +322,9 @@
 	minRefuseTime = 300 * time.Millisecond
 	// answerTime is the part of the shutdown in which requests that are still in progress are answered.
 	answerTime = 200 * time.Millisecond
+	// lateTime is how long the end of a shutdown waits for a request on a new connection, and for the rest of
+	// a head.
+	lateTime = 500 * time.Millisecond
 )
 
 func (s *Server) close() {
--- a/entry/internal/httpd/httpd_test.go
+++ b/entry/internal/httpd/httpd_test.go
@@ -71,7 +71,7 @@
 			t.Fatal(err)
 		}
 		o := options(l)
-		o.DrainTime, o.ShutdownTimeout, o.Log = 3*time.Second, 7*time.Second, zap.NewNop()
+		o.DrainTime, o.ShutdownTimeout, o.Log = drainTime, 7*time.Second, zap.NewNop()
 		s, stop := httpd.New(o)
 		stop = sync.OnceFunc(stop)
 		dial := n.Dialer(netip.MustParseAddr("10.0.0.2"))
