--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -315,3 +317,39 @@
 	time.Sleep(20 * time.Millisecond)
 	_ = l.conn.Close()
 }
+
+// TestReceivedBytesAreReadAfterTheDeadline runs in real time, since virtual time has no sockets.
+func TestReceivedBytesAreReadAfterTheDeadline(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := watch.New(tally.NoopScope).Wrap(accepted)
+	defer func() { _ = c.Close() }()
+	buffer := make([]byte, 16)
+	if n, err := c.TryRead(buffer); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%d bytes before any was sent, %v", n, err)
+	}
+	_, _ = io.WriteString(client, "GET")
+	_ = c.SetReadDeadline(time.Unix(1, 0))
+	if n, err := c.Read(buffer); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("%d bytes after the deadline, %v", n, err)
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	received := 0
+	awaitCount(t, func() int {
+		n, _ := c.TryRead(buffer)
+		received += n
+		return received
+	}, len("GET"))
+}
