--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -3,13 +3,14 @@
 // # Limits
 //
 // The limits on request headers and idle connections are configured and may change.
-// Connections that were accepted before keep their limits.
+// Connections that were accepted before keep their limits, but longer times apply to them too.
 //
 // # Shutdown
 //
 // A server that shuts down keeps accepting for a while, since clients cache addresses; it
 // tells each client to close its connection. Then it refuses new requests and waits for
-// those in progress.
+// those in progress. At its end it closes the connections without a request, and waits for
+// the requests that have just begun to arrive.
 package httpd
 
 import (
@@ -74,9 +75,15 @@
 	// draining and then refusing are set during a shutdown.
 	draining atomic.Bool
 	refusing atomic.Bool
+	// closing is set when a shutdown closes the connections without a request.
+	closing atomic.Bool
+	// inForce holds the current limits.
+	inForce atomic.Pointer[limits]
 
 	mutex  sync.Mutex
 	limits state.Limits
+	// conns are the open connections.
+	conns map[*clientConn]struct{}
 	// current serves new connections. servers holds it and the earlier ones that still have some.
 	current *connServer
 	servers map[*connServer]struct{}
@@ -89,7 +96,7 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	s := &Server{options: o, watcher: watch.New(o.Scope), servers: make(map[*connServer]struct{}), group: shell.NewGroup()}
+	s := &Server{options: o, watcher: watch.New(o.Scope), conns: make(map[*clientConn]struct{}), servers: make(map[*connServer]struct{}), group: shell.NewGroup()}
 	s.replaceServer()
 	s.group.Go(s.run)
 	return s, s.close
@@ -98,7 +105,28 @@
 // InProgress returns the number of requests in progress.
 func (s *Server) InProgress() int { return int(s.inProgress.Load()) }
 
-// SetLimits sets the limits of connections that are accepted from now on.
+// limits are the limits of connections, with defaults for those that aren't configured.
+type limits struct {
+	headerBytes                int
+	headerTimeout, idleTimeout time.Duration
+}
+
+func newLimits(l state.Limits) *limits {
+	r := &limits{headerBytes: defaultMaxHeaderBytes, headerTimeout: defaultHeaderTimeout, idleTimeout: defaultIdleTimeout}
+	if l.HeaderBytes > 0 {
+		r.headerBytes = l.HeaderBytes
+	}
+	if l.HeaderTimeout > 0 {
+		r.headerTimeout = l.HeaderTimeout
+	}
+	if l.IdleTimeout > 0 {
+		r.idleTimeout = l.IdleTimeout + idleSlack
+	}
+	return r
+}
+
+// SetLimits sets the limits of connections that are accepted from now on. Open ones follow the times that
+// are longer than their own.
 func (s *Server) SetLimits(l state.Limits) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -112,26 +140,18 @@
 // replaceServer starts a server with the current limits. The caller holds the mutex, except
 // in New.
 func (s *Server) replaceServer() {
-	l := s.limits
+	l := newLimits(s.limits)
+	s.inForce.Store(l)
 	h := &http.Server{
 		Handler: watch.Handler(s), ErrorLog: zap.NewStdLog(s.options.Log.Named("http")),
-		MaxHeaderBytes: defaultMaxHeaderBytes, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		ConnContext: watch.ConnContext,
-	}
-	if l.HeaderBytes > 0 {
-		h.MaxHeaderBytes = l.HeaderBytes
-	}
-	if l.HeaderTimeout > 0 {
-		h.ReadHeaderTimeout = l.HeaderTimeout
-	}
-	if l.IdleTimeout > 0 {
-		h.IdleTimeout = l.IdleTimeout + idleSlack
+		MaxHeaderBytes: l.headerBytes, ReadHeaderTimeout: l.headerTimeout, IdleTimeout: l.idleTimeout,
+		ConnContext: connContext,
 	}
 	if s.current != nil {
 		s.current.listener.stop()
 	}
 	c := &connServer{owner: s, http: h, listener: newConnListener(s.options.Listener.Addr()), isServing: true}
-	h.ConnState = c.countConns
+	h.ConnState = c.observe
 	s.current = c
 	s.servers[c] = struct{}{}
 	s.group.Go(c.run)
@@ -149,12 +169,27 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		if !s.dispatch(ctx, s.watcher.Wrap(c)) {
-			_ = c.Close()
+		k := newClientConn(s, c)
+		s.add(k)
+		if !s.dispatch(ctx, k) {
+			_ = k.Close()
+			s.forget(k)
 		}
 	}
 }
 
+func (s *Server) add(c *clientConn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.conns[c] = struct{}{}
+}
+
+func (s *Server) forget(c *clientConn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.conns, c)
+}
+
 // dispatch hands a connection to the current server, which may be replaced meanwhile. It returns
 // false if this server is closed.
 func (s *Server) dispatch(ctx context.Context, c net.Conn) bool {
@@ -178,7 +213,7 @@
 	defer s.inProgress.Add(-1)
 	defer s.resetAborted(r)
 	if r.Body != nil && r.Body != http.NoBody {
-		b := &requestBody{ReadCloser: r.Body}
+		b := &requestBody{ReadCloser: r.Body, header: w.Header()}
 		r.Body = b
 		defer s.boundUnreadBody(w, b)
 	}
@@ -207,16 +242,22 @@
 	panic(cause)
 }
 
-// requestBody records whether a body was read to its end.
+// requestBody records whether a body was read to its end. If it can't be read the connection ends with the
+// response: net/http cancels the context of all later requests of a connection after a read failed, also by
+// a deadline.
 type requestBody struct {
 	io.ReadCloser
-	whole bool
+	header http.Header
+	whole  bool
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
 	b.whole = b.whole || err == io.EOF
+	if err != nil && err != io.EOF {
+		b.header.Set("Connection", "close")
+	}
 	return n, err
 }
 
@@ -234,7 +275,7 @@
 }
 
 // Stop shuts the server down gracefully and returns the number of requests that were still
-// in progress.
+// in progress, or whose responses weren't written.
 func (s *Server) Stop(ctx context.Context) int {
 	start := time.Now()
 	s.draining.Store(true)
@@ -253,10 +294,30 @@
 	if s.options.Ending != nil {
 		s.options.Ending()
 	}
-	for s.InProgress() > 0 && ctx.Err() == nil && time.Since(start) < s.options.ShutdownTimeout {
+	s.closing.Store(true)
+	active, others := s.closeUnused()
+	for active+others > 0 && ctx.Err() == nil && time.Since(start) < s.options.ShutdownTimeout {
 		clocks.Sleep(ctx, drainPollInterval)
+		active, others = s.closeUnused()
 	}
-	return s.InProgress()
+	return active
+}
+
+// closeUnused closes the connections without a request. It returns the number of those with one, until its
+// response is written, and of the others that may be in use or will end soon.
+func (s *Server) closeUnused() (active, others int) {
+	s.mutex.Lock()
+	all := slices.Collect(maps.Keys(s.conns))
+	s.mutex.Unlock()
+	for _, c := range all {
+		switch isActive, isLate := c.closeUnused(); {
+		case isActive:
+			active++
+		case isLate:
+			others++
+		}
+	}
+	return active, others
 }
 
 const (
@@ -267,6 +328,9 @@
 	minRefuseTime = 300 * time.Millisecond
 	// answerTime is the part of the shutdown in which requests that are still in progress are answered.
 	answerTime = 200 * time.Millisecond
+	// lateTime is how long the end of a shutdown waits for a request on a new connection, and for the rest of
+	// a head.
+	lateTime = 500 * time.Millisecond
 )
 
 func (s *Server) close() {
@@ -303,8 +367,11 @@
 	c.forgetUnused()
 }
 
-// countConns is called when the state of a connection changes.
-func (c *connServer) countConns(_ net.Conn, state http.ConnState) {
+// observe is called when the state of a connection changes.
+func (c *connServer) observe(conn net.Conn, state http.ConnState) {
+	if k, ok := conn.(*clientConn); ok {
+		k.observe(state)
+	}
 	if state != http.StateNew && state != http.StateClosed && state != http.StateHijacked {
 		return
 	}
