proxy: cut no response that has begun before a stop closes its connection

A caller's stream was cut 0.2 s before the end of a planned stop, although its last event came before the connections are closed.

Cause: when the stop is about to close the connections, all requests were canceled, so that those without a response are answered; also those whose response had begun, to which nothing more can be said. Result: only requests without a part of a response are canceled then. Either the response begins or the request is answered, never both.

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -75,6 +75,8 @@
 	prepared atomic.Pointer[successor]
 	// ended is set once the server is about to close the connection of the client.
 	ended atomic.Bool
+	// stage tells whether a part of the response has been written, or never will be.
+	stage atomic.Int32
 	// isRetry is true if the client was refused before.
 	isRetry bool
 	// level is the level of urgency of the request, below levels, their number in its pool.
@@ -109,6 +111,19 @@
 	endingUnwritten = "unwritten"
 )
 
+// The stages of a response. When the server is about to close the connections, the request is answered at once
+// if its response hasn't begun.
+const (
+	stageWaiting int32 = iota
+	stageBegun
+	stageEnded
+)
+
+// beginResponse reports whether a part of the response may be written.
+func (l *lifecycle) beginResponse() bool {
+	return l.stage.CompareAndSwap(stageWaiting, stageBegun) || l.stage.Load() == stageBegun
+}
+
 // run serves an admitted request to its end.
 func (l *lifecycle) run(ctx context.Context) {
 	route := l.admission.Route
@@ -120,7 +135,9 @@
 	defer cancel()
 	stop := context.AfterFunc(l.handler.ending, func() {
 		l.ended.Store(true)
-		cancel()
+		if l.stage.CompareAndSwap(stageWaiting, stageEnded) {
+			cancel()
+		}
 	})
 	defer stop()
 	if l.handler.options.Crashes.IsQuarantined(l.identity) {
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -34,6 +34,7 @@
 
 var (
 	errMismatched = errors.New("the response belongs to another request")
+	errGivenUp    = errors.New("the response was given up")
 	errWithdrawn  = errors.New("the request was withdrawn")
 	errPanicked   = errors.New("the handling of the response failed")
 	errNoEvent    = errors.New("the connection was closed before the first event")
@@ -120,7 +121,7 @@
 		l.recordAnswer(response, b.remainder == nil)
 	}
 	if !wd.claim() {
-		return tries.ResultLost, target.OutcomeFailed, ctx.Err()
+		return l.notClaimed()
 	}
 	l.writeResponse(b)
 	if b.remainder != nil && l.ending == endingAnswered {
@@ -222,7 +223,7 @@
 			continue
 		}
 		if !wd.claim() {
-			return l.streamLost(ctx, f, ctx.Err())
+			return l.notClaimed()
 		}
 		if !l.stream.started {
 			l.firstByte = time.Since(l.arrived)
@@ -249,7 +250,7 @@
 	}
 	l.recordAnswer(response, true)
 	if !l.stream.started && !wd.claim() {
-		return l.streamLost(ctx, f, ctx.Err())
+		return l.notClaimed()
 	}
 	return l.finishStream(response, reply, rest)
 }
@@ -292,6 +293,18 @@
 	return tries.ResultLost, target.OutcomeFailed, err
 }
 
+// notClaimed classifies a response that was given up before the next part of it was written.
+func (l *lifecycle) notClaimed() (tries.Result, target.Outcome, error) {
+	outcome := target.OutcomeFailed
+	if l.ended.Load() {
+		outcome = target.OutcomeNeutral
+	}
+	if l.stream.started {
+		return tries.ResultTruncated, outcome, errGivenUp
+	}
+	return tries.ResultLost, outcome, errGivenUp
+}
+
 // gapTimeout returns how long to wait for the next event before another engine resumes the stream.
 func (l *lifecycle) gapTimeout() time.Duration {
 	if gap := l.admission.Route.MaxEventGap; gap > 0 {
--- a/entry/internal/proxy/stop_test.go
+++ b/entry/internal/proxy/stop_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,3 +74,37 @@
 	s.front.server.Stop(context.Background())
 	s.front.closeServer()
 }
+
+// TestPlannedStopLeavesBegunResponsesUntilItsEnd has responses that have begun end shortly before a stop closes
+// the connections. It guards against those that are cut when the requests without a response are answered.
+func TestPlannedStopLeavesBegunResponsesUntilItsEnd(t *testing.T) {
+	for _, path := range []string{"/long/x", "/slow/x"} {
+		for _, left := range []time.Duration{300 * time.Millisecond, 150 * time.Millisecond, 50 * time.Millisecond} {
+			play(t, 1, func(w io.Writer, v visit) {
+				begin(w, v.id)
+				event(w, numbered(1)+strings.Repeat("x", 300<<10))
+				time.Sleep(shutdownTime - left)
+				event(w, numbered(2))
+				end(w)
+			}, func(w *world) {
+				front := w.serve()
+				defer front.stop()
+				conn := front.dial()
+				defer func() { _ = conn.Close() }()
+				s := &stopper{front: front, done: make(chan struct{})}
+				fmt.Fprint(conn, wholeRequest(path, "first"))
+				go s.run()
+				defer func() { <-s.done }()
+				response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+				if err != nil {
+					t.Errorf("%s, %v: no answer: %v", path, left, err)
+					return
+				}
+				body, err := io.ReadAll(response.Body)
+				if err != nil || !strings.HasSuffix(string(body), numbered(2)) {
+					t.Errorf("%s, ends %v before the end of the stop: %d bytes, %v", path, left, len(body), err)
+				}
+			})
+		}
+	}
+}
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -76,7 +76,7 @@
 func (w *watchdog) claim() bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	if w.cause != "" {
+	if w.cause != "" || !w.lifecycle.beginResponse() {
 		return false
 	}
 	w.dropSuccessors()
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -165,6 +165,7 @@
 	{Name: "gush", Prefix: "/gush/", Stream: true, MaxAttempts: 2, Timeout: 5 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond},
 	{Name: "stall", Prefix: "/stall/", Stream: true, MaxAttempts: 2, Timeout: 6 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond, StallTimeout: stallTimeout},
 	{Name: "wait", Prefix: "/wait/", Stream: true, Resumable: true, MaxAttempts: 3, Timeout: 6 * time.Second, Objective: 100 * time.Millisecond, MaxEventGap: 400 * time.Millisecond, StallTimeout: stallTimeout},
+	{Name: "long", Prefix: "/long/", Stream: true, MaxAttempts: 1, Timeout: 20 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "slow", Prefix: "/slow/", MaxAttempts: 1, Timeout: 20 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "slowly", Prefix: "/slowly/", Idempotent: true, MaxAttempts: 2, Timeout: 20 * time.Second, Objective: 100 * time.Millisecond},
 	{Name: "open", Prefix: "/open/", Idempotent: true, Anonymous: true, MaxAttempts: 1, Timeout: time.Second},
