tries: run a request at no more upstreams than its route allows after a decline

A request ran at three upstreams on a route that allows two, and at six of five: the silent upstream declined it while others ran it beside, and those were lost. A request that crashes upstreams took one more.

Found by a fresh review of the joined code. Result: after a decline, or a connection that failed, a further upstream is asked only if one more may run it.

--- a/core/tries/tries.go
+++ b/core/tries/tries.go
@@ -99,13 +99,13 @@
 		return StepDone
 	case ResultUnsent:
 		a.unsent++
-		if hasTime && a.unsent < maxUnsent {
+		if hasTime && a.unsent < maxUnsent && a.runs < max(a.route.MaxAttempts, 1) {
 			return StepRetry
 		}
 		return a.finalStep()
 	case ResultDeclined:
 		a.declined++
-		if hasTime && a.declined+a.runs < a.route.MaxAttempts+maxDeclined && trySpend() {
+		if hasTime && a.runs < max(a.route.MaxAttempts, 1) && a.declined+a.runs < a.route.MaxAttempts+maxDeclined && trySpend() {
 			return StepRetry
 		}
 		return a.finalStep()
@@ -128,8 +128,8 @@
 	return a.route.IsRetryable() && a.deadline.Sub(now) >= minRemaining && a.runs+1 < a.route.MaxAttempts
 }
 
-// MayRunBeside reports whether another upstream may be asked to continue a stream while the attempt in
-// progress, which may have run the request, goes on.
+// MayRunBeside reports whether another upstream may be asked while the attempt in progress, which may have
+// run the request, goes on.
 func (a *Attempts) MayRunBeside(now time.Time) bool {
 	return a.MayRetry(now) && a.declined+a.runs < a.route.MaxAttempts+maxDeclined && a.unsent < maxUnsent
 }
