proxy: log the cause of the last attempt, and ask in place of what was declined or canceled

- The log of a request whose upstream was lost while another one was silent named the lost one and cause=upstream, also where the deadline, the stop or the client's patience had ended it.
On-call engineers would have looked at the wrong upstream.
Causes of panics, of clients that don't take a response, and of earlier attempts were wrong too. proxy.TestLinesNameTheCauseOfTheLastAttempt: 9 of 10 cases red before.
- A broken stream wasn't continued at an upstream that the entry had left, if a third one was full. proxy.TestBrokenStreamIsContinuedAtACanceledEngineWhileAThirdIsFull: red before.

The end of a stop in tests closes the connections of clients before those of upstreams, as the program does.

--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -26,6 +26,7 @@
 // attempt sends the request to an upstream and forwards the response.
 func (l *lifecycle) attempt(ctx context.Context, f *target.InFlight) tries.Result {
 	l.attempted = append(l.attempted, f.Row.ID)
+	l.recordAsked(f.Row.ID, false)
 	if !l.counted {
 		l.counted = true
 		l.handler.metrics.waitTime.RecordDuration(time.Since(l.arrived))
@@ -60,21 +61,30 @@
 		wd.awaitSuccessors(result)
 	}
 	wd.stop()
-	for _, b := range wd.failures() {
+	l.recordBeside(wd.failures())
+	return result
+}
+
+// recordBeside records the attempts beside another one that have failed or were canceled, and how many of them
+// had when that one ended.
+func (l *lifecycle) recordBeside(failed []failedSuccessor, before int) {
+	for i, b := range failed {
+		s := b.successor
 		l.attempts.RecordBeside(b.result)
-		l.attempted = append(l.attempted, b.upstream)
-		l.recordAsked(b.upstream, b.isDropped)
-		l.lastFailure = cmp.Or(l.lastFailure, b.failure)
+		l.attempted = append(l.attempted, s.inFlight.Row.ID)
+		l.recordAsked(s.inFlight.Row.ID, b.isCanceled)
+		l.lastFailure = cmp.Or(l.lastFailure, s.failure)
+		if i >= before && b.cause != "" {
+			l.cause, l.logFields = b.cause, attemptFields(s.inFlight, s.sentAt)
+		}
 	}
-	return result
 }
 
-// recordAsked records whether the entry has left an upstream for another one, which doesn't mean that it
-// failed.
-func (l *lifecycle) recordAsked(id string, isLeft bool) {
-	l.left = slices.DeleteFunc(l.left, func(i string) bool { return i == id })
-	if isLeft {
-		l.left = append(l.left, id)
+// recordAsked records an attempt at an upstream, and whether the entry has canceled it for another one.
+func (l *lifecycle) recordAsked(id string, isCanceled bool) {
+	l.canceled = slices.DeleteFunc(l.canceled, func(i string) bool { return i == id })
+	if isCanceled {
+		l.canceled = append(l.canceled, id)
 	}
 }
 
@@ -85,7 +95,7 @@
 		defer s.response.Close()
 		wd.reset(l.gapTimeout(), l.deadline)
 		if s.unary != nil {
-			return l.finishUnary(ctx, wd, s.response, s.reply, s.unary)
+			return l.finishUnary(wd, s.response, s.reply, s.unary)
 		}
 		return l.forwardStream(ctx, f, wd, s.response, s.reply, s.events)
 	}
@@ -249,7 +259,7 @@
 	if !route.IsRetryable() {
 		return remaining
 	}
-	if l.attempts.Count()+1 >= route.MaxAttempts {
+	if !l.attempts.MayRunBeside(time.Now()) {
 		return remaining
 	}
 	if l.pool.Engine == nil {
--- a/entry/internal/proxy/cause.go
+++ b/entry/internal/proxy/cause.go
@@ -49,6 +49,9 @@
 // it. Outer is the context of the request, request that of the attempt.
 func (l *lifecycle) causeOf(outer, request context.Context, wd *watchdog, result tries.Result) cause {
 	if !hasCause(result) && l.ending != endingUnwritten {
+		if l.cause == causeConnect {
+			l.cause = ""
+		}
 		return ""
 	}
 	l.cause = l.causeOfContext(outer)
--- a/entry/internal/proxy/change_test.go
+++ b/entry/internal/proxy/change_test.go
@@ -332,6 +332,7 @@
 	f := &front{world: w, server: s, closeServer: sync.OnceFunc(stop), began: clocks.Now()}
 	f.stop = func() {
 		f.closeServer()
+		synctest.Wait()
 		w.network.Kill(entry)
 		synctest.Wait()
 	}
--- a/entry/internal/proxy/levels.go
+++ b/entry/internal/proxy/levels.go
@@ -216,7 +216,7 @@
 	verdict := w.queue.poll(now, w.ticket, w.reqs.Homes, func(ahead []state.Homes) bool {
 		polled = true
 		w.reqs.Ahead = ahead
-		f, w.full = l.choose(now, w.reqs)
+		f, w.full = l.chooseAgain(now, w.reqs)
 		return f != nil
 	})
 	if f != nil {
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -57,8 +58,9 @@
 	pool      *state.Pool
 	attempts  *tries.Attempts
 	attempted []string
-	// left are those of them that may be asked again if no other one could serve the request.
-	left []string
+	// canceled are those of them whose last attempt the entry has canceled for another one. They may be asked
+	// again if no other one takes the request.
+	canceled []string
 	// identity identifies the request and the parts of its prompt in the crash marks.
 	identity crash.Request
 	// sentAt is when the attempt began.
@@ -178,7 +180,11 @@
 
 // next returns the step after an attempt. One that has begun to respond beside it takes its place.
 func (l *lifecycle) next(result tries.Result) tries.Step {
-	if l.prepared.Load() != nil && !l.ended.Load() {
+	switch {
+	case l.prepared.Load() == nil:
+	case l.ended.Load():
+		l.cause = causeStop
+	default:
 		l.attempts.RecordBeside(result)
 		return tries.StepRetry
 	}
@@ -229,9 +235,6 @@
 	}
 	l.isRetry = l.handler.timeouts.IsRetry(l.admission.Route.Name, &l.call)
 	reqs := l.requirements()
-	if len(l.left) > 0 && !l.handler.options.Fleet.CouldServe(clocks.Now(), reqs) {
-		reqs.Exclude = slices.DeleteFunc(slices.Clone(reqs.Exclude), func(id string) bool { return slices.Contains(l.left, id) })
-	}
 	if reqs.Levels > 1 {
 		return l.acquireByLevel(ctx, reqs)
 	}
@@ -243,7 +246,7 @@
 		}
 		now := clocks.Now()
 		reqs.Homes = l.homes()
-		f, full := l.choose(now, reqs)
+		f, full := l.chooseAgain(now, reqs)
 		if f != nil {
 			return f, nil
 		}
@@ -303,6 +306,22 @@
 	return l.handler.options.Fleet.ChooseEngine(now, reqs)
 }
 
+// chooseAgain is choose, where upstreams whose attempts were canceled are a last resort.
+func (l *lifecycle) chooseAgain(now time.Time, reqs target.Requirements) (*target.InFlight, time.Duration) {
+	f, full := l.choose(now, reqs)
+	if f != nil || len(l.canceled) == 0 {
+		return f, full
+	}
+	f, other := l.choose(now, withoutExcluded(reqs, l.canceled))
+	return f, cmp.Or(full, other)
+}
+
+// withoutExcluded returns the requirements without some of the upstreams that they exclude.
+func withoutExcluded(r target.Requirements, ids []string) target.Requirements {
+	r.Exclude = slices.DeleteFunc(slices.Clone(r.Exclude), func(id string) bool { return slices.Contains(ids, id) })
+	return r
+}
+
 func (l *lifecycle) objective() time.Duration {
 	if o := l.admission.Route.Objective; o > 0 {
 		return o
--- a/entry/internal/proxy/report.go
+++ b/entry/internal/proxy/report.go
@@ -85,9 +85,8 @@
 // responded or the request has ended.
 const resultDropped = "dropped"
 
-// logAttempt logs the result of an attempt. A successful one is covered by the log line of
-// the request.
-func (l *lifecycle) logAttempt(f *target.InFlight, result tries.Result, start time.Time, e attemptEnd, err error) {
+// attemptFields are the fields of an attempt in its own line and in that of the request.
+func attemptFields(f *target.InFlight, start time.Time) []zap.Field {
 	fields := []zap.Field{
 		zap.String("upstream", f.Row.ID), zap.Int("version", f.Version), zap.Int("served", f.Served), zap.Int("running", f.Running),
 		zap.Duration("age", f.LoadAge), zap.Duration("predicted", f.Predicted),
@@ -96,6 +95,13 @@
 	if !f.StartDeadline.IsZero() {
 		fields = append(fields, zap.Duration("startwithin", f.StartDeadline.Sub(start)))
 	}
+	return fields
+}
+
+// logAttempt logs the result of an attempt. A successful one is covered by the log line of
+// the request.
+func (l *lifecycle) logAttempt(f *target.InFlight, result tries.Result, start time.Time, e attemptEnd, err error) {
+	fields := attemptFields(f, start)
 	l.logFields = fields
 	m := l.handler.metrics
 	m.attempts[resultNames[result]].Inc(1)
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -89,7 +89,7 @@
 		}
 		return tries.ResultLost, target.OutcomeFailed, err
 	}
-	return l.finishUnary(ctx, wd, response, reply, b)
+	return l.finishUnary(wd, response, reply, b)
 }
 
 // readUnary reads a response, or the beginning of a long one.
@@ -108,7 +108,7 @@
 }
 
 // finishUnary forwards a response that was read, unless it is a short failure.
-func (l *lifecycle) finishUnary(ctx context.Context, wd *watchdog, response *conns.Response, reply calls.Reply, b *bufferedResponse) (tries.Result, target.Outcome, error) {
+func (l *lifecycle) finishUnary(wd *watchdog, response *conns.Response, reply calls.Reply, b *bufferedResponse) (tries.Result, target.Outcome, error) {
 	if response.Status >= http.StatusInternalServerError && b.remainder == nil {
 		l.lastFailure = b
 		return tries.ResultFailed, target.OutcomeFailed, fmt.Errorf("status %d", response.Status)
@@ -127,7 +127,13 @@
 	if b.remainder != nil && l.ending == endingAnswered {
 		// The request can't be retried any more, so that only its deadline bounds the response.
 		wd.stop()
-		if _, err := io.CopyBuffer(l.writer, b.remainder, make([]byte, copyBufferBytes)); err != nil {
+		source := &errorReader{Reader: b.remainder}
+		_, err := io.CopyBuffer(l.writer, source, make([]byte, copyBufferBytes))
+		switch {
+		case err != nil && source.err == nil:
+			l.ending = endingUnwritten
+			return tries.ResultAnswered, target.OutcomeNeutral, err
+		case err != nil:
 			l.ending = endingBroken
 			return tries.ResultTruncated, target.OutcomeFailed, err
 		}
@@ -138,6 +144,21 @@
 	return tries.ResultAnswered, target.OutcomeSuccess, nil
 }
 
+// errorReader keeps the error of its source, to tell it from one of the writer.
+type errorReader struct {
+	io.Reader
+	err error
+}
+
+// Read implements io.Reader.
+func (r *errorReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if err != io.EOF {
+		r.err = err
+	}
+	return n, err
+}
+
 // writeResponse writes a response to the client, without the remainder.
 func (l *lifecycle) writeResponse(b *bufferedResponse) {
 	l.ending, l.status = endingAnswered, b.status
@@ -153,7 +174,7 @@
 	}
 	l.writer.WriteHeader(b.status)
 	if _, err := l.writer.Write(b.body); err != nil {
-		l.ending = endingUnwritten
+		l.ending, l.cause = endingUnwritten, causeClient
 	}
 }
 
@@ -242,7 +263,7 @@
 // endStream ends a response whose events have all been forwarded. The rest is what follows the last one.
 func (l *lifecycle) endStream(ctx context.Context, f *target.InFlight, wd *watchdog, response *conns.Response, reply calls.Reply, rest events.Event, hasEvents bool) (tries.Result, target.Outcome, error) {
 	// Without framing, the end may be that of an upstream that crashed.
-	if response.IsCloseDelimited() && !hasEvents {
+	if response.IsCloseDelimited() && !hasEvents && (l.stream.started || l.stream.lastEventID == "") {
 		return l.streamLost(ctx, f, errNoEvent)
 	}
 	if !response.IsCloseDelimited() && hasEvents {
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -45,13 +45,13 @@
 	done chan struct{}
 }
 
-// failedSuccessor is a successor that has failed or was dropped.
+// failedSuccessor is a successor that has failed, or that was canceled since another upstream went on or
+// responded first.
 type failedSuccessor struct {
-	upstream string
-	result   tries.Result
-	failure  *bufferedResponse
-	// isDropped is set if it was canceled, since another upstream went on or responded first.
-	isDropped bool
+	successor  *successor
+	result     tries.Result
+	cause      cause
+	isCanceled bool
 }
 
 // newSuccessor returns an attempt for the request of the watchdog, whose mutex the caller holds.
@@ -73,12 +73,16 @@
 	result, outcome, err := s.begin()
 	s.withdrawal.Stop()
 	l := s.watchdog.lifecycle
-	if !s.watchdog.finishSuccessor(s, result) {
+	c := l.causeOfSuccessor(s, result)
+	if errors.Is(err, errPanicked) {
+		c = causePanic
+	}
+	if !s.watchdog.finishSuccessor(s, result, c) {
 		s.discard()
 		return
 	}
 	if result != tries.ResultAnswered {
-		l.logSuccessor(s, resultNames[result], l.endOf(s, result, l.causeOfSuccessor(s, result)), err)
+		l.logSuccessor(s, resultNames[result], l.endOf(s, result, c), err)
 		s.inFlight.Finish(clocks.Now(), outcome)
 		s.cancel()
 	}
--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -15,8 +15,8 @@
 // silent for too long. Clients leave a stream soon after that.
 const recheckInterval = 200 * time.Millisecond
 
-// watchdog cancels an attempt whose upstream is silent for too long. A healthy upstream may be
-// silent and go on, so that it is only left early for another one that can take the request.
+// watchdog asks other upstreams beside one that is silent for too long. A healthy upstream may be silent and
+// go on, so that it is only left early once another one has responded.
 type watchdog struct {
 	lifecycle *lifecycle
 	// request is the context of the request, and cancel ends that of the attempt.
@@ -37,8 +37,9 @@
 	// cause is why the attempt was canceled, or empty.
 	cause   cause
 	stopped bool
-	// over is set once the watched attempt has ended while successors are in progress.
-	over bool
+	// hasEnded is set once the watched attempt has failed, and failedBefore is the length of failed then.
+	hasEnded     bool
+	failedBefore int
 	// isWriting is set while a part of the response is written to the client. A client that reads slowly
 	// isn't a silent upstream.
 	isWriting bool
@@ -88,7 +89,7 @@
 func (w *watchdog) dropSuccessors() {
 	for _, s := range w.successors {
 		s.cancel()
-		w.recordFailed(failedSuccessor{upstream: s.inFlight.Row.ID, result: tries.ResultLost, isDropped: true})
+		w.recordFailed(failedSuccessor{successor: s, result: tries.ResultLost, isCanceled: true})
 	}
 	w.successors = nil
 }
@@ -102,7 +103,11 @@
 // exclude keeps the upstream of a failed attempt from being asked again. The caller holds the mutex.
 func (w *watchdog) exclude(f failedSuccessor) {
 	w.attempts.RecordBeside(f.result)
-	w.reqs.Exclude = append(slices.Clip(w.reqs.Exclude), f.upstream)
+	w.excludeID(f.successor.inFlight.Row.ID)
+}
+
+func (w *watchdog) excludeID(id string) {
+	w.reqs.Exclude = append(slices.Clip(w.reqs.Exclude), id)
 }
 
 // extend moves the limit, which no deadline to start the request bounds any more.
@@ -149,7 +154,7 @@
 	w.mutex.Lock()
 	dueAt, isOver, attempts, reqs := w.dueAt, !now.Before(w.limit), w.attempts, w.reqs
 	inProgress := len(w.successors)
-	if !w.over {
+	if !w.hasEnded {
 		inProgress++
 	}
 	// MayRunBeside counts one of them.
@@ -167,16 +172,16 @@
 	}
 	// The fleet must not be called with the mutex held, since it calls shorten.
 	reqs.Homes = w.lifecycle.homes()
-	w.succeed(dueAt, &attempts, reqs, inProgress)
-}
-
-// succeed has another upstream take over the request if one can. The silent one is left only once the
-// other has responded: it may decline or be lost, and the silent one may go on.
-func (w *watchdog) succeed(dueAt time.Time, attempts *tries.Attempts, reqs target.Requirements, inProgress int) {
 	var next *target.InFlight
 	if attempts.MayRunBeside(time.Now()) && w.lifecycle.mayRisk(inProgress) {
 		next = w.lifecycle.reserveRetry(reqs)
 	}
+	w.succeed(dueAt, next, reqs)
+}
+
+// succeed has another upstream take over the request if one can. The silent one is left only once the
+// other has responded: it may decline or be lost, and the silent one may go on.
+func (w *watchdog) succeed(dueAt time.Time, next *target.InFlight, reqs target.Requirements) {
 	if next == nil {
 		w.finishCheck(dueAt, false)
 		return
@@ -207,7 +212,7 @@
 	}
 	s := newSuccessor(w, f, reqs)
 	w.successors = append(w.successors, s)
-	w.reqs.Exclude = append(slices.Clip(w.reqs.Exclude), f.Row.ID)
+	w.excludeID(f.Row.ID)
 	go s.run()
 	w.arm(w.timeout)
 	return true
@@ -215,7 +220,7 @@
 
 // finishSuccessor gives the watched attempt up for a successor that has responded, or waits on for the
 // watched one. It returns false if the successor was dropped.
-func (w *watchdog) finishSuccessor(s *successor, result tries.Result) bool {
+func (w *watchdog) finishSuccessor(s *successor, result tries.Result, c cause) bool {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	i := slices.Index(w.successors, s)
@@ -230,7 +235,7 @@
 		w.cancel()
 		return true
 	}
-	w.recordFailed(failedSuccessor{upstream: s.inFlight.Row.ID, result: result, failure: s.failure})
+	w.recordFailed(failedSuccessor{successor: s, result: result, cause: c})
 	if !w.stopped {
 		w.arm(min(w.timeout, recheckInterval))
 	}
@@ -251,7 +256,7 @@
 func (w *watchdog) recordEnd(result tries.Result) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.over, w.limit = true, w.requestLimit()
+	w.hasEnded, w.failedBefore, w.limit = true, len(w.failed), w.requestLimit()
 	w.attempts.RecordBeside(result)
 	if len(w.successors) > 0 && (result == tries.ResultDeclined || result == tries.ResultUnsent) {
 		w.arm(0)
@@ -262,6 +267,7 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if len(w.successors) == 0 {
+		w.stopped = true
 		return nil
 	}
 	return w.successors[0]
@@ -310,11 +316,12 @@
 	}
 }
 
-// failures returns the attempts at other upstreams that have failed.
-func (w *watchdog) failures() []failedSuccessor {
+// failures returns the attempts at other upstreams that have failed, and how many of them had when the watched
+// attempt ended.
+func (w *watchdog) failures() (failed []failedSuccessor, before int) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.failed
+	return w.failed, w.failedBefore
 }
 
 // reserveRetry reserves the place at another upstream that can take the request at once, and takes the
--- a/entry/internal/target/exclude.go
+++ b/entry/internal/target/exclude.go
@@ -124,13 +124,6 @@
 	return !u.row.Draining && !u.demands.leaving && !u.demands.isHeld(now)
 }
 
-// CouldServe reports whether an upstream could serve the request but for its load or a limit.
-func (f *Fleet) CouldServe(now time.Time, reqs Requirements) bool {
-	f.mutex.Lock()
-	defer f.mutex.Unlock()
-	return slices.ContainsFunc(f.pools[reqs.Pool.Name], func(u *upstream) bool { return f.couldServe(now, u, reqs) })
-}
-
 // SoleExclusion returns the home or evacuation bound that alone keeps a request from upstreams which
 // could serve it otherwise, or that no upstream meets. It returns ExclusionNone if there is another
 // reason, also if the request was sent to an upstream within the bounds. Call it for a request for which
