--- a/entry/internal/proxy/change_test.go
+++ b/entry/internal/proxy/change_test.go
@@ -90,6 +90,7 @@
 // TestChangeLeavesNoRequestWithoutResponse changes the configuration at each point of the life of a
 // request, and once more shortly after.
 func TestChangeLeavesNoRequestWithoutResponse(t *testing.T) {
+	t.Parallel()
 	for point, at := range points {
 		for name, change := range changes {
 			for second, next := range map[string]func(w *world) []state.Row{"": nil, ", undone": (*world).originalRows, ", then limits": changes["limits"]} {
@@ -136,6 +137,7 @@
 
 // TestChangeLeavesNoWaitingRequestWithoutResponse has a request wait for the only place of an engine.
 func TestChangeLeavesNoWaitingRequestWithoutResponse(t *testing.T) {
+	t.Parallel()
 	for name, change := range changes {
 		for second, next := range map[string]func(w *world) []state.Row{"": nil, ", undone": (*world).waitingRows} {
 			for _, path := range kinds {
--- a/entry/internal/proxy/endless_test.go
+++ b/entry/internal/proxy/endless_test.go
@@ -145,6 +145,7 @@
 // TestStreamWithoutProgressResumes has a stream go on without new events. Clients give up after a
 // gap of two seconds.
 func TestStreamWithoutProgressResumes(t *testing.T) {
+	t.Parallel()
 	for name, text := range map[string]string{
 		"comment":          ": here\n\n",
 		"comment lines":    ": here\n",
--- a/entry/internal/proxy/ends_test.go
+++ b/entry/internal/proxy/ends_test.go
@@ -181,6 +181,7 @@
 // TestFailureOfResumedStreamIsNotForwarded has the upstream that is to resume a stream fail. Only events
 // may follow the head of a stream.
 func TestFailureOfResumedStreamIsNotForwarded(t *testing.T) {
+	t.Parallel()
 	bodies := map[string]string{"no body": "", "text": "an error\n", "event": numbered(9), "long body": strings.Repeat("x", 300<<10)}
 	for _, status := range []string{"301 Moved", "400 Bad", "404 Missing", "429 Slow", "500 Failed", "503 Busy", "504 Late"} {
 		for name, body := range bodies {
@@ -230,6 +231,7 @@
 // TestResponseCutAtAnyByteIsNeitherWholeNorNotRun has all upstreams close within their response, at each
 // byte of it. It guards against a head or a body that ends early and is framed as whole for the client.
 func TestResponseCutAtAnyByteIsNeitherWholeNorNotRun(t *testing.T) {
+	t.Parallel()
 	const head = "HTTP/1.1 %s\r\nId: q\r\nSignature: s\r\n"
 	stream := numbered(1) + numbered(2)
 	for name, c := range map[string]struct {
--- a/entry/internal/proxy/pipeline_test.go
+++ b/entry/internal/proxy/pipeline_test.go
@@ -107,6 +107,7 @@
 // TestPipelinedRequestWithoutResponseIsNotSent has the connection end, or not, at each point of three
 // requests that a client has sent ahead.
 func TestPipelinedRequestWithoutResponseIsNotSent(t *testing.T) {
+	t.Parallel()
 	firsts := map[string]pipelineCase{
 		"answered":          {key: "secret", first: halves},
 		"refused":           {key: "wrong", first: halves},
--- a/entry/internal/proxy/silent_ends_test.go
+++ b/entry/internal/proxy/silent_ends_test.go
@@ -19,6 +19,7 @@
 // TestClientThatLeavesAsUpstreamsRespondLeavesNothing has a client close its connection at the moment at
 // which a silent upstream goes on and another one responds.
 func TestClientThatLeavesAsUpstreamsRespondLeavesNothing(t *testing.T) {
+	t.Parallel()
 	for _, path := range []string{"/any/x", "/flow/x", "/many/x"} {
 		for _, begun := range begunCases(path) {
 			for _, other := range []string{wayWhole, wayFails, wayCrashes} {
@@ -66,6 +67,7 @@
 // TestStopAsUpstreamsRespondLeavesNoRequestWithoutResponse stops the entry, or ends its requests, at the
 // moment at which a silent upstream goes on and another one responds.
 func TestStopAsUpstreamsRespondLeavesNoRequestWithoutResponse(t *testing.T) {
+	t.Parallel()
 	for name, stop := range map[string]func(f *front){
 		"requests end": func(f *front) { f.world.handler.EndRequests() },
 		"stop":         func(f *front) { (&stopper{front: f, done: make(chan struct{})}).run() },
--- a/entry/internal/proxy/silent_limit_test.go
+++ b/entry/internal/proxy/silent_limit_test.go
@@ -77,6 +77,7 @@
 // TestResponseThatBeginsAsItsVersionEndsIsNotCut has an engine begin a response at the time at which the
 // entry withdraws the request, as the only one, or beside a silent one.
 func TestResponseThatBeginsAsItsVersionEndsIsNotCut(t *testing.T) {
+	t.Parallel()
 	for _, path := range []string{"/rush/x", "/flow/x", "/any/x"} {
 		for _, engines := range []int{1, 2} {
 			for _, begun := range []bool{false, true} {
--- a/entry/internal/proxy/silent_moment_test.go
+++ b/entry/internal/proxy/silent_moment_test.go
@@ -168,6 +168,7 @@
 // TestUpstreamsThatRespondAtOneMomentGiveOneResponse guards against a response that is cut or mixed
 // although one of two upstreams has written it.
 func TestUpstreamsThatRespondAtOneMomentGiveOneResponse(t *testing.T) {
+	t.Parallel()
 	for _, first := range ways {
 		for _, other := range ways {
 			for _, path := range []string{"/any/x", "/flow/x", "/many/x"} {
