soak: change the settings of several entries one after the other

Cause: settings changed at one entry at a time, and the next change of another one was a whole gap away.

Change: the kind settings-series, last in the list, changes the settings of two to four of four entries within 1.4 s, of half of them twice, each with or without SIGHUP. It adds the events that settings adds.

--- a/stand/internal/soak/faults.go
+++ b/stand/internal/soak/faults.go
@@ -25,6 +25,8 @@
 	// seriesInterval is the time between the faults of a series, seriesLength their number.
 	seriesInterval = 400 * time.Millisecond
 	seriesLength   = 3
+	// settingsPause is the time between the changes of a series of settings.
+	settingsPause = 200 * time.Millisecond
 	// registrationTTL is the time after which the platform deregisters an upstream that
 	// sends nothing.
 	registrationTTL = 3600 * time.Millisecond
@@ -215,6 +217,20 @@
 	}
 }
 
+// changeSettingsSeries changes the settings of two or more entries one after the other, those of some
+// of them twice.
+func (i *injector) changeSettingsSeries() {
+	all := i.world.entries
+	first, count := int(i.randomN(int64(len(all)))), 2+int(i.randomN(int64(max(len(all)-1, 1))))
+	for n := range min(count, len(all)) {
+		p := all[(first+n)%len(all)]
+		for range 1 + i.randomN(2) {
+			i.changeSettings(p)
+			time.Sleep(settingsPause)
+		}
+	}
+}
+
 // holdFault keeps a fault active for a while. If another fault of the same subject starts
 // meanwhile, that one replaces it, and the last to end repairs the subject.
 func holdFault(active *atomic.Int32, duration time.Duration, inject, repair func()) {
--- a/stand/internal/soak/kinds.go
+++ b/stand/internal/soak/kinds.go
@@ -69,4 +69,5 @@
 	{"release-stall", func(i *injector, _ time.Duration) { i.releaseStalled() }},
 }, append(placingFaults,
 	fault{"upstreams-late", func(i *injector, duration time.Duration) { i.delayResponses(duration) }},
+	fault{"settings-series", func(i *injector, _ time.Duration) { i.changeSettingsSeries() }},
 )...)
