soak: take new settings for no disturbance in lost, stop and waited

Cause: a change of the settings is recorded as a fault of its entry. Only unanswered left that out; lost, stop and waited excused every request from the change until 3 s after it.

Change: the three leave it out as well. Nothing else of them changes.

--- a/stand/internal/soak/checks.go
+++ b/stand/internal/soak/checks.go
@@ -218,7 +218,7 @@
 }
 
 // checkShutdowns checks that a graceful shutdown aborts no request, and that undisturbed
-// entries abort almost none.
+// entries abort almost none. New settings excuse neither.
 func (c *checker) checkShutdowns(all []*sentRequest) {
 	aborted := 0
 	var first string
@@ -233,10 +233,10 @@
 			continue
 		}
 		at := c.world.timeline.offset(s.sentAt)
-		if c.world.timeline.stoppedBetween(s.entry.name, s.sentAt, s.endedAt) && c.world.timeline.undisturbedExcept(eventGracefulStop, s.sentAt, s.endedAt, s.entry.name) {
+		if c.world.timeline.stoppedBetween(s.entry.name, s.sentAt, s.endedAt) && c.world.timeline.undisturbedExcept([]string{eventGracefulStop, eventSettings}, s.sentAt, s.endedAt, s.entry.name) {
 			c.recordViolation("stop", "%s at %s through %s was aborted by a graceful shutdown: %v", s.ID, at, s.entry.name, s.response.Err)
 		}
-		if c.world.timeline.undisturbed(s.sentAt, s.endedAt, s.entry.name) {
+		if c.world.timeline.undisturbedExcept([]string{eventSettings}, s.sentAt, s.endedAt, s.entry.name) {
 			aborted++
 			first = fmt.Sprintf("%s at %s through %s: %v", s.ID, at, s.entry.name, s.response.Err)
 		}
--- a/stand/internal/soak/stalls.go
+++ b/stand/internal/soak/stalls.go
@@ -124,7 +124,7 @@
 	}
 	runs := c.world.ledger.RunsOf(s.ID)
 	if !c.waited(s, runs) || c.upstreamDisturbed(s, runs) || c.outlivedVersion(s, runs) ||
-		!c.world.timeline.undisturbed(s.sentAt, s.endedAt, s.entry.name, subjectStore) {
+		!c.world.timeline.undisturbedExcept([]string{eventSettings}, s.sentAt, s.endedAt, s.entry.name, subjectStore) {
 		return
 	}
 	c.recordViolation("waited", "%s %s at %s through %s waited for an upstream that stood still, and got status %d after %s: %v", s.kind.name, s.ID,
--- a/stand/internal/soak/timeline.go
+++ b/stand/internal/soak/timeline.go
@@ -51,12 +51,12 @@
 // undisturbed reports whether no event affected any of the subjects from stabilityTime
 // before the first time until the second.
 func (t *timeline) undisturbed(from, until time.Time, subjects ...Subject) bool {
-	return t.undisturbedExcept("", from, until, subjects...)
+	return t.undisturbedExcept(nil, from, until, subjects...)
 }
 
-// undisturbedExcept is like undisturbed but ignores events with the given name.
-func (t *timeline) undisturbedExcept(name string, from, until time.Time, subjects ...Subject) bool {
-	return !t.overlaps(from.Add(-stabilityTime), until, func(e *Event) bool { return slices.Contains(subjects, e.Subject) && e.Name != name })
+// undisturbedExcept is like undisturbed but ignores events with one of the names.
+func (t *timeline) undisturbedExcept(names []string, from, until time.Time, subjects ...Subject) bool {
+	return !t.overlaps(from.Add(-stabilityTime), until, func(e *Event) bool { return slices.Contains(subjects, e.Subject) && !slices.Contains(names, e.Name) })
 }
 
 // overlaps reports whether an event with a subject that matches lasted at any time between the
--- a/stand/internal/soak/unanswered.go
+++ b/stand/internal/soak/unanswered.go
@@ -43,7 +43,7 @@
 	took := s.endedAt.Sub(s.sentAt)
 	isRead := len(runs) > 0 || took > deliveryTime
 	return isRead && took < spentTime && !c.upstreamDisturbed(s, runs) &&
-		c.world.timeline.undisturbedExcept(eventSettings, s.sentAt, s.endedAt, s.entry.name)
+		c.world.timeline.undisturbedExcept([]string{eventSettings}, s.sentAt, s.endedAt, s.entry.name)
 }
 
 // configurationSpans returns the times for which configurations were new.
