soak: count requests on connections that were in use before a change

Cause: whether clients keep their connections over changes of the configuration and the settings wasn't known.

Change: a request records when its connection was first used. The line soak=run states the requests beside a change (changed) and those of them on a connection that had been in use before (kept). No check depends on it.

--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -71,6 +71,9 @@
 	// retries is set by finish, and longCanceled, the number of runs for clients that had disconnected
 	// which would have lasted for cancelGrace longer.
 	retries, longCanceled int
+	// changed is the number of requests beside a change, and kept that of those on a connection that had
+	// been in use before the change.
+	changed, kept int
 }
 
 // processStart identifies one start of a process.
--- a/stand/internal/soak/load.go
+++ b/stand/internal/soak/load.go
@@ -6,7 +6,9 @@
 	"encoding/hex"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"slices"
 	"strings"
@@ -68,6 +70,8 @@
 	probedGeneration int
 	sentAt           time.Time
 	endedAt          time.Time
+	// connectedAt is when the connection was first used, or zero for requests with something sent ahead.
+	connectedAt time.Time
 	// canceledAt is when the client disconnected early, or zero, and leaves how it did.
 	canceledAt time.Time
 	leaves     wayToLeave
@@ -83,7 +87,7 @@
 func (w *workload) start() func() {
 	g := shell.NewGroup()
 	for i := range w.world.options.Size.Clients {
-		c := &client{world: w.world, number: i, random: rand.New(rand.NewPCG(w.world.options.Seed, uint64(i)))}
+		c := &client{world: w.world, number: i, connections: make(map[net.Conn]time.Time), random: rand.New(rand.NewPCG(w.world.options.Seed, uint64(i)))}
 		g.Go(c.run)
 	}
 	return g.Stop
@@ -98,6 +102,8 @@
 	addresses    []netip.AddrPort
 	expiresAt    time.Time
 	requestCount int
+	// connections is when each connection was first used.
+	connections map[net.Conn]time.Time
 }
 
 func (c *client) run(ctx context.Context) {
@@ -213,7 +219,7 @@
 		s.leaves = leavesAhead
 		s.response.Err = fakes.SendAndLeave(ctx, at, s.Request, sentAhead[c.random.IntN(len(sentAhead))])
 	} else {
-		s.response = fakes.Send(ctx, c.httpClient, at, s.Request)
+		s.response = fakes.Send(c.traceConnection(ctx, s), c.httpClient, at, s.Request)
 	}
 	s.endedAt = time.Now()
 	if ctx.Err() != nil {
@@ -226,6 +232,16 @@
 	}
 }
 
+// traceConnection returns a context with which the time of the connection of a request is recorded.
+func (c *client) traceConnection(ctx context.Context, s *sentRequest) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		if !i.Reused {
+			c.connections[i.Conn] = s.sentAt
+		}
+		s.connectedAt = c.connections[i.Conn]
+	}})
+}
+
 // entryAt returns the entry that listens for clients at an address, or nil.
 func (w *world) entryAt(at netip.AddrPort) *process {
 	for _, e := range w.entries {
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -86,6 +86,9 @@
 	// LongCanceled is the number of runs for clients that had disconnected which would have lasted for
 	// long.
 	LongCanceled int
+	// Changed is the number of requests beside a change of the configuration or the settings, and Kept
+	// that of those on a connection that had been in use before.
+	Changed, Kept int
 	// Events are the lines of the timeline.
 	Events []string
 	// Violations are the checks that failed, sorted by name.
@@ -137,6 +140,7 @@
 	r := Result{Seed: o.Seed, Events: w.timeline.lines(), Violations: w.checker.violations()}
 	r.Requests, r.Successes = w.checker.totals()
 	r.Retries, r.LongCanceled = w.checker.retries, w.checker.longCanceled
+	r.Changed, r.Kept = w.checker.changed, w.checker.kept
 	return r, w.timeline.write(filepath.Join(o.Dir, "timeline"))
 }
 
@@ -145,5 +149,5 @@
 	for _, v := range r.Violations {
 		fmt.Printf("soak=broken seed=%d check=%s count=%d first=%q\n", r.Seed, v.Check, v.Count, v.First)
 	}
-	fmt.Printf("soak=run seed=%d requests=%d good=%d repeats=%d left=%d faults=%d broken=%d\n", r.Seed, r.Requests, r.Successes, r.Retries, r.LongCanceled, len(r.Events), len(r.Violations))
+	fmt.Printf("soak=run seed=%d requests=%d good=%d repeats=%d left=%d changed=%d kept=%d faults=%d broken=%d\n", r.Seed, r.Requests, r.Successes, r.Retries, r.LongCanceled, r.Changed, r.Kept, len(r.Events), len(r.Violations))
 }
--- a/stand/internal/soak/unanswered.go
+++ b/stand/internal/soak/unanswered.go
@@ -24,9 +24,14 @@
 	configurations := c.configurationSpans()
 	for _, s := range all {
 		spans := append(c.world.timeline.settingsSpans(s.entry.name), configurations...)
-		if !overlapsAny(spans, s.sentAt, s.endedAt) {
+		since := earliest(spans, s.sentAt, s.endedAt)
+		if since.IsZero() {
 			continue
 		}
+		c.changed++
+		if !s.connectedAt.IsZero() && s.connectedAt.Before(since) {
+			c.kept++
+		}
 		if runs := c.world.ledger.RunsOf(s.ID); c.isUnanswered(s, runs) {
 			c.recordViolation("unanswered", "%s %s at %s through %s, %d runs, after %s: %v",
 				s.kind.name, s.ID, c.world.timeline.offset(s.sentAt), s.entry.name, len(runs), s.endedAt.Sub(s.sentAt), s.response.Err)
@@ -69,11 +74,13 @@
 	return all
 }
 
-func overlapsAny(spans []span, from, until time.Time) bool {
+// earliest returns the start of the first span that overlaps a time, or zero if none does.
+func earliest(spans []span, from, until time.Time) time.Time {
+	var first time.Time
 	for _, p := range spans {
-		if from.Before(p.until) && until.After(p.from) {
-			return true
+		if from.Before(p.until) && until.After(p.from) && (first.IsZero() || p.from.Before(first)) {
+			first = p.from
 		}
 	}
-	return false
+	return first
 }
