soak: add a mutant for new settings

Cause: the kind settings-series and what lost counts beside new settings had no mutant.

Change: settingslost closes the connections of the server before when the settings change.

--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -41,6 +41,7 @@
 stop~stop~entry/internal/httpd/httpd.go~s/(start := time\.Now\(\)\n\ts\.draining)/return 0\n\t$1/~entry-stop
 lost~lost~entry/internal/proxy/handler.go~s/(l\.run\(r\.Context\(\)\)\n)/$1\tif l.arrived.UnixNano()%20 == 0 { panic(http.ErrAbortHandler) }\n/~config
 unanswered~unanswered~entry/internal/httpd/httpd.go~s/(\t\ts\.current\.listener\.stop\(\)\n)(\t\}\n\tc := )/$1\t\tgo func(h *http.Server) { _ = h.Close() }(s.current.http)\n$2/~config
+settingslost~lost~entry~s/(func startSeedReload\(lc fx\.Lifecycle, )/$1server *httpd.Server, /; s/Set: n\.SetSeeds,/Set: func(all []netip.AddrPort) { n.SetSeeds(all); server.Drop() },/; s/(func \(s \*Server\) close\(\) \{\n)/func (s *Server) Drop() {\n\ts.mutex.Lock()\n\th := s.current.http\n\ts.replaceServer()\n\ts.mutex.Unlock()\n\t_ = h.Close()\n}\n\n$1/~settings-series
 recover~recover~core/feed/mirror.go~s/m\.confirmedAt\.Store\(&u\.ConfirmedAt\)/m.confirmedAt.CompareAndSwap(nil, \&u.ConfirmedAt)/~config
 leaving~leaving~entry/internal/target/exclude.go~s/u\.row\.Draining \|\| u\.demands\.leaving:/u.row.Draining:/~upstream-leave
 holds~holds~entry/internal/target/exclude.go~s/case u\.demands\.isHeld\(now\):/case false:/~upstream-held~300ms
