--- a/entry/internal/target/balance_test.go
+++ b/entry/internal/target/balance_test.go
@@ -42,29 +42,37 @@
 // doesn't find the free slots of the others or makes queue lengths oscillate.
 func TestEvenLoadServesMoreInTime(t *testing.T) {
 	t.Parallel()
-	for _, c := range []struct {
-		herdShape
-		// gain is the least increase of the share in time, hotGain that of the hot entry or the evacuated
-		// region.
-		gain, hotGain float64
-	}{
+	for _, c := range []evenCase{
 		{herdShape{spec: "B", entries: 64, servers: 34, load: 0.9, hot: 1.4}, 0.02, -0.05},
 		{herdShape{spec: "B", entries: 64, servers: 34, load: 1.2, hot: 1.4}, 0.06, -0.05},
 		{herdShape{spec: "B", entries: 64, servers: 57, empty: 23, load: 1.2, hot: 1.4}, 0.06, -0.05},
 		{herdShape{spec: "A", entries: 34, servers: 45, load: 0.9, hot: 1, evacuated: true}, 0.02, 0.1},
 		{herdShape{spec: "B", entries: 64, servers: 34, load: 0.7, hot: 1, step: true}, -0.01, -0.05},
 	} {
-		before := newHerd(t, c.herdShape, newEven(t, target.EvenNever)).run(8 * time.Second)
-		now := newHerd(t, c.herdShape, newEven(t, target.EvenAuto)).run(8 * time.Second)
-		if now.inTime < before.inTime+c.gain || now.hotInTime < before.hotInTime+c.hotGain || now.swings > 1.1*before.swings {
-			t.Errorf("%s: %+v, before %+v", c.herdShape, now, before)
-		}
-		if now.bytes > before.bytes || now.messages > 1.02*before.messages {
-			t.Errorf("%s: more traffic: %+v, before %+v", c.herdShape, now, before)
-		}
-		if !c.evacuated && now.remote > before.remote+0.02 {
-			t.Errorf("%s: %.3f of the requests go to other regions, before %.3f", c.herdShape, now.remote, before.remote)
-		}
+		t.Run(fmt.Sprint(c.herdShape), c.run)
+	}
+}
+
+// evenCase is a case of TestEvenLoadServesMoreInTime.
+type evenCase struct {
+	herdShape
+	// gain is the least increase of the share in time, hotGain that of the hot entry or the evacuated
+	// region.
+	gain, hotGain float64
+}
+
+func (c evenCase) run(t *testing.T) {
+	t.Parallel()
+	before := newHerd(t, c.herdShape, newEven(t, target.EvenNever)).run(8 * time.Second)
+	now := newHerd(t, c.herdShape, newEven(t, target.EvenAuto)).run(8 * time.Second)
+	if now.inTime < before.inTime+c.gain || now.hotInTime < before.hotInTime+c.hotGain || now.swings > 1.1*before.swings {
+		t.Errorf("%s: %+v, before %+v", c.herdShape, now, before)
+	}
+	if now.bytes > before.bytes || now.messages > 1.02*before.messages {
+		t.Errorf("%s: more traffic: %+v, before %+v", c.herdShape, now, before)
+	}
+	if !c.evacuated && now.remote > before.remote+0.02 {
+		t.Errorf("%s: %.3f of the requests go to other regions, before %.3f", c.herdShape, now.remote, before.remote)
 	}
 }
 
