--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -9,6 +9,10 @@
 # tsan_rtl.cpp:346), in some runs. Their tests run without it there.
 unraced=(currantport.example/core/relay currantport.example/core/feed)
 run() {
+	if [ "${1:-}" = -race ]; then
+		# Packages with many parallel tests would otherwise take each other's time.
+		set -- "$@" -p 4
+	fi
 	if [ "${1:-}" = -race ] && [ "$(uname -m)" = aarch64 ]; then
 		# shellcheck disable=SC2046 # package paths have no spaces
 		go test -timeout 3m -json "$@" $(go list work | grep -vxF "$(printf '%s\n' "${unraced[@]}")")
