proxy: don't cancel a response that begins while its limit is being checked

A caller got the head and the first event of a stream and then the end of the connection: the event came at the very moment at which the time to wait for it ended.

Cause: the watchdog had looked at the limit before the response began, and canceled the attempt after that. Result: the limit, which moves when a response begins, is looked at again with the lock held.

--- a/entry/internal/proxy/watchdog.go
+++ b/entry/internal/proxy/watchdog.go
@@ -273,14 +273,15 @@
 	return w.successors[0]
 }
 
-// finishCheck cancels the attempt or waits on, unless it has ended or made progress since the check began.
+// finishCheck cancels the attempt or waits on, unless it has ended or made progress since the check began. A
+// response that has begun since then has moved the limit.
 func (w *watchdog) finishCheck(dueAt time.Time, mayCancel bool) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	if w.stopped || !w.dueAt.Equal(dueAt) {
 		return
 	}
-	if mayCancel {
+	if mayCancel && !time.Now().Before(w.limit) {
 		w.cause = w.lifecycle.causeAt(w.limit)
 		w.cancel()
 		w.limit = w.requestLimit()
