--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -363,6 +363,9 @@
 		l.options.Log.Info("engine-leaving", zap.Time("started", s.Started), zap.Int("active", s.Active))
 		l.options.Notify()
 	}
+	if s.OrderCount > l.status.OrderCount && s.Started.Equal(l.status.Started) && !l.statusAt.IsZero() && l.open == nil && l.orderedAt.IsZero() {
+		l.options.Log.Warn("order-unknown", zap.Uint64("count", s.OrderCount), zap.Uint64("before", l.status.OrderCount), zap.Bool("busy", s.Busy))
+	}
 	l.settleOrder(s)
 	l.status, l.statusAt = s, clocks.Now()
 	return true
--- a/agent/internal/loader/order.go
+++ b/agent/internal/loader/order.go
@@ -34,6 +34,9 @@
 	engine   engine.Local
 	target   targetVersion
 	expected uint64
+	// checkAge is the age of the oldest check of a staged piece when the order was sent, at sentAt.
+	checkAge time.Duration
+	sentAt   time.Time
 	// done is closed when ack and err are set.
 	done chan struct{}
 	ack  engine.Ack
@@ -42,9 +45,9 @@
 	stop func()
 }
 
-func startOrder(e engine.Local, t targetVersion, expected uint64) *orderCall {
+func startOrder(e engine.Local, t targetVersion, expected uint64, checkAge time.Duration) *orderCall {
 	g := shell.NewGroup()
-	c := &orderCall{engine: e, target: t, expected: expected, done: make(chan struct{}), stop: g.Stop}
+	c := &orderCall{engine: e, target: t, expected: expected, checkAge: checkAge, sentAt: clocks.Now(), done: make(chan struct{}), stop: g.Stop}
 	g.Go(c.run)
 	return c
 }
@@ -62,7 +65,7 @@
 	if l.open == nil {
 		l.open = &openOrder{target: t, expected: l.status.OrderCount}
 	}
-	l.open.call = startOrder(l.options.Engine, t, l.open.expected)
+	l.open.call = startOrder(l.options.Engine, t, l.open.expected, l.stager.oldestCheck())
 	l.orders.Inc(1)
 }
 
@@ -95,7 +98,7 @@
 
 func (l *Loader) logOrder(c *orderCall) {
 	l.options.Log.Info("order", zap.String("model", c.target.model), zap.Int("version", c.target.version), zap.Uint64("count", c.expected), zap.String("ack", string(c.ack)),
-		zap.Int("active", l.status.Active), zap.Duration("since", clocks.Since(l.releases[c.target].notBefore)), zap.Error(c.err))
+		zap.Int("active", l.status.Active), zap.Duration("checked", c.checkAge), zap.Duration("took", clocks.Since(c.sentAt)), zap.Duration("since", clocks.Since(l.releases[c.target].notBefore)), zap.Error(c.err))
 }
 
 // settleOrder drops the open order if the status shows that the engine can't accept it any more.
--- a/agent/internal/loader/stage.go
+++ b/agent/internal/loader/stage.go
@@ -100,6 +100,26 @@
 	}
 }
 
+// validAge returns the time since a piece was last known to be valid, or zero if it never was.
+func (s *stager) validAge(n int) time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if n >= len(s.verifiedAt) || s.verifiedAt[n].IsZero() {
+		return 0
+	}
+	return clocks.Since(s.verifiedAt[n])
+}
+
+// oldestCheck returns the time since the check of the piece that was verified first.
+func (s *stager) oldestCheck() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if len(s.verifiedAt) == 0 {
+		return 0
+	}
+	return clocks.Since(slices.MinFunc(s.verifiedAt, time.Time.Compare))
+}
+
 // markLost records that storing a piece got no response.
 func (s *stager) markLost(t targetVersion, n int) {
 	s.mutex.Lock()
@@ -187,7 +207,7 @@
 			s.markVerified(t, n)
 			continue
 		}
-		s.options.Log.Warn("staged-piece-corrupt", zap.Int("version", t.version), zap.Int("piece", n), zap.Error(err))
+		s.options.Log.Warn("staged-piece-corrupt", zap.Int("version", t.version), zap.Int("piece", n), zap.Duration("valid", s.validAge(n)), zap.Error(err))
 		data, ok := s.options.Cache.Chunk(digest)
 		valid = ok && s.stagePiece(ctx, t, n, data) && valid
 	}
