--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -73,6 +73,22 @@
 	// pieces of another version were staged, both by orders without a response.
 	older []int
 	mixed []int
+	// heldFault is why tokens of what the engine holds would be wrong, loadingFault of what it loads, or
+	// nothing; exposed are those with which the engine was open for requests.
+	heldFault    string
+	loadingFault string
+	exposed      []string
+	// corruption is the next one, corruptSince when the staged pieces that are corrupt became so.
+	corruption   *corruption
+	corruptSince map[int]time.Time
+	// readTime is the time that the engine takes to send a staged piece. If readers isn't nil, it sends one
+	// after the other.
+	readTime time.Duration
+	readers  chan struct{}
+	// stalledUntil is the time until which the process of the agent stands still.
+	stalledUntil time.Time
+	// ended is closed at the end of the play.
+	ended chan struct{}
 	// stageTime is the time that the engine takes to store a piece, lateStage that for the next one,
 	// which gets no response.
 	stageTime time.Duration
@@ -89,10 +105,12 @@
 func play(t *testing.T, held, others int, test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, mirror: feed.NewMirror(), cache: cache.New(), held: held, started: time.Now(), others: others, staged: map[int][]byte{}, fetchTime: map[int]time.Duration{}}
+		w := &world{t: t, mirror: feed.NewMirror(), cache: cache.New(), held: held, started: time.Now(), others: others, staged: map[int][]byte{}, fetchTime: map[int]time.Duration{}, corruptSince: map[int]time.Time{}, ended: make(chan struct{})}
 		w.release(max(held, 1))
 		w.startLoader()
 		defer func() { w.stop() }()
+		defer close(w.ended)
+		go w.observe()
 		time.Sleep(2 * time.Second)
 		if _, ok := w.loader.Report(); !ok {
 			t.Error("the loader has no report on its engine")
@@ -101,11 +119,21 @@
 	})
 }
 
+// current returns the loader of the agent that runs.
+func (w *world) current() *loader.Loader {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.loader
+}
+
 func (w *world) startLoader() {
-	w.loader, w.stop = loader.New(loader.Options{
+	l, stop := loader.New(loader.Options{
 		Pool: "minds", Address: engineAddress, Mirror: w.mirror, Engine: w, Cache: w.cache, Namer: w, Fetcher: w, VersionTimeout: versionTimeout,
 		Notify: func() {}, Scope: tally.NoopScope, Log: zap.NewNop(),
 	})
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.loader, w.stop = l, stop
 }
 
 // restartLoader ends the agent and starts another one, which knows nothing.
@@ -204,7 +232,16 @@
 	return version, nil
 }
 
+// awaitProcess returns once the process of the agent doesn't stand still.
+func (w *world) awaitProcess() {
+	w.mutex.Lock()
+	until := w.stalledUntil
+	w.mutex.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 func (w *world) Status(context.Context) (engine.Status, error) {
+	w.awaitProcess()
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	s := engine.Status{Started: w.started, Busy: w.busy, OrderCount: w.orderCount(), Leaving: w.leaving, TotalTokens: 100, Pace: 1}
@@ -226,12 +263,37 @@
 }
 
 func (w *world) ReadStaged(_ context.Context, _ string, piece int) ([]byte, error) {
+	w.awaitProcess()
+	if w.readers != nil {
+		w.readers <- struct{}{}
+		defer func() { <-w.readers }()
+	}
+	w.mutex.Lock()
+	readTime := w.readTime
+	w.mutex.Unlock()
+	time.Sleep(readTime / 2)
+	data := w.read(piece)
+	time.Sleep(readTime - readTime/2)
+	w.awaitProcess()
+	return data, nil
+}
+
+// read returns a staged piece, which may become corrupt right after it.
+func (w *world) read(piece int) []byte {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return bytes.Clone(w.staged[piece]), nil
+	data := bytes.Clone(w.staged[piece])
+	if c := w.corruption; c != nil && c.piece == piece && c.afterReads > 0 {
+		if c.afterReads--; c.afterReads == 0 {
+			w.corruption = nil
+			w.corrupt(piece)
+		}
+	}
+	return data
 }
 
 func (w *world) Stage(ctx context.Context, _ string, piece int, data []byte) error {
+	w.awaitProcess()
 	w.mutex.Lock()
 	stageTime, lateStage := w.stageTime, w.lateStage
 	w.lateStage = 0
@@ -250,15 +312,22 @@
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
 	w.staged[piece] = bytes.Clone(data)
+	delete(w.corruptSince, piece)
 }
 
 func (w *world) Load(ctx context.Context, _ string, version int, expected uint64) (engine.Ack, error) {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
+	if c := w.corruption; c != nil && c.afterReads == 0 {
+		w.corruption = nil
+		w.corrupt(c.piece)
+	}
 	if w.fateOf != nil {
 		fate, started := w.fateOf(), w.started
+		w.stalledUntil = time.Now().Add(fate.stall)
 		w.mutex.Unlock()
 		defer w.mutex.Lock()
+		w.awaitProcess()
 		return w.deliver(ctx, started, version, expected, fate)
 	}
 	if w.busy || expected != w.orderCount() {
@@ -280,6 +349,7 @@
 // accept begins to load a version. The caller holds the mutex.
 func (w *world) accept(version int) {
 	w.busy, w.orders = true, append(w.orders, version)
+	w.loadingFault = w.loadFault(version)
 	started := w.started
 	time.AfterFunc(w.running+loadTime, func() {
 		w.mutex.Lock()
@@ -290,14 +360,14 @@
 		if version < w.held {
 			w.older = append(w.older, version)
 		}
-		w.held, w.busy = version, false
+		w.held, w.busy, w.heldFault = version, false, w.loadingFault
 	})
 }
 
 func (w *world) crash() {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	w.started, w.held, w.busy, w.ordersBefore = time.Now(), 0, false, len(w.orders)
+	w.started, w.held, w.busy, w.ordersBefore, w.heldFault = time.Now(), 0, false, len(w.orders), ""
 }
 
 func (w *world) check(held int, orders ...int) {
--- a/agent/internal/loader/order_test.go
+++ b/agent/internal/loader/order_test.go
@@ -17,6 +17,8 @@
 	arrivals []time.Duration
 	// answered is set if the response to the first arrival reaches the agent.
 	answered bool
+	// stall is the time for which the process of the agent stands still before the order is sent.
+	stall time.Duration
 }
 
 // deliver lets the engine that started then receive an order.
