loader: validate what an engine has loaded before it gets requests

Cause: the result of a check was used later, with no bound on the time between. Pieces were read back one after the other and counted as valid from the end of the call; what expired meanwhile wasn't read again; a process that stood still after the check, and an order that was accepted late, made the check older still. After the order nothing looked at the pieces, also not after an order that another agent had sent.

Now a piece counts as valid from the time at which its read-back was sent. Four are read at a time, beside the rounds of the loader, so that the status of a slow engine stays current. Checks go on until the engine has accepted the order; then nothing is stored until each piece is known to have been valid, at most 3 s before the acceptance or, read back unchanged, after it. Until then entries are told that the engine is closed, also by a new agent that finds a load in progress, and after an order that this agent didn't send. If a piece is corrupt by then, it can't be known whether it was before, and the engine stays closed until it loads another version or restarts.

TestNewAgentValidatesALoadInProgress is red without orders of other agents. TestValidLoadsAreServed was green before and is now.

Ruled out: waiting for a fixed time after the order (nothing bounds it), and reading everything back after each order, which costs time at engines whose checks were recent.

--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -49,9 +49,6 @@
 	pollInterval = 50 * time.Millisecond
 	// callTimeout is the timeout of a call to the engine, which is on the same host.
 	callTimeout = time.Second
-	// verifiedTTL is the time for which a staged piece counts as valid after it was
-	// verified.
-	verifiedTTL = 1500 * time.Millisecond
 	// closeDelay is the time between the notification to entries and the order.
 	closeDelay = 30 * time.Millisecond
 	// orderBackoff is the time until the next order after one that was rejected or had no
@@ -124,6 +121,9 @@
 	retryAt   time.Time
 	// open is the order that the engine may still accept, or nil.
 	open *openOrder
+	sent sentOrder
+	// load is nil if the engine has accepted none since the agent or the engine started.
+	load *load
 	// releases holds when each version was released.
 	releases map[targetVersion]releaseTime
 	// skipped is the last complete version that wasn't loaded because it ends too early. It is
@@ -132,8 +132,9 @@
 	// retained holds the version for which all others were dropped from the cache.
 	retained map[targetVersion]bool
 
-	mutex    sync.Mutex
-	status   engine.Status
+	mutex  sync.Mutex
+	status engine.Status
+	// statusAt is when the status was asked for.
 	statusAt time.Time
 	closing  bool
 }
@@ -211,6 +212,7 @@
 		l.round(ctx)
 		select {
 		case <-t.C:
+		case <-l.stager.checked:
 		case <-ctx.Done():
 			return
 		}
@@ -222,6 +224,10 @@
 	if !l.pollStatus(ctx) {
 		return
 	}
+	l.updateValidity()
+	if !l.isServable() {
+		l.setClosing(true)
+	}
 	t, ok := l.releasedVersion()
 	if !ok {
 		return
@@ -233,6 +239,9 @@
 		l.planSlot(t)
 	}
 	l.fetcher.setTarget(t)
+	if l.isValidating() {
+		return
+	}
 	if l.status.Holds(t.model, t.version) {
 		l.resumeRequests(t)
 		return
@@ -363,10 +372,8 @@
 		l.options.Log.Info("engine-leaving", zap.Time("started", s.Started), zap.Int("active", s.Active))
 		l.options.Notify()
 	}
-	if s.OrderCount > l.status.OrderCount && s.Started.Equal(l.status.Started) && !l.statusAt.IsZero() && l.open == nil && l.orderedAt.IsZero() {
-		l.options.Log.Warn("order-unknown", zap.Uint64("count", s.OrderCount), zap.Uint64("before", l.status.OrderCount), zap.Bool("busy", s.Busy))
-	}
 	l.settleOrder(s)
+	l.trackLoad(s)
 	l.status, l.statusAt = s, clocks.Now()
 	return true
 }
@@ -429,28 +436,37 @@
 	if !l.stager.isComplete(t) || now.Before(l.retryAt) {
 		return
 	}
-	if l.open == nil && len(l.status.Held) > 0 && now.Before(l.slot.Start(l.options.VersionTimeout)) {
+	if l.awaitsSlot(now) {
 		l.setClosing(false)
 		return
 	}
-	if !l.stager.verify(ctx) {
+	l.stager.requestCheck()
+	if !l.stager.isChecked() {
 		return
 	}
 	l.stopRequests()
 	if len(l.status.Held) > 0 && !clocks.Sleep(ctx, closeDelay) {
 		return
 	}
-	if l.stager.verify(ctx) {
+	if l.stager.isChecked() {
 		l.orderLoad(t)
 	}
 }
 
+// awaitsSlot reports whether the engine serves requests until its roll-out slot starts.
+func (l *Loader) awaitsSlot(now time.Time) bool {
+	return l.open == nil && len(l.status.Held) > 0 && l.isServable() && now.Before(l.slot.Start(l.options.VersionTimeout))
+}
+
 // stopRequests notifies entries to send no more requests.
 func (l *Loader) stopRequests() { l.setClosing(true) }
 
 // resumeRequests notifies entries that the engine serves the released version, and drops
 // the other versions from the cache.
 func (l *Loader) resumeRequests(t targetVersion) {
+	if !l.isServable() {
+		return
+	}
 	if !l.orderedAt.IsZero() {
 		since := clocks.Since(l.releases[t].notBefore)
 		l.served.RecordDuration(since)
@@ -464,7 +480,9 @@
 	}
 }
 
+// setClosing sets whether entries send no requests. An engine that isn't servable gets none in any case.
 func (l *Loader) setClosing(closing bool) {
+	closing = closing || !l.isServable()
 	l.mutex.Lock()
 	changed := l.closing != closing
 	l.closing = closing
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -78,6 +78,8 @@
 	heldFault    string
 	loadingFault string
 	exposed      []string
+	// notified receives the notifications of the loader.
+	notified chan struct{}
 	// corruption is the next one, corruptSince when the staged pieces that are corrupt became so.
 	corruption   *corruption
 	corruptSince map[int]time.Time
@@ -87,6 +89,8 @@
 	readers  chan struct{}
 	// stalledUntil is the time until which the process of the agent stands still.
 	stalledUntil time.Time
+	// statusDelay is the time after which the agent handles a status.
+	statusDelay time.Duration
 	// ended is closed at the end of the play.
 	ended chan struct{}
 	// stageTime is the time that the engine takes to store a piece, lateStage that for the next one,
@@ -105,7 +109,7 @@
 func play(t *testing.T, held, others int, test func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, mirror: feed.NewMirror(), cache: cache.New(), held: held, started: time.Now(), others: others, staged: map[int][]byte{}, fetchTime: map[int]time.Duration{}, corruptSince: map[int]time.Time{}, ended: make(chan struct{})}
+		w := &world{t: t, mirror: feed.NewMirror(), cache: cache.New(), held: held, started: time.Now(), others: others, staged: map[int][]byte{}, fetchTime: map[int]time.Duration{}, corruptSince: map[int]time.Time{}, ended: make(chan struct{}), notified: make(chan struct{}, 1)}
 		w.release(max(held, 1))
 		w.startLoader()
 		defer func() { w.stop() }()
@@ -119,6 +123,13 @@
 	})
 }
 
+func (w *world) notify() {
+	select {
+	case w.notified <- struct{}{}:
+	default:
+	}
+}
+
 // current returns the loader of the agent that runs.
 func (w *world) current() *loader.Loader {
 	w.mutex.Lock()
@@ -129,7 +140,7 @@
 func (w *world) startLoader() {
 	l, stop := loader.New(loader.Options{
 		Pool: "minds", Address: engineAddress, Mirror: w.mirror, Engine: w, Cache: w.cache, Namer: w, Fetcher: w, VersionTimeout: versionTimeout,
-		Notify: func() {}, Scope: tally.NoopScope, Log: zap.NewNop(),
+		Notify: w.notify, Scope: tally.NoopScope, Log: zap.NewNop(),
 	})
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
@@ -243,12 +254,19 @@
 func (w *world) Status(context.Context) (engine.Status, error) {
 	w.awaitProcess()
 	w.mutex.Lock()
-	defer w.mutex.Unlock()
+	s, delay := w.status(), w.statusDelay
+	w.mutex.Unlock()
+	time.Sleep(delay)
+	return s, nil
+}
+
+// status returns the status of the engine. The caller holds the mutex.
+func (w *world) status() engine.Status {
 	s := engine.Status{Started: w.started, Busy: w.busy, OrderCount: w.orderCount(), Leaving: w.leaving, TotalTokens: 100, Pace: 1}
 	if w.held > 0 {
 		s.Held = []state.HeldVersion{{Model: writer, Version: w.held, Whole: true}}
 	}
-	return s, nil
+	return s
 }
 
 func (w *world) Staged(context.Context, string) ([]int, error) {
--- a/agent/internal/loader/order.go
+++ b/agent/internal/loader/order.go
@@ -37,10 +37,12 @@
 	// checkAge is the age of the oldest check of a staged piece when the order was sent, at sentAt.
 	checkAge time.Duration
 	sentAt   time.Time
-	// done is closed when ack and err are set.
+	// done is closed when ack, err and endedAt are set.
 	done chan struct{}
 	ack  engine.Ack
 	err  error
+	// endedAt is when the call ended.
+	endedAt time.Time
 	// stop ends the call and waits for that.
 	stop func()
 }
@@ -57,15 +59,21 @@
 	defer cancel()
 	defer close(c.done)
 	c.ack, c.err = c.engine.Load(ctx, c.target.model, c.target.version, c.expected)
+	c.endedAt = clocks.Now()
 }
 
+// took returns the time that the engine has taken to respond.
+func (c *orderCall) took() time.Duration { return c.endedAt.Sub(c.sentAt) }
+
 // orderLoad orders the engine to load a version. While an order is open, it is that order again: as
 // all of them expect the same order count, at most one is accepted.
 func (l *Loader) orderLoad(t targetVersion) {
 	if l.open == nil {
 		l.open = &openOrder{target: t, expected: l.status.OrderCount}
+		l.stager.beginOrder()
 	}
-	l.open.call = startOrder(l.options.Engine, t, l.open.expected, l.stager.oldestCheck())
+	l.sent = sentOrder{target: t, expected: l.open.expected}
+	l.open.call = startOrder(l.options.Engine, t, l.open.expected, l.stager.checkAge())
 	l.orders.Inc(1)
 }
 
@@ -87,6 +95,9 @@
 	isRefused := errors.As(c.err, &notStarted) || c.ack == engine.AckConflict || c.ack == engine.AckFenced
 	if c.err == nil && !isRefused {
 		l.open, l.orderedAt = nil, clocks.Now()
+		if c.ack == engine.AckStarted {
+			l.recordLoad(c.target, c.expected+1, c.endedAt)
+		}
 		return
 	}
 	l.retryAt = clocks.Now().Add(orderBackoff)
@@ -98,7 +109,7 @@
 
 func (l *Loader) logOrder(c *orderCall) {
 	l.options.Log.Info("order", zap.String("model", c.target.model), zap.Int("version", c.target.version), zap.Uint64("count", c.expected), zap.String("ack", string(c.ack)),
-		zap.Int("active", l.status.Active), zap.Duration("checked", c.checkAge), zap.Duration("took", clocks.Since(c.sentAt)), zap.Duration("since", clocks.Since(l.releases[c.target].notBefore)), zap.Error(c.err))
+		zap.Int("active", l.status.Active), zap.Duration("checked", c.checkAge), zap.Duration("took", c.took()), zap.Duration("since", clocks.Since(l.releases[c.target].notBefore)), zap.Error(c.err))
 }
 
 // settleOrder drops the open order if the status shows that the engine can't accept it any more.
--- a/agent/internal/loader/stage.go
+++ b/agent/internal/loader/stage.go
@@ -10,32 +10,61 @@
 	"go.uber.org/zap"
 
 	"currantport.example/core/cache"
-	"currantport.example/core/chunks"
 	"currantport.example/core/clocks"
 	"currantport.example/core/shell"
 )
 
-// stagePollInterval is the time between two checks for pieces that aren't staged.
+// stagePollInterval is the time between two checks for pieces that aren't staged or are to be read back.
 const stagePollInterval = 200 * time.Millisecond
 
+// stagedPiece is what is known of a staged piece.
+type stagedPiece struct {
+	// validAt is the latest time at which the piece is known to have been staged and valid: when the call
+	// that stored it, or read it back, was sent. Zero means that it isn't known to be staged.
+	validAt time.Time
+	// isSuspect is set from a failed read-back until the piece is known to be valid again.
+	isSuspect bool
+	// exposure is the longest time for which the piece may have been corrupt before it was replaced,
+	// since the pending order was sent first.
+	exposure time.Duration
+}
+
 // stager stages the pieces of one version at the engine, which has capacity for one version
-// of a model.
+// of a model, and reads them back before and after an order.
 type stager struct {
 	options Options
+	// wake wakes the loop. checked wakes the loader after pieces were read back.
+	wake    chan struct{}
+	checked chan struct{}
 
 	mutex  sync.Mutex
 	target targetVersion
-	// verifiedAt is the time at which each piece of the target was last known to be staged
-	// and valid. A piece has the number of its chunk in cache.Version.Sequence.
-	verifiedAt []time.Time
+	// version is the one that the pieces belong to, nil before its manifest is cached. Another manifest of
+	// the target makes it another one.
+	version *cache.Version
+	// pieces are those of the version by their number in cache.Version.Sequence.
+	pieces []stagedPiece
 	// lost holds the pieces of the target whose storing got no response. The engine may still store
 	// them, over a later piece; replaceable are those over which it may store one of another version.
 	lost        map[int]bool
 	replaceable map[int]bool
+	// storing is the number of calls that store a piece, storedAt when the last one ended.
+	storing  int
+	storedAt time.Time
+	// checkSince is when the current check before an order began, checkUntil when it ends unless it is
+	// extended.
+	checkSince time.Time
+	checkUntil time.Time
+	// acceptedBy is the time by which the engine has accepted an order of the target, or zero. While it is
+	// set, pieces are read back and none is stored.
+	acceptedBy time.Time
 }
 
 func newStager(o Options) (*stager, func()) {
-	s := &stager{options: o, lost: make(map[int]bool), replaceable: make(map[int]bool)}
+	s := &stager{
+		options: o, wake: make(chan struct{}, 1), checked: make(chan struct{}, 1),
+		lost: make(map[int]bool), replaceable: make(map[int]bool),
+	}
 	g := shell.NewGroup()
 	g.Go(s.loop)
 	return s, g.Stop
@@ -45,8 +74,13 @@
 func (s *stager) setTarget(t targetVersion) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.changeTarget(t)
+}
+
+// changeTarget is setTarget. The caller holds the mutex.
+func (s *stager) changeTarget(t targetVersion) {
 	if s.target != t {
-		s.target, s.verifiedAt = t, nil
+		s.target, s.pieces, s.acceptedBy = t, nil, time.Time{}
 		maps.Copy(s.replaceable, s.lost)
 		clear(s.lost)
 	}
@@ -56,7 +90,7 @@
 func (s *stager) reset() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.verifiedAt = nil
+	s.pieces, s.acceptedBy = nil, time.Time{}
 	clear(s.lost)
 	clear(s.replaceable)
 }
@@ -72,52 +106,40 @@
 	if !ok {
 		return s.target, nil
 	}
-	if len(s.verifiedAt) != len(v.Sequence) {
-		s.verifiedAt = make([]time.Time, len(v.Sequence))
+	if len(s.pieces) != len(v.Sequence) {
+		s.version, s.pieces = v, make([]stagedPiece, len(v.Sequence))
 	}
 	return s.target, v
 }
 
-// unverified returns the pieces that aren't known to be staged, or were last verified
-// before the given time.
-func (s *stager) unverified(since time.Time) []int {
+// missing returns the pieces that aren't known to be staged, or none while no piece may be stored.
+func (s *stager) missing() []int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var all []int
-	for i, at := range s.verifiedAt {
-		if at.IsZero() || at.Before(since) {
-			all = append(all, i)
+	for n := range s.pieces {
+		if s.acceptedBy.IsZero() && s.pieces[n].validAt.IsZero() {
+			all = append(all, n)
 		}
 	}
 	return all
 }
 
-func (s *stager) markVerified(t targetVersion, n int) {
+// markValid records that a piece was staged and valid at a time up to now. In case isStored it was stored
+// since, over one that may have been corrupt.
+func (s *stager) markValid(t targetVersion, n int, at time.Time, isStored bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.target == t && n < len(s.verifiedAt) {
-		s.verifiedAt[n] = clocks.Now()
+	if s.target != t || n >= len(s.pieces) {
+		return
 	}
-}
-
-// validAge returns the time since a piece was last known to be valid, or zero if it never was.
-func (s *stager) validAge(n int) time.Duration {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if n >= len(s.verifiedAt) || s.verifiedAt[n].IsZero() {
-		return 0
+	p := &s.pieces[n]
+	if p.isSuspect || isStored {
+		p.exposure, p.isSuspect = max(p.exposure, clocks.Since(p.validAt)), false
 	}
-	return clocks.Since(s.verifiedAt[n])
-}
-
-// oldestCheck returns the time since the check of the piece that was verified first.
-func (s *stager) oldestCheck() time.Duration {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	if len(s.verifiedAt) == 0 {
-		return 0
+	if at.After(p.validAt) {
+		p.validAt = at
 	}
-	return clocks.Since(slices.MinFunc(s.verifiedAt, time.Time.Compare))
 }
 
 // markLost records that storing a piece got no response.
@@ -131,29 +153,17 @@
 	}
 }
 
-// expired returns the pieces to read back before an order: those that were verified before the given
-// time, and those that may have been replaced since.
-func (s *stager) expired(since time.Time) []int {
-	all := s.unverified(since)
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for n := range s.replaceable {
-		if n < len(s.verifiedAt) && !slices.Contains(all, n) {
-			all = append(all, n)
-		}
-	}
-	return all
-}
-
-// loop stages pieces as they are added to the cache.
+// loop stages pieces as they are added to the cache, and reads them back while a check is in progress.
 func (s *stager) loop(ctx context.Context) {
 	t := time.NewTicker(stagePollInterval)
 	defer t.Stop()
 	for {
 		changed := s.options.Cache.Changed()
 		s.stageMissing(ctx)
+		s.readBack(ctx)
 		select {
 		case <-changed:
+		case <-s.wake:
 		case <-t.C:
 		case <-ctx.Done():
 			return
@@ -167,49 +177,54 @@
 	if v == nil {
 		return
 	}
-	for _, n := range s.unverified(time.Time{}) {
+	for _, n := range s.missing() {
 		if data, ok := s.options.Cache.Chunk(v.Sequence[n]); ok {
 			s.stagePiece(ctx, t, n, data)
 		}
 	}
 }
 
-func (s *stager) stagePiece(ctx context.Context, t targetVersion, n int, data []byte) bool {
+// stagePiece stores a piece of the target, unless the target has changed or no piece may be stored.
+func (s *stager) stagePiece(ctx context.Context, t targetVersion, n int, data []byte) {
+	if !s.beginStore(t) {
+		return
+	}
+	defer s.endStore()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := clocks.Now()
 	if err := s.options.Engine.Stage(ctx, t.model, n, data); err != nil {
 		s.options.Log.Debug("stage-failed", zap.Int("piece", n), zap.Error(err))
 		s.markLost(t, n)
+		return
+	}
+	s.markValid(t, n, sentAt, true)
+}
+
+func (s *stager) beginStore(t targetVersion) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.target != t || !s.acceptedBy.IsZero() {
 		return false
 	}
-	s.markVerified(t, n)
+	s.storing++
 	return true
 }
 
+func (s *stager) endStore() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.storing--
+	s.storedAt = clocks.Now()
+}
+
 // isComplete reports whether every piece of the version is staged.
 func (s *stager) isComplete(t targetVersion) bool {
 	current, v := s.current()
-	return v != nil && current == t && len(s.unverified(time.Time{})) == 0
-}
-
-// verify reads back the staged pieces whose verification has expired and replaces corrupt
-// ones. It reports whether all are valid.
-func (s *stager) verify(ctx context.Context) bool {
-	t, v := s.current()
-	if v == nil {
+	if v == nil || current != t {
 		return false
 	}
-	valid := true
-	for _, n := range s.expired(clocks.Now().Add(-verifiedTTL)) {
-		digest := v.Sequence[n]
-		data, err := s.options.Engine.ReadStaged(ctx, t.model, n)
-		if err == nil && chunks.Verify(digest, data) {
-			s.markVerified(t, n)
-			continue
-		}
-		s.options.Log.Warn("staged-piece-corrupt", zap.Int("version", t.version), zap.Int("piece", n), zap.Duration("valid", s.validAge(n)), zap.Error(err))
-		data, ok := s.options.Cache.Chunk(digest)
-		valid = ok && s.stagePiece(ctx, t, n, data) && valid
-	}
-	return valid
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return !slices.ContainsFunc(s.pieces, func(p stagedPiece) bool { return p.validAt.IsZero() })
 }
