loader: stage the pieces of a version again when its manifest is replaced

An engine loaded pieces of a manifest that had been taken back as invalid: what was staged counted by number, for any manifest of the version with as many pieces. Pieces now belong to one cached version.

TestPiecesOfAReplacedManifestAreStagedAgain: ordered with the pieces of the former manifest before; green now.

--- a/agent/internal/loader/stage.go
+++ b/agent/internal/loader/stage.go
@@ -106,7 +106,7 @@
 	if !ok {
 		return s.target, nil
 	}
-	if len(s.pieces) != len(v.Sequence) {
+	if s.version != v || len(s.pieces) != len(v.Sequence) {
 		s.version, s.pieces = v, make([]stagedPiece, len(v.Sequence))
 	}
 	return s.target, v
