loader: count the age of an engine's status from the call

A status that was handled seconds after the engine had given it counted as current, so that an agent that had stood still reported a load and versions of before to entries.

TestStatusReadBeforeAStandstillIsNotReported: a status of 5 s ago was reported before; none now.

--- a/agent/internal/loader/fresh_test.go
+++ b/agent/internal/loader/fresh_test.go
@@ -35,3 +35,17 @@
 		w.check(2, 2)
 	})
 }
+
+// TestStatusReadBeforeAStandstillIsNotReported lets the agent stand still between the response of the engine
+// to a poll and its handling.
+func TestStatusReadBeforeAStandstillIsNotReported(t *testing.T) {
+	play(t, 1, 0, func(w *world) {
+		w.mutex.Lock()
+		w.statusDelay = 5 * time.Second
+		w.mutex.Unlock()
+		time.Sleep(5*time.Second + 60*time.Millisecond)
+		if r, ok := w.loader.Report(); ok {
+			t.Errorf("a status of 5 s ago counts as current: %+v", r.Status)
+		}
+	})
+}
--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -347,6 +347,7 @@
 func (l *Loader) pollStatus(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	askedAt := clocks.Now()
 	s, err := l.options.Engine.Status(ctx)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
@@ -374,7 +375,7 @@
 	}
 	l.settleOrder(s)
 	l.trackLoad(s)
-	l.status, l.statusAt = s, clocks.Now()
+	l.status, l.statusAt = s, askedAt
 	return true
 }
 
