target: keep an engine closed while its agent is silent

Callers could get tokens of a load that nobody had found valid: an agent that stood still or ended right after it had sent an order.

Cause: a load report that says that the engine is closed counted for 1.5 s, as all of a report does. Then the entry went by the row, which names the new version as soon as the engine has loaded it. In the same way the engine counted in the free slots of the region, and an entry that used it only in passing ended its subscription. Result: an engine stays closed for 10 s after the last report that said so, busy or closing, until the next report or the row of another process. The subscription goes on meanwhile. What was closed belongs to the process, as its other demands do: it outlives a registration that lapses, and the row of a process that the agent has reported before. A restart ends it at once, since the next process holds nothing.

The bound: it has to outlast the restart of an agent, about 4 s, and its first report, at most 2 s later, and bounds what the loss of an agent costs. If all agents end at one moment while all engines load, as after a restart of everything, all are back after 10 s at the latest, and those whose agents report again at once. An engine that held no version when it was closed is treated alike: it can't serve before it has loaded, and what it loads is what nobody has checked.

A report with a lower serial opens the engine once the last one has expired, since an agent whose clock was set back must be able to.

Left: an entry that never got the closed report goes by the row.

--- a/admin/explain.go
+++ b/admin/explain.go
@@ -142,6 +142,9 @@
 	} else {
 		fmt.Fprint(w, " age=none")
 	}
+	if c.Silence > 0 {
+		fmt.Fprintf(w, " silence=%s", ms(c.Silence))
+	}
 	fmt.Fprintf(w, " version=%d", c.Version)
 	if c.Ending {
 		fmt.Fprintf(w, " ends=%s", ms(c.Ends))
--- a/core/choice/choice.go
+++ b/core/choice/choice.go
@@ -79,7 +79,9 @@
 	Reported bool    `json:"reported"`
 	Age      float64 `json:"age"`
 	Pace     float64 `json:"pace"`
-	Version  int     `json:"version"`
+	// Silence is the age of the last load report of a closed engine if it is no longer valid.
+	Silence float64 `json:"silence,omitempty"`
+	Version int     `json:"version"`
 	// Ending is set if a later version was released, and Ends is the time for which requests may
 	// still be sent to this one.
 	Ending    bool    `json:"ending"`
--- a/entry/internal/query/document.go
+++ b/entry/internal/query/document.go
@@ -43,7 +43,7 @@
 func candidateOf(c target.Candidate) choice.CandidateDocument {
 	d := choice.CandidateDocument{
 		Upstream: c.Row.ID, Domain: c.Row.Domain, Region: string(c.Region), Running: c.Load.Running, Unread: c.Load.Unread,
-		Reported: c.HasReport, Age: milliseconds(c.LoadAge), Pace: c.Load.Pace, Version: c.Version, Ending: c.IsEnding, Ends: milliseconds(c.EndsIn), Predicted: milliseconds(c.Predicted),
+		Reported: c.HasReport, Age: milliseconds(c.LoadAge), Silence: milliseconds(c.Silence), Pace: c.Load.Pace, Version: c.Version, Ending: c.IsEnding, Ends: milliseconds(c.EndsIn), Predicted: milliseconds(c.Predicted),
 		Limit: c.Limit, Owner: string(c.LimitOwner), Cost: c.Cost, Jitter: c.MaxJitter, Free: c.Free, Needed: c.Needed, Admitted: c.IsAdmitted,
 	}
 	for _, e := range c.Exclusions {
--- a/entry/internal/syncer/syncer_test.go
+++ b/entry/internal/syncer/syncer_test.go
@@ -83,3 +83,12 @@
 
 // toPlain returns the requirements of a request to the plain service "s".
 func toPlain() target.Requirements { return target.Requirements{Pool: &state.Pool{Name: "s"}} }
+
+// TestEngineThatLoadsOrIsAboutToIsClosed guards against requests to an engine whose agent reports either.
+func TestEngineThatLoadsOrIsAboutToIsClosed(t *testing.T) {
+	for _, l := range []*wire.LoadDigest{{}, {Busy: true}, {Closing: true}, {Busy: true, Closing: true}} {
+		if got := syncer.DecodeLoadReport(l).Closed; got != (l.Busy || l.Closing) {
+			t.Errorf("busy %t, closing %t: closed %t", l.Busy, l.Closing, got)
+		}
+	}
+}
--- a/entry/internal/target/balance.go
+++ b/entry/internal/target/balance.go
@@ -303,7 +303,7 @@
 
 // isOpen reports whether the engine is in this entry's region and takes requests.
 func (f *Fleet) isOpen(now time.Time, u *upstream) bool {
-	isClosed := u.health.IsDown(now) || u.hasReport(now) && u.report.Closed
+	isClosed := u.health.IsDown(now) || u.demands.isClosed(now)
 	return !f.isRemote(u) && !isClosed && u.isShared() && u.isOffered(now) && !f.evacuated[hosts.Domain(u.row.Domain)]
 }
 
--- a/entry/internal/target/choose.go
+++ b/entry/internal/target/choose.go
@@ -168,8 +168,8 @@
 }
 
 // Subscriptions returns the engines whose load reports the entry wants: those of its region,
-// the remote ones assigned to it and those with requests in progress. The caller subscribes to
-// them at the given time or later.
+// the remote ones assigned to it, those with requests in progress and those that are closed, since their
+// agents would seem silent without a subscription. The caller subscribes to them at the given time or later.
 func (f *Fleet) Subscriptions(now time.Time, s *state.Snapshot) []Subscription {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
@@ -179,7 +179,8 @@
 			continue
 		}
 		for _, u := range f.pools[p.Name] {
-			if !f.isRemote(u) || u.isUsedRemotely() || u.running > 0 {
+			f.logClosedSilence(now, u)
+			if !f.isRemote(u) || u.isUsedRemotely() || u.running > 0 || u.demands.isClosed(now) {
 				if u.subscribedAt.IsZero() {
 					u.subscribedAt = now
 				}
--- a/entry/internal/target/demands.go
+++ b/entry/internal/target/demands.go
@@ -40,6 +40,10 @@
 	announcements int
 	// heldUntil is the time until which the upstream wants no requests.
 	heldUntil time.Time
+	// closedAt is when the last load report arrived if it said that the engine is closed, else zero.
+	closedAt time.Time
+	// isSilenceLogged is set once the log says that no load report has followed that one in time.
+	isSilenceLogged bool
 	// limit is the limit that it has named, or nil if it never named one.
 	limit *limitState
 	// invalid is the last value of each kind that couldn't be read.
@@ -49,6 +53,38 @@
 // isHeld reports whether the upstream wants no requests from this entry now.
 func (d demands) isHeld(now time.Time) bool { return now.Before(d.heldUntil) }
 
+// isClosed reports whether the engine accepts no requests, as far as is known. That outlasts the load report,
+// since the row names a version once it is loaded, whether or not the agent found its pieces valid.
+func (d demands) isClosed(now time.Time) bool {
+	return !d.closedAt.IsZero() && now.Sub(d.closedAt) < closedTTL
+}
+
+// recordClosed records whether a load report says that the engine is closed.
+func (u *upstream) recordClosed(now time.Time, isClosed bool) {
+	u.demands.closedAt, u.demands.isSilenceLogged = time.Time{}, false
+	if isClosed {
+		u.demands.closedAt = now
+	}
+}
+
+// closedSilence returns how long the agent of a closed engine has sent no load report, or zero if the last one is
+// valid.
+func (u *upstream) closedSilence(now time.Time) time.Duration {
+	if !u.demands.isClosed(now) || u.hasReport(now) {
+		return 0
+	}
+	return now.Sub(u.demands.closedAt)
+}
+
+// logClosedSilence logs once that an engine gets no requests because its agent fell silent while it was closed.
+func (f *Fleet) logClosedSilence(now time.Time, u *upstream) {
+	if silence := u.closedSilence(now); silence > 0 && !u.demands.isSilenceLogged {
+		u.demands.isSilenceLogged = true
+		f.options.Log.Warn("engine-closed-silent", zap.String("upstream", u.row.ID), zap.Duration("silence", silence),
+			zap.Duration("left", closedTTL-silence))
+	}
+}
+
 // processKey identifies one start of an upstream's process.
 type processKey struct {
 	id      string
@@ -62,7 +98,7 @@
 
 // keepDemands keeps the demands of an upstream that was removed. The caller holds the mutex.
 func (f *Fleet) keepDemands(now time.Time, u *upstream) {
-	if u.demands.leaving || u.demands.isHeld(now) || u.demands.limit != nil {
+	if u.demands.leaving || u.demands.isHeld(now) || u.demands.isClosed(now) || u.demands.limit != nil {
 		f.departed.Put(processOf(u.row), u.demands)
 	}
 }
--- a/entry/internal/target/exclude.go
+++ b/entry/internal/target/exclude.go
@@ -26,7 +26,7 @@
 	ExclusionTried Exclusion = "tried"
 	// ExclusionDown is one that accepts no connections.
 	ExclusionDown Exclusion = "down"
-	// ExclusionClosed is an engine that is about to load another version.
+	// ExclusionClosed is an engine that is about to load another version, or was when its agent fell silent.
 	ExclusionClosed Exclusion = "closed"
 	// ExclusionVersion is an engine without a version that may serve the request.
 	ExclusionVersion Exclusion = "version"
@@ -63,7 +63,7 @@
 		return 0, 0, reason
 	case u.health.IsDown(now):
 		return 0, 0, ExclusionDown
-	case u.hasReport(now) && u.report.Closed:
+	case u.demands.isClosed(now):
 		return 0, 0, ExclusionClosed
 	}
 	version, minVersion, ok := f.versionFor(now, u, reqs)
--- a/entry/internal/target/explain.go
+++ b/entry/internal/target/explain.go
@@ -31,6 +31,9 @@
 	Load      timing.Load
 	LoadAge   time.Duration
 	HasReport bool
+	// Silence is how long the agent of an engine that is closed has sent no load report, or zero if the last
+	// one is valid.
+	Silence time.Duration
 	// Version is the version that the upstream serves, or zero if it is unknown or none.
 	Version int
 	// IsEnding is set if a later version was released, and EndsIn is how long requests may still be
@@ -149,7 +152,7 @@
 func (f *Fleet) describe(now time.Time, u *upstream, reqs Requirements) Candidate {
 	d := Candidate{
 		Row: u.row, Region: f.options.Regions[hosts.Domain(u.row.Domain)], Load: u.load(now), HasReport: u.hasReport(now),
-		Exclusions: f.allExclusions(now, u, reqs),
+		Silence: u.closedSilence(now), Exclusions: f.allExclusions(now, u, reqs),
 	}
 	if d.HasReport {
 		d.LoadAge = now.Sub(u.reportedAt)
@@ -206,7 +209,7 @@
 	case ExclusionDown:
 		u.health = health.Record{}
 	case ExclusionClosed:
-		u.report.Closed = false
+		u.demands.closedAt = time.Time{}
 	case ExclusionLimit:
 		u.demands.limit = nil
 	}
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -38,6 +38,9 @@
 	loadReportTTL = 1500 * time.Millisecond
 	// maxReportAge bounds the age of the status in a load report that arrives.
 	maxReportAge = time.Second
+	// closedTTL is how long an engine stays closed after the last load report that said so, in case its
+	// agent has ended. The next agent of the host reports within it.
+	closedTTL = 10 * time.Second
 	// mismatchBackoff is how long an engine that rejected a request for its version gets no
 	// requests. It is busy loading a version, or its next load report states the new one.
 	mismatchBackoff = time.Second
@@ -284,6 +287,10 @@
 	if known == nil || !known.row.SameProcess(row) {
 		u := &upstream{row: row, rowHeldSince: now, demands: f.takeDemands(row), observed: make(map[string]observedVersions)}
 		u.recordHeld(row.Held)
+		if known != nil && !row.Started.IsZero() && known.report.Started.Equal(row.Started) {
+			// The agent has reported the process before its row arrived.
+			u.demands.closedAt = known.demands.closedAt
+		}
 		return u
 	}
 	known.recordHeld(row.Held)
@@ -321,6 +328,7 @@
 		u.reportHeldSince = now
 	}
 	u.report, u.reportedAt, u.sentSinceReport = r, now, 0
+	u.recordClosed(now, r.Closed)
 	if u.recordHeld(r.Held) {
 		f.assignShares(f.regionEntries())
 	}
