--- a/entry/internal/proxy/withdraw_test.go
+++ b/entry/internal/proxy/withdraw_test.go
@@ -210,7 +210,7 @@
 		go (&upstream{world: w, number: i, listener: l}).run()
 		listeners = append(listeners, l)
 	}
-	p, stop := conns.New(n.Dialer(entry), nil)
+	p, stop := conns.New(w.dial, nil)
 	w.network, w.conns, w.crashes = n, p, crash.NewRegistry(zap.NewNop())
 	fleet := target.New(target.Options{
 		Entries: func() []hosts.Host { return nil }, Regions: map[hosts.Domain]hosts.Region{"d": "r"}, Place: hosts.Place{Region: "r"},
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -13,6 +13,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -121,7 +122,10 @@
 	body             string
 	priority         string
 	parts            string
-	ended            chan struct{}
+	// remaining is the time that the request says is left, at when it was received.
+	remaining time.Duration
+	at        time.Time
+	ended     chan struct{}
 	// crash ends the upstream: its connections are closed and new ones refused.
 	crash func()
 }
@@ -141,6 +145,10 @@
 	scope  tally.TestScope
 	// wrap replaces the writer of responses, or is nil.
 	wrap func(r http.ResponseWriter) http.ResponseWriter
+	// dialed is called with the number of each connection once it is open, or is nil. The entry stands still
+	// while it runs.
+	dialed func(number int)
+	dials  atomic.Int64
 
 	// scripts counts the visits in progress.
 	scripts sync.WaitGroup
@@ -201,7 +209,7 @@
 			go u.run()
 			stops = append(stops, func() { _ = l.Close() })
 		}
-		p, stop := conns.New(n.Dialer(entry), nil)
+		p, stop := conns.New(w.dial, nil)
 		w.conns, w.crashes = p, crash.NewRegistry(zap.NewNop())
 		regions := map[hosts.Domain]hosts.Region{"d": "r", "e": "s", "f": "s"}
 		fleet := target.New(target.Options{
@@ -230,6 +238,15 @@
 	})
 }
 
+// dial opens a connection of the entry.
+func (w *world) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c, err := w.network.Dialer(entry)(ctx, network, address)
+	if number := int(w.dials.Add(1)) - 1; err == nil && w.dialed != nil {
+		w.dialed(number)
+	}
+	return c, err
+}
+
 func (w *world) publish(upstreams int) {
 	w.t.Helper()
 	var rows []state.Row
@@ -350,8 +367,11 @@
 		upstream: c.upstream.number, id: q.Header.Get("Id"), after: q.Header.Get("After"), workspace: q.Header.Get("Workspace"), body: string(body),
 		parts: q.Header.Get("Parts"), priority: q.Header.Get("Priority"), ended: make(chan struct{}), crash: c.upstream.crash,
 	}
+	if v.remaining, err = time.ParseDuration(q.Header.Get("Remaining")); err != nil {
+		w.t.Error(err)
+	}
 	w.mutex.Lock()
-	v.number = len(w.visits)
+	v.number, v.at = len(w.visits), time.Now()
 	w.visits = append(w.visits, v)
 	w.mutex.Unlock()
 	watch := &watch{source: r, ended: v.ended}
