proxy: check the choice of an upstream again right before the request is written

An entry that stood still between the choice of an upstream and the request sent it whatever had changed meanwhile: to an engine of a replaced version after its cut-off, which may begin it after the end of the version, and to an upstream that had drained for any time.

Cause: the cut-off and the row are looked at when the upstream is chosen. The watchdog is armed once the connection is open, and after a pause its timer fires beside the write.

Now conns.Conn asks right before the first byte whether the request may still be sent: up to 0.5 s after the choice, which covers the time for a connection, and up to the cut-off by the releases known by then. Else the request is unsent for certain, another upstream is chosen, and the same one if there is no other.

A pause between the check and the system call remains.

--- a/core/conns/conns_test.go
+++ b/core/conns/conns_test.go
@@ -347,3 +347,25 @@
 		}
 	})
 }
+
+// TestRequestThatIsTooLateIsNotSent has the permission of a request end while its connection is opened.
+func TestRequestThatIsTooLateIsNotSent(t *testing.T) {
+	for _, size := range []int{1, 64 << 10} {
+		received := 0
+		runScript(t, func(_ net.Conn, r *bufio.Reader, _ int) {
+			n, _ := io.Copy(io.Discard, r)
+			received += int(n)
+		}, func(p *conns.Pool, _ *server) {
+			q := request("late", strings.Repeat("x", size))
+			q.MayBeSent = func() bool { return false }
+			_, err := roundTrip(p, q, false)
+			var lost *conns.LostError
+			if !errors.As(err, &lost) || lost.State != conns.SendStateUnsent || !errors.Is(err, conns.ErrTooLate) {
+				t.Errorf("%d bytes: %v", size, err)
+			}
+		})
+		if received > 0 {
+			t.Errorf("%d bytes: %d were received", size, received)
+		}
+	}
+}
--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -56,6 +56,9 @@
 // Unwrap returns the cause.
 func (e *LostError) Unwrap() error { return e.Err }
 
+// ErrTooLate is the error of a request that Request.MayBeSent kept from being sent.
+var ErrTooLate = errors.New("the request may not be sent any more")
+
 var (
 	errMismatched = errors.New("only responses to other requests were received")
 	errUpgrade    = errors.New("the upstream switched protocols")
@@ -76,6 +79,9 @@
 	// Matches reports whether a response belongs to the request, by its header. IsFirst is true if the
 	// upstream has written nothing else on the connection, so that the response can't be an earlier one.
 	Matches func(h http.Header, isFirst bool) bool
+	// MayBeSent is called right before the first byte is written. If it returns false the request isn't sent,
+	// and the error is ErrTooLate. Nil means that the request may always be sent.
+	MayBeSent func() bool
 }
 
 // Response is the head of a response. The owner reads Body to its end or calls Close.
@@ -102,8 +108,9 @@
 
 // exchange is a request in progress on a connection.
 type exchange struct {
-	conn *Conn
-	data []byte
+	conn      *Conn
+	data      []byte
+	mayBeSent func() bool
 	// written is closed once the request has been written or writing has failed.
 	written chan struct{}
 	err     error
@@ -116,6 +123,12 @@
 }
 
 func (x *exchange) write() {
+	if x.mayBeSent != nil && !x.mayBeSent() {
+		x.err = ErrTooLate
+		// Ends the wait for a response.
+		x.conn.Close()
+		return
+	}
 	n, err := x.conn.raw.Write(x.data)
 	if n > 0 {
 		x.sent.Store(true)
@@ -135,7 +148,7 @@
 // then a LostError.
 func (c *Conn) Do(ctx context.Context, r *Request) (*Response, error) {
 	c.used++
-	x := &exchange{conn: c, data: r.encode(), written: make(chan struct{})}
+	x := &exchange{conn: c, data: r.encode(), mayBeSent: r.MayBeSent, written: make(chan struct{})}
 	if ctx.Err() != nil {
 		return nil, c.fail(ctx, func() bool { return true }, x, ctx.Err())
 	}
@@ -155,6 +168,9 @@
 		if concurrent {
 			c.Close()
 			<-x.written
+			if errors.Is(x.err, ErrTooLate) {
+				err = x.err
+			}
 		}
 		return nil, c.fail(ctx, stop, x, err)
 	}
--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -56,7 +56,7 @@
 	}
 	f.Finish(clocks.Now(), outcome)
 	l.logAttempt(f, result, l.sentAt, e, err)
-	l.recordAsked(f.Row.ID, l.prepared.Load() != nil)
+	l.recordAsked(f.Row.ID, l.prepared.Load() != nil || errors.Is(err, conns.ErrTooLate))
 	if result != tries.ResultAnswered {
 		wd.awaitSuccessors(result)
 	}
@@ -80,7 +80,8 @@
 	}
 }
 
-// recordAsked records an attempt at an upstream, and whether the entry has canceled it for another one.
+// recordAsked records an attempt at an upstream, and whether the entry has canceled it for another one or was too
+// late to send it.
 func (l *lifecycle) recordAsked(id string, isCanceled bool) {
 	l.canceled = slices.DeleteFunc(l.canceled, func(i string) bool { return i == id })
 	if isCanceled {
@@ -106,7 +107,7 @@
 	wd.reset(l.firstByteTimeout(f), earliest(l.startLimit(f), l.stallEnd()))
 	f.OnStartDeadline(wd.shorten)
 	s.attempt = l.buildAttempt(f, l.stream.lastEventID, l.level, l.levels)
-	response, err := conn.Do(ctx, l.handler.options.UpstreamCodec.BuildRequest(&l.call, s.attempt))
+	response, err := l.send(ctx, conn, s)
 	s.response = response
 	if err != nil {
 		return l.responseLost(ctx, f, err)
@@ -125,9 +126,17 @@
 	return l.forwardUnary(ctx, f, wd, response, reply)
 }
 
-// buildAttempt returns what the request to an upstream says beside the call.
+// send sends the request of an attempt and returns the head of the response.
+func (l *lifecycle) send(ctx context.Context, conn *conns.Conn, s *successor) (*conns.Response, error) {
+	s.attempt.Remaining = time.Until(l.deadline)
+	r := l.handler.options.UpstreamCodec.BuildRequest(&l.call, s.attempt)
+	r.MayBeSent = s.inFlight.MayBeSent
+	return conn.Do(ctx, r)
+}
+
+// buildAttempt returns what the request to an upstream says beside the call and the time that is left.
 func (l *lifecycle) buildAttempt(f *target.InFlight, lastEventID string, level, levels int) calls.Attempt {
-	a := calls.Attempt{Upstream: f.Row, Remaining: time.Until(l.deadline), LastEventID: lastEventID}
+	a := calls.Attempt{Upstream: f.Row, LastEventID: lastEventID}
 	if l.admission.Workspace != nil {
 		a.Workspace = l.admission.Workspace.Name
 	}
--- a/entry/internal/proxy/cause.go
+++ b/entry/internal/proxy/cause.go
@@ -18,7 +18,7 @@
 const (
 	// causeUpstream means that the upstream ended its response, or the connection, early.
 	causeUpstream cause = "upstream"
-	// causeConnect means that there was no connection to the upstream.
+	// causeConnect means that there was no connection to the upstream, or too late.
 	causeConnect cause = "connect"
 	// causeDeadline is the deadline of the request.
 	causeDeadline cause = "deadline"
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -58,8 +58,8 @@
 	pool      *state.Pool
 	attempts  *tries.Attempts
 	attempted []string
-	// canceled are those of them whose last attempt the entry has canceled for another one. They may be asked
-	// again if no other one takes the request.
+	// canceled are those of them whose last attempt the entry has canceled for another one, or was too late to
+	// send. They may be asked again if no other one takes the request.
 	canceled []string
 	// identity identifies the request and the parts of its prompt in the crash marks.
 	identity crash.Request
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -121,8 +121,7 @@
 		return l.connectFailed(s.request, f, err)
 	}
 	f.OnStartDeadline(s.shorten)
-	s.attempt.Remaining = time.Until(l.deadline)
-	response, err := conn.Do(s.request, l.handler.options.UpstreamCodec.BuildRequest(&l.call, s.attempt))
+	response, err := l.send(s.request, conn, s)
 	s.response = response
 	if err != nil {
 		var lost *conns.LostError
--- a/entry/internal/target/target.go
+++ b/entry/internal/target/target.go
@@ -25,6 +25,7 @@
 	"github.com/uber-go/tally/v4"
 	"go.uber.org/zap"
 
+	"currantport.example/core/clocks"
 	"currantport.example/core/health"
 	"currantport.example/core/hosts"
 	"currantport.example/core/recent"
@@ -38,6 +39,9 @@
 	loadReportTTL = 1500 * time.Millisecond
 	// maxReportAge bounds the age of the status in a load report that arrives.
 	maxReportAge = time.Second
+	// maxChoiceAge is how long after its choice an upstream may be sent the request. It covers the time to
+	// open a connection.
+	maxChoiceAge = 500 * time.Millisecond
 	// mismatchBackoff is how long an engine that rejected a request for its version gets no
 	// requests. It is busy loading a version, or its next load report states the new one.
 	mismatchBackoff = time.Second
@@ -408,6 +412,27 @@
 	return r
 }
 
+// MayBeSent reports whether the upstream may still be sent the request. The process may have stood still since
+// the choice, so that its version has ended or its row has changed.
+func (r *InFlight) MayBeSent() bool {
+	end := r.sendEnd()
+	return clocks.Now().Before(end)
+}
+
+// sendEnd returns the time from which the upstream may not be sent the request.
+func (r *InFlight) sendEnd() time.Time {
+	r.fleet.mutex.Lock()
+	defer r.fleet.mutex.Unlock()
+	end := r.startedAt.Add(maxChoiceAge)
+	if r.model == "" {
+		return end
+	}
+	if at := r.fleet.cutoff(r.model, r.minVersion); !at.IsZero() && at.Before(end) {
+		return at
+	}
+	return end
+}
+
 // RecordFirstEvent records the arrival of the first byte of the response. Further calls have
 // no effect.
 func (r *InFlight) RecordFirstEvent(now time.Time) {
