proxy: don't report as not run what ran beside an attempt that was declined

A request could be answered with 429 and "not run" although an upstream had run it: a silent upstream declined it while another one that had been asked beside it responded, and the entry began to close its connections before it looked at the outcome, such as after a pause at that point.

Cause: the attempt that has responded isn't used once the entry stops, and was not counted as a run then. Only the declined one was, and a request without a run is refused as not run.

--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -184,6 +184,8 @@
 	case l.prepared.Load() == nil:
 	case l.ended.Load():
 		l.cause = causeStop
+		// The next attempt isn't used, but its upstream has run the request.
+		l.attempts.RecordBeside(tries.ResultLost)
 	default:
 		l.attempts.RecordBeside(result)
 		return tries.StepRetry
--- a/entry/internal/proxy/standstill_test.go
+++ b/entry/internal/proxy/standstill_test.go
@@ -10,6 +10,9 @@
 	"testing/synctest"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
 	"currantport.example/core/calls"
 	"currantport.example/core/clocks"
 	"currantport.example/core/state"
@@ -141,3 +144,39 @@
 	}
 	return 0
 }
+
+// TestRequestThatRanBesideADeclineIsNotReportedAsNotRun has the first upstream decline a request that another one runs,
+// and the entry stop and stand still while the other one responds. What ran must not be sent again.
+func TestRequestThatRanBesideADeclineIsNotReportedAsNotRun(t *testing.T) {
+	for _, path := range repeatable {
+		for _, respondsAfter := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 800 * time.Millisecond} {
+			hasDeclined := false
+			log := zap.NewNop().WithOptions(zap.WrapCore(func(zapcore.Core) zapcore.Core {
+				return zapcore.RegisterHooks(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel), func(e zapcore.Entry) error {
+					if e.Message == "attempt" && !hasDeclined {
+						hasDeclined = true
+						time.Sleep(500 * time.Millisecond)
+					}
+					return nil
+				})
+			}))
+			playLogged(t, 2, plenty, log, func(w io.Writer, v visit) {
+				if v.number == 0 {
+					time.Sleep(400 * time.Millisecond)
+					declined(w, v.id)
+					return
+				}
+				time.Sleep(respondsAfter)
+				framingLength.write(w, v.id, numbered(1))
+			}, func(w *world) {
+				stop := time.AfterFunc(700*time.Millisecond, w.handler.EndRequests)
+				defer stop.Stop()
+				a := w.request(context.Background(), path)
+				if len(w.received()) != 2 || a.Header().Get("Outcome") == string(calls.OutcomeNotRun) {
+					t.Errorf("%s, responds after %v: status %d, %q, received %d", path, respondsAfter, a.Code, a.Header().Get("Outcome"), len(w.received()))
+				}
+				w.checkNothingLeft(t)
+			})
+		}
+	}
+}
