gate: test that a response of another version than admitted is refused

A gate admits a request by the last observation of its engine, and the engine may have loaded another version by the time it begins the request. Nothing bounds the time between; what makes that harmless is the version in the response, which had no test. TestResponseOfAnotherVersionIsRefused is red without the check ("response of version two").

--- a/agent/internal/gate/gate_test.go
+++ b/agent/internal/gate/gate_test.go
@@ -22,6 +22,7 @@
 	"currantport.example/agent/internal/gate"
 	"currantport.example/core/audit"
 	"currantport.example/core/calls"
+	"currantport.example/core/chunks"
 	"currantport.example/core/dedup"
 	"currantport.example/core/engine"
 	"currantport.example/core/hosts"
@@ -51,7 +52,9 @@
 	refusing atomic.Bool
 	// endsWithData makes the end of a response arrive with its last byte.
 	endsWithData atomic.Bool
-	mutex        sync.Mutex
+	// version is what the service is serving when it responds, or empty.
+	version string
+	mutex   sync.Mutex
 	// crash is closed when the service crashes, and then replaced.
 	crash chan struct{}
 }
@@ -85,7 +88,7 @@
 		if s.endsWithData.Load() {
 			body = iotest.DataErrReader(body)
 		}
-		return engine.Response{Status: http.StatusOK, Body: io.NopCloser(body)}, nil
+		return engine.Response{Version: s.version, Status: http.StatusOK, Body: io.NopCloser(body)}, nil
 	case <-s.crashSignal():
 		return engine.Response{}, &engine.ConnectionLostError{Cause: io.ErrUnexpectedEOF}
 	case <-ctx.Done():
@@ -98,12 +101,19 @@
 	name    hosts.Name
 	address netip.AddrPort
 	service *service
-	active  *tables.Active
-	gate    *gate.Gate
+	// observed is the state of the engine that was observed last, or nil for a plain service.
+	observed *observedState
+	active   *tables.Active
+	gate     *gate.Gate
 	// flushes counts the flushes by the gate's handler.
 	flushes atomic.Int32
 }
 
+// observedState implements gate.StateSource.
+type observedState struct{ state engine.State }
+
+func (o *observedState) State() engine.State { return o.state }
+
 // flushCounter counts the flushes of a handler.
 type flushCounter struct {
 	host *host
@@ -133,6 +143,8 @@
 	registry *poison.SharedRegistry
 	// stream makes the attempts request a stream.
 	stream bool
+	// version is the one that the attempts require, or empty.
+	version string
 }
 
 // Now implements gate.Roster.
@@ -145,12 +157,18 @@
 }
 
 func newWorld(t *testing.T, names ...hosts.Name) *world {
+	t.Helper()
+	return newWorldWith(t, nil, names...)
+}
+
+// newWorldWith returns a world whose gates have observed a state of their engine, if it isn't nil.
+func newWorldWith(t *testing.T, observed *observedState, names ...hosts.Name) *world {
 	t.Helper()
 	w := &world{t: t, network: memnet.New(nil), registry: poison.NewSharedRegistry(audit.NewTrail(zap.NewNop()))}
 	for i, n := range names {
 		w.hosts = append(w.hosts, &host{
 			name: n, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 1, byte(i)}), 7000),
-			service: &service{crash: make(chan struct{})}, active: &tables.Active{},
+			service: &service{crash: make(chan struct{})}, observed: observed, active: &tables.Active{},
 		})
 	}
 	client, closeIdle := links.NewPeerClient(w.network.Dialer(clientAddr))
@@ -165,11 +183,15 @@
 func (w *world) start(h *host) {
 	client, closeIdle := links.NewPeerClient(w.network.Dialer(h.address.Addr()))
 	var stopGate func()
-	h.gate, stopGate = gate.New(gate.Options{
+	o := gate.Options{
 		Host: h.name, Service: h.service, Tables: h.active, Roster: w, Client: client, Bounds: bounds,
 		Registry: poison.NewSharedRegistry(audit.NewTrail(zap.NewNop())), Trail: audit.NewTrail(zap.NewNop()), Log: zap.NewNop(),
 		Broadcast: func(all ...poison.Mark) { w.registry.Merge(all, "a gate") },
-	})
+	}
+	if h.observed != nil {
+		o.Engine = h.observed
+	}
+	h.gate, stopGate = gate.New(o)
 	l, err := w.network.Listen(h.address)
 	if err != nil {
 		w.t.Fatal(err)
@@ -203,7 +225,7 @@
 	request := calls.Request{Route: "book", Workspace: "meadow", Body: []byte(body)}
 	m := &wire.RunRequest{
 		Id: id, Route: "book", Workspace: "meadow", Key: key, Timeout: (10 * time.Second).Milliseconds(),
-		Body: []byte(body), Pool: "p", Routes: 1, Marks: poison.Encode(w.registry.MarksOf(poison.FingerprintOf(request))), Stream: w.stream,
+		Body: []byte(body), Pool: "p", Routes: 1, Marks: poison.Encode(w.registry.MarksOf(poison.FingerprintOf(request))), Stream: w.stream, Version: w.version,
 	}
 	s, err := wire.NewGateClient(w.client, "http://"+h.address.String()).Run(ctx, connect.NewRequest(m))
 	if err != nil {
@@ -475,3 +497,23 @@
 		})
 	}
 }
+
+// TestResponseOfAnotherVersionIsRefused has the engine serve another version by the time it begins a request than when
+// the gate admitted it.
+func TestResponseOfAnotherVersionIsRefused(t *testing.T) {
+	for _, version := range []string{"one", "two"} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorldWith(t, &observedState{state: engine.State{Version: "one", Manifest: chunks.Digest{1}}}, "a")
+			a := w.hosts[0]
+			w.publish(1, []hosts.Name{"a"}, a)
+			w.version, a.service.version = "one", version
+			response, refused := w.run(t.Context(), a, "first", "", "body")
+			if version == "one" && (refused != nil || response != "body") {
+				t.Errorf("%q, refused %v", response, refused)
+			}
+			if version == "two" && (refused == nil || refused.Outcome != string(calls.OutcomeUnknown) || refused.Reason != string(calls.ReasonVersion) || response != "") {
+				t.Errorf("response of version two: %q, refused %v", response, refused)
+			}
+		})
+	}
+}
