--- a/entry/internal/proxy/standstill_test.go
+++ b/entry/internal/proxy/standstill_test.go
@@ -57,6 +57,27 @@
 	}
 }
 
+// TestNoRequestIsSentToAVersionWhoseReleaseIsLearnedSinceTheChoice has an entry learn of a release, of which it may
+// have been unaware for long, between the choice of an engine and the request.
+func TestNoRequestIsSentToAVersionWhoseReleaseIsLearnedSinceTheChoice(t *testing.T) {
+	for _, path := range []string{"/long/x", "/slow/x", "/slowly/x"} {
+		for _, unaware := range []time.Duration{0, 5 * time.Second, 6500 * time.Millisecond, 7 * time.Second, 9 * time.Second} {
+			synctest.Test(t, func(t *testing.T) {
+				w, apply, stop := newEngineWorld(t, 1, func(w io.Writer, v visit) { framingLength.write(w, v.id, numbered(1)) })
+				defer stop()
+				apply(engineRow(0))
+				time.Sleep(unaware)
+				w.dialed = func(int) { apply(encoded(state.EncodeRelease(state.Release{Model: "m", Version: 2}))) }
+				a := w.request(context.Background(), path)
+				isRun := len(w.received()) > 0
+				if isNotRun := a.Header().Get("Outcome") == string(calls.OutcomeNotRun); isRun != (unaware < cutoffTime) || isNotRun == isRun {
+					t.Errorf("%s, unaware for %v: received %t, status %d, %q", path, unaware, isRun, a.Code, a.Header().Get("Outcome"))
+				}
+			})
+		}
+	}
+}
+
 // TestNoRequestIsSentToAnUpstreamThatDrainsSinceTheChoice has an upstream drain while an entry stands still
 // between its choice and the request.
 func TestNoRequestIsSentToAnUpstreamThatDrainsSinceTheChoice(t *testing.T) {
