report: don't send the state of an engine that was read before a pause

An agent that stood still between reading the state of its engine and sending it reported a state of any age. Reports carry no age and entries take them for a state of the last second, so that the state could replace a newer observation, such as a response that showed the engine back at an older version.

Now a state that was read more than 0.2 s ago isn't sent, and is read again at once.

--- a/agent/internal/report/report.go
+++ b/agent/internal/report/report.go
@@ -33,6 +33,9 @@
 	subscriptionTTL = 3 * time.Second
 	// maxSubscriptions bounds the entries that receive reports.
 	maxSubscriptions = 1024
+	// maxReadAge is how long after reading the state a report of it may be sent. Reports state no age, and
+	// entries take the state for one of the last second.
+	maxReadAge = 200 * time.Millisecond
 )
 
 // Source provides the state of the engine.
@@ -116,6 +119,7 @@
 			return
 		}
 		polls++
+		readAt := clocks.Now()
 		e, ok := r.source.Report()
 		if !ok {
 			continue
@@ -129,6 +133,10 @@
 		if !busy && !changed && polls < idlePolls && !all {
 			continue
 		}
+		if clocks.Since(readAt) > maxReadAge {
+			r.Notify()
+			continue
+		}
 		polls, last = 0, running
 		r.mesh.Send(d, to...)
 	}
