--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -58,8 +58,8 @@
 	pool      *state.Pool
 	attempts  *tries.Attempts
 	attempted []string
-	// canceled are those of them whose last attempt the entry has canceled for another one. They may be asked
-	// again if no other one takes the request.
+	// canceled are those of them whose last attempt the entry has canceled for another one, or was too late to
+	// send. They may be asked again if no other one takes the request.
 	canceled []string
 	// identity identifies the request and the parts of its prompt in the crash marks.
 	identity crash.Request
@@ -184,6 +184,8 @@
 	case l.prepared.Load() == nil:
 	case l.ended.Load():
 		l.cause = causeStop
+		// The next attempt isn't used, but its upstream has run the request.
+		l.attempts.RecordBeside(tries.ResultLost)
 	default:
 		l.attempts.RecordBeside(result)
 		return tries.StepRetry
