--- a/stand/internal/soak/world.go
+++ b/stand/internal/soak/world.go
@@ -86,6 +86,8 @@
 	limiting sync.Mutex
 	// activeFaults counts the active faults of the upstream.
 	activeFaults atomic.Int32
+	// slowStages counts the active faults that make staged pieces slow to read back.
+	slowStages atomic.Int32
 
 	mutex sync.Mutex
 	// started is set once the upstream was started; spare engines are started later.
