soak: count responses that begin on weights that weren't whole

weights counts the loads of pieces that were missing, of another version or corrupt for more than 3 s.

The new check whole counts those, with the allowance of weights.

Result: no change of the program under test.

--- a/stand/internal/soak/checker.go
+++ b/stand/internal/soak/checker.go
@@ -270,7 +270,7 @@
 	all := slices.Clone(c.requests)
 	c.mutex.Unlock()
 	for _, e := range c.world.ledger.LoadErrors() {
-		if e.CorruptFor == 0 || e.CorruptFor > corruptLimit {
+		if mustBeNoticed(e) {
 			c.recordViolation("weights", "%s", e)
 		}
 	}
@@ -278,6 +278,7 @@
 		c.recordViolation("older", "%s", r)
 	}
 	runs := c.world.ledger.RunsFrom(0)
+	c.checkWhole(runs)
 	c.checkUnsolicited(all, runs)
 	c.checkBudget(all, runs)
 	c.checkDemands(all, runs)
@@ -293,3 +294,17 @@
 	c.checkDenied(all)
 	c.checkRecovery(all, servedSince)
 }
+
+// checkWhole checks that no response begins with weights of which a piece was missing or corrupt when
+// their load was accepted.
+func (c *checker) checkWhole(runs []fakes.Run) {
+	for i := range runs {
+		if e := runs[i].LoadError; e != nil && mustBeNoticed(*e) {
+			c.recordViolation("whole", "%s started at %s on the load that was accepted at %s: %s", runs[i].ID,
+				c.world.timeline.offset(runs[i].StartedAt), c.world.timeline.offset(e.AcceptedAt), e)
+		}
+	}
+}
+
+// mustBeNoticed reports whether the order must not have been sent.
+func mustBeNoticed(e fakes.LoadError) bool { return e.CorruptFor == 0 || e.CorruptFor > corruptLimit }
