soak: take processor time from a run

Cause: a run had no load beside its own processes.

Change: -busy N starts N processes of the new command stand busy for the whole run. They end with it, by their ids, or by themselves after the time that the run takes at most.

--- a/stand/internal/soak/command.go
+++ b/stand/internal/soak/command.go
@@ -42,7 +42,7 @@
 
 // Usage implements subcommands.Command.
 func (c *Command) Usage() string {
-	return "stand soak [-seed N] [-seeds N] [-jobs N] [-length DURATION] [-only KIND]\n  example: stand soak -seed 7 -seeds 4 -jobs 2\n"
+	return "stand soak [-seed N] [-seeds N] [-jobs N] [-length DURATION] [-only KIND] [-busy N]\n  example: stand soak -seed 7 -seeds 4 -jobs 2\n"
 }
 
 // SetFlags implements subcommands.Command.
@@ -60,6 +60,7 @@
 	f.IntVar(&c.options.Size.Engines, "engines", 6, "number of engines, each with an agent")
 	f.IntVar(&c.options.Size.Services, "services", 3, "number of services of each plain pool")
 	f.IntVar(&c.options.Size.Clients, "callers", 24, "number of clients")
+	f.IntVar(&c.options.BusyLoops, "busy", 0, "number of processes that take processor time during each run")
 	f.StringVar(&c.options.FaultKinds, "only", "", "kinds of faults to inject, separated by commas; empty means all; power comes last")
 }
 
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -65,6 +65,13 @@
 	Size    Size
 	// FaultKinds names the kinds of faults to inject, separated by commas. Empty means all.
 	FaultKinds string
+	// BusyLoops is the number of processes that take processor time during the run.
+	BusyLoops int
+}
+
+// maxRunTime returns a time in which a run ends, unless its last faults take longer than MaxFaultTime.
+func (o Options) maxRunTime() time.Duration {
+	return startupTime + o.Duration + o.MaxFaultTime + recoveryTime + servedWindow + settleDelay
 }
 
 // Size is the number of processes and fakes.
@@ -108,6 +115,11 @@
 	if err := os.MkdirAll(o.Dir, 0o755); err != nil {
 		return Result{}, err
 	}
+	stopLoops, err := startBusyLoops(o.BusyLoops, o.maxRunTime())
+	if err != nil {
+		return Result{}, err
+	}
+	defer stopLoops()
 	w, stop, err := newWorld(o)
 	if err != nil {
 		return Result{}, err
--- a/stand/main.go
+++ b/stand/main.go
@@ -23,6 +23,6 @@
 		Read:            read,
 		Build:           build,
 		ShutdownTimeout: shutdownTimeoutOf,
-		ExtraCommands:   []subcommands.Command{&drive.Command{}, gauge.NewCommand(), &plan.Command{}, scale.NewCommand(), &soak.Command{}},
+		ExtraCommands:   []subcommands.Command{&drive.Command{}, gauge.NewCommand(), &plan.Command{}, scale.NewCommand(), &soak.Command{}, &soak.BusyCommand{}},
 	}, os.Args[1:]))
 }
