loader: load again what isn't known to be valid, also what a new agent finds

An engine of whose load it couldn't be known whether a piece had been corrupt stayed closed until the next release: an order of a version that it holds has no effect. And an agent that was started while its engine was closed for that reason opened it again.

An engine that is ordered to hold a part of the layers drops the others, and one that is ordered to hold more loads these alone. The agent now has it keep the first layer, then load all the others, then the first one: three orders that leave no layer of the load in doubt. The pieces aren't replaced before the engine has dropped them, so that an agent that starts meanwhile sees either the corrupt piece or an engine without all layers.

A new agent reads the pieces of what its engine serves. Until they are known to be valid, and for at most as long as entries keep an engine closed without a report, it sends no report: they go on with what the agent before has said.

--- a/agent/internal/loader/check.go
+++ b/agent/internal/loader/check.go
@@ -37,6 +37,8 @@
 	validityPending validity = "pending"
 	// validityValid is a load of which none was.
 	validityValid validity = "valid"
+	// validityAssumed is a load that the agent has found at its start and can't validate.
+	validityAssumed validity = "assumed"
 	// validityUnknown is a load of which that can't be determined any more.
 	validityUnknown validity = "unknown"
 )
--- a/agent/internal/loader/load.go
+++ b/agent/internal/loader/load.go
@@ -12,21 +12,30 @@
 // validationTimeout is the time after which the validation of a load is given up for a newer version.
 const validationTimeout = 5 * time.Second
 
+// inheritedTimeout is the time after which a load that the agent has found at its start counts as valid. Entries
+// keep an engine closed for as long after the last report of the agent before.
+const inheritedTimeout = 10 * time.Second
+
 // load is the last load that the engine has accepted since the agent watches it. The engine gets no
-// requests until it is known to be valid.
+// requests until it is known to be valid. If that can't be known any more, it loads the layers again.
 type load struct {
 	// target is the version. For an order of another agent it is zero until the engine serves it.
 	target targetVersion
+	layers engine.Layers
 	// count is the order count of the engine since it accepted the load.
 	count uint64
 	// acceptedBy is the time by which it had accepted it.
 	acceptedBy time.Time
 	validity   validity
+	// isInherited is set for a load that was complete when the agent first saw the engine. The agent before
+	// may not have validated it.
+	isInherited bool
 }
 
 // sentOrder is the last order that was sent.
 type sentOrder struct {
 	target   targetVersion
+	layers   engine.Layers
 	expected uint64
 }
 
@@ -34,40 +43,60 @@
 func (l *Loader) trackLoad(s engine.Status) {
 	isFirst, count, seenAt := l.statusAt.IsZero(), l.status.OrderCount, l.statusAt
 	if !isFirst && !s.Started.Equal(l.status.Started) {
-		l.load, count = nil, 0
+		l.load, l.stale, count = nil, staleLayers{}, 0
 	}
-	isNew := s.OrderCount != count
-	if isFirst {
-		isNew = s.Busy
+	if isFirst && !s.Busy && len(s.Held) > 0 {
+		l.inheritLoad(s)
+		return
 	}
+	isNew := s.OrderCount != count || isFirst && s.Busy
 	if !isNew || l.load != nil && l.load.count == s.OrderCount {
 		return
 	}
 	if l.sent.target.version != 0 && s.OrderCount == l.sent.expected+1 {
-		l.recordLoad(l.sent.target, s.OrderCount, clocks.Now())
+		l.recordLoad(l.sent, clocks.Now())
 		return
 	}
 	l.load = &load{count: s.OrderCount, acceptedBy: clocks.Now(), validity: validityPending}
 	if !l.stager.sealForeign(seenAt, l.load.acceptedBy) {
-		l.load.validity = validityUnknown
+		l.endValidation(validityUnknown)
 	}
 	l.options.Log.Warn("order-unknown", zap.Uint64("count", s.OrderCount), zap.Uint64("before", count), zap.Bool("busy", s.Busy),
 		zap.String("validity", string(l.load.validity)))
 }
 
+// inheritLoad records what the engine serves when the agent first sees it.
+func (l *Loader) inheritLoad(s engine.Status) {
+	held := s.Held[0]
+	l.load = &load{
+		target: targetVersion{model: held.Model, version: held.Version}, count: s.OrderCount, acceptedBy: clocks.Now(),
+		validity: validityPending, isInherited: true,
+	}
+	l.stager.sealForeign(time.Time{}, l.load.acceptedBy)
+	l.stager.retarget(l.load.target)
+	if !held.Whole {
+		// An agent has ended while the engine loaded its layers again.
+		l.endValidation(validityUnknown)
+	}
+}
+
 // recordLoad records that the engine has accepted an order of this agent by a time.
-func (l *Loader) recordLoad(t targetVersion, count uint64, acceptedBy time.Time) {
-	l.load = &load{target: t, count: count, acceptedBy: acceptedBy, validity: validityPending}
-	l.stager.seal(t, acceptedBy)
+func (l *Loader) recordLoad(o sentOrder, acceptedBy time.Time) {
+	l.load = &load{target: o.target, layers: o.layers, count: o.expected + 1, acceptedBy: acceptedBy, validity: validityPending}
+	l.stager.seal(o.target, acceptedBy)
 	l.updateValidity()
 }
 
 // updateValidity takes over what the stager has found out about the last load.
 func (l *Loader) updateValidity() {
-	if l.load == nil || l.load.validity != validityPending {
+	if l.load == nil || l.load.target.version == 0 && !l.findForeignTarget() {
 		return
 	}
-	if l.load.target.version == 0 && !l.findForeignTarget() {
+	if l.load.validity == validityUnknown && l.stale.layers == (engine.Layers{}) {
+		// The tables weren't known before.
+		l.stale = staleLayers{target: l.load.target, layers: l.allLayers(l.load.target.model)}
+	}
+	if l.load.validity != validityPending {
 		return
 	}
 	v, corrupt := l.stager.loadValidity(l.load.target)
@@ -91,21 +120,37 @@
 	}
 	held := l.status.Held[0]
 	l.load.target = targetVersion{model: held.Model, version: held.Version}
-	l.stager.retarget(l.load.target)
+	if l.load.validity == validityPending {
+		l.stager.retarget(l.load.target)
+	}
 	return true
 }
 
 func (l *Loader) endValidation(v validity) {
-	l.load.validity = v
-	l.stager.unseal()
+	l.load.validity, l.load.isInherited = v, false
+	if v == validityValid {
+		l.stager.unseal()
+		l.keepStale(l.load.target, l.load.layers)
+		return
+	}
+	l.stale = staleLayers{target: l.load.target, layers: l.load.layers}
+	if l.load.layers == (engine.Layers{}) {
+		l.stale.layers = l.allLayers(l.load.target.model)
+	}
+	if !l.mustDrop(l.load.target) {
+		l.stager.unseal()
+	}
 }
 
-// isValidating reports whether the validation of the last load has to go on. It is given up if a newer
-// version is complete meanwhile.
-func (l *Loader) isValidating() bool {
+// isValidating reports whether the validation of the last load has to go on, where t is the released version.
+// It is given up if a newer version is complete meanwhile.
+func (l *Loader) isValidating(t targetVersion) bool {
 	if l.load == nil || l.load.validity != validityPending {
 		return false
 	}
+	if l.load.isInherited {
+		return l.isInheritedPending(t)
+	}
 	next, ok := l.fetcher.newestComplete(l.slotTarget.model)
 	if !ok || l.status.Busy || next.version <= l.load.target.version || clocks.Since(l.load.acceptedBy) < validationTimeout {
 		return true
@@ -114,8 +159,82 @@
 	return false
 }
 
+// isInheritedPending is isValidating for a load that the agent has found at its start. One of a version that has
+// been replaced can't be validated, as the agent before may have staged pieces of the next.
+func (l *Loader) isInheritedPending(t targetVersion) bool {
+	if l.load.target == t && clocks.Since(l.load.acceptedBy) < inheritedTimeout {
+		return true
+	}
+	l.load.validity = validityAssumed
+	l.stager.unseal()
+	return false
+}
+
+// isInheriting reports whether the agent doesn't know whether the engine may get requests. Meanwhile it
+// reports nothing, so that entries keep to what the agent before has reported.
+func (l *Loader) isInheriting() bool {
+	return l.load != nil && l.load.isInherited && clocks.Since(l.load.acceptedBy) < inheritedTimeout
+}
+
 // isServable reports whether the engine may get requests: what it serves is known to have been valid when
 // it was loaded, or was loaded before the agent started.
 func (l *Loader) isServable() bool {
-	return l.load == nil || l.load.validity == validityValid && l.heldVersion(l.load.target.model) == l.load.target.version
+	if l.load == nil || l.load.isInherited {
+		return true
+	}
+	return l.load.validity == validityValid && !l.isStale(l.load.target) && l.heldVersion(l.load.target.model) == l.load.target.version
+}
+
+// firstLayer is the part that an engine keeps when it drops a version.
+var firstLayer = engine.Layers{To: 1}
+
+// staleLayers are the layers of a version that the engine has from loads that aren't known to be valid. It
+// keeps the layers that it holds of an ordered version, so that it has to drop them before it loads them again.
+type staleLayers struct {
+	target targetVersion
+	layers engine.Layers
+}
+
+// isStale reports whether the engine holds layers of the version that it has to load again.
+func (l *Loader) isStale(t targetVersion) bool {
+	return l.stale.target == t && l.stale.layers != (engine.Layers{})
+}
+
+// mustDrop reports whether the engine has to drop stale layers of the version before the pieces may be staged
+// again. An agent that starts later would take the load for a valid one otherwise.
+func (l *Loader) mustDrop(t targetVersion) bool {
+	return l.isStale(t) && l.nextLayers(t) == firstLayer
+}
+
+// keepStale records that the engine has dropped all layers but some of a version, and that those it has
+// loaded since are valid.
+func (l *Loader) keepStale(t targetVersion, kept engine.Layers) {
+	if l.stale.target != t {
+		l.stale = staleLayers{}
+	}
+	if kept != (engine.Layers{}) {
+		l.stale.layers, _ = l.stale.layers.Intersect(kept)
+	}
+}
+
+// nextLayers returns the layers for the next order of a version. Two orders of parts that have no layer in
+// common make the engine drop all stale layers.
+func (l *Loader) nextLayers(t targetVersion) engine.Layers {
+	all := l.allLayers(t.model)
+	switch {
+	case !l.isStale(t) || l.heldVersion(t.model) != t.version || all.To < 2:
+		return engine.Layers{}
+	case l.stale.layers == firstLayer:
+		return engine.Layers{From: 1, To: all.To}
+	}
+	return firstLayer
+}
+
+// allLayers returns the layers of a model, or the zero value if it has none.
+func (l *Loader) allLayers(model string) engine.Layers {
+	p := l.options.Mirror.Snapshot().Pool(l.options.Pool)
+	if p == nil || p.Engine == nil || len(p.Engine.Models) == 0 || p.Engine.Models[0].Name != model {
+		return engine.Layers{}
+	}
+	return engine.Layers{To: p.Engine.Layers}
 }
--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -120,8 +120,9 @@
 	orderedAt time.Time
 	retryAt   time.Time
 	// open is the order that the engine may still accept, or nil.
-	open *openOrder
-	sent sentOrder
+	open  *openOrder
+	sent  sentOrder
+	stale staleLayers
 	// load is nil if the engine has accepted none since the agent or the engine started.
 	load *load
 	// releases holds when each version was released.
@@ -137,6 +138,8 @@
 	// statusAt is when the status was asked for.
 	statusAt time.Time
 	closing  bool
+	// isSilent is set while the agent doesn't know whether the engine may get requests.
+	isSilent bool
 }
 
 // New starts a loader. The clean-up function stops it.
@@ -176,7 +179,7 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	r := Report{Status: l.status, Closing: l.closing, Row: l.row(l.status.Started), Releases: l.recentReleases()}
-	return r, !l.statusAt.IsZero() && clocks.Since(l.statusAt) < callTimeout && r.Row != nil
+	return r, !l.isSilent && !l.statusAt.IsZero() && clocks.Since(l.statusAt) < callTimeout && r.Row != nil
 }
 
 // recentReleases returns the releases that still bound the use of the version before.
@@ -228,6 +231,7 @@
 	if !l.isServable() {
 		l.setClosing(true)
 	}
+	l.setSilent()
 	t, ok := l.releasedVersion()
 	if !ok {
 		return
@@ -239,10 +243,10 @@
 		l.planSlot(t)
 	}
 	l.fetcher.setTarget(t)
-	if l.isValidating() {
+	if l.isValidating(t) {
 		return
 	}
-	if l.status.Holds(t.model, t.version) {
+	if l.status.Holds(t.model, t.version) && !l.isStale(t) {
 		l.resumeRequests(t)
 		return
 	}
@@ -288,6 +292,10 @@
 // consider the expected arrival of the newest: the estimate is too early while the origin is slow, and
 // a third of the engines then skipped a version that they could have served for seconds.
 func (l *Loader) nextLoad(t targetVersion) (targetVersion, bool) {
+	if l.heldVersion(t.model) == t.version {
+		// Some layers are missing or stale.
+		return t, true
+	}
 	found, ok := l.fetcher.newestComplete(t.model)
 	if !ok || l.holdsOrNewer(found) {
 		return targetVersion{}, false
@@ -375,6 +383,7 @@
 	}
 	l.settleOrder(s)
 	l.trackLoad(s)
+	l.isSilent = l.isInheriting() && !l.closing
 	l.status, l.statusAt = s, askedAt
 	return true
 }
@@ -429,12 +438,19 @@
 // advance takes the next step towards serving the version.
 func (l *Loader) advance(ctx context.Context, t targetVersion) {
 	now := clocks.Now()
-	if l.open != nil && l.open.call != nil || l.status.Busy || !l.orderedAt.IsZero() && now.Sub(l.orderedAt) < orderBackoff {
+	if l.isLoading(now) {
 		return
 	}
 	// The load of an earlier order has ended, and the engine doesn't serve the version.
 	l.orderedAt = time.Time{}
-	if !l.stager.isComplete(t) || now.Before(l.retryAt) {
+	if now.Before(l.retryAt) {
+		return
+	}
+	if l.mustDrop(t) && (l.open == nil || l.open.layers == firstLayer) {
+		l.orderLoad(t)
+		return
+	}
+	if !l.stager.isComplete(t) {
 		return
 	}
 	if l.awaitsSlot(now) {
@@ -454,9 +470,14 @@
 	}
 }
 
+// isLoading reports whether an order waits for its response or the engine may still carry it out.
+func (l *Loader) isLoading(now time.Time) bool {
+	return l.open != nil && l.open.call != nil || l.status.Busy || !l.orderedAt.IsZero() && now.Sub(l.orderedAt) < orderBackoff
+}
+
 // awaitsSlot reports whether the engine serves requests until its roll-out slot starts.
 func (l *Loader) awaitsSlot(now time.Time) bool {
-	return l.open == nil && len(l.status.Held) > 0 && l.isServable() && now.Before(l.slot.Start(l.options.VersionTimeout))
+	return l.open == nil && l.heldVersion(l.slotTarget.model) < l.slotTarget.version && len(l.status.Held) > 0 && l.isServable() && now.Before(l.slot.Start(l.options.VersionTimeout))
 }
 
 // stopRequests notifies entries to send no more requests.
@@ -486,7 +507,7 @@
 	closing = closing || !l.isServable()
 	l.mutex.Lock()
 	changed := l.closing != closing
-	l.closing = closing
+	l.closing, l.isSilent = closing, l.isInheriting() && !closing
 	l.mutex.Unlock()
 	if changed {
 		l.options.Log.Info("engine-closing", zap.Bool("closing", closing))
@@ -494,6 +515,12 @@
 	}
 }
 
+func (l *Loader) setSilent() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.isSilent = l.isInheriting() && !l.closing
+}
+
 // heldText returns the versions that an engine serves as comma-separated MODEL:VERSION.
 func heldText(held []state.HeldVersion) string {
 	var text []string
--- a/agent/internal/loader/order.go
+++ b/agent/internal/loader/order.go
@@ -16,6 +16,7 @@
 // none. Until then, the staged pieces must be those of its version.
 type openOrder struct {
 	target targetVersion
+	layers engine.Layers
 	// expected is the order count at which the engine accepts it.
 	expected uint64
 	// call is the call that waits for a response, or nil.
@@ -33,6 +34,7 @@
 type orderCall struct {
 	engine   engine.Local
 	target   targetVersion
+	layers   engine.Layers
 	expected uint64
 	// checkAge is the age of the oldest check of a staged piece when the order was sent, at sentAt.
 	checkAge time.Duration
@@ -47,9 +49,9 @@
 	stop func()
 }
 
-func startOrder(e engine.Local, t targetVersion, expected uint64, checkAge time.Duration) *orderCall {
+func startOrder(e engine.Local, o *openOrder, checkAge time.Duration) *orderCall {
 	g := shell.NewGroup()
-	c := &orderCall{engine: e, target: t, expected: expected, checkAge: checkAge, sentAt: clocks.Now(), done: make(chan struct{}), stop: g.Stop}
+	c := &orderCall{engine: e, target: o.target, layers: o.layers, expected: o.expected, checkAge: checkAge, sentAt: clocks.Now(), done: make(chan struct{}), stop: g.Stop}
 	g.Go(c.run)
 	return c
 }
@@ -58,22 +60,22 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	defer close(c.done)
-	c.ack, c.err = c.engine.Load(ctx, c.target.model, c.target.version, c.expected)
+	c.ack, c.err = c.engine.Load(ctx, c.target.model, c.target.version, c.layers, c.expected)
 	c.endedAt = clocks.Now()
 }
 
 // took returns the time that the engine has taken to respond.
 func (c *orderCall) took() time.Duration { return c.endedAt.Sub(c.sentAt) }
 
-// orderLoad orders the engine to load a version. While an order is open, it is that order again: as
+// orderLoad orders the engine to load a version, or some layers of one that it holds. While an order is open, it is that order again: as
 // all of them expect the same order count, at most one is accepted.
 func (l *Loader) orderLoad(t targetVersion) {
 	if l.open == nil {
-		l.open = &openOrder{target: t, expected: l.status.OrderCount}
+		l.open = &openOrder{target: t, layers: l.nextLayers(t), expected: l.status.OrderCount}
 		l.stager.beginOrder()
 	}
-	l.sent = sentOrder{target: t, expected: l.open.expected}
-	l.open.call = startOrder(l.options.Engine, t, l.open.expected, l.stager.checkAge())
+	l.sent = sentOrder{target: t, layers: l.open.layers, expected: l.open.expected}
+	l.open.call = startOrder(l.options.Engine, l.open, l.stager.checkAge())
 	l.orders.Inc(1)
 }
 
@@ -96,7 +98,9 @@
 	if c.err == nil && !isRefused {
 		l.open, l.orderedAt = nil, clocks.Now()
 		if c.ack == engine.AckStarted {
-			l.recordLoad(c.target, c.expected+1, c.endedAt)
+			l.recordLoad(l.sent, c.endedAt)
+		} else if c.layers != (engine.Layers{}) {
+			l.keepStale(c.target, c.layers)
 		}
 		return
 	}
@@ -108,7 +112,7 @@
 }
 
 func (l *Loader) logOrder(c *orderCall) {
-	l.options.Log.Info("order", zap.String("model", c.target.model), zap.Int("version", c.target.version), zap.Uint64("count", c.expected), zap.String("ack", string(c.ack)),
+	l.options.Log.Info("order", zap.String("model", c.target.model), zap.Int("version", c.target.version), zap.Int("from", c.layers.From), zap.Int("to", c.layers.To), zap.Uint64("count", c.expected), zap.String("ack", string(c.ack)),
 		zap.Int("active", l.status.Active), zap.Duration("checked", c.checkAge), zap.Duration("took", c.took()), zap.Duration("since", clocks.Since(l.releases[c.target].notBefore)), zap.Error(c.err))
 }
 
--- a/agent/internal/loader/stage.go
+++ b/agent/internal/loader/stage.go
@@ -186,7 +186,7 @@
 
 // stagePiece stores a piece of the target, unless the target has changed or no piece may be stored.
 func (s *stager) stagePiece(ctx context.Context, t targetVersion, n int, data []byte) {
-	if !s.beginStore(t) {
+	if ctx.Err() != nil || !s.beginStore(t) {
 		return
 	}
 	defer s.endStore()
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -119,6 +119,22 @@
 	Load(ctx context.Context, order Order) error
 }
 
+// Layers is a range of the layers of a model. To is exclusive. The zero value means all of them.
+type Layers struct {
+	From int
+	To   int
+}
+
+// Intersect returns the layers of both ranges, neither of which may be the zero value, and false if there
+// are none.
+func (l Layers) Intersect(o Layers) (Layers, bool) {
+	r := Layers{From: max(l.From, o.From), To: min(l.To, o.To)}
+	if r.From >= r.To {
+		return Layers{}, false
+	}
+	return r, true
+}
+
 // Status is the state that an engine reports to the agent on its host.
 type Status struct {
 	// Started is the start time by the engine's clock, or zero if it isn't reported.
@@ -177,8 +193,9 @@
 	// Stage stores a piece, replacing any piece with the same index.
 	Stage(ctx context.Context, model string, piece int, data []byte) error
 	// Load orders the engine to serve the staged weights once the running requests have
-	// ended. The engine accepts no requests until the load is complete. It rejects the order
+	// ended. The engine accepts no requests until the load is complete. Layers of the version
+	// that it holds are kept, those outside of the range are dropped. It rejects the order
 	// with AckConflict unless its order count is the expected one. After an error
 	// other than NotStartedError, the order may be accepted until the count is another.
-	Load(ctx context.Context, model string, version int, expected uint64) (Ack, error)
+	Load(ctx context.Context, model string, version int, layers Layers, expected uint64) (Ack, error)
 }
