--- a/agent/internal/loader/check.go
+++ b/agent/internal/loader/check.go
@@ -85,13 +85,13 @@
 	return true
 }
 
-// checkAge returns the age of the oldest read-back.
+// checkAge returns the age of the oldest read-back of the pieces that are known to be staged.
 func (s *stager) checkAge() time.Duration {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	oldest := clocks.Now()
 	for _, p := range s.pieces {
-		if p.validAt.Before(oldest) {
+		if !p.validAt.IsZero() && p.validAt.Before(oldest) {
 			oldest = p.validAt
 		}
 	}
@@ -147,8 +147,8 @@
 	s.acceptedBy = time.Time{}
 }
 
-// loadValidity returns what is known of the load of the target, and the longest time for which a piece
-// may have been corrupt when it was loaded.
+// loadValidity returns what is known of the load of the target, and the longest time for which a piece that
+// was known to be valid before may have been corrupt when it was loaded.
 func (s *stager) loadValidity(t targetVersion) (validity, time.Duration) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -161,7 +161,9 @@
 	}
 	for n := range s.pieces {
 		p := &s.pieces[n]
-		longest = max(longest, p.exposure, s.acceptedBy.Sub(p.validAt))
+		if !p.validAt.IsZero() {
+			longest = max(longest, p.exposure, s.acceptedBy.Sub(p.validAt))
+		}
 		switch {
 		case p.exposure > maxCorruptTime:
 			return validityUnknown, longest
