loader: judge what an engine holds by a status that was read with the tables

Each agent took its engine for one without all layers when it started, and had it load them again: how many layers a model has is in the tables, which come after the first status.

TestEngineIsLeftAloneUntilTheTablesAreKnown: three orders before, none now. An engine without all layers is told by the next status before its pieces are read (TestNewAgentLoadsTheLayerThatAnEngineKept, red without it).

--- a/agent/internal/loader/load.go
+++ b/agent/internal/loader/load.go
@@ -74,10 +74,6 @@
 	}
 	l.stager.sealForeign(time.Time{}, l.load.acceptedBy)
 	l.stager.retarget(l.load.target)
-	if !held.Whole {
-		// An agent has ended while the engine loaded its layers again.
-		l.endValidation(validityUnknown)
-	}
 }
 
 // recordLoad records that the engine has accepted an order of this agent by a time.
@@ -96,10 +92,14 @@
 		// The tables weren't known before.
 		l.stale = staleLayers{target: l.load.target, layers: l.allLayers(l.load.target.model)}
 	}
-	if l.load.validity != validityPending {
+	if l.load.validity != validityPending || l.load.isInherited && !l.knowsLayers() {
 		return
 	}
 	v, corrupt := l.stager.loadValidity(l.load.target)
+	if l.load.isInherited && !l.status.Holds(l.load.target.model, l.load.target.version) {
+		// An agent has ended while the engine loaded its layers again.
+		v = validityUnknown
+	}
 	if v == validityPending {
 		return
 	}
@@ -112,6 +112,15 @@
 		zap.Duration("corrupt", corrupt), zap.Duration("took", clocks.Since(l.load.acceptedBy)))
 }
 
+// knowsLayers reports whether the status tells if the engine holds all layers of a version, for which the
+// tables must have been known when it was read.
+func (l *Loader) knowsLayers() bool {
+	if l.tablesAt.IsZero() && l.allLayers(l.load.target.model).To > 0 {
+		l.tablesAt = clocks.Now()
+	}
+	return !l.tablesAt.IsZero() && l.statusAt.After(l.tablesAt)
+}
+
 // findForeignTarget determines the version of a load that another agent has ordered, once the engine
 // serves it.
 func (l *Loader) findForeignTarget() bool {
--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -123,6 +123,8 @@
 	open  *openOrder
 	sent  sentOrder
 	stale staleLayers
+	// tablesAt is when the tables were known that say how many layers the model has.
+	tablesAt time.Time
 	// load is nil if the engine has accepted none since the agent or the engine started.
 	load *load
 	// releases holds when each version was released.
--- a/agent/internal/loader/valid_test.go
+++ b/agent/internal/loader/valid_test.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
 	"currantport.example/core/engine"
+	"currantport.example/core/feed"
 )
 
 // maxCorruptTime is the time for which a piece may have been corrupt when it was loaded.
@@ -79,8 +81,9 @@
 		w.mutex.Lock()
 		fault := w.heldFaults.first()
 		if fault != "" && !w.busy && !closed && w.heldLayers == (engine.Layers{To: pieceCount}) {
-			w.exposed = append(w.exposed, fmt.Sprintf("version %d: %s", w.held, fault))
-			w.heldFaults = faults{}
+			if text := fmt.Sprintf("version %d: %s", w.held, fault); !slices.Contains(w.exposed, text) {
+				w.exposed = append(w.exposed, text)
+			}
 		}
 		interval = reportInterval
 		if fault != "" || w.busy && w.loadFaults.first() != "" {
@@ -304,3 +307,57 @@
 		})
 	}
 }
+
+// TestEngineIsLeftAloneUntilTheTablesAreKnown starts an agent that gets its tables after the status of the
+// engine, of which it can't tell before whether it holds all layers.
+func TestEngineIsLeftAloneUntilTheTablesAreKnown(t *testing.T) {
+	play(t, 1, 0, func(w *world) {
+		w.stop()
+		w.mirror = feed.NewMirror()
+		w.restartLoader()
+		time.Sleep(1234 * time.Millisecond)
+		w.release(1)
+		time.Sleep(versionTimeout)
+		w.check(1)
+		if r, ok := w.loader.Report(); !ok || r.Closing {
+			t.Errorf("closed: %t", r.Closing)
+		}
+	})
+}
+
+// TestNewAgentLoadsTheLayerThatAnEngineKept restarts the agent when its engine has dropped all layers but one of a
+// load that isn't known to be valid, and the pieces are staged again.
+func TestNewAgentLoadsTheLayerThatAnEngineKept(t *testing.T) {
+	play(t, 1, 0, func(w *world) {
+		w.stop()
+		w.mutex.Lock()
+		w.corrupt(0)
+		w.mutex.Unlock()
+		time.Sleep(4 * time.Second)
+		w.mutex.Lock()
+		count := 0
+		w.fateOf = func() orderFate {
+			if count++; count == 2 {
+				return orderFate{}
+			}
+			return orderFate{arrivals: []time.Duration{0}, answered: true}
+		}
+		w.heldFaults = w.loadFault(1, engine.Layers{To: pieceCount}, engine.Layers{})
+		w.mutex.Unlock()
+		w.restartLoader()
+		for range 1000 {
+			time.Sleep(time.Millisecond)
+			w.mutex.Lock()
+			isDropped := w.heldLayers == (engine.Layers{To: 1}) && bytes.Equal(w.staged[0], w.pieceOf(1, 0))
+			w.mutex.Unlock()
+			if isDropped {
+				break
+			}
+		}
+		w.restartLoader()
+		time.Sleep(versionTimeout)
+		if r, ok := w.loader.Report(); !ok || r.Closing || w.heldFaults != (faults{}) || w.heldLayers != (engine.Layers{To: pieceCount}) {
+			t.Errorf("closed: %t, layers %v, %q after orders %v", r.Closing, w.heldLayers, w.heldFaults, w.orders)
+		}
+	})
+}
