soak: set the number of pieces of a version

Cause: an agent reads all pieces back one after the other before an order.

Change: -pieces sets their number. The length of a version stays 512 KiB, and 16 pieces the default.

--- a/stand/internal/soak/command.go
+++ b/stand/internal/soak/command.go
@@ -60,6 +60,7 @@
 	f.IntVar(&c.options.Size.Engines, "engines", 6, "number of engines, each with an agent")
 	f.IntVar(&c.options.Size.Services, "services", 3, "number of services of each plain pool")
 	f.IntVar(&c.options.Size.Clients, "callers", 24, "number of clients")
+	f.IntVar(&c.options.Size.Pieces, "pieces", 16, "number of pieces of a version of the model, 512 KiB together")
 	f.IntVar(&c.options.BusyLoops, "busy", 0, "number of processes that take processor time during each run")
 	f.StringVar(&c.options.FaultKinds, "only", "", "kinds of faults to inject, separated by commas; empty means all; power comes last")
 }
@@ -67,6 +68,10 @@
 // Execute implements subcommands.Command. It returns a failure if a run could not be
 // executed or a check failed.
 func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.options.Size.Pieces < 1 {
+		fmt.Fprintln(os.Stderr, "soak=failed cause=\"a version has at least one piece\"")
+		return subcommands.ExitUsageError
+	}
 	if c.seed == 0 {
 		c.seed = uint64(time.Now().UnixNano() % 1e9)
 	}
--- a/stand/internal/soak/operator.go
+++ b/stand/internal/soak/operator.go
@@ -151,7 +151,7 @@
 			IdleTimeout: 20*time.Second + time.Duration(g.number%2)*time.Second,
 		},
 		Pools: []state.Pool{
-			o.world.withCold(state.Pool{Name: poolMinds, MaxConnections: maxConnections, Engine: engineRow()}),
+			o.world.withCold(state.Pool{Name: poolMinds, MaxConnections: maxConnections, Engine: o.world.engineRow()}),
 			o.world.withCold(state.Pool{Name: poolDesk, MaxConnections: maxConnections}),
 			o.world.withCold(state.Pool{Name: poolAnnex, MaxConnections: maxConnections}),
 			{Name: poolOrigin, Origin: &state.Origin{Address: o.world.options.address(groupExternal, 1, portOrigin), Domain: string(domains[0]), Rate: originRate, MaxConnections: maxConnections}},
--- a/stand/internal/soak/soak.go
+++ b/stand/internal/soak/soak.go
@@ -81,6 +81,8 @@
 	// Services is the number of upstreams of each plain pool.
 	Services int
 	Clients  int
+	// Pieces is the number of pieces of a version of the model.
+	Pieces int
 }
 
 // Result summarizes a run.
--- a/stand/internal/soak/world.go
+++ b/stand/internal/soak/world.go
@@ -44,8 +44,8 @@
 	poolOrigin = "origin"
 
 	layerCount = 8
-	pieceCount = 16
-	pieceBytes = 32 << 10
+	// versionBytes is the length of all pieces of a version.
+	versionBytes = 512 << 10
 	// originRate is in bytes per second.
 	originRate = 1.2e6
 	// loadTime is the time that an engine takes to load the model.
@@ -174,7 +174,7 @@
 }
 
 func (w *world) weights() fakes.Weights {
-	return fakes.Weights{Model: modelName, Pieces: pieceCount, PieceBytes: pieceBytes}
+	return fakes.Weights{Model: modelName, Pieces: w.options.Size.Pieces, PieceBytes: versionBytes / w.options.Size.Pieces}
 }
 
 func (w *world) build() error {
@@ -237,7 +237,7 @@
 	registered, direct := o.address(groupEngines, i, portUpstream), o.address(groupEngines, i, portDirect)
 	m, err := w.addUpstream(Subject(fmt.Sprintf("engine-%d", i)), registered, fakes.UpstreamOptions{
 		ListenAddress: direct, Pool: poolMinds, Domain: string(domainOf(i)), Slots: engineSlots, ProcessingTime: eventInterval, EventCount: eventCount,
-		Engine: engineRow(), Weights: w.weights(),
+		Engine: w.engineRow(), Weights: w.weights(),
 	})
 	if err != nil || i >= o.Size.Engines {
 		return err
@@ -352,10 +352,11 @@
 	}, nil
 }
 
-func engineRow() *state.Engine {
+func (w *world) engineRow() *state.Engine {
+	weights := w.weights()
 	return &state.Engine{
 		Slots: engineSlots, Stride: 1, StepTime: eventInterval, PrefillRate: 20000, MemoryTokens: 1 << 17, PromptTokens: 200, OutputTokens: eventCount, Layers: layerCount,
-		Pieces: pieceCount, PieceBytes: pieceBytes, Models: []state.Model{{Name: modelName, LoadTime: loadTime}},
+		Pieces: weights.Pieces, PieceBytes: weights.PieceBytes, Models: []state.Model{{Name: modelName, LoadTime: loadTime}},
 	}
 }
 
