loader: hold the stage from the order until the load is validated

A review of the validation found eight ways in which an engine was open with a load of a corrupt piece, or of one of another version, and three in which it stayed closed for good:

- the agent replaced a corrupt piece between the acceptance of an order and its notice of it, and was killed; the next one read right pieces.
Or its engine restarted, so that it forgot what it had replaced;
- calls that were sent for a manifest counted for the one that replaced it;
- a piece of an earlier agent, or one whose storing had got no response, was stored after the last check;
- a refused order was taken for the one that had been accepted, of another agent;
- a new agent took the drop of layers by the one before for a load of all layers;
- a drop that loaded a layer was judged by the acceptance of the order before;
- closed for good: a drop that was in effect already, a staged piece that is missing, a damaged load beside a release that can't be fetched.

Now no piece is stored from the first order of a version until its load is validated, so that neither the exposure of replaced pieces nor an order of seals matters: what is corrupt stays so until the engine has dropped it. An order without a response is sent again without a check. Results of calls belong to one manifest. An engine that holds nothing is reported closed.

--- a/agent/internal/loader/check.go
+++ b/agent/internal/loader/check.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -10,6 +11,7 @@
 	"currantport.example/core/cache"
 	"currantport.example/core/chunks"
 	"currantport.example/core/clocks"
+	"currantport.example/core/engine"
 )
 
 const (
@@ -25,6 +27,9 @@
 	// checkLease is the time for which a check goes on after it was requested. A process that stands
 	// still for longer begins a new one.
 	checkLease = 2 * callTimeout
+	// lateStoreTime is the time after the start of the agent within which the engine may store pieces that
+	// an earlier agent has sent.
+	lateStoreTime = 10 * time.Second
 	// readers is the number of pieces that are read back at the same time.
 	readers = 4
 )
@@ -77,7 +82,7 @@
 	isSlow := now.Sub(s.checkSince) >= maxCheckTime
 	for n, p := range s.pieces {
 		isRead := !p.validAt.Before(s.checkSince)
-		isRecent := now.Sub(p.validAt) <= maxCheckAge && (isRead || !s.replaceable[n])
+		isRecent := now.Sub(p.validAt) <= maxCheckAge && (isRead || !s.overwritable[n])
 		if isDone := isRecent || isSlow && isRead; p.isSuspect || !isDone {
 			return false
 		}
@@ -98,27 +103,35 @@
 	return clocks.Since(oldest)
 }
 
-// beginOrder records that the first order of a version is about to be sent.
-func (s *stager) beginOrder() {
+// hold keeps pieces from being stored until release or setTarget. It reports false while one is being stored.
+func (s *stager) hold() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for n := range s.pieces {
-		s.pieces[n].exposure = 0
+	if s.storing > 0 {
+		return false
 	}
+	s.isHeld = true
+	return true
+}
+
+// release ends hold and the validation of a load.
+func (s *stager) release() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.isHeld, s.acceptedBy = false, time.Time{}
 }
 
-// seal records that the engine has accepted an order of the version by a time. From then on no piece
-// is stored, until setTarget or unseal.
+// seal records that the engine has accepted an order of the version by a time, while pieces are held.
 func (s *stager) seal(t targetVersion, acceptedBy time.Time) {
 	s.mutex.Lock()
-	if s.target == t && s.acceptedBy.IsZero() {
+	if s.target == t && s.isHeld {
 		s.acceptedBy = acceptedBy
 	}
 	s.mutex.Unlock()
 	s.wakeLoop()
 }
 
-// sealForeign is seal for an order that this agent didn't send, which was accepted after a time. The
+// sealForeign is hold and seal for an order that this agent didn't send, which was accepted after a time. The
 // result is false if pieces were stored since.
 func (s *stager) sealForeign(acceptedAfter, acceptedBy time.Time) bool {
 	s.mutex.Lock()
@@ -126,27 +139,20 @@
 	if s.storing > 0 || s.storedAt.After(acceptedAfter) {
 		return false
 	}
-	s.acceptedBy, s.pieces = acceptedBy, nil
+	s.acceptedBy, s.isHeld, s.pieces = acceptedBy, true, nil
 	return true
 }
 
 // retarget is setTarget while the load of an order that this agent didn't send is validated.
 func (s *stager) retarget(t targetVersion) {
 	s.mutex.Lock()
-	acceptedBy := s.acceptedBy
+	isHeld, acceptedBy := s.isHeld, s.acceptedBy
 	s.changeTarget(t)
-	s.acceptedBy = acceptedBy
+	s.isHeld, s.acceptedBy = isHeld, acceptedBy
 	s.mutex.Unlock()
 	s.wakeLoop()
 }
 
-// unseal ends the validation of a load.
-func (s *stager) unseal() {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	s.acceptedBy = time.Time{}
-}
-
 // loadValidity returns what is known of the load of the target, and the longest time for which a piece that
 // was known to be valid before may have been corrupt when it was loaded.
 func (s *stager) loadValidity(t targetVersion) (validity, time.Duration) {
@@ -162,13 +168,11 @@
 	for n := range s.pieces {
 		p := &s.pieces[n]
 		if !p.validAt.IsZero() {
-			longest = max(longest, p.exposure, s.acceptedBy.Sub(p.validAt))
+			longest = max(longest, s.acceptedBy.Sub(p.validAt))
 		}
 		switch {
-		case p.exposure > maxCorruptTime:
-			return validityUnknown, longest
 		case s.isProven(n):
-		case p.isSuspect:
+		case p.isSuspect, s.lost[n]:
 			return validityUnknown, longest
 		default:
 			result = validityPending
@@ -181,7 +185,8 @@
 // caller holds the mutex.
 func (s *stager) isProven(n int) bool {
 	age := s.acceptedBy.Sub(s.pieces[n].validAt)
-	return age <= 0 || age <= maxCorruptTime && !s.replaceable[n]
+	mayBeReplaced := s.overwritable[n] || s.acceptedBy.Sub(s.startedAt) < lateStoreTime
+	return age <= 0 || age <= maxCorruptTime && !mayBeReplaced
 }
 
 // due returns the pieces to read back now.
@@ -196,8 +201,10 @@
 		switch {
 		case !s.acceptedBy.IsZero():
 			isDue = !s.isProven(n) && !p.isSuspect
+		case isChecking && s.isHeld:
+			isDue = !p.isSuspect && now.Sub(p.validAt) >= verifiedTTL
 		case isChecking && !p.validAt.IsZero():
-			isDue = p.isSuspect || now.Sub(p.validAt) >= verifiedTTL || s.replaceable[n] && p.validAt.Before(s.checkSince)
+			isDue = p.isSuspect || now.Sub(p.validAt) >= verifiedTTL || s.overwritable[n] && p.validAt.Before(s.checkSince)
 		}
 		if isDue {
 			all = append(all, n)
@@ -253,30 +260,28 @@
 	s, sentAt := r.stager, clocks.Now()
 	data, err := s.options.Engine.ReadStaged(ctx, r.target.model, n)
 	if err == nil && chunks.Verify(r.version.Sequence[n], data) {
-		s.markValid(r.target, n, sentAt, false)
+		s.markValid(r.version, n, sentAt)
 		return
 	}
-	age, isSealed := s.markSuspect(r.target, n, err)
-	s.options.Log.Warn("staged-piece-corrupt", zap.Int("version", r.target.version), zap.Int("piece", n), zap.Duration("valid", age), zap.Bool("loaded", isSealed), zap.Error(err))
-	if data, ok := s.options.Cache.Chunk(r.version.Sequence[n]); ok && !isSealed {
-		s.stagePiece(ctx, r.target, n, data)
+	age, isHeld := s.markSuspect(r.version, n, err)
+	s.options.Log.Warn("staged-piece-corrupt", zap.Int("version", r.target.version), zap.Int("piece", n), zap.Duration("valid", age), zap.Bool("held", isHeld), zap.Error(err))
+	if data, ok := s.options.Cache.Chunk(r.version.Sequence[n]); ok && !isHeld {
+		s.stagePiece(ctx, r.target, r.version, n, data)
 	}
 }
 
 // markSuspect records that a read-back of a piece has failed. It returns the time since the piece was
-// last known to be valid, and whether the engine has accepted an order. After that, a read-back without
-// a response is repeated.
-func (s *stager) markSuspect(t targetVersion, n int, err error) (time.Duration, bool) {
+// last known to be valid, and whether pieces are held. Then a read-back without a response is repeated.
+func (s *stager) markSuspect(v *cache.Version, n int, err error) (time.Duration, bool) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	isSealed := !s.acceptedBy.IsZero()
-	if s.target != t || n >= len(s.pieces) {
-		return 0, isSealed
+	if s.version != v || n >= len(s.pieces) {
+		return 0, s.isHeld
 	}
 	p := &s.pieces[n]
-	p.isSuspect = p.isSuspect || err == nil || !isSealed
+	p.isSuspect = p.isSuspect || err == nil || errors.Is(err, engine.ErrNotStaged) || !s.isHeld
 	if p.validAt.IsZero() {
-		return 0, isSealed
+		return 0, s.isHeld
 	}
-	return clocks.Since(p.validAt), isSealed
+	return clocks.Since(p.validAt), s.isHeld
 }
--- a/agent/internal/loader/load.go
+++ b/agent/internal/loader/load.go
@@ -92,7 +92,7 @@
 		// The tables weren't known before.
 		l.stale = staleLayers{target: l.load.target, layers: l.allLayers(l.load.target.model)}
 	}
-	if l.load.validity != validityPending || l.load.isInherited && !l.knowsLayers() {
+	if l.load.validity != validityPending || l.load.isInherited && !l.knowsLayers(l.load.target) {
 		return
 	}
 	v, corrupt := l.stager.loadValidity(l.load.target)
@@ -114,8 +114,8 @@
 
 // knowsLayers reports whether the status tells if the engine holds all layers of a version, for which the
 // tables must have been known when it was read.
-func (l *Loader) knowsLayers() bool {
-	if l.tablesAt.IsZero() && l.allLayers(l.load.target.model).To > 0 {
+func (l *Loader) knowsLayers(t targetVersion) bool {
+	if l.tablesAt.IsZero() && l.allLayers(t.model).To > 0 {
 		l.tablesAt = clocks.Now()
 	}
 	return !l.tablesAt.IsZero() && l.statusAt.After(l.tablesAt)
@@ -128,9 +128,18 @@
 		return false
 	}
 	held := l.status.Held[0]
-	l.load.target = targetVersion{model: held.Model, version: held.Version}
-	if l.load.validity == validityPending {
-		l.stager.retarget(l.load.target)
+	t := targetVersion{model: held.Model, version: held.Version}
+	if !l.knowsLayers(t) {
+		return false
+	}
+	l.load.target = t
+	switch {
+	case l.load.validity != validityPending:
+	case !held.Whole:
+		// The order was one of a part of the layers.
+		l.endValidation(validityUnknown)
+	default:
+		l.stager.retarget(t)
 	}
 	return true
 }
@@ -138,7 +147,6 @@
 func (l *Loader) endValidation(v validity) {
 	l.load.validity, l.load.isInherited = v, false
 	if v == validityValid {
-		l.stager.unseal()
 		l.keepStale(l.load.target, l.load.layers)
 		return
 	}
@@ -146,9 +154,14 @@
 	if l.load.layers == (engine.Layers{}) {
 		l.stale.layers = l.allLayers(l.load.target.model)
 	}
-	if !l.mustDrop(l.load.target) {
-		l.stager.unseal()
+}
+
+// mustHoldStage reports whether no piece may be stored.
+func (l *Loader) mustHoldStage() bool {
+	if l.open != nil {
+		return true
 	}
+	return l.load != nil && (l.load.validity == validityPending || l.load.validity == validityUnknown && l.mustDrop(l.load.target))
 }
 
 // isValidating reports whether the validation of the last load has to go on, where t is the released version.
@@ -160,6 +173,11 @@
 	if l.load.isInherited {
 		return l.isInheritedPending(t)
 	}
+	if l.load.target.version != 0 && !l.stager.hasVersion() && clocks.Since(l.load.acceptedBy) >= inheritedTimeout {
+		// Neither the origin nor a peer has the manifest. Without the engine nothing might serve meanwhile.
+		l.load.validity, l.load.isInherited = validityAssumed, true
+		return false
+	}
 	next, ok := l.fetcher.newestComplete(l.slotTarget.model)
 	if !ok || l.status.Busy || next.version <= l.load.target.version || clocks.Since(l.load.acceptedBy) < validationTimeout {
 		return true
@@ -175,7 +193,6 @@
 		return true
 	}
 	l.load.validity = validityAssumed
-	l.stager.unseal()
 	return false
 }
 
@@ -185,9 +202,13 @@
 	return l.load != nil && l.load.isInherited && clocks.Since(l.load.acceptedBy) < inheritedTimeout
 }
 
-// isServable reports whether the engine may get requests: what it serves is known to have been valid when
-// it was loaded, or was loaded before the agent started.
+// isServable reports whether the engine may get requests: it serves something, and that is known to have been
+// valid when it was loaded, or can't be validated any more. An engine that holds nothing counts as closed, as an order
+// of an earlier agent may be accepted while this one stands still.
 func (l *Loader) isServable() bool {
+	if len(l.status.Held) == 0 {
+		return false
+	}
 	if l.load == nil || l.load.isInherited {
 		return true
 	}
@@ -197,6 +218,11 @@
 // firstLayer is the part that an engine keeps when it drops a version.
 var firstLayer = engine.Layers{To: 1}
 
+// isDamaged reports whether the engine holds the version without all of its layers, or with stale ones.
+func (l *Loader) isDamaged(t targetVersion) bool {
+	return l.heldVersion(t.model) == t.version && (l.isStale(t) || !l.status.Holds(t.model, t.version))
+}
+
 // staleLayers are the layers of a version that the engine has from loads that aren't known to be valid. It
 // keeps the layers that it holds of an ordered version, so that it has to drop them before it loads them again.
 type staleLayers struct {
--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -245,7 +245,11 @@
 		l.planSlot(t)
 	}
 	l.fetcher.setTarget(t)
-	if l.isValidating(t) {
+	isValidating := l.isValidating(t)
+	if !l.mustHoldStage() {
+		l.stager.release()
+	}
+	if isValidating {
 		return
 	}
 	if l.status.Holds(t.model, t.version) && !l.isStale(t) {
@@ -294,12 +298,11 @@
 // consider the expected arrival of the newest: the estimate is too early while the origin is slow, and
 // a third of the engines then skipped a version that they could have served for seconds.
 func (l *Loader) nextLoad(t targetVersion) (targetVersion, bool) {
-	if l.heldVersion(t.model) == t.version {
-		// Some layers are missing or stale.
+	if l.isDamaged(t) {
 		return t, true
 	}
 	found, ok := l.fetcher.newestComplete(t.model)
-	if !ok || l.holdsOrNewer(found) {
+	if !ok || l.holdsOrNewer(found) && !l.isDamaged(found) {
 		return targetVersion{}, false
 	}
 	if found == t {
@@ -359,8 +362,6 @@
 	defer cancel()
 	askedAt := clocks.Now()
 	s, err := l.options.Engine.Status(ctx)
-	l.mutex.Lock()
-	defer l.mutex.Unlock()
 	lost := l.statusAt.IsZero() || clocks.Since(l.statusAt) > callTimeout
 	if err != nil {
 		if !lost && ctx.Err() == nil {
@@ -385,11 +386,23 @@
 	}
 	l.settleOrder(s)
 	l.trackLoad(s)
-	l.isSilent = l.isInheriting() && !l.closing
-	l.status, l.statusAt = s, askedAt
+	l.publishStatus(s, askedAt)
 	return true
 }
 
+// publishStatus makes a status the one that is reported, closed if the engine may not get requests any more.
+func (l *Loader) publishStatus(s engine.Status, askedAt time.Time) {
+	l.mutex.Lock()
+	l.status, l.statusAt = s, askedAt
+	isClosed := !l.closing && !l.isServable()
+	l.closing = l.closing || isClosed
+	l.isSilent = l.isInheriting() && !l.closing
+	l.mutex.Unlock()
+	if isClosed {
+		l.logClosing()
+	}
+}
+
 // releasedVersion returns the version that the engine is to serve. For a pool with several
 // models it is that of the first model.
 func (l *Loader) releasedVersion() (targetVersion, bool) {
@@ -448,7 +461,8 @@
 	if now.Before(l.retryAt) {
 		return
 	}
-	if l.mustDrop(t) && (l.open == nil || l.open.layers == firstLayer) {
+	if l.open != nil || l.mustDrop(t) {
+		l.stager.requestCheck()
 		l.orderLoad(t)
 		return
 	}
@@ -512,11 +526,16 @@
 	l.closing, l.isSilent = closing, l.isInheriting() && !closing
 	l.mutex.Unlock()
 	if changed {
-		l.options.Log.Info("engine-closing", zap.Bool("closing", closing))
-		l.options.Notify()
+		l.logClosing()
 	}
 }
 
+// logClosing logs a change of whether the engine gets requests, and reports it to entries.
+func (l *Loader) logClosing() {
+	l.options.Log.Info("engine-closing", zap.Bool("closing", l.closing))
+	l.options.Notify()
+}
+
 func (l *Loader) setSilent() {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -69,6 +69,12 @@
 	ordersBefore int
 	// fateOf decides what happens to an order. Nil means that each is answered at once.
 	fateOf func() orderFate
+	// fateOfLayers does that by the layers that the order names, if it isn't nil.
+	fateOfLayers func(l engine.Layers) orderFate
+	// areDropsSlow is set if the engine takes the time of a load to drop layers, reachesNewEngine if an order
+	// is received by the process that runs when the agent goes on.
+	areDropsSlow     bool
+	reachesNewEngine bool
 	// older are the versions that the engine went back to, mixed those whose load began while
 	// pieces of another version were staged, both by orders without a response.
 	older []int
@@ -299,6 +305,9 @@
 	data := w.read(piece)
 	time.Sleep(readTime - readTime/2)
 	w.awaitProcess()
+	if data == nil {
+		return nil, engine.ErrNotStaged
+	}
 	return data, nil
 }
 
@@ -346,12 +355,17 @@
 		w.corruption = nil
 		w.corrupt(c.piece)
 	}
-	if w.fateOf != nil {
-		fate, started := w.fateOf(), w.started
+	if w.fateOf != nil || w.fateOfLayers != nil {
+		fate, started := w.fateOfOrder(layers), w.started
 		w.stalledUntil = time.Now().Add(fate.stall)
 		w.mutex.Unlock()
 		defer w.mutex.Lock()
 		w.awaitProcess()
+		if w.reachesNewEngine {
+			w.mutex.Lock()
+			started = w.started
+			w.mutex.Unlock()
+		}
 		return w.deliver(ctx, started, order{version: version, layers: layers, expected: expected}, fate)
 	}
 	if w.busy || expected != w.orderCount() {
@@ -367,6 +381,14 @@
 	return engine.AckStarted, nil
 }
 
+// fateOfOrder returns what happens to an order. The caller holds the mutex.
+func (w *world) fateOfOrder(l engine.Layers) orderFate {
+	if w.fateOfLayers != nil {
+		return w.fateOfLayers(l)
+	}
+	return w.fateOf()
+}
+
 // orderCount returns the number of orders since the last restart. The caller holds the mutex.
 func (w *world) orderCount() uint64 { return uint64(len(w.orders) - w.ordersBefore) }
 
@@ -381,7 +403,7 @@
 		kept = engine.Layers{}
 	}
 	w.loadFaults = w.loadFault(version, layers, kept)
-	if kept == layers {
+	if kept == layers && !w.areDropsSlow {
 		w.heldLayers, w.heldFaults = layers, w.loadFaults
 		return
 	}
--- a/agent/internal/loader/order.go
+++ b/agent/internal/loader/order.go
@@ -71,8 +71,10 @@
 // all of them expect the same order count, at most one is accepted.
 func (l *Loader) orderLoad(t targetVersion) {
 	if l.open == nil {
+		if !l.stager.hold() {
+			return
+		}
 		l.open = &openOrder{target: t, layers: l.nextLayers(t), expected: l.status.OrderCount}
-		l.stager.beginOrder()
 	}
 	l.sent = sentOrder{target: t, layers: l.open.layers, expected: l.open.expected}
 	l.open.call = startOrder(l.options.Engine, l.open, l.stager.checkAge())
@@ -107,7 +109,7 @@
 	l.retryAt = clocks.Now().Add(orderBackoff)
 	o.isLost = o.isLost || !isRefused
 	if !o.isLost {
-		l.open = nil
+		l.open, l.sent = nil, sentOrder{}
 	}
 }
 
@@ -126,7 +128,13 @@
 		o.started, o.isBound = s.Started, o.call == nil
 		return
 	}
-	l.stopCall()
+	if c := o.call; c != nil {
+		l.stopCall()
+		if !o.isLost && (c.ack == engine.AckConflict || c.ack == engine.AckFenced) {
+			// Another agent's order was accepted.
+			l.sent = sentOrder{}
+		}
+	}
 	l.open = nil
 	if s.OrderCount > o.expected {
 		l.orderedAt = clocks.Now()
--- a/agent/internal/loader/stage.go
+++ b/agent/internal/loader/stage.go
@@ -24,9 +24,6 @@
 	validAt time.Time
 	// isSuspect is set from a failed read-back until the piece is known to be valid again.
 	isSuspect bool
-	// exposure is the longest time for which the piece may have been corrupt before it was replaced,
-	// since the pending order was sent first.
-	exposure time.Duration
 }
 
 // stager stages the pieces of one version at the engine, which has capacity for one version
@@ -45,9 +42,10 @@
 	// pieces are those of the version by their number in cache.Version.Sequence.
 	pieces []stagedPiece
 	// lost holds the pieces of the target whose storing got no response. The engine may still store
-	// them, over a later piece; replaceable are those over which it may store one of another version.
-	lost        map[int]bool
-	replaceable map[int]bool
+	// them, over a later piece; overwritable are those over which it may store one of another version.
+	lost         map[int]bool
+	overwritable map[int]bool
+	startedAt    time.Time
 	// storing is the number of calls that store a piece, storedAt when the last one ended.
 	storing  int
 	storedAt time.Time
@@ -55,15 +53,17 @@
 	// extended.
 	checkSince time.Time
 	checkUntil time.Time
-	// acceptedBy is the time by which the engine has accepted an order of the target, or zero. While it is
-	// set, pieces are read back and none is stored.
+	// isHeld is set while no piece may be stored: from the first order of a version until its load is
+	// validated. A corrupt piece that is replaced in between would hide that it was loaded.
+	isHeld bool
+	// acceptedBy is the time by which the engine has accepted an order of the target, or zero.
 	acceptedBy time.Time
 }
 
 func newStager(o Options) (*stager, func()) {
 	s := &stager{
 		options: o, wake: make(chan struct{}, 1), checked: make(chan struct{}, 1),
-		lost: make(map[int]bool), replaceable: make(map[int]bool),
+		lost: make(map[int]bool), overwritable: make(map[int]bool), startedAt: clocks.Now(),
 	}
 	g := shell.NewGroup()
 	g.Go(s.loop)
@@ -80,19 +80,20 @@
 // changeTarget is setTarget. The caller holds the mutex.
 func (s *stager) changeTarget(t targetVersion) {
 	if s.target != t {
-		s.target, s.pieces, s.acceptedBy = t, nil, time.Time{}
-		maps.Copy(s.replaceable, s.lost)
+		s.target, s.pieces, s.isHeld, s.acceptedBy = t, nil, false, time.Time{}
+		maps.Copy(s.overwritable, s.lost)
 		clear(s.lost)
 	}
 }
 
-// reset marks every piece as not staged, since the engine has restarted.
+// reset marks every piece as not staged, since the engine has restarted. Pieces are held as before, as the new
+// process may have accepted an order.
 func (s *stager) reset() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.pieces, s.acceptedBy = nil, time.Time{}
+	s.pieces = nil
 	clear(s.lost)
-	clear(s.replaceable)
+	clear(s.overwritable)
 }
 
 // current returns the target and its version, which is nil while the manifest isn't cached.
@@ -112,31 +113,35 @@
 	return s.target, v
 }
 
+// hasVersion reports whether the manifest of the target is known.
+func (s *stager) hasVersion() bool {
+	_, v := s.current()
+	return v != nil
+}
+
 // missing returns the pieces that aren't known to be staged, or none while no piece may be stored.
 func (s *stager) missing() []int {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	var all []int
 	for n := range s.pieces {
-		if s.acceptedBy.IsZero() && s.pieces[n].validAt.IsZero() {
+		if !s.isHeld && s.pieces[n].validAt.IsZero() {
 			all = append(all, n)
 		}
 	}
 	return all
 }
 
-// markValid records that a piece was staged and valid at a time up to now. In case isStored it was stored
-// since, over one that may have been corrupt.
-func (s *stager) markValid(t targetVersion, n int, at time.Time, isStored bool) {
+// markValid records that a piece of a version was staged and valid at a time up to now.
+func (s *stager) markValid(v *cache.Version, n int, at time.Time) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.target != t || n >= len(s.pieces) {
+	if s.version != v || n >= len(s.pieces) || s.isHeld && s.lost[n] {
+		// A lost store may have replaced the piece since the engine accepted the order.
 		return
 	}
 	p := &s.pieces[n]
-	if p.isSuspect || isStored {
-		p.exposure, p.isSuspect = max(p.exposure, clocks.Since(p.validAt)), false
-	}
+	p.isSuspect = false
 	if at.After(p.validAt) {
 		p.validAt = at
 	}
@@ -149,7 +154,7 @@
 	if s.target == t {
 		s.lost[n] = true
 	} else {
-		s.replaceable[n] = true
+		s.overwritable[n] = true
 	}
 }
 
@@ -179,14 +184,14 @@
 	}
 	for _, n := range s.missing() {
 		if data, ok := s.options.Cache.Chunk(v.Sequence[n]); ok {
-			s.stagePiece(ctx, t, n, data)
+			s.stagePiece(ctx, t, v, n, data)
 		}
 	}
 }
 
-// stagePiece stores a piece of the target, unless the target has changed or no piece may be stored.
-func (s *stager) stagePiece(ctx context.Context, t targetVersion, n int, data []byte) {
-	if ctx.Err() != nil || !s.beginStore(t) {
+// stagePiece stores a piece of the target, unless its version has changed or no piece may be stored.
+func (s *stager) stagePiece(ctx context.Context, t targetVersion, v *cache.Version, n int, data []byte) {
+	if ctx.Err() != nil || !s.beginStore(v) {
 		return
 	}
 	defer s.endStore()
@@ -198,13 +203,13 @@
 		s.markLost(t, n)
 		return
 	}
-	s.markValid(t, n, sentAt, true)
+	s.markValid(v, n, sentAt)
 }
 
-func (s *stager) beginStore(t targetVersion) bool {
+func (s *stager) beginStore(v *cache.Version) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if s.target != t || !s.acceptedBy.IsZero() {
+	if s.version != v || s.isHeld {
 		return false
 	}
 	s.storing++
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/url"
 	"time"
@@ -119,6 +120,9 @@
 	Load(ctx context.Context, order Order) error
 }
 
+// ErrNotStaged means that an engine has no staged piece with the index.
+var ErrNotStaged = errors.New("the piece isn't staged")
+
 // Layers is a range of the layers of a model. To is exclusive. The zero value means all of them.
 type Layers struct {
 	From int
@@ -188,7 +192,7 @@
 	// Staged lists the indices of the staged pieces of a model. Their content may be
 	// corrupt.
 	Staged(ctx context.Context, model string) ([]int, error)
-	// ReadStaged returns the current content of a staged piece.
+	// ReadStaged returns the current content of a staged piece, or ErrNotStaged.
 	ReadStaged(ctx context.Context, model string, piece int) ([]byte, error)
 	// Stage stores a piece, replacing any piece with the same index.
 	Stage(ctx context.Context, model string, piece int, data []byte) error
