loader: fence the orders of an earlier agent before the stage is replaced

An agent that was killed left an order without a response. The next one replaced the pieces of its version, the order was accepted, and the engine loaded pieces of both.

For its first 10 s an agent now replaces no staged piece before the engine has accepted an order of its own. One to hold only the first layer of what it holds loads nothing and raises the order count, after which the engine refuses those of the agent before. If the right pieces are staged already, none is needed. Waiting for a fixed time alone had been weighed and not taken; here the validation catches what is later.

Plays begin with an agent that has run for 10 s, so that only those of restarted agents are fenced.

--- a/agent/internal/loader/check.go
+++ b/agent/internal/loader/check.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -27,9 +28,9 @@
 	// checkLease is the time for which a check goes on after it was requested. A process that stands
 	// still for longer begins a new one.
 	checkLease = 2 * callTimeout
-	// lateStoreTime is the time after the start of the agent within which the engine may store pieces that
-	// an earlier agent has sent.
-	lateStoreTime = 10 * time.Second
+	// earlierAgentTime is the time after the start of the agent within which the engine may store pieces and
+	// accept orders that an earlier agent has sent.
+	earlierAgentTime = 10 * time.Second
 	// readers is the number of pieces that are read back at the same time.
 	readers = 4
 )
@@ -90,6 +91,13 @@
 	return true
 }
 
+// isRead reports whether each piece was read back during the check, whether or not it is valid.
+func (s *stager) isRead() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.pieces) > 0 && !slices.ContainsFunc(s.pieces, func(p stagedPiece) bool { return !p.isSuspect && p.validAt.Before(s.checkSince) })
+}
+
 // checkAge returns the age of the oldest read-back of the pieces that are known to be staged.
 func (s *stager) checkAge() time.Duration {
 	s.mutex.Lock()
@@ -103,7 +111,7 @@
 	return clocks.Since(oldest)
 }
 
-// hold keeps pieces from being stored until release or setTarget. It reports false while one is being stored.
+// hold keeps pieces from being stored until release. It reports false while one is being stored.
 func (s *stager) hold() bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -146,9 +154,9 @@
 // retarget is setTarget while the load of an order that this agent didn't send is validated.
 func (s *stager) retarget(t targetVersion) {
 	s.mutex.Lock()
-	isHeld, acceptedBy := s.isHeld, s.acceptedBy
+	acceptedBy := s.acceptedBy
 	s.changeTarget(t)
-	s.isHeld, s.acceptedBy = isHeld, acceptedBy
+	s.acceptedBy = acceptedBy
 	s.mutex.Unlock()
 	s.wakeLoop()
 }
@@ -185,7 +193,7 @@
 // caller holds the mutex.
 func (s *stager) isProven(n int) bool {
 	age := s.acceptedBy.Sub(s.pieces[n].validAt)
-	mayBeReplaced := s.overwritable[n] || s.acceptedBy.Sub(s.startedAt) < lateStoreTime
+	mayBeReplaced := s.overwritable[n] || s.acceptedBy.Sub(s.startedAt) < earlierAgentTime
 	return age <= 0 || age <= maxCorruptTime && !mayBeReplaced
 }
 
--- a/agent/internal/loader/load.go
+++ b/agent/internal/loader/load.go
@@ -43,7 +43,7 @@
 func (l *Loader) trackLoad(s engine.Status) {
 	isFirst, count, seenAt := l.statusAt.IsZero(), l.status.OrderCount, l.statusAt
 	if !isFirst && !s.Started.Equal(l.status.Started) {
-		l.load, l.stale, count = nil, staleLayers{}, 0
+		l.load, l.stale, l.isFenced, count = nil, staleLayers{}, true, 0
 	}
 	if isFirst && !s.Busy && len(s.Held) > 0 {
 		l.inheritLoad(s)
@@ -57,6 +57,7 @@
 		l.recordLoad(l.sent, clocks.Now())
 		return
 	}
+	l.isFenced = l.isFenced || !isFirst
 	l.load = &load{count: s.OrderCount, acceptedBy: clocks.Now(), validity: validityPending}
 	if !l.stager.sealForeign(seenAt, l.load.acceptedBy) {
 		l.endValidation(validityUnknown)
@@ -78,6 +79,7 @@
 
 // recordLoad records that the engine has accepted an order of this agent by a time.
 func (l *Loader) recordLoad(o sentOrder, acceptedBy time.Time) {
+	l.isFenced = true
 	l.load = &load{target: o.target, layers: o.layers, count: o.expected + 1, acceptedBy: acceptedBy, validity: validityPending}
 	l.stager.seal(o.target, acceptedBy)
 	l.updateValidity()
@@ -158,10 +160,13 @@
 
 // mustHoldStage reports whether no piece may be stored.
 func (l *Loader) mustHoldStage() bool {
-	if l.open != nil {
+	if l.open != nil || l.needsFence() {
 		return true
 	}
-	return l.load != nil && (l.load.validity == validityPending || l.load.validity == validityUnknown && l.mustDrop(l.load.target))
+	if l.load == nil || !l.stager.hasTarget(l.load.target) {
+		return false
+	}
+	return l.load.validity == validityPending || l.load.validity == validityUnknown && l.mustDrop(l.load.target)
 }
 
 // isValidating reports whether the validation of the last load has to go on, where t is the released version.
--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -17,9 +17,15 @@
 //
 // Staged pieces may become corrupt, an engine may restart and lose its versions, a newer
 // version may be released at any time. So each round compares the status that the engine
-// reports with the released version. No other state of the engine is kept, except that an order
-// without a response may take effect later. It expects the engine's order count, as each order
-// does, and until that count is another, the same version stays staged and is ordered again.
+// reports with the released version. An order without a response may take effect later. It
+// expects the engine's order count, as each order does, and until that count is another, the
+// same version stays staged and is ordered again.
+//
+// # Validation
+//
+// An engine loads what is staged when it accepts an order, and doesn't check it. It gets no
+// requests until each piece is known to have been valid then. If that can't be known, it drops
+// the layers and loads them again.
 package loader
 
 import (
@@ -123,9 +129,13 @@
 	open  *openOrder
 	sent  sentOrder
 	stale staleLayers
+	// isFenced is set once no order of an earlier agent can be accepted any more, isFenceDone if the engine
+	// holds the part that a fence names.
+	isFenced    bool
+	isFenceDone bool
 	// tablesAt is when the tables were known that say how many layers the model has.
 	tablesAt time.Time
-	// load is nil if the engine has accepted none since the agent or the engine started.
+	// load is the last load, or nil if the engine has accepted none since it restarted.
 	load *load
 	// releases holds when each version was released.
 	releases map[targetVersion]releaseTime
@@ -257,7 +267,9 @@
 		return
 	}
 	if l.open != nil {
-		l.stager.setTarget(l.open.target)
+		if !l.open.isFence {
+			l.stager.setTarget(l.open.target)
+		}
 		l.advance(ctx, l.open.target)
 		return
 	}
@@ -466,13 +478,18 @@
 		l.orderLoad(t)
 		return
 	}
-	if !l.stager.isComplete(t) {
+	isComplete := l.stager.isComplete(t)
+	if !isComplete && !l.needsFence() {
 		return
 	}
 	if l.awaitsSlot(now) {
 		l.setClosing(false)
 		return
 	}
+	if !isComplete {
+		l.advanceFence(ctx, t)
+		return
+	}
 	l.stager.requestCheck()
 	if !l.stager.isChecked() {
 		return
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -127,6 +127,9 @@
 		defer func() { w.stop() }()
 		defer close(w.ended)
 		go w.observe()
+		// No order of an earlier agent may be accepted any more.
+		time.Sleep(10 * time.Second)
+		w.release(max(held, 1))
 		time.Sleep(2 * time.Second)
 		if _, ok := w.loader.Report(); !ok {
 			t.Error("the loader has no report on its engine")
@@ -398,10 +401,7 @@
 	if layers == (engine.Layers{}) {
 		layers.To = pieceCount
 	}
-	kept, isPart := layers.Intersect(w.heldLayers)
-	if isPart = isPart && version == w.held; !isPart {
-		kept = engine.Layers{}
-	}
+	kept := w.keptLayers(version, layers)
 	w.loadFaults = w.loadFault(version, layers, kept)
 	if kept == layers && !w.areDropsSlow {
 		w.heldLayers, w.heldFaults = layers, w.loadFaults
--- a/agent/internal/loader/order.go
+++ b/agent/internal/loader/order.go
@@ -17,6 +17,8 @@
 type openOrder struct {
 	target targetVersion
 	layers engine.Layers
+	// isFence is set for an order that only has others refused.
+	isFence bool
 	// expected is the order count at which the engine accepts it.
 	expected uint64
 	// call is the call that waits for a response, or nil.
@@ -76,7 +78,12 @@
 		}
 		l.open = &openOrder{target: t, layers: l.nextLayers(t), expected: l.status.OrderCount}
 	}
-	l.sent = sentOrder{target: t, layers: l.open.layers, expected: l.open.expected}
+	l.sendOrder()
+}
+
+// sendOrder sends the open order.
+func (l *Loader) sendOrder() {
+	l.sent = sentOrder{target: l.open.target, layers: l.open.layers, expected: l.open.expected}
 	l.open.call = startOrder(l.options.Engine, l.open, l.stager.checkAge())
 	l.orders.Inc(1)
 }
@@ -103,6 +110,7 @@
 			l.recordLoad(l.sent, c.endedAt)
 		} else if c.layers != (engine.Layers{}) {
 			l.keepStale(c.target, c.layers)
+			l.isFenceDone = o.isFence
 		}
 		return
 	}
--- a/agent/internal/loader/order_test.go
+++ b/agent/internal/loader/order_test.go
@@ -36,6 +36,15 @@
 	return o.layers
 }
 
+// keptLayers returns those of the layers that an engine holds and keeps. The caller holds the mutex.
+func (w *world) keptLayers(version int, layers engine.Layers) engine.Layers {
+	if version != w.held {
+		return engine.Layers{}
+	}
+	kept, _ := layers.Intersect(w.heldLayers)
+	return kept
+}
+
 // deliver lets the engine that started then receive an order.
 func (w *world) deliver(ctx context.Context, started time.Time, o order, fate orderFate) (engine.Ack, error) {
 	acks := make(chan engine.Ack, len(fate.arrivals))
@@ -66,8 +75,9 @@
 	case w.held == o.version && w.heldLayers == o.wanted():
 		return engine.AckDone, true
 	}
-	for i := range pieceCount {
-		if !bytes.Equal(w.staged[i], w.pieceOf(o.version, i)) {
+	kept := w.keptLayers(o.version, o.wanted())
+	for i := o.wanted().From; i < o.wanted().To; i++ {
+		if (i < kept.From || i >= kept.To) && !bytes.Equal(w.staged[i], w.pieceOf(o.version, i)) {
 			w.mixed = append(w.mixed, o.version)
 			break
 		}
--- a/agent/internal/loader/stage.go
+++ b/agent/internal/loader/stage.go
@@ -80,7 +80,7 @@
 // changeTarget is setTarget. The caller holds the mutex.
 func (s *stager) changeTarget(t targetVersion) {
 	if s.target != t {
-		s.target, s.pieces, s.isHeld, s.acceptedBy = t, nil, false, time.Time{}
+		s.target, s.pieces, s.acceptedBy = t, nil, time.Time{}
 		maps.Copy(s.overwritable, s.lost)
 		clear(s.lost)
 	}
@@ -119,6 +119,13 @@
 	return v != nil
 }
 
+// hasTarget reports whether the version is the target.
+func (s *stager) hasTarget(t targetVersion) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.target == t
+}
+
 // missing returns the pieces that aren't known to be staged, or none while no piece may be stored.
 func (s *stager) missing() []int {
 	s.mutex.Lock()
