loader: choose the part of a fence by the layers that the engine holds

The status now states the layers.

TestFenceAtAnEngineThatHoldsThePartAlready is red with the first layer in any case.

--- a/agent/internal/loader/fence.go
+++ b/agent/internal/loader/fence.go
@@ -20,7 +20,7 @@
 }
 
 // advanceFence takes the next step towards a stage that may be replaced by the pieces of a version. If these are
-// staged already, no fence is needed. Else the engine is ordered to drop all layers but one of what it holds.
+// staged already, no fence is needed. Else the engine is ordered to hold one layer of what it holds.
 func (l *Loader) advanceFence(ctx context.Context, t targetVersion) {
 	l.stager.requestCheck()
 	if !l.stager.isRead() || l.stager.isComplete(t) {
@@ -31,7 +31,7 @@
 		return
 	}
 	held, layers := l.status.Held[0], firstLayer
-	if l.isFenceDone {
+	if l.status.Layers == firstLayer {
 		layers = secondLayer
 	}
 	l.open = &openOrder{target: targetVersion{model: held.Model, version: held.Version}, layers: layers, expected: l.status.OrderCount, isFence: true}
--- a/agent/internal/loader/load.go
+++ b/agent/internal/loader/load.go
@@ -264,7 +264,7 @@
 	switch {
 	case !l.isStale(t) || l.heldVersion(t.model) != t.version || all.To < 2:
 		return engine.Layers{}
-	case l.stale.layers == firstLayer:
+	case l.stale.layers == firstLayer, l.status.Layers == firstLayer:
 		return engine.Layers{From: 1, To: all.To}
 	}
 	return firstLayer
--- a/agent/internal/loader/loader.go
+++ b/agent/internal/loader/loader.go
@@ -129,10 +129,8 @@
 	open  *openOrder
 	sent  sentOrder
 	stale staleLayers
-	// isFenced is set once no order of an earlier agent can be accepted any more, isFenceDone if the engine
-	// holds the part that a fence names.
-	isFenced    bool
-	isFenceDone bool
+	// isFenced is set once no order of an earlier agent can be accepted any more.
+	isFenced bool
 	// tablesAt is when the tables were known that say how many layers the model has.
 	tablesAt time.Time
 	// load is the last load, or nil if the engine has accepted none since it restarted.
--- a/agent/internal/loader/loader_test.go
+++ b/agent/internal/loader/loader_test.go
@@ -280,6 +280,7 @@
 	s := engine.Status{Started: w.started, Busy: w.busy, OrderCount: w.orderCount(), Leaving: w.leaving, TotalTokens: 100, Pace: 1}
 	if w.held > 0 {
 		s.Held = []state.HeldVersion{{Model: writer, Version: w.held, Whole: w.mirror.Snapshot().Pool("minds") != nil && w.heldLayers == engine.Layers{To: pieceCount}}}
+		s.Layers = w.heldLayers
 	}
 	return s
 }
--- a/agent/internal/loader/order.go
+++ b/agent/internal/loader/order.go
@@ -110,7 +110,6 @@
 			l.recordLoad(l.sent, c.endedAt)
 		} else if c.layers != (engine.Layers{}) {
 			l.keepStale(c.target, c.layers)
-			l.isFenceDone = o.isFence
 		}
 		return
 	}
--- a/agent/internal/loader/reload_test.go
+++ b/agent/internal/loader/reload_test.go
@@ -241,3 +241,28 @@
 		w.awaitOpen(6 * time.Second)
 	})
 }
+
+// TestFenceAtAnEngineThatHoldsThePartAlready restarts the agent while its order to hold the first layer alone, and all
+// orders for a while, get no response.
+func TestFenceAtAnEngineThatHoldsThePartAlready(t *testing.T) {
+	play(t, 1, 0, func(w *world) {
+		calls := 0
+		w.fateOfLayers = func(engine.Layers) orderFate {
+			if calls++; calls < 6 {
+				return orderFate{arrivals: []time.Duration{200 * time.Millisecond}}
+			}
+			return atOnce
+		}
+		w.restartLoader()
+		time.Sleep(time.Second)
+		w.release(2)
+		for w.heldLayers != firstLayer {
+			time.Sleep(time.Millisecond)
+		}
+		w.restartLoader()
+		w.awaitOpen(versionTimeout)
+		if w.held != 2 || calls > 10 {
+			t.Errorf("serves %d after %d orders", w.held, calls)
+		}
+	})
+}
--- a/core/engine/engine.go
+++ b/core/engine/engine.go
@@ -158,6 +158,8 @@
 	// Leaving is set while the engine is shutting down.
 	Leaving bool
 	Held    []state.HeldVersion
+	// Layers are those that the engine holds of its version, or the zero value if it doesn't report them.
+	Layers Layers
 }
 
 // Holds reports whether the engine has all layers of the version of the model loaded.
