--- a/agent/internal/loader/reload_test.go
+++ b/agent/internal/loader/reload_test.go
@@ -48,7 +48,10 @@
 	w.t.Helper()
 	time.Sleep(d)
 	w.checkValid()
-	if r, ok := w.loader.Report(); !ok || r.Closing || w.heldLayers != (engine.Layers{To: pieceCount}) {
+	r, ok := w.loader.Report()
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	if !ok || r.Closing || w.heldLayers != (engine.Layers{To: pieceCount}) {
 		w.t.Errorf("closed: %t, holds layers %v of %d after orders %v", r.Closing, w.heldLayers, w.held, w.orders)
 	}
 }
@@ -256,8 +259,11 @@
 		w.restartLoader()
 		time.Sleep(time.Second)
 		w.release(2)
-		for w.heldLayers != firstLayer {
+		for isDropped := false; !isDropped; {
 			time.Sleep(time.Millisecond)
+			w.mutex.Lock()
+			isDropped = w.heldLayers == firstLayer
+			w.mutex.Unlock()
 		}
 		w.restartLoader()
 		w.awaitOpen(versionTimeout)
--- a/entry/internal/proxy/standstill_test.go
+++ b/entry/internal/proxy/standstill_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -171,11 +172,10 @@
 func TestRequestThatRanBesideADeclineIsNotReportedAsNotRun(t *testing.T) {
 	for _, path := range repeatable {
 		for _, respondsAfter := range []time.Duration{300 * time.Millisecond, 500 * time.Millisecond, 800 * time.Millisecond} {
-			hasDeclined := false
+			var hasDeclined atomic.Bool
 			log := zap.NewNop().WithOptions(zap.WrapCore(func(zapcore.Core) zapcore.Core {
 				return zapcore.RegisterHooks(zapcore.NewCore(zapcore.NewJSONEncoder(zapcore.EncoderConfig{}), zapcore.AddSync(io.Discard), zap.InfoLevel), func(e zapcore.Entry) error {
-					if e.Message == "attempt" && !hasDeclined {
-						hasDeclined = true
+					if e.Message == "attempt" && hasDeclined.CompareAndSwap(false, true) {
 						time.Sleep(500 * time.Millisecond)
 					}
 					return nil
