--- a/agent/internal/loader/load.go
+++ b/agent/internal/loader/load.go
@@ -13,11 +13,11 @@
 const validationTimeout = 5 * time.Second
 
 // inheritedTimeout is the time after which a load that the agent has found at its start counts as valid. Entries
-// keep an engine closed for as long after the last report of the agent before.
+// keep an engine closed for as long after the last report of the previous agent.
 const inheritedTimeout = 10 * time.Second
 
-// load is the last load that the engine has accepted since the agent watches it. The engine gets no
-// requests until it is known to be valid. If that can't be known any more, it loads the layers again.
+// load is the last load that the engine has accepted, or had when the agent started. The engine gets no
+// requests until the load is known to be valid. If that can't be known any more, it loads the layers again.
 type load struct {
 	// target is the version. For an order of another agent it is zero until the engine serves it.
 	target targetVersion
@@ -27,7 +27,7 @@
 	// acceptedBy is the time by which it had accepted it.
 	acceptedBy time.Time
 	validity   validity
-	// isInherited is set for a load that was complete when the agent first saw the engine. The agent before
+	// isInherited is set for a load that was complete when the agent first saw the engine. The previous agent
 	// may not have validated it.
 	isInherited bool
 }
@@ -91,7 +91,7 @@
 		return
 	}
 	if l.load.validity == validityUnknown && l.stale.layers == (engine.Layers{}) {
-		// The tables weren't known before.
+		// The tables may not have been known when the validation ended.
 		l.stale = staleLayers{target: l.load.target, layers: l.allLayers(l.load.target.model)}
 	}
 	if l.load.validity != validityPending || l.load.isInherited && !l.knowsLayers(l.load.target) {
@@ -146,6 +146,7 @@
 	return true
 }
 
+// endValidation records the result of the validation of the last load.
 func (l *Loader) endValidation(v validity) {
 	l.load.validity, l.load.isInherited = v, false
 	if v == validityValid {
@@ -192,7 +193,7 @@
 }
 
 // isInheritedPending is isValidating for a load that the agent has found at its start. One of a version that has
-// been replaced can't be validated, as the agent before may have staged pieces of the next.
+// been replaced can't be validated, as the previous agent may have staged pieces of the next.
 func (l *Loader) isInheritedPending(t targetVersion) bool {
 	if l.load.target == t && clocks.Since(l.load.acceptedBy) < inheritedTimeout {
 		return true
@@ -202,7 +203,7 @@
 }
 
 // isInheriting reports whether the agent doesn't know whether the engine may get requests. Meanwhile it
-// reports nothing, so that entries keep to what the agent before has reported.
+// reports nothing, so that entries keep to what the previous agent has reported.
 func (l *Loader) isInheriting() bool {
 	return l.load != nil && l.load.isInherited && clocks.Since(l.load.acceptedBy) < inheritedTimeout
 }
@@ -219,62 +220,3 @@
 	}
 	return l.load.validity == validityValid && !l.isStale(l.load.target) && l.heldVersion(l.load.target.model) == l.load.target.version
 }
-
-// firstLayer is the part that an engine keeps when it drops a version.
-var firstLayer = engine.Layers{To: 1}
-
-// isDamaged reports whether the engine holds the version without all of its layers, or with stale ones.
-func (l *Loader) isDamaged(t targetVersion) bool {
-	return l.heldVersion(t.model) == t.version && (l.isStale(t) || !l.status.Holds(t.model, t.version))
-}
-
-// staleLayers are the layers of a version that the engine has from loads that aren't known to be valid. It
-// keeps the layers that it holds of an ordered version, so that it has to drop them before it loads them again.
-type staleLayers struct {
-	target targetVersion
-	layers engine.Layers
-}
-
-// isStale reports whether the engine holds layers of the version that it has to load again.
-func (l *Loader) isStale(t targetVersion) bool {
-	return l.stale.target == t && l.stale.layers != (engine.Layers{})
-}
-
-// mustDrop reports whether the engine has to drop stale layers of the version before the pieces may be staged
-// again. An agent that starts later would take the load for a valid one otherwise.
-func (l *Loader) mustDrop(t targetVersion) bool {
-	return l.isStale(t) && l.nextLayers(t) == firstLayer
-}
-
-// keepStale records that the engine has dropped all layers but some of a version, and that those it has
-// loaded since are valid.
-func (l *Loader) keepStale(t targetVersion, kept engine.Layers) {
-	if l.stale.target != t {
-		l.stale = staleLayers{}
-	}
-	if kept != (engine.Layers{}) {
-		l.stale.layers, _ = l.stale.layers.Intersect(kept)
-	}
-}
-
-// nextLayers returns the layers for the next order of a version. Two orders of parts that have no layer in
-// common make the engine drop all stale layers.
-func (l *Loader) nextLayers(t targetVersion) engine.Layers {
-	all := l.allLayers(t.model)
-	switch {
-	case !l.isStale(t) || l.heldVersion(t.model) != t.version || all.To < 2:
-		return engine.Layers{}
-	case l.stale.layers == firstLayer, l.status.Layers == firstLayer:
-		return engine.Layers{From: 1, To: all.To}
-	}
-	return firstLayer
-}
-
-// allLayers returns the layers of a model, or the zero value if it has none.
-func (l *Loader) allLayers(model string) engine.Layers {
-	p := l.options.Mirror.Snapshot().Pool(l.options.Pool)
-	if p == nil || p.Engine == nil || len(p.Engine.Models) == 0 || p.Engine.Models[0].Name != model {
-		return engine.Layers{}
-	}
-	return engine.Layers{To: p.Engine.Layers}
-}
