--- a/agent/internal/loader/order.go
+++ b/agent/internal/loader/order.go
@@ -69,8 +69,8 @@
 // took returns the time that the engine has taken to respond.
 func (c *orderCall) took() time.Duration { return c.endedAt.Sub(c.sentAt) }
 
-// orderLoad orders the engine to load a version, or some layers of one that it holds. While an order is open, it is that order again: as
-// all of them expect the same order count, at most one is accepted.
+// orderLoad orders the engine to load a version, or some layers of one that it holds. While an order is
+// open, it is that order again: as all of them expect the same order count, at most one is accepted.
 func (l *Loader) orderLoad(t targetVersion) {
 	if l.open == nil {
 		if !l.stager.hold() {
