--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -22,6 +22,7 @@
 
 var cases = map[string]func(f *fleet, trouble bool) (outcome, error){
 	"directory": directoryCase,
+	"header":    headerCase,
 	"memory":    memoryCase,
 	"slow":      slowCase,
 	"poison":    poisonCase,
