--- a/review/stand-2/memory.go
+++ b/review/stand-2/memory.go
@@ -24,8 +24,8 @@
 	memClients = 28
 	memBurst   = 1.7
 	// memBursts is the number of bursts, memRest the pause after each.
-	memBursts = 4
-	memRest   = 9 * time.Second
+	memBursts = 5
+	memRest   = 5 * time.Second
 	// memRestart is the pause until the platform starts a process again that has ended.
 	memRestart = 500 * time.Millisecond
 	// memAllowed is the number of ends of a process by itself that don't break the rule, and memMachines the
@@ -186,7 +186,7 @@
 			}
 		}
 		group.Wait()
-		time.Sleep(memRest - 4*time.Second)
+		time.Sleep(memRest)
 	}
 	over, text := 0, ""
 	for _, p := range platforms {
