--- a/review/stand-2/main.go
+++ b/review/stand-2/main.go
@@ -26,6 +26,7 @@
 	"memory":    memoryCase,
 	"slow":      slowCase,
 	"poison":    poisonCase,
+	"restore":   restoreCase,
 }
 
 func main() { os.Exit(run()) }
--- a/review/stand-2/procs.go
+++ b/review/stand-2/procs.go
@@ -219,18 +219,20 @@
 }
 
 // addEntries adds entries at the places with settings filled in as platform/entry.ini asks. The first three are the
-// seeds. They aren't started.
+// seeds. They are named like those of the sites and aren't started.
 func (f *fleet) addEntries(storeAt string, b bounds, at []place) ([]*entry, error) {
 	var all []*entry
 	var seeds []string
 	agentPort := 0
+	inZone := make(map[string]int)
 	for i := range at {
 		ip := fmt.Sprintf("127.77.%d.%d", os.Getpid()%200+1, i+10)
 		ports, err := freePorts(ip, 5)
 		if err != nil {
 			return nil, err
 		}
-		e := &entry{proc: &proc{fleet: f, name: fmt.Sprintf("entry-%d", i), role: "entry"}, ip: ip}
+		inZone[at[i].zone]++
+		e := &entry{proc: &proc{fleet: f, name: fmt.Sprintf("edge-%s-%d", at[i].zone, inZone[at[i].zone]), role: "entry"}, ip: ip}
 		e.front, e.control = fmt.Sprintf("%s:%d", ip, ports[0]), fmt.Sprintf("%s:%d", ip, ports[1])
 		e.directory, e.ready = fmt.Sprintf("%s:%d", ip, ports[2]), fmt.Sprintf("%s:%d", ip, ports[3])
 		if agentPort == 0 {
--- a/review/stand-2/store.go
+++ b/review/stand-2/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sort"
 	"strconv"
@@ -27,6 +28,12 @@
 	history  []item
 	revision uint64
 	changed  chan struct{}
+	// era is stated in each answer if it is above zero. away is set while the store answers nothing but 503.
+	era  uint64
+	away bool
+	// copied and copiedAt are the copy that restore returns to.
+	copied   map[string]item
+	copiedAt uint64
 }
 
 func newStore() *store {
@@ -61,6 +68,44 @@
 	return time.Now()
 }
 
+// backUp copies all items.
+func (s *store) backUp() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.copied, s.copiedAt = maps.Clone(s.items), s.revision
+}
+
+// leave makes the store answer 503, also to the watches that wait.
+func (s *store) leave() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.away = true
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// restore brings the store back from the copy. What was written since is gone, and its revisions are given out
+// again.
+func (s *store) restore() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.items, s.revision, s.history, s.away = maps.Clone(s.copied), s.copiedAt, nil, false
+	s.era++
+}
+
+// begin states the era, and reports whether the store is there.
+func (s *store) begin(w http.ResponseWriter) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+	}
+	if s.away {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	return !s.away
+}
+
 // wireItem is an item as the store sends it.
 type wireItem struct {
 	Key      string
@@ -77,6 +122,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !s.begin(w) {
+		return
+	}
 	switch r.URL.Path {
 	case "/api/kv-range":
 		s.serveRange(w, r)
@@ -126,6 +174,16 @@
 		}
 		d.Events = []wireItem{}
 		s.mutex.Lock()
+		if s.away {
+			s.mutex.Unlock()
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if after > s.revision || after < s.copiedAt && s.era > 1 {
+			s.mutex.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
 		d.CurrentRev = s.revision
 		for _, i := range s.history {
 			if i.revision > after && strings.HasPrefix(i.key, q.Get("Prefix")) {
