--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,7 @@
 set -u
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
+for program in review/stand-2/bin/stand-2 target/platform; do
+	[ -x "$program" ] || { echo "$program is missing"; exit 2; }
+done
 exec env TROUBLE="${TROUBLE:-1}" review/stand-2/bin/stand-2 slow target/platform "$here"
