--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Clients read their answers slowly.
+# Clients read their answers slowly beside a planned stop of their entry.
 # TROUBLE=0 leaves the disruption out. Exit code: 1 broken, 0 held, 2 not run. Build first: the build line of
 # deploy/system.toml, then review/build-2.sh.
 set -u
--- a/review/stand-2/slow.go
+++ b/review/stand-2/slow.go
@@ -16,6 +16,8 @@
 	// slowPause is how long a slow client reads nothing, slowDeadline what it states as its deadline.
 	slowPause    = 2500 * time.Millisecond
 	slowDeadline = 6 * time.Second
+	// slowStop is the time from the requests to the planned stop of their entry.
+	slowStop = 300 * time.Millisecond
 	// slowAllowed is the number of such requests that don't break the rule.
 	slowAllowed = 3
 	// slowClients is the number of clients of each kind.
@@ -88,10 +90,12 @@
 	var group sync.WaitGroup
 	for k, kind := range slowKinds {
 		for c := range slowClients {
-			e := entries[(k+c)%len(entries)]
+			e := entries[0]
 			group.Go(func() { w.client(e, kind, fmt.Sprintf("s%d-%d", k, c), trouble) })
 		}
 	}
+	time.Sleep(slowStop)
+	entries[0].signal(syscall.SIGTERM)
 	group.Wait()
 	lost, text := 0, ""
 	for _, kind := range slowKinds {
