links: tell peers that read slowly from peers that are gone

Clients that read a response slowly got a part of it and a reset, 1.9 to 3.8 s after the request, in a planned stop and without one. Upstreams that read a request slowly were given up after 2.2 s, with an unknown outcome.

Cause: TCP_USER_TIMEOUT of 1.9 s on every connection. The kernel also counts the time for which the window of a peer is closed that acknowledges each probe of it. Ruled out: the stop (the same without it) and the write deadline of the request (it comes later).

The option is gone. While nothing is pending, one unanswered keep-alive probe ends a connection after 2 s as before; while data is pending the process looks each 0.5 s at what the peer has acknowledged since it was last sent something. The decision is in core/acks, without I/O.

--- a/core/links/links.go
+++ b/core/links/links.go
@@ -5,11 +5,13 @@
 //
 // Connections between the system's own processes use unencrypted HTTP/2 with pings. A
 // connection without a sign of life for SilenceTimeout is closed, and its calls fail.
-// Connections to external systems use HTTP/1.1, which has no pings. The kernel detects
-// the silent ones: by keep-alive probes while a connection is idle, by TCP_USER_TIMEOUT
-// while data is unacknowledged. NewDownloadClient also closes any connection without
-// data for SilenceTimeout. All clients drop an idle connection before it can have been
-// silent for long.
+// Connections to external systems use HTTP/1.1, which has no pings. A peer that is gone is
+// detected by the acknowledgments that are missing: those of keep-alive probes while
+// nothing is pending, else those of data and of probes of its window. A peer that reads
+// slowly, or not at all, acknowledges and keeps its connection. TCP_USER_TIMEOUT doesn't
+// tell the two apart. NewDownloadClient also closes any connection without data for
+// SilenceTimeout. All clients drop an idle connection before it can have been silent for
+// long.
 //
 // # Servers
 //
@@ -40,11 +42,11 @@
 	pingTimeout  = 1500 * time.Millisecond
 	// SilenceTimeout is the time within which a silent connection is detected.
 	SilenceTimeout = pingInterval + pingTimeout
-	// TCPUserTimeout is the TCP_USER_TIMEOUT of every connection. The kernel closes an
-	// idle connection at the first probe after it; probes are sent once per second.
-	TCPUserTimeout = 1900 * time.Millisecond
-
-	probeInterval     = time.Second
+	// probeInterval is the time between keep-alive probes, and until the first one.
+	probeInterval = time.Second
+	// maxProbes is the number of unanswered keep-alive probes after which the kernel closes a
+	// connection, a probeInterval after the last one. With one that is below SilenceTimeout.
+	maxProbes         = 1
 	dialTimeout       = time.Second
 	headerTimeout     = 10 * time.Second
 	serverIdleTimeout = 2 * time.Minute
@@ -133,7 +135,7 @@
 // one second. A nil Dialer uses the network of the machine.
 func ExternalDialer(dial Dialer) Dialer {
 	if dial == nil {
-		dial = newDialer().DialContext
+		dial = newDialer().dial
 	}
 	return timeoutDialer{dial: dial}.dialWithTimeout
 }
@@ -187,22 +189,22 @@
 	return c.Conn.Write(b)
 }
 
-func newDialer() *net.Dialer {
-	return &net.Dialer{
-		Timeout:         dialTimeout,
-		KeepAliveConfig: keepAlive(),
-		ControlContext:  controlDial,
-	}
+func newDialer() *checkedDialer {
+	return &checkedDialer{dialer: net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive()}}
 }
 
 func keepAlive() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: pingInterval, Interval: probeInterval, Count: 3}
+	return net.KeepAliveConfig{Enable: true, Idle: probeInterval, Interval: probeInterval, Count: maxProbes}
 }
 
-// Listen opens a TCP listener whose connections detect a silent peer.
+// Listen opens a TCP listener whose connections detect a peer that is gone.
 func Listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	c := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: controlListen}
-	return c.Listen(ctx, "tcp", address.String())
+	c := net.ListenConfig{KeepAliveConfig: keepAlive()}
+	l, err := c.Listen(ctx, "tcp", address.String())
+	if err != nil {
+		return nil, err
+	}
+	return listener{l}, nil
 }
 
 // WithoutDate omits the Date header from the responses of a handler that only the
--- a/core/watch/conn.go
+++ b/core/watch/conn.go
@@ -1,9 +1,12 @@
 package watch
 
 import (
+	"errors"
 	"net"
 	"sync"
 	"time"
+
+	"currantport.example/core/acks"
 )
 
 // Conn is the connection of a client.
@@ -104,6 +107,9 @@
 	defer c.mutex.Unlock()
 	if c.err == nil {
 		c.err = err
+		if errors.Is(err, acks.ErrGone) {
+			c.watcher.gone.Inc(1)
+		}
 	}
 	c.drop(len(c.ahead))
 }
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -48,6 +48,8 @@
 	// closed counts the closes that were seen during a request, other than by net/http, and dropped the
 	// requests that weren't handled because of an earlier close.
 	closed, dropped tally.Counter
+	// gone counts the clients that no longer acknowledged what was sent.
+	gone tally.Counter
 }
 
 // New returns a Watcher with metrics in the scope.
@@ -55,6 +57,7 @@
 	return &Watcher{
 		ahead: scope.Counter("client_ahead"), full: scope.Counter("client_ahead_full"),
 		closed: scope.Counter("client_closed"), dropped: scope.Counter("client_dropped"),
+		gone: scope.Counter("client_gone"),
 	}
 }
 
--- a/entry/internal/httpd/stop_test.go
+++ b/entry/internal/httpd/stop_test.go
@@ -239,3 +239,26 @@
 		})
 	}
 }
+
+// TestClientThatReadsNothingDoesNotProlongAStop guards against a stop that waits for clients which read
+// nothing.
+func TestClientThatReadsNothingDoesNotProlongAStop(t *testing.T) {
+	options := func(l net.Listener) httpd.Options {
+		return httpd.Options{Listener: l, Refuse: http.HandlerFunc(refuse), Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write(make([]byte, 1<<20))
+		})}
+	}
+	playWith(t, options, func(s *httpd.Server, connect func() *client, stop func()) {
+		for range 20 {
+			if _, err := fmt.Fprint(connect().conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		stopping := stopping{server: s, stop: stop, took: make(chan time.Duration, 1)}
+		stopping.run()
+		if took := <-stopping.took; took > 7*time.Second+100*time.Millisecond {
+			t.Errorf("the stop took %v", took)
+		}
+	})
+}
