proxy: bound the long responses that slow clients leave in memory

Clients that read slowly keep their connections now until the deadline of their requests, and the entry holds up to 256 KiB of each response as long. Nothing bounded that for all of them together: 600 clients that read nothing for 4.5 s took an entry to 139 MB resident.

All requests together buffer up to an eighth of the memory limit. Beyond it a request begins to forward a response after 32 KiB.

--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -66,6 +66,8 @@
 	RetryLimits budget.Limits
 	// Entries returns the number of entries that share the retry budget.
 	Entries func() int
+	// BufferBytes bounds the long responses that are buffered at the same time. Zero means no bound.
+	BufferBytes int64
 	// Random returns a number in [0, 1).
 	Random func() float64
 	Scope  tally.Scope
@@ -77,6 +79,7 @@
 	options Options
 	metrics *metrics
 	events  *events.Allowance
+	buffers buffers
 
 	// ending is done once EndRequests was called.
 	ending      context.Context //nolint:containedctx // it ends requests, not the handler
@@ -95,6 +98,7 @@
 // New returns a handler for client requests.
 func New(o Options) *Handler {
 	h := &Handler{options: o, metrics: newMetrics(o.Scope), events: events.NewAllowance(maxUnfinishedEvents), budgets: make(map[string]*budget.Budget)}
+	h.buffers.limit = o.BufferBytes
 	h.ending, h.endRequests = context.WithCancel(context.Background())
 	return h
 }
@@ -107,6 +111,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	l := &lifecycle{handler: h, writer: w, conn: watch.ConnOf(r), arrived: time.Now(), view: h.view()}
 	defer l.report()
+	defer l.releaseBuffer()
 	defer l.contain()
 	var refusal *calls.Refusal
 	if l.call, refusal = h.options.ClientCodec.ParseRequest(r); refusal != nil {
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -71,6 +71,8 @@
 	// lastFailure is an upstream's failure response, which is forwarded if no other attempt
 	// succeeds.
 	lastFailure *bufferedResponse
+	// buffer tells whether the request may buffer a long response.
+	buffer atomic.Int32
 	// suspected is set once an upstream was lost with the request.
 	suspected atomic.Bool
 	// prepared is the next attempt if it has begun to respond before the last one was given up.
--- a/entry/internal/proxy/response.go
+++ b/entry/internal/proxy/response.go
@@ -20,7 +20,7 @@
 
 const (
 	// maxBufferedBytes is the length up to which a response is read whole before it is
-	// forwarded.
+	// forwarded, unless too many are.
 	maxBufferedBytes = 256 << 10
 	copyBufferBytes  = 32 << 10
 	// gapTimeoutFactor is the number of maximum event gaps after which a silent stream is
@@ -52,7 +52,7 @@
 	status int
 	header http.Header
 	body   []byte
-	// remainder is the rest of a body longer than maxBufferedBytes, or nil.
+	// remainder is the rest of a body that is longer than what may be buffered, or nil.
 	remainder io.Reader
 	// length is the Content-Length, or empty if it isn't known.
 	length string
@@ -95,12 +95,13 @@
 // readUnary reads a response, or the beginning of a long one.
 func (l *lifecycle) readUnary(response *conns.Response) (*bufferedResponse, error) {
 	b := &bufferedResponse{status: response.Status, header: l.handler.options.UpstreamCodec.ResponseHeader(response.Header)}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxBufferedBytes))
+	limit := l.maxBuffered(response.Length)
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(limit)))
 	if err != nil {
 		return nil, err
 	}
 	b.body = body
-	if len(body) == maxBufferedBytes {
+	if len(body) == limit {
 		b.remainder = response.Body
 	}
 	b.length = l.lengthOf(response, b)
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -219,7 +219,7 @@
 		w.handler = proxy.New(proxy.Options{
 			Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
 			Bounds:      proxy.Bounds{MaxKeyStaleness: 4 * time.Second, MaxMissStaleness: 2 * time.Second},
-			RetryLimits: limits, Entries: func() int { return 1 },
+			RetryLimits: limits, Entries: func() int { return 1 }, BufferBytes: bufferBytes,
 			Random: func() float64 { return 0.5 }, Scope: w.scope, Log: log,
 		})
 		w.publish(upstreams)
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -46,6 +46,8 @@
 	// readyStalenessRatio is the part of Bounds.Revoke beyond which a stale replica makes the
 	// entry not ready, so that clients are referred to others.
 	readyStalenessRatio = 0.6
+	// bufferRatio is the part of the memory limit for long responses that clients haven't read yet.
+	bufferRatio = 0.125
 	// drainTTLs is the number of address TTLs for which a draining entry keeps serving, so that
 	// clients find another one first.
 	drainTTLs = 3
@@ -146,6 +148,7 @@
 		Mirror: m, Fleet: f, Conns: p, ClientCodec: o.Clients, UpstreamCodec: o.Upstreams, Crashes: crashes,
 		Bounds:      proxy.Bounds{MaxKeyStaleness: revoke, MaxMissStaleness: s.Bounds.Apply},
 		RetryLimits: budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
+		BufferBytes: int64(bufferRatio * float64(s.MemoryLimit)),
 		Entries:     n.EntryCount, Random: rand.Float64, Scope: metrics.Scope, Log: log,
 	})
 }
