member: find ended entries of other regions within the bound of the rule

Clients were sent to an entry of another region until 8.0 to 8.2 s after its end in a fleet of three, and for longer in larger ones; 7 s are allowed there.

Cause: the time without a heartbeat was a constant that grew with the fleet (8 s and 20 ms for each entry, 22.8 s at 740) and had nothing to do with the bound. Besides, each late arrival of a last heartbeat counted as news of that moment, also at an entry that has just started.

The time follows from a setting now. Records carry the age of their news. Entries of a region, which receive each other's heartbeats, report a silent one to the other regions; two reporters confirm it, later news refutes it. A region that is lost as a whole is silent once there is no news of any of its entries, for which each message holds the latest record of each region.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -7,8 +7,18 @@
 // each round it also sends a sample of all records to a few entries of any region. Of two
 // records of a process the one with the later incarnation wins, and of one incarnation the one
 // with the higher heartbeat. An entry whose heartbeat hasn't increased for a while is silent;
-// after a longer time its record is dropped. Failures are detected sooner in an entry's own
-// region than in others.
+// after a longer time its record is dropped.
+//
+// # Detection of failures
+//
+// Entries of a region receive each other's heartbeats and find a silent one within seconds,
+// however many there are. They report it to other regions as a Suspicion, which is spread with
+// priority. In a large fleet the entries of all regions of one or two do so for each other. News of the entry that is later than the report refutes it. A region that is lost as
+// a whole has nobody left to report: it is silent once nothing new is heard of any of its entries.
+// In a small fleet, where each message holds the records of all, the same goes for each entry.
+//
+// Records carry the age of their news, so that an entry that is long dead isn't taken for live
+// because its last heartbeat arrives late, or at an entry that has just started.
 //
 // # Incarnations
 //
@@ -43,15 +53,22 @@
 	heartbeatRounds = 2
 	// regionSilenceTimeout is the time without a new heartbeat after which an entry of the
 	// local region is silent. It spans several heartbeats to tolerate lost messages.
-	// remoteSilenceTimeout is the same for other regions, whose heartbeats arrive through
-	// other entries; silenceTimeoutPerEntry is added for each known entry, since a message
-	// carries only some of the records.
-	regionSilenceTimeout   = 2 * time.Second
-	remoteSilenceTimeout   = 8 * time.Second
-	silenceTimeoutPerEntry = 20 * time.Millisecond
-	// maxRelayAge bounds the age of a heartbeat that another entry passes on. It is below
-	// regionSilenceTimeout, so that an entry whose rounds were interrupted, and that is heard of only
-	// through others, doesn't stay silent.
+	regionSilenceTimeout = 2 * time.Second
+	// observerSilenceTimeout is the same for other regions at an observer, which hears of an entry
+	// now and then; observerTimeoutPerEntry is added for each known entry, since a message carries
+	// only some of the records.
+	observerSilenceTimeout  = 8 * time.Second
+	observerTimeoutPerEntry = 20 * time.Millisecond
+	// detectionMargin is the part of the detection time that is left for the age of the last news,
+	// its way, and the round after which a silent entry is no longer used.
+	detectionMargin = time.Second
+	// newsTime is how long it takes at most, for each record that competes for a place in a message,
+	// until there is news of all of them: a record that comes at a rate is older than some time with
+	// a probability that falls exponentially, here to one in ten million.
+	newsTime = 130 * time.Millisecond
+	// maxRelayAge bounds the age of a heartbeat that another entry passes on without saying its age.
+	// It is below regionSilenceTimeout, so that an entry whose rounds were interrupted, and that is
+	// heard of only through others, doesn't stay silent.
 	maxRelayAge = time.Second
 	// recordTTL is the time without a new heartbeat after which a record is dropped.
 	recordTTL = time.Minute
@@ -75,6 +92,10 @@
 	maxHeartbeats = 256
 	// maxRecords bounds the records of others in a message, so that it fits in a few packets.
 	maxRecords = 24
+	// maxRegionRecords bounds the regions of which a message holds the latest record.
+	maxRegionRecords = maxRecords / 2
+	// maxUrgentRecords bounds the records in a message that refute a suspicion.
+	maxUrgentRecords = maxRecords / 4
 	// maxOtherRecords bounds the records of other regions in a response to an observer, which
 	// needs them rarely.
 	maxOtherRecords = maxRecords / 2
@@ -90,6 +111,9 @@
 	Incarnation uint64
 	// Heartbeat increases by one in each round and with each change of state.
 	Heartbeat uint64
+	// Age is the time since the heartbeat was received from the entry itself. It is negative if the
+	// sender of the record doesn't say, and set in messages only.
+	Age time.Duration
 }
 
 // supersedes reports whether m is a later record of the process than o.
@@ -99,8 +123,15 @@
 
 // record is a member and when its heartbeat last increased.
 type record struct {
-	member    Member
+	member Member
+	// updatedAt is when the last heartbeat was received from the entry, by this process or another.
 	updatedAt time.Time
+	// contactAt is when the entry itself last sent a message to this one.
+	contactAt time.Time
+	// knownSince is when the first record of the process came.
+	knownSince time.Time
+	// spreadUntil is the round until which the record is sent with priority.
+	spreadUntil int
 	// queriedAt is when an observer last queried the entry. The query is unanswered while this
 	// is later than updatedAt.
 	queriedAt time.Time
@@ -118,7 +149,9 @@
 	seeds   []netip.AddrPort
 	random  *rand.Rand
 	others  map[hosts.Name]record
-	rounds  int
+	// sorted holds the names of others in order, or is nil after a change.
+	sorted []hosts.Name
+	rounds int
 	// observerDelay is added to regionSilenceTimeout at an observer.
 	observerDelay time.Duration
 	// searches counts the rounds of an observer since it last knew a ready entry, or all rounds of
@@ -128,18 +161,33 @@
 	firstSeed int
 	// lastQueried is the entry that an observer queried last.
 	lastQueried hosts.Name
-}
-
-// NewTable returns the table of an entry. Seed initializes the choice of recipients.
-func NewTable(self Member, seed uint64) *Table {
+	// detection is the time within which an entry that has ended is silent.
+	detection time.Duration
+	// suspicions are those of entries that weren't heard of since.
+	suspicions map[hosts.Name]*suspicion
+	// lastRoundAt is when the last round began, reportAfter until when no entry is reported after an
+	// interruption.
+	lastRoundAt, reportAfter time.Time
+	// regionNews is when the last heartbeat of any entry was received, for each region, and regionSizes the
+	// number of its entries.
+	regionNews  map[hosts.Region]time.Time
+	regionSizes map[hosts.Region]int
+}
+
+// NewTable returns the table of an entry. Seed initializes the choice of recipients. Detection is the time
+// within which an entry that has ended is silent, in a fleet of any size, while others live that can tell.
+func NewTable(self Member, seed uint64, detection time.Duration) *Table {
 	t := NewObserver(self.Place, seed)
-	t.self, t.isEntry = self, true
+	t.self, t.isEntry, t.detection = self, true, detection
 	return t
 }
 
 // NewObserver returns the table of a process that follows the entries without being one.
 func NewObserver(place hosts.Place, seed uint64) *Table {
-	return &Table{self: Member{Host: hosts.Host{Place: place}}, random: rand.New(rand.NewPCG(seed, 0)), others: make(map[hosts.Name]record)}
+	return &Table{
+		self: Member{Host: hosts.Host{Place: place}}, random: rand.New(rand.NewPCG(seed, 0)), others: make(map[hosts.Name]record),
+		suspicions: make(map[hosts.Name]*suspicion), regionNews: make(map[hosts.Region]time.Time), regionSizes: make(map[hosts.Region]int),
+	}
 }
 
 // SetSeeds replaces the addresses that are contacted regularly, and always while no entry is
@@ -187,23 +235,53 @@
 		}
 		changed = changed || !ok || known.member.State != m.State || known.member.Ready != m.Ready || known.member.Address != m.Address ||
 			t.isSilent(now, known)
-		updatedAt := now
-		if i > 0 && ok {
-			updatedAt = t.relayedAt(now, m, known)
+		r := record{member: m, updatedAt: now, contactAt: known.contactAt, knownSince: now, queriedAt: known.queriedAt, spreadUntil: known.spreadUntil}
+		r.member.Age = 0
+		if ok && m.Incarnation == known.member.Incarnation {
+			r.knownSince = known.knownSince
+		}
+		if i > 0 {
+			r.updatedAt = t.relayedAt(now, m, known, ok)
+		} else {
+			r.contactAt = now
 		}
-		t.others[m.Name] = record{member: m, updatedAt: updatedAt, queriedAt: known.queriedAt}
+		t.add(r)
 	}
 	return changed
 }
 
-// relayedAt returns when a record that another entry passes on counts as received. The last heartbeat of
-// a dead entry of the region may arrive rounds after it was sent, and must not extend its life; its
-// number tells when it was sent. Where few heartbeats come from their sender, as at observers and from
-// other regions, deviations of its rounds would add up, so that the time of arrival counts.
-func (t *Table) relayedAt(now time.Time, m Member, known record) time.Time {
-	if !t.isEntry || !t.isSameRegion(m) || m.Incarnation != known.member.Incarnation {
+// add adds a later record of an entry. It may refute a suspicion.
+func (t *Table) add(r record) {
+	name, region := r.member.Name, r.member.Place.Region
+	if s := t.suspicions[name]; s != nil && (s.incarnation != r.member.Incarnation || !s.raisedAt.After(r.updatedAt)) {
+		delete(t.suspicions, name)
+		r.spreadUntil = t.rounds + spreadRounds
+	}
+	if _, ok := t.others[name]; !ok {
+		t.sorted = nil
+	}
+	t.others[name] = r
+	if r.updatedAt.After(t.regionNews[region]) {
+		t.regionNews[region] = r.updatedAt
+	}
+}
+
+// relayedAt returns when the heartbeat of a record that another entry passes on was received from the entry
+// itself. The last heartbeat of a dead entry may arrive rounds after it was sent, and must not extend its life.
+// Observers hear of an entry so rarely that they count from the arrival.
+func (t *Table) relayedAt(now time.Time, m Member, known record, isKnown bool) time.Time {
+	switch {
+	case !t.isEntry:
+		return now
+	case m.Age >= 0 && known.updatedAt.After(now.Add(-m.Age)):
+		return known.updatedAt
+	case m.Age >= 0:
+		return now.Add(-m.Age)
+	case !isKnown || !t.isSameRegion(m) || m.Incarnation != known.member.Incarnation:
 		return now
 	}
+	// Without an age, the number of the heartbeat tells when it was sent. From other regions few come
+	// from their sender, so that deviations of its rounds would add up.
 	rounds := min(m.Heartbeat-known.member.Heartbeat, uint64(recordTTL/GossipInterval))
 	age := now.Sub(known.updatedAt.Add(time.Duration(rounds) * GossipInterval))
 	return now.Add(-min(max(age, 0), maxRelayAge))
@@ -233,6 +311,11 @@
 	}
 	t.rounds++
 	t.dropExpired(now)
+	if t.isEntry {
+		t.countRegions()
+		t.reportSilent(now)
+		t.confirm(now)
+	}
 	if !t.isEntry {
 		t.updateObserverDelay()
 		if t.searches++; t.knowsReady(now) {
@@ -243,12 +326,17 @@
 	var all []Message
 	sent := make(map[netip.AddrPort]bool)
 	limit := fanout
-	if t.rounds <= startRounds {
+	if t.rounds <= startRounds || t.countSuspicions() > maxSuspicions {
 		limit = startFanout
 	}
-	for _, a := range t.sample(limit, func(Member) bool { return true }) {
-		all = append(all, Message{To: a, IncludeOthers: true})
-		sent[a] = true
+	// Half of the messages may also go to silent entries, which may be back.
+	isLive := func(m Member) bool { return !t.isSilent(now, t.others[m.Name]) }
+	isUnsent := func(m Member) bool { return !sent[m.Address] }
+	for _, matches := range []func(Member) bool{isLive, isUnsent} {
+		for _, a := range t.sample(limit/2, matches) {
+			all = append(all, Message{To: a, IncludeOthers: true})
+			sent[a] = true
+		}
 	}
 	if s, ok := t.pickSeed(); ok && !sent[s] && (len(all) == 0 || t.rounds%seedRounds == 0) {
 		all = append(all, Message{To: s, IncludeOthers: true})
@@ -273,10 +361,10 @@
 // Announcements returns the messages to send at once after the local state has changed.
 func (t *Table) Announcements() []Message { return t.heartbeats(nil) }
 
-// heartbeats returns a message to each entry of the local region that is not in sent.
+// heartbeats returns a message to each entry that watches this one and is not in sent.
 func (t *Table) heartbeats(sent map[netip.AddrPort]bool) []Message {
 	var all []Message
-	for _, a := range t.sample(maxHeartbeats, t.isSameRegion) {
+	for _, a := range t.sample(maxHeartbeats, t.sendsHeartbeats) {
 		if !sent[a] {
 			all = append(all, Message{To: a})
 		}
@@ -346,7 +434,19 @@
 
 // dropExpired drops the records whose TTL has passed.
 func (t *Table) dropExpired(now time.Time) {
+	known := len(t.others)
 	maps.DeleteFunc(t.others, func(_ hosts.Name, r record) bool { return now.Sub(r.updatedAt) > recordTTL })
+	if len(t.others) < known {
+		t.sorted = nil
+	}
+}
+
+// names returns the names of the others in order, so that a choice depends on the seed alone.
+func (t *Table) names() []hosts.Name {
+	if t.sorted == nil {
+		t.sorted = slices.Sorted(maps.Keys(t.others))
+	}
+	return t.sorted
 }
 
 // sample returns the addresses of up to limit matching entries in random order.
@@ -361,7 +461,7 @@
 // sampleMembers returns up to limit matching entries in random order.
 func (t *Table) sampleMembers(limit int, matches func(Member) bool) []Member {
 	var all []Member
-	for _, name := range slices.Sorted(maps.Keys(t.others)) {
+	for _, name := range t.names() {
 		if m := t.others[name].member; matches(m) {
 			all = append(all, m)
 		}
@@ -393,11 +493,39 @@
 
 // isSilent reports whether the entry must no longer be used.
 func (t *Table) isSilent(now time.Time, r record) bool {
-	limit := remoteSilenceTimeout + time.Duration(len(t.others))*silenceTimeoutPerEntry
-	if t.isSameRegion(r.member) {
-		limit = regionSilenceTimeout + t.observerDelay
+	since := now.Sub(r.updatedAt)
+	switch {
+	case t.isSameRegion(r.member):
+		return since >= regionSilenceTimeout+t.observerDelay
+	case !t.isEntry:
+		return since >= observerSilenceTimeout+time.Duration(len(t.others))*observerTimeoutPerEntry
+	case since >= t.newsTimeout(len(t.others)):
+		return true
+	}
+	if s := t.suspicions[r.member.Name]; s != nil && s.isConfirmed && s.incarnation == r.member.Incarnation {
+		return true
+	}
+	// A message holds the latest record of some regions and a sample of all records, whichever brings
+	// news of the region sooner.
+	region := r.member.Place.Region
+	competing := min(len(t.regionSizes)*maxRecords/maxRegionRecords, len(t.others)/max(t.regionSizes[region], 1))
+	return now.Sub(t.regionNews[region]) >= t.newsTimeout(competing)
+}
+
+// newsTimeout returns how long there may be no news of something while a number of records competes for a place
+// in a message.
+func (t *Table) newsTimeout(competing int) time.Duration {
+	return min(max(t.detection-detectionMargin, time.Duration(competing)*newsTime), recordTTL)
+}
+
+// countRegions counts the entries of each region, this one included, and forgets the regions without any.
+func (t *Table) countRegions() {
+	clear(t.regionSizes)
+	t.regionSizes[t.self.Place.Region]++
+	for _, r := range t.others {
+		t.regionSizes[r.member.Place.Region]++
 	}
-	return now.Sub(r.updatedAt) >= limit
+	maps.DeleteFunc(t.regionNews, func(region hosts.Region, _ time.Time) bool { return t.regionSizes[region] == 0 })
 }
 
 // updateObserverDelay computes how much later an observer hears of an entry of its region than the
@@ -425,20 +553,59 @@
 		}
 		return nil
 	}
-	var all []Member
-	for _, name := range slices.Sorted(maps.Keys(t.others)) {
+	all := t.sampleRecords(now)
+	if t.isEntry {
+		all = append([]Member{t.self}, all...)
+	}
+	return all
+}
+
+// sampleRecords returns records of live entries: the latest one of each region and those that refute a suspicion,
+// up to a bound each, then a sample of the others.
+func (t *Table) sampleRecords(now time.Time) []Member {
+	var live []record
+	for _, name := range t.names() {
 		if r := t.others[name]; !t.isSilent(now, r) {
-			all = append(all, r.member)
+			live = append(live, r)
 		}
 	}
-	t.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-	all = all[:min(len(all), maxRecords)]
-	if t.isEntry {
-		all = append([]Member{t.self}, all...)
+	t.random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	if len(live) > maxRecords {
+		moved := moveFirst(live, t.latestOfRegions(live), maxRegionRecords)
+		moveFirst(live[moved:], func(r record) bool { return r.spreadUntil >= t.rounds }, maxUrgentRecords)
+		live = live[:maxRecords]
+	}
+	all := make([]Member, len(live))
+	for i, r := range live {
+		all[i] = r.member
+		all[i].Age = max(now.Sub(r.updatedAt), 0)
 	}
 	return all
 }
 
+// latestOfRegions returns a function that reports whether a record is the latest one of its region.
+func (t *Table) latestOfRegions(all []record) func(r record) bool {
+	latest := make(map[hosts.Region]record)
+	for _, r := range all {
+		if known, ok := latest[r.member.Place.Region]; !ok || r.updatedAt.After(known.updatedAt) {
+			latest[r.member.Place.Region] = r
+		}
+	}
+	return func(r record) bool { return latest[r.member.Place.Region].member.Name == r.member.Name }
+}
+
+// moveFirst moves up to limit matching records to the beginning and returns their number.
+func moveFirst(all []record, matches func(r record) bool, limit int) int {
+	moved := 0
+	for i := range all {
+		if moved < limit && matches(all[i]) {
+			all[i], all[moved] = all[moved], all[i]
+			moved++
+		}
+	}
+	return moved
+}
+
 // RecordsForObserver returns the records of a response to an observer, which is mostly of the same
 // region: the record of this entry, then those of live entries of its region, then a sample of
 // the others.
--- a/core/member/member_test.go
+++ b/core/member/member_test.go
@@ -13,6 +13,9 @@
 	"currantport.example/core/member"
 )
 
+// detection is the time within which an entry that has ended must be silent.
+const detection = 7 * time.Second
+
 func address(i int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i / 250), byte(i%250 + 1)}), 7)
 }
@@ -37,7 +40,7 @@
 func newSeededFleet(count int, loss float64, seed uint64) *fleet {
 	f := &fleet{now: time.Unix(1e9, 0), tables: make(map[netip.AddrPort]*member.Table), random: rand.New(rand.NewPCG(seed, 2)), loss: loss}
 	for i := range count {
-		t := member.NewTable(entry(i, 1), seed*1000+uint64(i))
+		t := member.NewTable(entry(i, 1), seed*1000+uint64(i), detection)
 		t.SetSeeds([]netip.AddrPort{address(0), address(1), address(2)})
 		f.tables[address(i)] = t
 	}
@@ -54,6 +57,7 @@
 		for _, m := range t.NextMessages(f.now) {
 			if other := f.tables[m.To]; other != nil && f.random.Float64() >= f.loss {
 				other.Merge(f.now, t.Records(f.now, m.IncludeOthers))
+				other.MergeSuspicions(f.now, t.Suspicions(f.now))
 			}
 		}
 	}
@@ -215,7 +219,7 @@
 	for range 10 {
 		f.round()
 	}
-	restarted := member.NewTable(entry(1, 0), 9)
+	restarted := member.NewTable(entry(1, 0), 9, detection)
 	restarted.SetSeeds([]netip.AddrPort{address(0)})
 	f.tables[address(1)] = restarted
 	for range 10 {
@@ -274,7 +278,7 @@
 			all[i] = entry(i, 1)
 		}
 		// One table stands for those of all entries, which know each other.
-		queried, observer := member.NewTable(all[0], 1), member.NewObserver(all[0].Place, 9)
+		queried, observer := member.NewTable(all[0], 1, detection), member.NewObserver(all[0].Place, 9)
 		observer.SetSeeds([]netip.AddrPort{address(0)})
 		region := (count + 2) / 3
 		now, lowest, lowestOther := time.Unix(1e9, 0), region, count-region
--- a/core/mesh/mesh.go
+++ b/core/mesh/mesh.go
@@ -84,6 +84,9 @@
 	Seeds []netip.AddrPort
 	// Seed initializes the random choice of recipients.
 	Seed uint64
+	// Detection is the time within which an entry that has ended is no longer listed. Other roles than
+	// entries ignore it.
+	Detection time.Duration
 	// CrashMarks may be nil.
 	CrashMarks CrashMarks
 	// OnChange is called after entries appear, disappear or change state. It may be nil.
@@ -110,7 +113,7 @@
 	n.handlers.Store(&Handlers{})
 	n.table = member.NewObserver(o.Self.Place, o.Seed)
 	if o.Self.Role == hosts.RoleEntry {
-		n.table = member.NewTable(o.Self, o.Seed)
+		n.table = member.NewTable(o.Self, o.Seed, o.Detection)
 	}
 	n.table.SetSeeds(o.Seeds)
 	n.refreshView()
@@ -267,6 +270,7 @@
 	n.mutex.Lock()
 	now := clocks.Now()
 	heartbeat, gossip := n.buildGossip(n.table.Records(now, false), true), n.buildGossip(n.table.Records(now, true), true)
+	gossip.GetGossip().Suspicions = encodeSuspicions(n.table.Suspicions(now))
 	n.mutex.Unlock()
 	var toHeartbeat, toGossip []netip.AddrPort
 	for _, m := range messages {
@@ -300,7 +304,9 @@
 		records = records[1:]
 	}
 	for _, m := range records {
-		g.Others = append(g.Others, encodeMember(m))
+		r := encodeMember(m)
+		r.Age = proto.Int64(m.Age.Milliseconds())
+		g.Others = append(g.Others, r)
 	}
 	if n.options.CrashMarks != nil {
 		g.Marks = n.options.CrashMarks.Export(maxMarks)
@@ -375,6 +381,7 @@
 	n.mutex.Lock()
 	isNew := name != "" && !n.table.HasState(records[0])
 	changed := n.table.Merge(clocks.Now(), records)
+	changed = n.table.MergeSuspicions(clocks.Now(), decodeSuspicions(g.Suspicions)) || changed
 	var response *wire.Datagram
 	if g.Ask && g.Self == nil {
 		response = n.buildGossip(n.table.RecordsForObserver(clocks.Now()), false)
@@ -468,7 +475,10 @@
 	if err != nil {
 		return member.Member{}, false
 	}
-	m := member.Member{ClientAddress: clientAddress, Ready: r.Ready, Incarnation: r.Incarnation, Heartbeat: r.Beat}
+	m := member.Member{ClientAddress: clientAddress, Ready: r.Ready, Incarnation: r.Incarnation, Heartbeat: r.Beat, Age: -1}
+	if r.Age != nil {
+		m.Age = time.Duration(max(r.GetAge(), 0)) * time.Millisecond
+	}
 	m.Host = hosts.Host{
 		Name: hosts.Name(r.Name), Place: hosts.Place{Region: hosts.Region(r.Region), Domain: hosts.Domain(r.Domain)},
 		Role: hosts.Role(r.Role), State: hosts.State(r.State), Address: address,
@@ -476,6 +486,30 @@
 	return m, m.State == hosts.StateLive || m.State == hosts.StateLeaving
 }
 
+func encodeSuspicions(all []member.Suspicion) []*wire.Suspicion {
+	var encoded []*wire.Suspicion
+	for _, s := range all {
+		w := &wire.Suspicion{Name: string(s.Name), Incarnation: s.Incarnation, Age: s.Age.Milliseconds()}
+		for _, name := range s.Reporters {
+			w.Reporters = append(w.Reporters, string(name))
+		}
+		encoded = append(encoded, w)
+	}
+	return encoded
+}
+
+func decodeSuspicions(all []*wire.Suspicion) []member.Suspicion {
+	var decoded []member.Suspicion
+	for _, w := range all {
+		s := member.Suspicion{Name: hosts.Name(w.Name), Incarnation: w.Incarnation, Age: time.Duration(max(w.Age, 0)) * time.Millisecond}
+		for _, name := range w.Reporters {
+			s.Reporters = append(s.Reporters, hosts.Name(name))
+		}
+		decoded = append(decoded, s)
+	}
+	return decoded
+}
+
 // NewIncarnation returns the incarnation of a process that starts now: the time of day in
 // milliseconds with eight random low bits.
 func NewIncarnation() uint64 { return uint64(time.Now().UnixMilli())<<8 | uint64(rand.Uint32N(1<<8)) }
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -133,7 +133,7 @@
 		Name: hosts.Name(fmt.Sprint("e", i)), Role: role, State: hosts.StateLive, Address: addressOf(i),
 		Place: hosts.Place{Region: hosts.Region(fmt.Sprint("r", i%3)), Domain: hosts.Domain(fmt.Sprint("d", i%3))},
 	}
-	n, stop := mesh.New(mesh.Options{Self: self, Socket: f.network.open(addressOf(i)), Seeds: []netip.AddrPort{addressOf(0)}, Seed: uint64(i), Log: zap.NewNop()})
+	n, stop := mesh.New(mesh.Options{Self: self, Socket: f.network.open(addressOf(i)), Seeds: []netip.AddrPort{addressOf(0)}, Seed: uint64(i), Detection: 7 * time.Second, Log: zap.NewNop()})
 	n.SetState(hosts.StateLive, true)
 	return n, stop
 }
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -106,7 +106,7 @@
 	self := member.Member{ClientAddress: s.ClientAddress, Incarnation: mesh.NewIncarnation()}
 	self.Host = hosts.Host{Name: s.Host, Place: s.Place, Role: hosts.RoleEntry, State: hosts.StateLive, Address: s.MeshAddress}
 	n, stop := mesh.New(mesh.Options{
-		Self: self, Socket: socket, Seeds: s.Seeds, Seed: rand.Uint64(), CrashMarks: crashes, Log: log,
+		Self: self, Socket: socket, Seeds: s.Seeds, Seed: rand.Uint64(), Detection: s.Bounds.Detection, CrashMarks: crashes, Log: log,
 	})
 	return shell.WithCleanup(lc, n, stop), nil
 }
--- a/entry/server/settings.go
+++ b/entry/server/settings.go
@@ -44,6 +44,8 @@
 	Apply time.Duration
 	// VersionTimeout is the time within which a released version is served, or zero for no bound.
 	VersionTimeout time.Duration
+	// Detection is the time within which an entry that has ended is no longer named to clients.
+	Detection time.Duration
 	// RetryRatio, RetrySlack and RetryWindow bound the retries to a pool in any window: a
 	// ratio of its requests plus a constant number.
 	RetryRatio  float64
@@ -78,6 +80,7 @@
 		{Section: "bounds", Name: "revoke", Default: "5s", Set: config.Duration(&s.Bounds.Revoke, 0, time.Hour)},
 		{Section: "bounds", Name: "apply", Default: "2s", Set: config.Duration(&s.Bounds.Apply, 0, time.Hour)},
 		{Section: "bounds", Name: "version", Default: "0s", Set: config.Duration(&s.Bounds.VersionTimeout, 0, time.Hour)},
+		{Section: "bounds", Name: "detect", Default: "6s", Set: config.Duration(&s.Bounds.Detection, 5*time.Second, time.Minute)},
 		{Section: "bounds", Name: "ratio", Default: "0.1", Set: config.Number(&s.Bounds.RetryRatio, 0, 10)},
 		{Section: "bounds", Name: "slack", Default: "10", Set: config.Number(&s.Bounds.RetrySlack, 0, 1e9)},
 		{Section: "bounds", Name: "window", Default: "10s", Set: config.Duration(&s.Bounds.RetryWindow, time.Second, time.Hour)},
--- a/stand/internal/soak/world.go
+++ b/stand/internal/soak/world.go
@@ -346,7 +346,7 @@
 			Store: linkAddress, Seeds: seeds,
 			Bounds: fakes.Bounds{
 				Revoke: revokeLimit, Apply: applyLimit, Version: versionLimit, RetryRatio: retryRatio, RetrySlack: retrySlack,
-				RetryWindow: retryWindow, ShutdownTimeout: shutdownTimeout,
+				RetryWindow: retryWindow, ShutdownTimeout: shutdownTimeout, Stable: stabilityTime,
 			},
 		},
 	}, nil
