proxy: leave the failure of a canceled attempt alone

A request could take over the failure of an attempt beside a silent upstream while that one was still writing it; callers weren't seen to get a wrong response.

Cause: recordBeside read the failure of canceled attempts, which are still ending. Only those that have failed hand it over under the mutex.

--- a/entry/internal/proxy/attempt.go
+++ b/entry/internal/proxy/attempt.go
@@ -73,7 +73,10 @@
 		l.attempts.RecordBeside(b.result)
 		l.attempted = append(l.attempted, s.inFlight.Row.ID)
 		l.recordAsked(s.inFlight.Row.ID, b.isCanceled)
-		l.lastFailure = cmp.Or(l.lastFailure, s.failure)
+		if !b.isCanceled {
+			// A canceled attempt may still be ending.
+			l.lastFailure = cmp.Or(l.lastFailure, s.failure)
+		}
 		if i >= before && b.cause != "" {
 			l.cause, l.logFields = b.cause, attemptFields(s.inFlight, s.sentAt)
 		}
--- a/entry/internal/proxy/successor.go
+++ b/entry/internal/proxy/successor.go
@@ -39,7 +39,8 @@
 	reply    calls.Reply
 	events   *eventSource
 	unary    *bufferedResponse
-	// failure is the failure with which the upstream has responded, or nil.
+	// failure is the failure with which the upstream has responded, or nil. It may be read once the attempt has
+	// failed, but not if it was canceled.
 	failure *bufferedResponse
 	// done is closed when run has ended.
 	done chan struct{}
