mesh: test that silent entries are reported to other regions

The tests of member play the reports without the wire. Here entries of another region no longer list one 4.5 s after its end; without reports they do for 6 s. Comments and docs of the same: what a message between entries holds.

--- a/core/member/member.go
+++ b/core/member/member.go
@@ -13,9 +13,10 @@
 //
 // Entries of a region receive each other's heartbeats and find a silent one within seconds,
 // however many there are. They report it to other regions as a Suspicion, which is spread with
-// priority. In a large fleet the entries of all regions of one or two do so for each other. News of the entry that is later than the report refutes it. A region that is lost as
-// a whole has nobody left to report: it is silent once nothing new is heard of any of its entries.
-// In a small fleet, where each message holds the records of all, the same goes for each entry.
+// priority. In a large fleet the entries of all regions of one or two do so for each other.
+// News of the entry that is later than the report refutes it. A region that is lost as a whole has
+// nobody left to report: it is silent once nothing new is heard of any of its entries. In a small
+// fleet, where each message holds the records of nearly all, the same goes for each entry.
 //
 // Records carry the age of their news, so that an entry that is long dead isn't taken for live
 // because its last heartbeat arrives late, or at an entry that has just started.
@@ -62,9 +63,8 @@
 	// detectionMargin is the part of the detection time that is left for the age of the last news,
 	// its way, and the round after which a silent entry is no longer used.
 	detectionMargin = time.Second
-	// newsTime is how long it takes at most, for each record that competes for a place in a message,
-	// until there is news of all of them: a record that comes at a rate is older than some time with
-	// a probability that falls exponentially, here to one in ten million.
+	// newsTime is the time without news, for each record that competes for a place in a message, that
+	// chance alone gives to about one in ten million of them.
 	newsTime = 130 * time.Millisecond
 	// maxRelayAge bounds the age of a heartbeat that another entry passes on without saying its age.
 	// It is below regionSilenceTimeout, so that an entry whose rounds were interrupted, and that is
--- a/core/mesh/mesh_test.go
+++ b/core/mesh/mesh_test.go
@@ -220,6 +220,22 @@
 	})
 }
 
+// TestEndedEntryIsReportedToOtherRegions guards the reports of silent entries on their way between processes. Without
+// them other regions notice an end after 6 s.
+func TestEndedEntryIsReportedToOtherRegions(t *testing.T) {
+	runFleet(t, 12, func(f *fleet) {
+		time.Sleep(settleTime)
+		f.stops[5]()
+		f.stops[5] = func() {}
+		time.Sleep(4500 * time.Millisecond)
+		for i, e := range f.entries {
+			if _, ok := e.Find("e5"); ok && i != 5 {
+				t.Errorf("entry %d lists one that ended 4.5 s ago", i)
+			}
+		}
+	})
+}
+
 // TestDrainingIsAnnouncedAtOnce checks that entries of the same region, which refer clients to
 // each other, are notified without waiting for the next round.
 func TestDrainingIsAnnouncedAtOnce(t *testing.T) {
