httpd: bound what the kernel receives for a connection

What callers saw: an entry ended at its memory limit. Bytes that were received and not yet read count toward it.

Change: 32 KiB a connection, and 256 KiB in the middle of a long body with an announced length, from 64 KiB on and until that much is left. A buffer of 32 KiB would slow such bodies down where round trips are long.

--- a/core/watch/conn.go
+++ b/core/watch/conn.go
@@ -136,6 +136,14 @@
 	return nil
 }
 
+// SetReadBuffer sets the size of the receive buffer where the connection has one. A failure leaves that to the
+// kernel.
+func (c *Conn) SetReadBuffer(bytes int) {
+	if t, ok := c.Conn.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = t.SetReadBuffer(bytes)
+	}
+}
+
 // SetLinger sets what Close does with unsent data, as net.TCPConn does.
 func (c *Conn) SetLinger(seconds int) error {
 	if t, ok := c.Conn.(interface{ SetLinger(seconds int) error }); ok {
--- a/entry/internal/httpd/conn.go
+++ b/entry/internal/httpd/conn.go
@@ -41,7 +41,9 @@
 }
 
 func newClientConn(s *Server, c net.Conn) *clientConn {
-	return &clientConn{Conn: s.watcher.Wrap(c), server: s, since: time.Now()}
+	k := &clientConn{Conn: s.watcher.Wrap(c), server: s, since: time.Now()}
+	k.SetReadBuffer(receiveBuffer)
+	return k
 }
 
 // connContext adds the connection to the context of its requests. It is an http.Server.ConnContext.
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -5,6 +5,10 @@
 // The limits on request headers and idle connections are configured and may change.
 // Connections that were accepted before keep their limits, but longer times apply to them too.
 //
+// # Memory
+//
+// What the kernel receives for each connection is bounded.
+//
 // # Shutdown
 //
 // A server that shuts down keeps accepting for a while, since clients cache addresses; it
@@ -45,6 +49,12 @@
 	idleSlack = 500 * time.Millisecond
 	// unreadBodyTimeout bounds the wait for the rest of a body that isn't read.
 	unreadBodyTimeout = time.Second
+	// receiveBuffer bounds what the kernel receives for a connection. It is bodyReceiveBuffer in the middle of an
+	// announced body, from longBytes on: the memory of such a body is reserved, and a small buffer would slow down
+	// clients with long round trips.
+	receiveBuffer     = 32 << 10
+	bodyReceiveBuffer = 256 << 10
+	longBytes         = 64 << 10
 )
 
 // Options are the dependencies and settings of a Server.
@@ -96,7 +106,10 @@
 	if o.Scope == nil {
 		o.Scope = tally.NoopScope
 	}
-	s := &Server{options: o, watcher: watch.New(o.Scope), conns: make(map[*clientConn]struct{}), servers: make(map[*connServer]struct{}), group: shell.NewGroup()}
+	s := &Server{
+		options: o, watcher: watch.New(o.Scope),
+		conns: make(map[*clientConn]struct{}), servers: make(map[*connServer]struct{}), group: shell.NewGroup(),
+	}
 	s.replaceServer()
 	s.group.Go(s.run)
 	return s, s.close
@@ -213,7 +226,7 @@
 	defer s.inProgress.Add(-1)
 	defer s.resetAborted(r)
 	if r.Body != nil && r.Body != http.NoBody {
-		b := &requestBody{ReadCloser: r.Body, header: w.Header()}
+		b := &requestBody{ReadCloser: r.Body, header: w.Header(), conn: watch.ConnOf(r), length: r.ContentLength}
 		r.Body = b
 		defer s.boundUnreadBody(w, b)
 	}
@@ -248,19 +261,43 @@
 type requestBody struct {
 	io.ReadCloser
 	header http.Header
-	whole  bool
+	// conn is the connection of the client, or nil if it isn't known.
+	conn *watch.Conn
+	// length is the announced length, or negative. Bytes counts what was read.
+	length, bytes int64
+	// whole is true once the end was read, and failed once the body can't be read.
+	whole, failed bool
+	// isLong is true while the receive buffer is that of a long body.
+	isLong bool
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.bytes += int64(n)
 	b.whole = b.whole || err == io.EOF
 	if err != nil && err != io.EOF {
+		b.failed = true
 		b.header.Set("Connection", "close")
 	}
+	b.adaptBuffer()
 	return n, err
 }
 
+// adaptBuffer sets the receive buffer of the connection.
+func (b *requestBody) adaptBuffer() {
+	isLong := b.bytes > longBytes && b.length-b.bytes > bodyReceiveBuffer && !b.failed
+	if isLong == b.isLong || b.conn == nil {
+		return
+	}
+	b.isLong = isLong
+	if isLong {
+		b.conn.SetReadBuffer(bodyReceiveBuffer)
+	} else {
+		b.conn.SetReadBuffer(receiveBuffer)
+	}
+}
+
 // boundUnreadBody bounds the wait for the rest of a body that the handler hasn't read. The server
 // reads it before it sends the response. After a whole body there must be no deadline, since the
 // server watches for the client to disconnect.
