httpd: let the refusal of a long body arrive

What callers saw: a client that sent a body of 4 MiB to its end before it read got a broken pipe in place of the 4xx or 503 that the entry had written.

Cause: net/http discards up to 256 KiB of a body that the handler hasn't read. With more it responds, waits for 0.5 s without reading, and closes the connection with unread data, which resets it.

Change: the response is flushed and up to 4 MiB of the rest are discarded after it, for a second at most. A stop doesn't wait for the rest, and neither does a client that expects to be asked for its body.

--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -7,7 +7,8 @@
 //
 // # Memory
 //
-// What the kernel receives for each connection is bounded.
+// What the kernel receives for each connection is bounded. Bodies that aren't read are discarded after the response, so
+// that the client receives it.
 //
 // # Shutdown
 //
@@ -47,8 +48,11 @@
 	// idleSlack is added to the configured idle timeout, so that a request sent at the last
 	// moment doesn't cross the close.
 	idleSlack = 500 * time.Millisecond
-	// unreadBodyTimeout bounds the wait for the rest of a body that isn't read.
+	// unreadBodyTimeout bounds the wait for the rest of a body that isn't read, and maxDiscardedBytes what is
+	// discarded of it after the response. net/http discards up to maxUnreadBytes before it.
 	unreadBodyTimeout = time.Second
+	maxDiscardedBytes = 4 << 20
+	maxUnreadBytes    = 256 << 10
 	// receiveBuffer bounds what the kernel receives for a connection. It is bodyReceiveBuffer in the middle of an
 	// announced body, from longBytes on: the memory of such a body is reserved, and a small buffer would slow down
 	// clients with long round trips.
@@ -228,7 +232,7 @@
 	if r.Body != nil && r.Body != http.NoBody {
 		b := &requestBody{ReadCloser: r.Body, header: w.Header(), conn: watch.ConnOf(r), length: r.ContentLength}
 		r.Body = b
-		defer s.boundUnreadBody(w, b)
+		defer s.endBody(w, r, b)
 	}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
@@ -298,17 +302,29 @@
 	}
 }
 
-// boundUnreadBody bounds the wait for the rest of a body that the handler hasn't read. The server
-// reads it before it sends the response. After a whole body there must be no deadline, since the
-// server watches for the client to disconnect.
-func (s *Server) boundUnreadBody(w http.ResponseWriter, b *requestBody) {
+// endBody bounds the wait for the rest of a body that the handler hasn't read. The server reads a short rest
+// before it sends the response. Where the connection ends with the response, that is sent first, and the rest is
+// discarded: a close with unread data resets the connection, and the client may lose the response. After a whole
+// body there must be no deadline, since the server watches for the client to disconnect.
+func (s *Server) endBody(w http.ResponseWriter, r *http.Request, b *requestBody) {
 	if b.whole {
 		return
 	}
-	err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout))
+	control := http.NewResponseController(w)
+	err := control.SetReadDeadline(time.Now().Add(unreadBodyTimeout))
 	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		s.options.Log.Debug("deadline-set-failed", zap.Error(err))
 	}
+	if b.failed || w.Header().Get("Connection") != "close" && r.ContentLength <= maxUnreadBytes {
+		return
+	}
+	if s.draining.Load() || r.Header.Get("Expect") != "" {
+		// A stop doesn't wait for the rest. A client that expects to be asked for the body doesn't send it.
+		return
+	}
+	if control.Flush() == nil {
+		_, _ = io.CopyN(io.Discard, b.ReadCloser, maxDiscardedBytes)
+	}
 }
 
 // Stop shuts the server down gracefully and returns the number of requests that were still
