httpd: bound the connections of clients

Cause: connections weren't bounded but by the descriptors of the process. Each takes some 24 KiB, and as much as its receive buffer if its client sends and isn't read. 2,700 connections, which an entry of 136 MB has descriptors for, come to 148 MB.

Above it a new connection replaces the one without a request that has been unused for the longest time, so that clients that hold connections don't keep others out; one that was just accepted isn't taken for unused. If all have requests, the new one is closed. No client within the limits of the deployments meets it: entries there have up to 274 descriptors in all.

--- a/entry/internal/httpd/conn.go
+++ b/entry/internal/httpd/conn.go
@@ -46,6 +46,13 @@
 	return k
 }
 
+// unusedSince returns since when the connection has no request, and false if it has one or has just been accepted.
+func (c *clientConn) unusedSince() (time.Time, bool) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.since, c.phase == phaseIdle || c.phase != phaseActive && time.Since(c.since) >= lateTime
+}
+
 // connContext adds the connection to the context of its requests. It is an http.Server.ConnContext.
 func connContext(ctx context.Context, c net.Conn) context.Context {
 	if k, ok := c.(*clientConn); ok {
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -7,8 +7,10 @@
 //
 // # Memory
 //
-// What the kernel receives for each connection is bounded. Bodies that aren't read are discarded after the response, so
-// that the client receives it.
+// The number of connections is bounded, and what the kernel receives for each of them. Where a new one exceeds the
+// bound, the connection without a request that has been unused for the longest time is closed for it; if all have
+// requests, the new one is closed. Bodies that aren't read are discarded after the response, so that the client
+// receives it.
 //
 // # Shutdown
 //
@@ -61,6 +63,9 @@
 	longBytes         = 64 << 10
 )
 
+// ConnBytes is the memory that a connection takes at most, besides that of its request.
+const ConnBytes = receiveBuffer + 24<<10
+
 // Options are the dependencies and settings of a Server.
 type Options struct {
 	Listener net.Listener
@@ -72,6 +77,8 @@
 	// Ending is called shortly before a shutdown closes the connections of requests that are still in
 	// progress, so that they can be answered. It may be nil.
 	Ending func()
+	// MaxConns bounds the open connections. Zero means no bound.
+	MaxConns int
 	// DrainTime is how long a server that shuts down still serves requests.
 	DrainTime time.Duration
 	// ShutdownTimeout bounds the whole shutdown.
@@ -86,6 +93,8 @@
 	options    Options
 	watcher    *watch.Watcher
 	inProgress atomic.Int64
+	// replaced counts the connections that were closed because there were too many.
+	replaced tally.Counter
 	// draining and then refusing are set during a shutdown.
 	draining atomic.Bool
 	refusing atomic.Bool
@@ -111,7 +120,7 @@
 		o.Scope = tally.NoopScope
 	}
 	s := &Server{
-		options: o, watcher: watch.New(o.Scope),
+		options: o, watcher: watch.New(o.Scope), replaced: o.Scope.Counter("client_replaced"),
 		conns: make(map[*clientConn]struct{}), servers: make(map[*connServer]struct{}), group: shell.NewGroup(),
 	}
 	s.replaceServer()
@@ -187,7 +196,10 @@
 			continue
 		}
 		k := newClientConn(s, c)
-		s.add(k)
+		if !s.add(k) {
+			_ = k.Close()
+			continue
+		}
 		if !s.dispatch(ctx, k) {
 			_ = k.Close()
 			s.forget(k)
@@ -195,10 +207,37 @@
 	}
 }
 
-func (s *Server) add(c *clientConn) {
+// add adds a connection. Where there are too many, it replaces an unused one. It returns false if there is none.
+func (s *Server) add(c *clientConn) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.options.MaxConns > 0 && len(s.conns) >= s.options.MaxConns {
+		s.replaced.Inc(1)
+		if !s.closeLeastUsed() {
+			return false
+		}
+	}
 	s.conns[c] = struct{}{}
+	return true
+}
+
+// closeLeastUsed closes the connection without a request that has been unused for the longest time, and returns
+// false if there is none. The caller holds the mutex.
+func (s *Server) closeLeastUsed() bool {
+	var least *clientConn
+	var leastSince time.Time
+	for c := range s.conns {
+		if since, ok := c.unusedSince(); ok && (least == nil || since.Before(leastSince)) {
+			least, leastSince = c, since
+		}
+	}
+	if least == nil {
+		return false
+	}
+	// net/http closes it too, but not before it has noticed.
+	delete(s.conns, least)
+	_ = least.Close()
+	return true
 }
 
 func (s *Server) forget(c *clientConn) {
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -17,6 +17,7 @@
 	"currantport.example/core/cache"
 	"currantport.example/core/choice"
 	"currantport.example/core/clocks"
+	"currantport.example/core/config"
 	"currantport.example/core/conns"
 	"currantport.example/core/crash"
 	"currantport.example/core/edges"
@@ -46,8 +47,10 @@
 	// readyStalenessRatio is the part of Bounds.Revoke beyond which a stale replica makes the
 	// entry not ready, so that clients are referred to others.
 	readyStalenessRatio = 0.6
-	// bufferRatio is the part of the memory limit for long responses that clients haven't read yet.
-	bufferRatio = 0.125
+	// The parts of the memory limit for what the entry keeps for clients: long responses that they haven't read
+	// yet, and their connections.
+	bufferRatio = 1.0 / 8
+	connRatio   = 3.0 / 16
 	// drainTTLs is the number of address TTLs for which a draining entry keeps serving, so that
 	// clients find another one first.
 	drainTTLs = 3
@@ -148,11 +151,14 @@
 		Mirror: m, Fleet: f, Conns: p, ClientCodec: o.Clients, UpstreamCodec: o.Upstreams, Crashes: crashes,
 		Bounds:      proxy.Bounds{MaxKeyStaleness: revoke, MaxMissStaleness: s.Bounds.Apply},
 		RetryLimits: budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
-		BufferBytes: int64(bufferRatio * float64(s.MemoryLimit)),
+		BufferBytes: partOf(s.MemoryLimit, bufferRatio),
 		Entries:     n.EntryCount, Random: rand.Float64, Scope: metrics.Scope, Log: log,
 	})
 }
 
+// partOf returns a part of the memory limit in bytes.
+func partOf(limit config.Bytes, ratio float64) int64 { return int64(ratio * float64(limit)) }
+
 func newServer(lc fx.Lifecycle, s Settings, network links.Network, handler *proxy.Handler, metrics parts.Metrics, log *zap.Logger) (*httpd.Server, error) {
 	l, err := network.Listen(context.Background(), s.ClientAddress)
 	if err != nil {
@@ -160,6 +166,7 @@
 	}
 	server, stop := httpd.New(httpd.Options{
 		Listener: l, Handler: handler, Refuse: handler.RefusalHandler(), Refusing: handler.EndWaits, Ending: handler.EndRequests, Scope: metrics.Scope, Log: log,
+		MaxConns:  int(partOf(s.MemoryLimit, connRatio) / httpd.ConnBytes),
 		DrainTime: min(drainTTLs*s.AddressTTL, s.ShutdownTimeout/2), ShutdownTimeout: s.ShutdownTimeout - shutdownReserve,
 	})
 	return shell.WithCleanup(lc, server, stop), nil
