entry: derive the bounds of events and of bytes sent ahead from the memory limit

Cause: unfinished long events and what clients send ahead were bounded by 16 MiB each, whatever the limit. With a limit of 112 MB they come to 32 MiB of it.

Change: a sixteenth of the limit each, which is 16 MiB at 256 MiB as before.

--- a/core/watch/conn.go
+++ b/core/watch/conn.go
@@ -87,7 +87,7 @@
 func (c *Conn) hasRoom() bool {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	return len(c.ahead)+readBytes <= maxAheadBytes && c.watcher.buffered.Load()+readBytes <= maxTotalBytes
+	return len(c.ahead)+readBytes <= maxAheadBytes && c.watcher.buffered.Load()+readBytes <= c.watcher.maxBytes
 }
 
 // buffer adds received bytes.
--- a/core/watch/watch.go
+++ b/core/watch/watch.go
@@ -31,16 +31,16 @@
 )
 
 const (
-	// maxAheadBytes bounds the bytes that are buffered for a connection, maxTotalBytes those of all
-	// connections of a Watcher.
+	// maxAheadBytes bounds the bytes that are buffered for a connection.
 	maxAheadBytes = 256 << 10
-	maxTotalBytes = 16 << 20
 	// readBytes is the most that is read at a time.
 	readBytes = 2 << 10
 )
 
 // Watcher watches the connections of the clients of a server. It is safe for concurrent use.
 type Watcher struct {
+	// maxBytes bounds the bytes that are buffered for all connections.
+	maxBytes int64
 	// buffered is the number of bytes buffered for all connections.
 	buffered atomic.Int64
 	// ahead counts the requests with bytes sent ahead, and full those whose bytes reached a bound.
@@ -52,10 +52,11 @@
 	gone tally.Counter
 }
 
-// New returns a Watcher with metrics in the scope.
-func New(scope tally.Scope) *Watcher {
+// New returns a Watcher with metrics in the scope. It buffers at most maxBytes of all connections together.
+func New(scope tally.Scope, maxBytes int64) *Watcher {
 	return &Watcher{
-		ahead: scope.Counter("client_ahead"), full: scope.Counter("client_ahead_full"),
+		maxBytes: maxBytes,
+		ahead:    scope.Counter("client_ahead"), full: scope.Counter("client_ahead_full"),
 		closed: scope.Counter("client_closed"), dropped: scope.Counter("client_dropped"),
 		gone: scope.Counter("client_gone"),
 	}
--- a/core/watch/watch_test.go
+++ b/core/watch/watch_test.go
@@ -64,7 +64,7 @@
 
 func newServer(l net.Listener) (*server, func()) {
 	s := &server{done: make(chan struct{}), scope: tally.NewTestScope("", nil)}
-	s.listener = watch.New(s.scope).Listen(l)
+	s.listener = watch.New(s.scope, 16<<20).Listen(l)
 	s.http = &http.Server{Handler: watch.Handler(s), ReadHeaderTimeout: time.Second, IdleTimeout: 2 * time.Second, ConnContext: watch.ConnContext}
 	go s.run()
 	return s, func() {
@@ -363,7 +363,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c := watch.New(tally.NoopScope).Wrap(accepted)
+	c := watch.New(tally.NoopScope, 16<<20).Wrap(accepted)
 	defer func() { _ = c.Close() }()
 	buffer := make([]byte, 16)
 	if n, err := c.TryRead(buffer); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -21,6 +21,7 @@
 package httpd
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -47,6 +48,7 @@
 	defaultMaxHeaderBytes = 64 << 10
 	defaultHeaderTimeout  = 10 * time.Second
 	defaultIdleTimeout    = 60 * time.Second
+	defaultAheadBytes     = 16 << 20
 	// idleSlack is added to the configured idle timeout, so that a request sent at the last
 	// moment doesn't cross the close.
 	idleSlack = 500 * time.Millisecond
@@ -79,6 +81,8 @@
 	Ending func()
 	// MaxConns bounds the open connections. Zero means no bound.
 	MaxConns int
+	// AheadBytes bounds what all clients have sent ahead of responses. Zero means 16 MiB.
+	AheadBytes int64
 	// DrainTime is how long a server that shuts down still serves requests.
 	DrainTime time.Duration
 	// ShutdownTimeout bounds the whole shutdown.
@@ -120,7 +124,7 @@
 		o.Scope = tally.NoopScope
 	}
 	s := &Server{
-		options: o, watcher: watch.New(o.Scope), replaced: o.Scope.Counter("client_replaced"),
+		options: o, watcher: watch.New(o.Scope, cmp.Or(o.AheadBytes, defaultAheadBytes)), replaced: o.Scope.Counter("client_replaced"),
 		conns: make(map[*clientConn]struct{}), servers: make(map[*connServer]struct{}), group: shell.NewGroup(),
 	}
 	s.replaceServer()
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -17,6 +17,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -46,8 +47,7 @@
 	defaultTimeout = 30 * time.Second
 	// defaultMaxBodyBytes bounds a request body if the configuration doesn't.
 	defaultMaxBodyBytes = 4 << 20
-	// maxUnfinishedEvents bounds the bytes that all requests together keep of long events.
-	maxUnfinishedEvents = 16 << 20
+	defaultEventBytes   = 16 << 20
 	// writeSlack is how long after the deadline of a request its response may still be
 	// written to a slow client.
 	writeSlack = time.Second
@@ -68,6 +68,8 @@
 	Entries func() int
 	// BufferBytes bounds the long responses that are buffered at the same time. Zero means no bound.
 	BufferBytes int64
+	// EventBytes bounds the unfinished long events of all streams. Zero means 16 MiB.
+	EventBytes int64
 	// Random returns a number in [0, 1).
 	Random func() float64
 	Scope  tally.Scope
@@ -97,7 +99,7 @@
 
 // New returns a handler for client requests.
 func New(o Options) *Handler {
-	h := &Handler{options: o, metrics: newMetrics(o.Scope), events: events.NewAllowance(maxUnfinishedEvents), budgets: make(map[string]*budget.Budget)}
+	h := &Handler{options: o, metrics: newMetrics(o.Scope), events: events.NewAllowance(cmp.Or(o.EventBytes, defaultEventBytes)), budgets: make(map[string]*budget.Budget)}
 	h.buffers.limit = o.BufferBytes
 	h.ending, h.endRequests = context.WithCancel(context.Background())
 	return h
--- a/entry/serve/build.go
+++ b/entry/serve/build.go
@@ -32,8 +32,12 @@
 	"currantport.example/entry/internal/sender"
 )
 
-// closeTimeout bounds the wait for calls other than client requests at shutdown.
-const closeTimeout = 5 * time.Second
+const (
+	// closeTimeout bounds the wait for calls other than client requests at shutdown.
+	closeTimeout = 5 * time.Second
+	// maxAheadBytes bounds what all clients have sent ahead of responses.
+	maxAheadBytes = 16 << 20
+)
 
 // Build returns the components of the program. It connects through links.Network, which tests
 // replace.
@@ -116,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	stop := links.Serve(watch.New(m.Scope).Listen(l), watch.Handler(r), log, closeTimeout)
+	stop := links.Serve(watch.New(m.Scope, maxAheadBytes).Listen(l), watch.Handler(r), log, closeTimeout)
 	t.Add(audit.EventStart, string(s.Host), "start of the process")
 	g := shell.NewGroup()
 	w := &drainWatcher{front: f, trigger: trigger}
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -48,8 +48,10 @@
 	// entry not ready, so that clients are referred to others.
 	readyStalenessRatio = 0.6
 	// The parts of the memory limit for what the entry keeps for clients: long responses that they haven't read
-	// yet, and their connections.
+	// yet, unfinished long events, what they have sent ahead, and their connections.
 	bufferRatio = 1.0 / 8
+	eventRatio  = 1.0 / 16
+	aheadRatio  = 1.0 / 16
 	connRatio   = 3.0 / 16
 	// drainTTLs is the number of address TTLs for which a draining entry keeps serving, so that
 	// clients find another one first.
@@ -151,8 +153,8 @@
 		Mirror: m, Fleet: f, Conns: p, ClientCodec: o.Clients, UpstreamCodec: o.Upstreams, Crashes: crashes,
 		Bounds:      proxy.Bounds{MaxKeyStaleness: revoke, MaxMissStaleness: s.Bounds.Apply},
 		RetryLimits: budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
-		BufferBytes: partOf(s.MemoryLimit, bufferRatio),
-		Entries:     n.EntryCount, Random: rand.Float64, Scope: metrics.Scope, Log: log,
+		BufferBytes: partOf(s.MemoryLimit, bufferRatio), EventBytes: partOf(s.MemoryLimit, eventRatio),
+		Entries: n.EntryCount, Random: rand.Float64, Scope: metrics.Scope, Log: log,
 	})
 }
 
@@ -166,7 +168,7 @@
 	}
 	server, stop := httpd.New(httpd.Options{
 		Listener: l, Handler: handler, Refuse: handler.RefusalHandler(), Refusing: handler.EndWaits, Ending: handler.EndRequests, Scope: metrics.Scope, Log: log,
-		MaxConns:  int(partOf(s.MemoryLimit, connRatio) / httpd.ConnBytes),
+		MaxConns: int(partOf(s.MemoryLimit, connRatio) / httpd.ConnBytes), AheadBytes: partOf(s.MemoryLimit, aheadRatio),
 		DrainTime: min(drainTTLs*s.AddressTTL, s.ShutdownTimeout/2), ShutdownTimeout: s.ShutdownTimeout - shutdownReserve,
 	})
 	return shell.WithCleanup(lc, server, stop), nil
