intake, proxy: bound the request bodies that are kept

What callers saw: an entry was ended at its memory limit, and all requests in progress with it, when clients sent many bodies of legal length at once: whole, in pieces, in chunks, or stopping just short of their end. 100 connections with a limit of 112 MiB: 590 MiB resident (bodies that stop one byte short, by POST and by GET, in pieces of 16 KiB, in chunks), 377 MiB (whole bodies), 231 MiB (all kinds). Bodies above the limit were refused only after 4 MiB of each were read.

Cause: each request read its body with io.ReadAll, whose buffers grow by copying. Nothing bounded all of them together.

Change: package intake. All bodies together take a quarter of the memory limit, those above 64 KiB three quarters of that, so that short requests are served beside long ones. A body takes its announced length before it is read; one in chunks takes what its buffer grows by, both buffers while it is copied. It is given back when the request has ended. What finds no memory waits in order for up to 0.5 s (a sixth of the time that is left, if less), as clients give up what isn't read for a second or a third of that time; beyond as much as the bound it is refused at once, 503 with the reason memory. While others wait, bodies whose clients have sent less than 16 KiB within 0.25 s are given up, the longest without progress first; in calm none is. A body whose announced length is above the limit is refused before it is read.

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 WEIGHTS ?=
 LINT_VERSION := v2.15.0
 
-.PHONY: all build demo test race bench fleet samples docs generate lint soak soak-kept format vet tools tidy
+.PHONY: all build demo test race crowd bench fleet samples docs generate lint soak soak-kept format vet tools tidy
 
 all: build
 
@@ -24,6 +24,10 @@
 race:
 	@scripts/test.sh -race
 
+# crowd plays clients that don't behave. Its tests measure memory and run apart from others.
+crowd:
+	@scripts/crowd.sh
+
 bench:
 	@scripts/bench.sh
 
--- a/entry/internal/proxy/handler.go
+++ b/entry/internal/proxy/handler.go
@@ -20,7 +20,6 @@
 	"cmp"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"sync"
@@ -37,6 +36,7 @@
 	"currantport.example/core/edges"
 	"currantport.example/core/events"
 	"currantport.example/core/feed"
+	"currantport.example/core/intake"
 	"currantport.example/core/state"
 	"currantport.example/core/watch"
 	"currantport.example/entry/internal/target"
@@ -48,6 +48,11 @@
 	// defaultMaxBodyBytes bounds a request body if the configuration doesn't.
 	defaultMaxBodyBytes = 4 << 20
 	defaultEventBytes   = 16 << 20
+	// maxBodyWait bounds the wait of a body for memory, and bodyWaitDivisor divides the time that the request has
+	// left, which bounds it too. Clients give up an entry that hasn't read their request for a second or a third of
+	// the time that they have left.
+	maxBodyWait     = 500 * time.Millisecond
+	bodyWaitDivisor = 6
 	// writeSlack is how long after the deadline of a request its response may still be
 	// written to a slow client.
 	writeSlack = time.Second
@@ -70,6 +75,8 @@
 	BufferBytes int64
 	// EventBytes bounds the unfinished long events of all streams. Zero means 16 MiB.
 	EventBytes int64
+	// Bodies bound the request bodies that are kept at the same time.
+	Bodies intake.Options
 	// Random returns a number in [0, 1).
 	Random func() float64
 	Scope  tally.Scope
@@ -82,6 +89,7 @@
 	metrics *metrics
 	events  *events.Allowance
 	buffers buffers
+	bodies  *intake.Intake
 
 	// ending is done once EndRequests was called.
 	ending      context.Context //nolint:containedctx // it ends requests, not the handler
@@ -99,7 +107,10 @@
 
 // New returns a handler for client requests.
 func New(o Options) *Handler {
-	h := &Handler{options: o, metrics: newMetrics(o.Scope), events: events.NewAllowance(cmp.Or(o.EventBytes, defaultEventBytes)), budgets: make(map[string]*budget.Budget)}
+	h := &Handler{
+		options: o, metrics: newMetrics(o.Scope), events: events.NewAllowance(cmp.Or(o.EventBytes, defaultEventBytes)), bodies: intake.New(o.Bodies),
+		budgets: make(map[string]*budget.Budget),
+	}
 	h.buffers.limit = o.BufferBytes
 	h.ending, h.endRequests = context.WithCancel(context.Background())
 	return h
@@ -114,6 +125,7 @@
 	l := &lifecycle{handler: h, writer: w, conn: watch.ConnOf(r), arrived: time.Now(), view: h.view()}
 	defer l.report()
 	defer l.releaseBuffer()
+	defer l.freeBody()
 	defer l.contain()
 	var refusal *calls.Refusal
 	if l.call, refusal = h.options.ClientCodec.ParseRequest(r); refusal != nil {
@@ -233,21 +245,15 @@
 	if err := control.SetReadDeadline(l.deadline); err != nil && !errors.Is(err, http.ErrNotSupported) {
 		l.handler.options.Log.Debug("deadline-set-failed", zap.Error(err))
 	}
-	stop := context.AfterFunc(l.handler.ending, func() { _ = control.SetReadDeadline(time.Now()) })
+	interrupt := func() { _ = control.SetReadDeadline(time.Now()) }
+	stop := context.AfterFunc(l.handler.ending, interrupt)
 	defer stop()
-	body, err := io.ReadAll(http.MaxBytesReader(l.writer, r.Body, maxBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return calls.NotRun(calls.ReasonTooLarge, 0, "the body is too long")
-	}
-	if refusal := l.leavingRefusal(); err != nil && refusal != nil {
-		return refusal
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return calls.NotRun(calls.ReasonDeadline, 0, "the body came too late")
-	}
+	body, release, err := l.handler.bodies.Read(l.handler.ending, intake.Body{
+		Reader: r.Body, Length: r.ContentLength, MaxBytes: maxBytes, WaitTimeout: min(maxBodyWait, time.Until(l.deadline)/bodyWaitDivisor), Interrupt: interrupt,
+	})
+	l.freeBytes = release
 	if err != nil {
-		return calls.NotRun(calls.ReasonBadRequest, 0, "the body can't be read")
+		return l.bodyRefusal(err)
 	}
 	// A read deadline left on the connection would end it while the server watches for the
 	// client to disconnect.
@@ -258,6 +264,34 @@
 	return nil
 }
 
+// freeBody is called when the request has ended.
+func (l *lifecycle) freeBody() {
+	if l.freeBytes != nil {
+		l.freeBytes()
+	}
+}
+
+// bodyRefusal returns the refusal of a request whose body wasn't read.
+func (l *lifecycle) bodyRefusal(err error) *calls.Refusal {
+	if errors.Is(err, intake.ErrTooLong) || errors.Is(err, intake.ErrNoMemory) {
+		// The client gets the refusal before it has sent the rest.
+		l.writer.Header().Set("Connection", "close")
+	}
+	if errors.Is(err, intake.ErrTooLong) {
+		return calls.NotRun(calls.ReasonTooLarge, 0, "the body is too long")
+	}
+	if refusal := l.leavingRefusal(); refusal != nil {
+		return refusal
+	}
+	if errors.Is(err, intake.ErrNoMemory) {
+		return calls.NotRun(calls.ReasonMemory, l.retryAfter(0), "too many bodies are being received")
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return calls.NotRun(calls.ReasonDeadline, 0, "the body came too late")
+	}
+	return calls.NotRun(calls.ReasonBadRequest, 0, "the body can't be read")
+}
+
 // probe checks whether an upstream that sent no response still accepts connections.
 type probe struct {
 	handler *Handler
--- a/entry/internal/proxy/lifecycle.go
+++ b/entry/internal/proxy/lifecycle.go
@@ -71,6 +71,8 @@
 	// lastFailure is an upstream's failure response, which is forwarded if no other attempt
 	// succeeds.
 	lastFailure *bufferedResponse
+	// freeBytes frees the memory of the request body. It is nil until the body is read.
+	freeBytes func()
 	// buffer tells whether the request may buffer a long response.
 	buffer atomic.Int32
 	// suspected is set once an upstream was lost with the request.
--- a/entry/internal/proxy/world_test.go
+++ b/entry/internal/proxy/world_test.go
@@ -28,6 +28,7 @@
 	"currantport.example/core/crash"
 	"currantport.example/core/feed"
 	"currantport.example/core/hosts"
+	"currantport.example/core/intake"
 	"currantport.example/core/memnet"
 	"currantport.example/core/state"
 	"currantport.example/entry/internal/httpd"
@@ -219,7 +220,7 @@
 		w.handler = proxy.New(proxy.Options{
 			Mirror: w.mirror, Fleet: fleet, Conns: p, ClientCodec: codec{}, UpstreamCodec: codec{}, Crashes: w.crashes,
 			Bounds:      proxy.Bounds{MaxKeyStaleness: 4 * time.Second, MaxMissStaleness: 2 * time.Second},
-			RetryLimits: limits, Entries: func() int { return 1 }, BufferBytes: bufferBytes,
+			RetryLimits: limits, Entries: func() int { return 1 }, BufferBytes: bufferBytes, Bodies: intake.Options{MaxBytes: bodyMemory},
 			Random: func() float64 { return 0.5 }, Scope: w.scope, Log: log,
 		})
 		w.publish(upstreams)
--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -23,6 +23,7 @@
 	"currantport.example/core/edges"
 	"currantport.example/core/feed"
 	"currantport.example/core/hosts"
+	"currantport.example/core/intake"
 	"currantport.example/core/links"
 	"currantport.example/core/member"
 	"currantport.example/core/mesh"
@@ -48,8 +49,9 @@
 	// entry not ready, so that clients are referred to others.
 	readyStalenessRatio = 0.6
 	// The parts of the memory limit for what the entry keeps for clients: long responses that they haven't read
-	// yet, unfinished long events, what they have sent ahead, and their connections.
+	// yet, request bodies, unfinished long events, what they have sent ahead, and their connections.
 	bufferRatio = 1.0 / 8
+	bodyRatio   = 1.0 / 4
 	eventRatio  = 1.0 / 16
 	aheadRatio  = 1.0 / 16
 	connRatio   = 3.0 / 16
@@ -154,6 +156,7 @@
 		Bounds:      proxy.Bounds{MaxKeyStaleness: revoke, MaxMissStaleness: s.Bounds.Apply},
 		RetryLimits: budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 		BufferBytes: partOf(s.MemoryLimit, bufferRatio), EventBytes: partOf(s.MemoryLimit, eventRatio),
+		Bodies:  intake.Options{MaxBytes: partOf(s.MemoryLimit, bodyRatio)},
 		Entries: n.EntryCount, Random: rand.Float64, Scope: metrics.Scope, Log: log,
 	})
 }
--- a/scripts/docs.sh
+++ b/scripts/docs.sh
@@ -22,6 +22,7 @@
 while read -r target; do
 	grep -qE "^$target:" Makefile || fault "target-$target" Makefile
 done < <(grep -ohE '`make [a-z]+' README.md docs/*.md | awk '{print $2}' | sort -u)
-bin/tools matrix -doc docs/FAULTS.md -ran bin/tests.txt || failed=1
+cat bin/tests.txt bin/crowd.txt >bin/ran.txt
+bin/tools matrix -doc docs/FAULTS.md -ran bin/ran.txt || failed=1
 [ "$failed" = 0 ] && echo "docs valid=true"
 exit "$failed"
