conns: tell a reset during a request from the end of its response

What callers saw (MIXED): an upstream answered a long upload at once by a 200 without a length, sent a part of the body and reset the connection while the upload was being written. The client got the part as a complete response.

Cause: the kernel reports the error of a connection once, to a read or a write. The write had it, and the read saw an ordinary end.

Change: at the end of a response that ends with its connection the write is asked, and the state of the connection if it is still in progress. EPIPE is no reset before the end: the upstream had closed the connection in order before.

--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -26,6 +27,9 @@
 	concurrentWriteBytes = 4 << 10
 	// maxCopiedBytes bounds the part of a body that is copied, to be written with the head.
 	maxCopiedBytes = 16 << 10
+	// writeErrorTimeout bounds the wait for the error of a write that has failed, where the state of the connection
+	// isn't known.
+	writeErrorTimeout = 100 * time.Millisecond
 	// maxInterim bounds the 1xx responses before the final one.
 	maxInterim = 8
 )
@@ -67,6 +71,7 @@
 	errInterim    = errors.New("too many interim responses")
 	errCanceled   = errors.New("request canceled")
 	errClosed     = errors.New("the response was closed before its end")
+	errReset      = errors.New("the connection was reset before the end of the response")
 )
 
 // Request is one request to an upstream. Its header holds only end-to-end fields; the
@@ -149,6 +154,30 @@
 	return SendStateUnsent
 }
 
+// wasReset reports whether the connection, whose end was read, was reset. The kernel reports an error once, to a read
+// or a write, and the other one sees an ordinary end; so the read knows of a reset only by the write. A connection
+// that the upstream closed in order and reset after that fails writes with EPIPE.
+func (x *exchange) wasReset() bool {
+	select {
+	case <-x.written:
+	default:
+		switch isOpen, ok := canWrite(x.conn.raw); {
+		case ok && isOpen:
+			return false
+		case ok:
+			<-x.written
+		default:
+			// The write has failed already if it knows of a reset. Only its goroutine needs time to say so.
+			select {
+			case <-x.written:
+			case <-time.After(writeErrorTimeout):
+				return false
+			}
+		}
+	}
+	return x.err != nil && !errors.Is(x.err, syscall.EPIPE)
+}
+
 // Do sends a request once and returns the head of its response. The connection is closed
 // when the context ends before the response has been read, and on any failure; the error is
 // then a LostError.
@@ -289,6 +318,10 @@
 		r.lastReadAt = time.Now()
 	}
 	if err == io.EOF {
+		if r.IsCloseDelimited() && r.exchange.wasReset() {
+			r.Close()
+			return n, errReset
+		}
 		r.finish()
 	}
 	return n, err
