heads, conns: take no response for an answer whose head is malformed

Cause: heads are read by net/http, which takes any three digits for a status and lets blanks in names pass. A status below 100 counted as that of an interim response, so that the next bytes were taken for the head.

Change: package heads checks the status and the fields of each head, of interim responses and of trailers too.

Evidence: conns.TestUnsoundHeadIsNoResponse, 9 of 26 heads were taken before and none now; proxy.TestUnsoundHeadIsNotForwarded, 4 of 5 before. Sound heads of unusual kinds are taken as before (conns.TestSoundHeadsAreResponses).

--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -10,6 +10,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"currantport.example/core/heads"
 )
 
 const (
@@ -239,6 +241,9 @@
 			return nil, err
 		}
 		c.limit.remove()
+		if err := heads.Check(response.StatusCode, response.Header); err != nil {
+			return nil, err
+		}
 		switch {
 		case response.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errUpgrade
@@ -318,15 +323,23 @@
 		r.lastReadAt = time.Now()
 	}
 	if err == io.EOF {
-		if r.IsCloseDelimited() && r.exchange.wasReset() {
+		if errEnd := r.checkEnd(); errEnd != nil {
 			r.Close()
-			return n, errReset
+			return n, errEnd
 		}
 		r.finish()
 	}
 	return n, err
 }
 
+// checkEnd returns an error if what looks like the end of the response is none.
+func (r *Response) checkEnd() error {
+	if r.IsCloseDelimited() && r.exchange.wasReset() {
+		return errReset
+	}
+	return heads.CheckFields(r.raw.Trailer)
+}
+
 // LastReadAt returns when the last bytes of the response were read.
 func (r *Response) LastReadAt() time.Time { return r.lastReadAt }
 
