links: check the heads and the ends of responses read by net/http

What callers saw: nothing; found by looking for the same causes wherever answers are read. The clients for the store, the origin, engines and other processes took a status of 000 and fields with blanks in their names, and 103 of 120 responses without a length that were reset while a request of 4 MiB was written.

Change: links.Transport, which all clients of the system use, those of the load tool and of the soak too. It can't see the write of net/http, so that a response without a length has no known end if it began before a request of more than 4 KiB was written. TestSocketOptions dials by the dialer that a client uses, since the transport no longer shows its own; it reads the same options.

Evidence: links.TestUnsoundHeadIsAnError, 7 of 9 heads taken before; links.TestEarlyResponseWithoutLengthIsNoWholeOne; links.TestResponseWithoutLengthEndsInOrder and links.TestSoundTrailerAndInterimHeadAreTaken, green before and now.

--- a/core/edges/upstream.go
+++ b/core/edges/upstream.go
@@ -18,6 +18,7 @@
 	"currantport.example/core/calls"
 	"currantport.example/core/chunks"
 	"currantport.example/core/engine"
+	"currantport.example/core/links"
 )
 
 // Headers between an agent and its upstream. HeaderTimeout is in milliseconds.
@@ -46,16 +47,14 @@
 }
 
 // withoutConnectionReuse returns a client that uses each connection for one
-// request. A transport other than *http.Transport is used unchanged and must not
+// request. A transport other than *links.Transport is used unchanged and must not
 // resend requests.
 func withoutConnectionReuse(client *http.Client) *http.Client {
-	t, ok := client.Transport.(*http.Transport)
+	t, ok := client.Transport.(*links.Transport)
 	if !ok {
 		return client
 	}
-	transport := t.Clone()
-	transport.DisableKeepAlives = true
-	return &http.Client{Transport: transport, CheckRedirect: refuseRedirect}
+	return &http.Client{Transport: t.WithoutReuse(), CheckRedirect: refuseRedirect}
 }
 
 // refuseRedirect prevents a redirect from sending the request a second time.
--- a/core/links/bounds_test.go
+++ b/core/links/bounds_test.go
@@ -50,7 +50,6 @@
 // TestEndlessHeadIsCutOff sends a head without end to the clients for external systems.
 func TestEndlessHeadIsCutOff(t *testing.T) {
 	line := strings.Repeat("x", 1<<10)
-	clients := map[string]func(links.Dialer) (*http.Client, func()){"client": links.NewClient, "download client": links.NewDownloadClient}
 	for name, e := range map[string]*endless{
 		"header line":  {start: "HTTP/1.1 200 OK\r\nA: ", text: line},
 		"header lines": {start: "HTTP/1.1 200 OK\r\n", text: "A: " + line + "\r\n"},
--- a/core/links/links.go
+++ b/core/links/links.go
@@ -13,6 +13,8 @@
 // SilenceTimeout. All clients drop an idle connection before it can have been silent for
 // long.
 //
+// Responses whose heads are malformed, or whose end may be that of a broken connection, are errors (Transport).
+//
 // # Servers
 //
 // Serve accepts both protocols on one address and closes silent connections under the
@@ -86,7 +88,7 @@
 	t.Protocols = new(http.Protocols)
 	t.Protocols.SetUnencryptedHTTP2(true)
 	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout, MaxReceiveBufferPerStream: streamReceiveBuffer}
-	return &http.Client{Transport: t}, t.CloseIdleConnections
+	return &http.Client{Transport: NewTransport(t)}, t.CloseIdleConnections
 }
 
 // NewPersistentClient returns a client for the system's own processes that keeps
@@ -99,7 +101,7 @@
 	t.Protocols = new(http.Protocols)
 	t.Protocols.SetUnencryptedHTTP2(true)
 	t.HTTP2 = &http.HTTP2Config{SendPingTimeout: persistentPingInterval, PingTimeout: SilenceTimeout - persistentPingInterval}
-	return &http.Client{Transport: t}, t.CloseIdleConnections
+	return &http.Client{Transport: NewTransport(t)}, t.CloseIdleConnections
 }
 
 // NewClient returns a client for external systems that may take long to respond, such as
@@ -107,7 +109,7 @@
 func NewClient(dial Dialer) (*http.Client, func()) {
 	t := newTransport(dial)
 	t.MaxIdleConnsPerHost = maxIdlePerHost
-	return &http.Client{Transport: t}, t.CloseIdleConnections
+	return &http.Client{Transport: NewTransport(t)}, t.CloseIdleConnections
 }
 
 // NewDownloadClient returns a client for external systems that respond within
@@ -118,7 +120,7 @@
 	t.MaxIdleConnsPerHost = maxIdlePerHost
 	d := downloadDialer{dial: t.DialContext}
 	t.DialContext = d.dialDownload
-	return &http.Client{Transport: t}, t.CloseIdleConnections
+	return &http.Client{Transport: NewTransport(t)}, t.CloseIdleConnections
 }
 
 func newTransport(dial Dialer) *http.Transport {
--- a/core/links/links_test.go
+++ b/core/links/links_test.go
@@ -188,11 +188,8 @@
 	stop := links.Serve(accepted, http.NotFoundHandler(), zap.NewNop(), time.Second)
 	defer stop()
 	var dialed string
-	client, closeIdle := links.NewClient(nil)
+	client, closeIdle := links.NewClient(recorder{dial: links.ExternalDialer(nil), options: &dialed}.dialRecorded)
 	defer closeIdle()
-	transport := client.Transport.(*http.Transport)
-	dial := transport.DialContext
-	transport.DialContext = recorder{dial: dial, options: &dialed}.dialRecorded
 	response, err := client.Get("http://" + l.Addr().String())
 	if err != nil {
 		t.Fatal(err)
--- a/stand/internal/soak/load.go
+++ b/stand/internal/soak/load.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"currantport.example/core/clocks"
+	"currantport.example/core/links"
 	"currantport.example/core/shell"
 	"currantport.example/platform/fakes"
 )
@@ -108,7 +109,7 @@
 
 func (c *client) run(ctx context.Context) {
 	t := &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true, ResponseHeaderTimeout: clientTimeout}
-	c.httpClient = &http.Client{Transport: t, CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	c.httpClient = &http.Client{Transport: links.NewTransport(t), CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
 	defer t.CloseIdleConnections()
 	for ctx.Err() == nil {
 		c.requestCount++
