front: bound the request bodies that are kept, and the time for one

Cause: bodies of up to 1 MiB were read with io.ReadAll, by as many requests as came, and without a time: a client that stopped within its body was never answered.

Change: package intake, with a quarter of the memory limit; a body is read until the deadline of its request. The setting [host] memory, 256 MiB unless the file says more, bounds what clients send ahead, too.

The worlds of joint state the setting.

--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -12,9 +12,9 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"sync"
@@ -30,6 +30,7 @@
 	"currantport.example/core/audit"
 	"currantport.example/core/calls"
 	"currantport.example/core/hosts"
+	"currantport.example/core/intake"
 	"currantport.example/core/tables"
 	"currantport.example/core/wire"
 	"currantport.example/entry/internal/lookup"
@@ -39,6 +40,10 @@
 const (
 	defaultTimeout    = 30 * time.Second
 	drainPollInterval = 50 * time.Millisecond
+	// maxBodyWait bounds the wait of a body for memory, and bodyWaitDivisor divides the timeout of the request, which
+	// bounds it too.
+	maxBodyWait     = 500 * time.Millisecond
+	bodyWaitDivisor = 6
 	// maxHoldTimeout bounds how long a long poll of another entry is held.
 	maxHoldTimeout = 10 * time.Second
 )
@@ -80,12 +85,15 @@
 	AddressTTL time.Duration
 	// DrainTimeout bounds the time that requests in progress have to finish in a drain.
 	DrainTimeout time.Duration
-	Log          *zap.Logger
+	// BodyBytes bounds the request bodies that are kept at the same time. Zero means no bound.
+	BodyBytes int64
+	Log       *zap.Logger
 }
 
 // Front serves clients. It implements wire.FrontHandler and manage.Drainer.
 type Front struct {
 	Options
+	bodies     *intake.Intake
 	inProgress atomic.Int32
 	// listedLeaving is set if the list of hosts has this host as leaving.
 	listedLeaving atomic.Bool
@@ -101,7 +109,7 @@
 // New returns a front that isn't draining.
 func New(o Options) *Front {
 	return &Front{
-		Options: o, draining: make(chan struct{}), stateChanged: make(chan struct{}),
+		Options: o, bodies: intake.New(intake.Options{MaxBytes: o.BodyBytes}), draining: make(chan struct{}), stateChanged: make(chan struct{}),
 		drain: admit.Drain{AcceptTime: o.AddressTTL + lookup.ProbeTimeout, FinishTimeout: o.DrainTimeout},
 	}
 }
@@ -233,7 +241,8 @@
 func (f *Front) serveRoute(w http.ResponseWriter, r *http.Request) {
 	f.inProgress.Add(1)
 	defer f.inProgress.Add(-1)
-	request, refusal := f.readRequest(w, r)
+	request, release, refusal := f.readRequest(w, r)
+	defer release()
 	if refusal != nil {
 		calls.WriteProblem(w, request.ID, refusal)
 		return
@@ -260,30 +269,51 @@
 	return refusal
 }
 
-func (f *Front) readRequest(w http.ResponseWriter, r *http.Request) (calls.Request, *calls.Refusal) {
-	request := calls.Request{ID: calls.ID(uuid.NewString()), Route: mux.Vars(r)["route"]}
+// readRequest reads a request. Release frees the memory of its body; it is never nil.
+func (f *Front) readRequest(w http.ResponseWriter, r *http.Request) (request calls.Request, release func(), refusal *calls.Refusal) {
+	request = calls.Request{ID: calls.ID(uuid.NewString()), Route: mux.Vars(r)["route"]}
 	head, err := calls.ReadHead(r.Header)
 	if err != nil {
-		return request, calls.NotRun(calls.ReasonBadRequest, 0, err.Error())
+		return request, func() {}, calls.NotRun(calls.ReasonBadRequest, 0, err.Error())
 	}
 	if !calls.IsSupportedMedia(head.Media) {
-		return request, calls.NotRun(calls.ReasonMediaType, 0, "the content type must be application/json or text")
+		return request, func() {}, calls.NotRun(calls.ReasonMediaType, 0, "the content type must be application/json or text")
 	}
 	if head.ID != "" {
 		request.ID = head.ID
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, calls.MaxBodyBytes))
-	var large *http.MaxBytesError
-	if errors.As(err, &large) {
-		return request, calls.NotRun(calls.ReasonTooLarge, 0, "the body is longer than 1 MiB")
-	}
-	if err != nil {
-		return request, calls.NotRun(calls.ReasonBadRequest, 0, "the body ended early")
-	}
 	request.Workspace, request.Key, request.Token, request.Priority = head.Workspace, head.Key, head.Token, head.Priority
-	request.Stream, request.Media, request.Body = head.Stream, head.Media, body
+	request.Stream, request.Media = head.Stream, head.Media
 	request.Deadline = time.Now().Add(f.timeout(request.Route, head.Timeout))
-	return request, nil
+	request.Body, release, refusal = f.readBody(w, r, request.Deadline)
+	return request, release, refusal
+}
+
+// readBody reads a body until the deadline. Release is never nil.
+func (f *Front) readBody(w http.ResponseWriter, r *http.Request, deadline time.Time) (body []byte, release func(), refusal *calls.Refusal) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(deadline)
+	body, release, err := f.bodies.Read(r.Context(), intake.Body{
+		Reader: r.Body, Length: r.ContentLength, MaxBytes: calls.MaxBodyBytes, WaitTimeout: min(maxBodyWait, time.Until(deadline)/bodyWaitDivisor),
+		Interrupt: func() { _ = control.SetReadDeadline(time.Now()) },
+	})
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{})
+		return body, release, nil
+	}
+	// The rest of the body must not be parsed as another request.
+	w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, intake.ErrTooLong):
+		refusal = calls.NotRun(calls.ReasonTooLarge, 0, "the body is longer than 1 MiB")
+	case errors.Is(err, intake.ErrNoMemory):
+		refusal = calls.NotRun(calls.ReasonMemory, time.Second, "too many bodies are being received")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		refusal = calls.NotRun(calls.ReasonDeadline, 0, "the body came too late")
+	default:
+		refusal = calls.NotRun(calls.ReasonBadRequest, 0, "the body ended early")
+	}
+	return nil, release, refusal
 }
 
 func (f *Front) timeout(route string, requested time.Duration) time.Duration {
--- a/entry/serve/build.go
+++ b/entry/serve/build.go
@@ -35,8 +35,10 @@
 const (
 	// closeTimeout bounds the wait for calls other than client requests at shutdown.
 	closeTimeout = 5 * time.Second
-	// maxAheadBytes bounds what all clients have sent ahead of responses.
-	maxAheadBytes = 16 << 20
+	// aheadRatio and bodyRatio are the parts of the memory limit for what clients have sent ahead of responses and
+	// for request bodies.
+	aheadRatio = 1.0 / 16
+	bodyRatio  = 1.0 / 4
 )
 
 // Build returns the components of the program. It connects through links.Network, which tests
@@ -85,7 +87,7 @@
 func newFront(s Settings, sr *sender.Sender, q *queue.Queues, l *lookup.Lookup, active *tables.Active, t *audit.Trail, log *zap.Logger) *front.Front {
 	return front.New(front.Options{
 		Self: self(s), Sender: sr, Queues: q, Lookup: l, Tables: active, Trail: t,
-		AddressTTL: s.AddressTTL, DrainTimeout: s.ShutdownTimeout, Log: log,
+		AddressTTL: s.AddressTTL, DrainTimeout: s.ShutdownTimeout, BodyBytes: int64(bodyRatio * float64(s.MemoryLimit)), Log: log,
 	})
 }
 
@@ -120,7 +122,7 @@
 	if err != nil {
 		return err
 	}
-	stop := links.Serve(watch.New(m.Scope, maxAheadBytes).Listen(l), watch.Handler(r), log, closeTimeout)
+	stop := links.Serve(watch.New(m.Scope, int64(aheadRatio*float64(s.MemoryLimit))).Listen(l), watch.Handler(r), log, closeTimeout)
 	t.Add(audit.EventStart, string(s.Host), "start of the process")
 	g := shell.NewGroup()
 	w := &drainWatcher{front: f, trigger: trigger}
--- a/stand/internal/joint/world_test.go
+++ b/stand/internal/joint/world_test.go
@@ -22,6 +22,7 @@
 
 	agent "currantport.example/agent/serve"
 	"currantport.example/core/calls"
+	"currantport.example/core/config"
 	"currantport.example/core/dedup"
 	"currantport.example/core/edges"
 	"currantport.example/core/hosts"
@@ -283,7 +284,7 @@
 
 func (w *world) startEntry(i int) {
 	h := w.entries[i].host
-	w.entries[i] = w.start(h, entry.Build(entry.Settings{Common: commonOf(h), AddressTTL: addressTTL}))
+	w.entries[i] = w.start(h, entry.Build(entry.Settings{Common: commonOf(h), AddressTTL: addressTTL, MemoryLimit: 256 * config.MiB}))
 }
 
 func (w *world) startAgent(h hosts.Host) {
