--- a/core/links/links.go
+++ b/core/links/links.go
@@ -18,7 +18,7 @@
 // # Servers
 //
 // Serve accepts both protocols on one address and closes silent connections under the
-// same limits.
+// same limits. ServeBounded also bounds the number of connections.
 //
 // # Queues
 //
@@ -221,7 +221,13 @@
 // Serve serves requests on the listener until the clean-up function is called, which
 // waits for the requests in progress for at most shutdownTimeout.
 func Serve(l net.Listener, h http.Handler, log *zap.Logger, shutdownTimeout time.Duration) func() {
-	s := &server{log: log, http: &http.Server{
+	s := newServer(h, log)
+	go s.run(l)
+	return func() { s.stop(shutdownTimeout) }
+}
+
+func newServer(h http.Handler, log *zap.Logger) *server {
+	return &server{log: log, http: &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       serverIdleTimeout,
@@ -231,8 +237,6 @@
 		ErrorLog:          zap.NewStdLog(log.Named("http")),
 		ConnContext:       watch.ConnContext,
 	}, done: make(chan struct{})}
-	go s.run(l)
-	return func() { s.stop(shutdownTimeout) }
 }
 
 func serverProtocols() *http.Protocols {
