entry: give request bodies what the other parts of the memory limit leave

Cause: the parts were chosen one by one and left a quarter of the limit unused.

Change: bodies have what is left beside the other parts and 32 MiB for control: 154 MiB of 284, 41 of 112. Connections take an eighth, unfinished events, what is sent ahead and the directory a thirty-second each.

--- a/entry/server/build.go
+++ b/entry/server/build.go
@@ -49,12 +49,17 @@
 	// entry not ready, so that clients are referred to others.
 	readyStalenessRatio = 0.6
 	// The parts of the memory limit for what the entry keeps for clients: long responses that they haven't read
-	// yet, request bodies, unfinished long events, what they have sent ahead, and their connections.
+	// yet, unfinished long events, what they have sent ahead, and their connections. Request bodies have the rest.
 	bufferRatio = 1.0 / 8
-	bodyRatio   = 1.0 / 4
-	eventRatio  = 1.0 / 16
-	aheadRatio  = 1.0 / 16
-	connRatio   = 3.0 / 16
+	eventRatio  = 1.0 / 32
+	aheadRatio  = 1.0 / 32
+	connRatio   = 1.0 / 8
+	// DirectoryRatio is the part for the connections of the platform's directory and readiness.
+	DirectoryRatio = 1.0 / 32
+	// controlMemory is what an entry of the largest fleet may take without clients, and minBodyRatio the part for
+	// request bodies where that leaves less.
+	controlMemory = 32 * config.MiB
+	minBodyRatio  = 1.0 / 8
 	// drainTTLs is the number of address TTLs for which a draining entry keeps serving, so that
 	// clients find another one first.
 	drainTTLs = 3
@@ -156,11 +161,17 @@
 		Bounds:      proxy.Bounds{MaxKeyStaleness: revoke, MaxMissStaleness: s.Bounds.Apply},
 		RetryLimits: budget.Limits{Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack, Window: s.Bounds.RetryWindow},
 		BufferBytes: partOf(s.MemoryLimit, bufferRatio), EventBytes: partOf(s.MemoryLimit, eventRatio),
-		Bodies:  intake.Options{MaxBytes: partOf(s.MemoryLimit, bodyRatio)},
+		Bodies:  intake.Options{MaxBytes: bodyBytes(s.MemoryLimit)},
 		Entries: n.EntryCount, Random: rand.Float64, Scope: metrics.Scope, Log: log,
 	})
 }
 
+// bodyBytes returns the memory for request bodies.
+func bodyBytes(limit config.Bytes) int64 {
+	rest := partOf(limit, 1-bufferRatio-eventRatio-aheadRatio-connRatio-DirectoryRatio) - int64(controlMemory)
+	return max(rest, partOf(limit, minBodyRatio))
+}
+
 // partOf returns a part of the memory limit in bytes.
 func partOf(limit config.Bytes, ratio float64) int64 { return int64(ratio * float64(limit)) }
 
