--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -14,6 +14,7 @@
 refused~refused~core/tries/tries.go~s/return StepUnknown\n}\n\n/return StepRefuse\n}\n\n/~upstream-lossy
 partial~answer~entry/internal/proxy/response.go~s/return l\.streamLost\(ctx, f, err\)/return l.finishStream(response, reply, e)/~upstream-lossy
 resume~answer~entry/internal/proxy~s/LastEventID: l\.stream\.lastEventID\}/LastEventID: l.call.LastEventID}/; s/return err != nil \|\| next > last/return true || err != nil || next > last/~upstream-lossy
+unsound~answer~core/conns/exchange.go~s/if err := heads\.Check\(response\.StatusCode, response\.Header\); err != nil \{/if err := heads.CheckFields(nil); err != nil {/~upstream-garbled
 foreign~answer~platform/internal/bridge/upstream.go~s/return echoed == id \|\| /return true || echoed == id || /~upstream-doubled
 target~unchanged~platform/internal/bridge/upstream.go~s/Target: c\.Target,/Target: c.Path,/~config
 unasked~unasked~platform/internal/bridge/upstream.go~s/(\th\.Set\(forms\.HeaderDeadline)/\th.Set(forms.HeaderID, string(c.ID)+"x")\n$1/~config
--- a/stand/internal/soak/responses.go
+++ b/stand/internal/soak/responses.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"regexp"
 	"strconv"
+	"strings"
 
 	"currantport.example/platform/fakes"
 )
@@ -16,6 +17,9 @@
 // response must be a part of the correct one.
 func checkResponse(s *sentRequest, runs []fakes.Run) string {
 	r := s.response
+	if r.Err != nil && strings.Contains(r.Err.Error(), "malformed") {
+		return "the response is none: " + r.Err.Error()
+	}
 	if r.ID != "" && r.ID != s.ID {
 		return "the response belongs to " + r.ID
 	}
