httpd: send no response to an aborted request whose body isn't read

What callers saw: nothing yet; found by reading the change that lets refusals of long bodies arrive. A client whose request was aborted before its body was read would have got a head of 200 without a body.

Cause: the wait for the rest of a body was deferred, so that it also ran when the handler aborted, and flushed the response.

Change: it follows the handler, and an aborted request ends with its connection.

Evidence: httpd.TestAbortedRequestWithUnreadBodyHasNoResponse, red before.

--- a/entry/internal/httpd/discard_test.go
+++ b/entry/internal/httpd/discard_test.go
@@ -41,6 +41,26 @@
 	}
 }
 
+// TestAbortedRequestWithUnreadBodyHasNoResponse aborts a request whose long body isn't read. It runs in real time, since
+// virtual time has no sockets.
+func TestAbortedRequestWithUnreadBodyHasNoResponse(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, stop := httpd.New(httpd.Options{Listener: l, Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }), Log: zap.NewNop()})
+	defer stop()
+	c, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	fmt.Fprintf(c, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", 4<<20)
+	if text, _ := io.ReadAll(c); len(text) > 0 {
+		t.Errorf("%q", text)
+	}
+}
+
 const refusal = "not now\n"
 
 func refuseWithText(w http.ResponseWriter, _ *http.Request) {
--- a/entry/internal/httpd/httpd.go
+++ b/entry/internal/httpd/httpd.go
@@ -272,14 +272,21 @@
 	s.inProgress.Add(1)
 	defer s.inProgress.Add(-1)
 	defer s.resetAborted(r)
-	if r.Body != nil && r.Body != http.NoBody {
-		b := &requestBody{ReadCloser: r.Body, header: w.Header(), conn: watch.ConnOf(r), length: r.ContentLength}
-		r.Body = b
-		defer s.endBody(w, r, b)
-	}
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.Body == nil || r.Body == http.NoBody {
+		s.handle(w, r)
+		return
+	}
+	b := &requestBody{ReadCloser: r.Body, header: w.Header(), conn: watch.ConnOf(r), length: r.ContentLength}
+	r.Body = b
+	s.handle(w, r)
+	// A request that is aborted ends with its connection.
+	s.endBody(w, r, b)
+}
+
+func (s *Server) handle(w http.ResponseWriter, r *http.Request) {
 	if s.refusing.Load() {
 		s.options.Refuse.ServeHTTP(w, r)
 		return
