conns: check the trailers of responses that are skipped

What callers saw: nothing. A response of another request, or one that isn't forwarded, with a malformed trailer left its connection in use.

Cause: only the trailer of a response that is read to its end by its owner was checked.

Evidence: conns.TestUnsoundHeadIsNoResponse, its case of another's trailer, red before.

--- a/core/conns/exchange.go
+++ b/core/conns/exchange.go
@@ -258,20 +258,23 @@
 		if mismatched++; mismatched > maxMismatched || response.Close {
 			return nil, errMismatched
 		}
-		if err := c.skip(response.Body, mismatchedTimeout); err != nil {
+		if err := c.skip(response, mismatchedTimeout); err != nil {
 			return nil, errors.Join(errMismatched, err)
 		}
 	}
 }
 
-// skip reads a body that isn't forwarded. On a failure the connection must be closed.
-func (c *Conn) skip(body io.Reader, timeout time.Duration) error {
+// skip reads the body of a response that isn't forwarded. On a failure the connection must be closed.
+func (c *Conn) skip(response *http.Response, timeout time.Duration) error {
 	c.limit.set(maxSkippedBytes)
 	defer c.limit.remove()
 	if err := c.raw.SetReadDeadline(time.Now().Add(timeout)); err != nil {
 		return err
 	}
-	if _, err := io.Copy(io.Discard, body); err != nil {
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	if err := heads.CheckFields(response.Trailer); err != nil {
 		return err
 	}
 	return c.raw.SetReadDeadline(time.Time{})
@@ -383,7 +386,7 @@
 	if r.ended {
 		return
 	}
-	if !r.reusable || r.conn.skip(r.raw.Body, discardTimeout) != nil {
+	if !r.reusable || r.conn.skip(r.raw, discardTimeout) != nil {
 		r.Close()
 		return
 	}
--- a/core/conns/heads_test.go
+++ b/core/conns/heads_test.go
@@ -36,6 +36,7 @@
 	"two lengths":                  "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok",
 	"a length that is none":        "HTTP/1.1 200 OK\r\nId: r\r\nContent-Length: +2\r\n\r\nok",
 	"an unknown encoding":          "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: xchunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+	"blank in another's trailer":   "HTTP/1.1 200 OK\r\nId: other\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX Y: 1\r\n\r\nHTTP/1.1 200 OK\r\nId: r\r\nContent-Length: 2\r\n\r\nok",
 	"blank in a trailer":           "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\nTrailer: X\r\n\r\n2\r\nok\r\n0\r\nX Y: 1\r\n\r\n",
 	"control byte in a trailer":    "HTTP/1.1 200 OK\r\nId: r\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nX\x01Y: 1\r\n\r\n",
 }
