front: bound the time in which a response may be written

What callers saw (the product's own interface): clients that read nothing of a long response kept its memory and that of their bodies for as long as they stayed connected, since nothing ended the write. Three of them with bodies of 1 MiB had all long bodies of others refused for want of memory.

Cause: the deadline of a request ends its context, which a write to a client doesn't see.

Now the write has a deadline a second after that of the request, as in the entry of the users' platform.

Evidence: front.TestClientThatReadsNothingFreesItsMemory, red 3 of 3 before (no request with a long body served within 20 s after requests of 0.5 s), green now.

--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -44,6 +44,9 @@
 	// bounds it too.
 	maxBodyWait     = 500 * time.Millisecond
 	bodyWaitDivisor = 6
+	// writeSlack is how long after the deadline of a request its response may still be written. A client that reads
+	// slowly, is silent or gone is treated alike, since its time has ended.
+	writeSlack = time.Second
 	// maxHoldTimeout bounds how long a long poll of another entry is held.
 	maxHoldTimeout = 10 * time.Second
 )
@@ -247,6 +250,8 @@
 		calls.WriteProblem(w, request.ID, refusal)
 		return
 	}
+	control := http.NewResponseController(w)
+	_ = control.SetWriteDeadline(request.Deadline.Add(writeSlack))
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
 	defer cancel()
 	sink := newSink(w, request)
@@ -254,6 +259,7 @@
 	sink.finish(refusal)
 	f.Log.Info("request", zap.String("request", string(request.ID)), zap.String("workspace", request.Workspace),
 		zap.String("route", request.Route), zap.String("version", sink.version), zap.Bool("answered", refusal == nil))
+	_ = control.SetWriteDeadline(time.Time{})
 }
 
 func (f *Front) send(ctx context.Context, request calls.Request, sink *sink) *calls.Refusal {
