front: bound the unary responses that all requests together buffer

What callers saw (the product's own interface): a process that buffered 20 long responses for slow clients took 157 MiB; nothing but the number of requests bounded it, so that it could be ended at its memory limit.

Cause: the bound of 8 MiB is one of a single response.

Now they have a quarter of the memory limit for all together. A response that finds no memory is written as it arrives, in chunks, at the pace of its client; if it fails after that, its connection is aborted, so that nobody takes it for whole. A client of HTTP/1.0, which couldn't tell, gets an unknown outcome.

Evidence: front.TestBufferedResponsesAreBounded, red 3 of 3 before (157 MiB, 16 allowed), green now, with all 20 responses whole. front.TestBrokenLongResponseIsNotWhole was green before; it guards the new way.

--- a/core/calls/calls.go
+++ b/core/calls/calls.go
@@ -67,7 +67,7 @@
 	ReasonCanceled    Reason = "canceled"
 	// ReasonStalled is used if the upstream was silent for as long as clients wait.
 	ReasonStalled Reason = "stalled"
-	// ReasonMemory is used if there is no memory for the body of the request.
+	// ReasonMemory is used if there is no memory for the body of the request or of its response.
 	ReasonMemory Reason = "memory"
 	// ReasonStale is used by a process whose replica of the platform's rows is too stale.
 	ReasonStale Reason = "stale"
--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -90,13 +90,16 @@
 	DrainTimeout time.Duration
 	// BodyBytes bounds the request bodies that are kept at the same time. Zero means no bound.
 	BodyBytes int64
-	Log       *zap.Logger
+	// ResponseBytes bounds the unary responses that are buffered at the same time. Zero means no bound.
+	ResponseBytes int64
+	Log           *zap.Logger
 }
 
 // Front serves clients. It implements wire.FrontHandler and manage.Drainer.
 type Front struct {
 	Options
 	bodies     *intake.Intake
+	responses  memory
 	inProgress atomic.Int32
 	// listedLeaving is set if the list of hosts has this host as leaving.
 	listedLeaving atomic.Bool
@@ -112,7 +115,7 @@
 // New returns a front that isn't draining.
 func New(o Options) *Front {
 	return &Front{
-		Options: o, bodies: intake.New(intake.Options{MaxBytes: o.BodyBytes}), draining: make(chan struct{}), stateChanged: make(chan struct{}),
+		Options: o, bodies: intake.New(intake.Options{MaxBytes: o.BodyBytes}), responses: memory{limit: o.ResponseBytes}, draining: make(chan struct{}), stateChanged: make(chan struct{}),
 		drain: admit.Drain{AcceptTime: o.AddressTTL + lookup.ProbeTimeout, FinishTimeout: o.DrainTimeout},
 	}
 }
@@ -254,11 +257,15 @@
 	_ = control.SetWriteDeadline(request.Deadline.Add(writeSlack))
 	ctx, cancel := context.WithDeadline(r.Context(), request.Deadline)
 	defer cancel()
-	sink := newSink(w, request)
+	sink := newSink(w, r, request, &f.responses)
+	defer sink.close()
 	refusal = f.send(ctx, request, sink)
 	sink.finish(refusal)
 	f.Log.Info("request", zap.String("request", string(request.ID)), zap.String("workspace", request.Workspace),
 		zap.String("route", request.Route), zap.String("version", sink.version), zap.Bool("answered", refusal == nil))
+	if sink.isTruncated {
+		panic(http.ErrAbortHandler)
+	}
 	_ = control.SetWriteDeadline(time.Time{})
 }
 
--- a/entry/internal/front/readers_test.go
+++ b/entry/internal/front/readers_test.go
@@ -1,11 +1,15 @@
 package front_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
+	"strings"
 	"testing"
 	"time"
 
@@ -24,21 +28,37 @@
 	// longResponse is the length of a response that fits into no socket buffer.
 	longResponse = 7 * megabyte
 	partBytes    = 64 << 10
+	// responseMemory is the bound for buffered responses, and readers the number of clients with long ones.
+	responseMemory = 16 * megabyte
+	readers        = 20
 )
 
 // longSender responds with a long response.
-type longSender struct{ fakeSender }
+type longSender struct {
+	// fakeSender has the refusal that ends the response halfway, or none.
+	fakeSender
+	// arrived receives a value for each response that was passed to its sink, and released is closed when those may end.
+	arrived, released chan struct{}
+}
 
 func (s *longSender) Send(_ context.Context, _ calls.Request, sink sender.Sink) *calls.Refusal {
+	length := longResponse
+	if s.refusal != nil {
+		length /= 2
+	}
 	if sink.Head("seven", http.StatusOK, "text/plain") != nil {
 		return calls.Unknown(calls.ReasonCanceled, 0, "no head")
 	}
 	part := bytes.Repeat([]byte{'x'}, partBytes)
-	for range longResponse / partBytes {
+	for range length / partBytes {
 		if err := sink.Data(part); err != nil {
 			return calls.Unknown(calls.ReasonCanceled, 0, err.Error())
 		}
 	}
+	if s.arrived != nil {
+		s.arrived <- struct{}{}
+		<-s.released
+	}
 	return s.refusal
 }
 
@@ -46,7 +66,7 @@
 	t.Helper()
 	f := front.New(front.Options{
 		Sender: s, Queues: stub{}, Lookup: stub{}, Tables: &tables.Active{}, Trail: audit.NewTrail(zap.NewNop()),
-		AddressTTL: time.Second, DrainTimeout: time.Second, BodyBytes: 4 * calls.MaxBodyBytes, Log: zap.NewNop(),
+		AddressTTL: time.Second, DrainTimeout: time.Second, BodyBytes: 4 * calls.MaxBodyBytes, ResponseBytes: responseMemory, Log: zap.NewNop(),
 	})
 	r := mux.NewRouter()
 	f.Register(r)
@@ -74,3 +94,68 @@
 		}
 	}
 }
+
+// TestBufferedResponsesAreBounded has clients read long responses only once all have arrived or no more arrive. They get
+// all of them.
+func TestBufferedResponsesAreBounded(t *testing.T) {
+	l := &longSender{arrived: make(chan struct{}, readers), released: make(chan struct{})}
+	s := serveLong(t, l)
+	before := heapBytes()
+	var all []net.Conn
+	for range readers {
+		c := post(t, s, 30*time.Second, 1, 1)
+		_ = c.(*net.TCPConn).SetReadBuffer(partBytes)
+		all = append(all, c)
+	}
+	for i := range readers {
+		select {
+		case <-l.arrived:
+			continue
+		case <-time.After(2 * time.Second):
+		}
+		t.Logf("%d of %d responses have arrived", i, readers)
+		break
+	}
+	// Each connection may keep some buffers of its own.
+	if used := heapBytes() - before; used > responseMemory+readers*2*partBytes {
+		t.Errorf("%d MiB are used for responses, want at most %d", used/megabyte, responseMemory/megabyte)
+	}
+	close(l.released)
+	for i, c := range all {
+		if status, text, err := answer(c); status != http.StatusOK || len(text) != longResponse || err != nil {
+			t.Errorf("response %d: status %d, %d bytes, %v", i, status, len(text), err)
+		}
+	}
+	if used := heapBytes() - before; used > readers*2*partBytes {
+		t.Errorf("%d MiB are used after all responses", used/megabyte)
+	}
+}
+
+// TestBrokenLongResponseIsNotWhole has long responses end halfway, with more of them than may be buffered.
+func TestBrokenLongResponseIsNotWhole(t *testing.T) {
+	s := serveLong(t, &longSender{fakeSender: fakeSender{refusal: calls.Unknown(calls.ReasonLost, 0, "the upstream was lost")}})
+	var all []net.Conn
+	for range readers {
+		all = append(all, post(t, s, 30*time.Second, 1, 1))
+	}
+	for i, c := range all {
+		response, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil {
+			t.Errorf("response %d: %v", i, err)
+			continue
+		}
+		text, err := io.ReadAll(response.Body)
+		isProblem := response.StatusCode != http.StatusOK && strings.Contains(string(text), `"outcome":"unknown"`)
+		if !isProblem && err == nil {
+			t.Errorf("response %d: status %d, %d bytes taken for whole", i, response.StatusCode, len(text))
+		}
+	}
+}
+
+// heapBytes returns the memory in use after a collection.
+func heapBytes() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/entry/serve/build.go
+++ b/entry/serve/build.go
@@ -12,6 +12,7 @@
 	"go.uber.org/zap"
 
 	"currantport.example/core/audit"
+	"currantport.example/core/config"
 	"currantport.example/core/hosts"
 	"currantport.example/core/links"
 	"currantport.example/core/manage"
@@ -35,10 +36,11 @@
 const (
 	// closeTimeout bounds the wait for calls other than client requests at shutdown.
 	closeTimeout = 5 * time.Second
-	// aheadRatio and bodyRatio are the parts of the memory limit for what clients have sent ahead of responses and
-	// for request bodies.
-	aheadRatio = 1.0 / 16
-	bodyRatio  = 1.0 / 4
+	// The parts of the memory limit for what clients have sent ahead of responses, for request bodies and for unary
+	// responses.
+	aheadRatio    = 1.0 / 16
+	bodyRatio     = 1.0 / 4
+	responseRatio = 1.0 / 4
 )
 
 // Build returns the components of the program. It connects through links.Network, which tests
@@ -87,10 +89,14 @@
 func newFront(s Settings, sr *sender.Sender, q *queue.Queues, l *lookup.Lookup, active *tables.Active, t *audit.Trail, log *zap.Logger) *front.Front {
 	return front.New(front.Options{
 		Self: self(s), Sender: sr, Queues: q, Lookup: l, Tables: active, Trail: t,
-		AddressTTL: s.AddressTTL, DrainTimeout: s.ShutdownTimeout, BodyBytes: int64(bodyRatio * float64(s.MemoryLimit)), Log: log,
+		AddressTTL: s.AddressTTL, DrainTimeout: s.ShutdownTimeout, Log: log,
+		BodyBytes: partOf(s.MemoryLimit, bodyRatio), ResponseBytes: partOf(s.MemoryLimit, responseRatio),
 	})
 }
 
+// partOf returns a part of the memory limit in bytes.
+func partOf(limit config.Bytes, ratio float64) int64 { return int64(ratio * float64(limit)) }
+
 func self(s Settings) hosts.Host {
 	return hosts.Host{Name: s.Host, Place: s.Place, Role: hosts.RoleEntry, State: hosts.StateLive, Address: s.Listen}
 }
@@ -122,7 +128,7 @@
 	if err != nil {
 		return err
 	}
-	stop := links.Serve(watch.New(m.Scope, int64(aheadRatio*float64(s.MemoryLimit))).Listen(l), watch.Handler(r), log, closeTimeout)
+	stop := links.Serve(watch.New(m.Scope, partOf(s.MemoryLimit, aheadRatio)).Listen(l), watch.Handler(r), log, closeTimeout)
 	t.Add(audit.EventStart, string(s.Host), "start of the process")
 	g := shell.NewGroup()
 	w := &drainWatcher{front: f, trigger: trigger}
