front: test that clients of HTTP/1.0 get no response in chunks

Red with that check switched off (status 200, all of the response without a length), green with it. The test's sender passes on the refusals of the sink, as the real one does.

--- a/entry/internal/front/readers_test.go
+++ b/entry/internal/front/readers_test.go
@@ -4,6 +4,8 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -51,7 +53,12 @@
 	}
 	part := bytes.Repeat([]byte{'x'}, partBytes)
 	for range length / partBytes {
-		if err := sink.Data(part); err != nil {
+		err := sink.Data(part)
+		var refusal *calls.Refusal
+		if errors.As(err, &refusal) {
+			return refusal
+		}
+		if err != nil {
 			return calls.Unknown(calls.ReasonCanceled, 0, err.Error())
 		}
 	}
@@ -62,11 +69,11 @@
 	return s.refusal
 }
 
-func serveLong(t *testing.T, s front.Sender) *httptest.Server {
+func serveLong(t *testing.T, s front.Sender, memory int64) *httptest.Server {
 	t.Helper()
 	f := front.New(front.Options{
 		Sender: s, Queues: stub{}, Lookup: stub{}, Tables: &tables.Active{}, Trail: audit.NewTrail(zap.NewNop()),
-		AddressTTL: time.Second, DrainTimeout: time.Second, BodyBytes: 4 * calls.MaxBodyBytes, ResponseBytes: responseMemory, Log: zap.NewNop(),
+		AddressTTL: time.Second, DrainTimeout: time.Second, BodyBytes: 4 * calls.MaxBodyBytes, ResponseBytes: memory, Log: zap.NewNop(),
 	})
 	r := mux.NewRouter()
 	f.Register(r)
@@ -78,7 +85,7 @@
 // TestClientThatReadsNothingFreesItsMemory has clients with long bodies read nothing of long responses. Requests of
 // others find memory for their bodies once the time of these has ended.
 func TestClientThatReadsNothingFreesItsMemory(t *testing.T) {
-	s := serveLong(t, &longSender{})
+	s := serveLong(t, &longSender{}, responseMemory)
 	for range 3 {
 		c := post(t, s, 500*time.Millisecond, calls.MaxBodyBytes, calls.MaxBodyBytes)
 		_ = c.(*net.TCPConn).SetReadBuffer(partBytes)
@@ -99,7 +106,7 @@
 // all of them.
 func TestBufferedResponsesAreBounded(t *testing.T) {
 	l := &longSender{arrived: make(chan struct{}, readers), released: make(chan struct{})}
-	s := serveLong(t, l)
+	s := serveLong(t, l, responseMemory)
 	before := heapBytes()
 	var all []net.Conn
 	for range readers {
@@ -133,7 +140,7 @@
 
 // TestBrokenLongResponseIsNotWhole has long responses end halfway, with more of them than may be buffered.
 func TestBrokenLongResponseIsNotWhole(t *testing.T) {
-	s := serveLong(t, &longSender{fakeSender: fakeSender{refusal: calls.Unknown(calls.ReasonLost, 0, "the upstream was lost")}})
+	s := serveLong(t, &longSender{fakeSender: fakeSender{refusal: calls.Unknown(calls.ReasonLost, 0, "the upstream was lost")}}, responseMemory)
 	var all []net.Conn
 	for range readers {
 		all = append(all, post(t, s, 30*time.Second, 1, 1))
@@ -152,6 +159,21 @@
 	}
 }
 
+// TestClientOfHTTP10GetsNoResponseInChunks has a client that can't tell where such a response breaks off.
+func TestClientOfHTTP10GetsNoResponseInChunks(t *testing.T) {
+	s := serveLong(t, &longSender{}, megabyte)
+	c, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "POST /v1/routes/draft HTTP/1.0\r\nHost: h\r\nWorkspace: harbour\r\nContent-Type: application/json\r\nContent-Length: 1\r\n\r\n1")
+	status, text, err := answer(c)
+	if err != nil || status == http.StatusOK || !strings.Contains(text, `"outcome":"unknown"`) || !strings.Contains(text, `"reason":"memory"`) {
+		t.Errorf("status %d, %d bytes, %v", status, len(text), err)
+	}
+}
+
 // heapBytes returns the memory in use after a collection.
 func heapBytes() int64 {
 	runtime.GC()
