--- a/entry/internal/front/front.go
+++ b/entry/internal/front/front.go
@@ -115,7 +115,8 @@
 // New returns a front that isn't draining.
 func New(o Options) *Front {
 	return &Front{
-		Options: o, bodies: intake.New(intake.Options{MaxBytes: o.BodyBytes}), responses: memory{limit: o.ResponseBytes}, draining: make(chan struct{}), stateChanged: make(chan struct{}),
+		Options: o, bodies: intake.New(intake.Options{MaxBytes: o.BodyBytes}), responses: memory{limit: o.ResponseBytes},
+		draining: make(chan struct{}), stateChanged: make(chan struct{}),
 		drain: admit.Drain{AcceptTime: o.AddressTTL + lookup.ProbeTimeout, FinishTimeout: o.DrainTimeout},
 	}
 }
--- a/entry/internal/front/readers_test.go
+++ b/entry/internal/front/readers_test.go
@@ -82,8 +82,8 @@
 	return server
 }
 
-// TestClientThatReadsNothingFreesItsMemory has clients with long bodies read nothing of long responses. Requests of
-// others find memory for their bodies once the time of these has ended.
+// TestClientThatReadsNothingFreesItsMemory has clients send long bodies and read nothing of long responses. Once their
+// requests have ended, those of others find memory for long bodies.
 func TestClientThatReadsNothingFreesItsMemory(t *testing.T) {
 	s := serveLong(t, &longSender{}, responseMemory)
 	for range 3 {
--- a/entry/internal/front/sink.go
+++ b/entry/internal/front/sink.go
@@ -118,6 +118,7 @@
 	case refusal == nil && s.request.Stream:
 		_ = s.write([]byte("event: end\ndata: {\"outcome\":\"answered\"}\n\n"))
 	case refusal == nil && s.started:
+		// All of it was written as it arrived.
 	case refusal == nil:
 		// With the length known, the response is flushed complete before the handler
 		// returns.
