--- /dev/null
+++ b/review/stand-3/starved.go
@@ -0,0 +1,114 @@
+package main
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// tenantCount counts the requests of a tenant and those that were served.
+type tenantCount struct{ asked, served atomic.Int64 }
+
+func (c *tenantCount) share() float64 {
+	return float64(c.served.Load()) / float64(max(c.asked.Load(), 1))
+}
+
+// playStarved has the tenant kiosks ask for one thing and the tenant shows for others. With trouble, all runners
+// of the service crash at the same moment and are back after some seconds.
+func playStarved(w *world, trouble bool) (bool, error) {
+	const (
+		perTenant = 80
+		lead      = 5 * time.Second
+		crashAt   = 6 * time.Second
+		back      = 4500 * time.Millisecond
+		length    = 80 * time.Second
+		deadline  = 1500 * time.Millisecond
+	)
+	w.configure([]route{{
+		Name: "r-lookup", Host: "nony93.example", Prefix: "/lookup/", RouteKind: "idempotent", TimeoutMs: 800, SloMs: 150, Priority: 2, Service: "entrybook", MaxAttempts: 2,
+	}}, "entrybook")
+	zones := []string{"may-pen-a", "mandeville-a", "montego-a"}
+	for _, z := range zones {
+		if err := w.addRunner(&runner{service: "entrybook", zone: z, slots: 6, queue: 24, work: 60 * time.Millisecond}); err != nil {
+			return false, err
+		}
+		if err := w.addEntry(z); err != nil {
+			return false, err
+		}
+	}
+	if err := w.startEntries(); err != nil {
+		return false, err
+	}
+	time.Sleep(lead)
+	if trouble {
+		time.AfterFunc(crashAt, func() {
+			w.record.add("all runners crash")
+			for _, u := range w.runners {
+				u.crash(back, false)
+			}
+		})
+	}
+	var kiosks, shows, kiosksLate, showsLate tenantCount
+	lateFrom := time.Now().Add(crashAt + back + 3*stable)
+	var sent sync.WaitGroup
+	t := time.NewTicker(time.Second / perTenant)
+	defer t.Stop()
+	for end := time.Now().Add(length); time.Now().Before(end); <-t.C {
+		isLate := time.Now().After(lateFrom)
+		for _, c := range []struct {
+			path, key   string
+			count, late *tenantCount
+		}{
+			{"/lookup/board", kiosksKey, &kiosks, &kiosksLate},
+			{fmt.Sprintf("/lookup/%d", rand.IntN(1000000)), showsKey, &shows, &showsLate},
+		} {
+			sent.Add(1)
+			go func() {
+				defer sent.Done()
+				served := w.askOnce(c.path, c.key, deadline)
+				c.count.add(served)
+				if isLate {
+					c.late.add(served)
+				}
+			}()
+		}
+	}
+	sent.Wait()
+	all := tenantCount{}
+	for _, c := range []*tenantCount{&kiosks, &shows} {
+		all.asked.Add(c.asked.Load())
+		all.served.Add(c.served.Load())
+	}
+	w.record.add("kiosks: %.3f of %d served, shows: %.3f of %d, all: %.3f", kiosks.share(), kiosks.asked.Load(), shows.share(), shows.asked.Load(), all.share())
+	w.record.add("later than %v after the runners were back: kiosks %.3f of %d, shows %.3f of %d", 3*stable, kiosksLate.share(), kiosksLate.asked.Load(), showsLate.share(), showsLate.asked.Load())
+	return kiosks.share() < all.share()/4, nil
+}
+
+func (c *tenantCount) add(served bool) {
+	c.asked.Add(1)
+	if served {
+		c.served.Add(1)
+	}
+}
+
+// askOnce sends a request as a consumer with one retry does, and reports whether one was served.
+func (w *world) askOnce(path, key string, deadline time.Duration) bool {
+	began := time.Now()
+	for range 2 {
+		e := w.entries[rand.IntN(len(w.entries))]
+		a := w.send(e, "GET", "nony93.example", path, "", key, deadline-time.Since(began), "a lookup of "+path)
+		if a.err == nil && a.status == 200 {
+			return true
+		}
+		if a.retryAfter > (deadline-time.Since(began))/3 {
+			return false
+		}
+		time.Sleep(a.retryAfter)
+		if time.Since(began) >= deadline {
+			return false
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/review/stand-3/world.go
@@ -0,0 +1,275 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// arrival is a request that reached a runner.
+type arrival struct {
+	at      time.Time
+	attempt string
+	service string
+	runner  string
+	body    string
+}
+
+// bounds are those of the site file showgate.toml.
+const bounds = `
+[addresses]
+lifetime = 1s
+
+[stop]
+within = 8s
+
+[bounds]
+revoke = 5000ms
+apply = 2000ms
+version = 8000ms
+ratio = 0.2
+slack = 102
+window = 10s
+`
+
+// world is a small deployment: entries as processes, and a store, runners and consumers of this program.
+type world struct {
+	record  *recorder
+	store   *store
+	folder  string
+	network string
+	server  *http.Server
+	at      string
+	entries []*entry
+	runners []*runner
+	// zones maps each zone to its region.
+	zones map[string]string
+	// backAfter is how long a crashed runner is away, keepID whether it returns under the id that it had.
+	backAfter time.Duration
+	keepID    bool
+
+	mutex    sync.Mutex
+	arrivals []arrival
+	crashes  []time.Time
+	// sent are the times at which consumers sent their attempts.
+	sent []time.Time
+	// killedAt and startedAt are when all entries were killed and started again, or zero.
+	killedAt, startedAt time.Time
+}
+
+func newWorld(r *recorder) (*world, error) {
+	folder, err := os.MkdirTemp("", "stand3-")
+	if err != nil {
+		return nil, err
+	}
+	w := &world{
+		record: r, store: newStore(), folder: folder, network: fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(250)),
+		zones: map[string]string{"may-pen-a": "may-pen", "mandeville-a": "mandeville", "montego-a": "montego"},
+	}
+	l, err := net.Listen("tcp", w.network+"250:0")
+	if err != nil {
+		return nil, err
+	}
+	w.at, w.server = l.Addr().String(), &http.Server{Handler: w.store}
+	go w.server.Serve(l)
+	return w, nil
+}
+
+func (w *world) stop() {
+	for _, e := range w.entries {
+		e.kill()
+	}
+	for _, u := range w.runners {
+		u.stop()
+	}
+	_ = w.server.Close()
+	if os.Getenv("KEEP") == "" {
+		_ = os.RemoveAll(w.folder)
+	}
+}
+
+func (w *world) arrived(a arrival) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.arrivals = append(w.arrivals, a)
+}
+
+func (w *world) crashed(string) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	w.crashes = append(w.crashes, time.Now())
+}
+
+// addRunner starts a runner with a free port.
+func (w *world) addRunner(u *runner) error {
+	u.world, u.name = w, fmt.Sprint(len(w.runners)+1)
+	at, err := freePort(w.network + fmt.Sprint(100+len(w.runners)))
+	if err != nil {
+		return err
+	}
+	u.address = at
+	w.runners = append(w.runners, u)
+	return u.start(false)
+}
+
+func freePort(ip string) (string, error) {
+	l, err := net.Listen("tcp", ip+":0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// entry is an entry as a process of its own.
+type entry struct {
+	world                                    *world
+	name, zone                               string
+	calls, mesh, admin, directory, readiness string
+	settings                                 string
+	command                                  *exec.Cmd
+	done                                     chan struct{}
+}
+
+// addEntry prepares an entry in a zone. Its settings are those of the template platform/entry.ini.
+func (w *world) addEntry(zone string) error {
+	ip := w.network + fmt.Sprint(10+len(w.entries))
+	e := &entry{world: w, zone: zone, name: fmt.Sprintf("edge-%s-%d", zone, len(w.entries)+1)}
+	for _, at := range []*string{&e.calls, &e.mesh, &e.admin, &e.directory, &e.readiness} {
+		var err error
+		if *at, err = freePort(ip); err != nil {
+			return err
+		}
+	}
+	w.entries = append(w.entries, e)
+	return nil
+}
+
+// startEntries writes the settings and starts all entries.
+func (w *world) startEntries() error {
+	var seeds, domains []string
+	for _, e := range w.entries[:min(len(w.entries), 3)] {
+		seeds = append(seeds, e.mesh)
+	}
+	for zone, region := range w.zones {
+		domains = append(domains, zone+":"+region)
+	}
+	for _, e := range w.entries {
+		text := fmt.Sprintf("[host]\nname = %s\nregion = %s\ndomain = %s\ndomains = %s\nmemory = 284MiB\n\n[listen]\ncalls = %s\nmesh = %s\nadmin = %s\n\n[mesh]\nseeds = %s\nagent = 7700\n\n[platform]\nstore = %s\ndirectory = %s\nreadiness = %s\nstable = 3000ms\n%s",
+			e.name, w.zones[e.zone], e.zone, strings.Join(domains, ","), e.calls, e.mesh, e.admin, strings.Join(seeds, ","), w.at, e.directory, e.readiness, bounds)
+		e.settings = filepath.Join(w.folder, e.name+".ini")
+		if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+			return err
+		}
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
+	return w.awaitReady(10 * time.Second)
+}
+
+func (e *entry) start() error {
+	log, err := os.OpenFile(filepath.Join(e.world.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	e.command = exec.Command("target/platform", "entry", "serve", "-settings", e.settings)
+	e.command.Stdout, e.command.Stderr = log, log
+	e.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	e.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + e.world.folder}
+	if err := e.command.Start(); err != nil {
+		return err
+	}
+	e.done = make(chan struct{})
+	go func(c *exec.Cmd, done chan struct{}) {
+		_ = c.Wait()
+		close(done)
+	}(e.command, e.done)
+	e.world.record.add("entry %s starts", e.name)
+	return nil
+}
+
+func (e *entry) kill() {
+	if e.command == nil || e.command.Process == nil {
+		return
+	}
+	select {
+	case <-e.done:
+		return
+	default:
+	}
+	_ = e.command.Process.Kill()
+	<-e.done
+	e.world.record.add("entry %s was killed", e.name)
+}
+
+// awaitReady waits until all entries say that they are ready.
+func (w *world) awaitReady(most time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), most)
+	defer cancel()
+	for _, e := range w.entries {
+		for !e.isReady(ctx) {
+			if ctx.Err() != nil {
+				return fmt.Errorf("entry %s isn't ready", e.name)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	w.record.add("all entries are ready")
+	return nil
+}
+
+func (e *entry) isReady(ctx context.Context) bool {
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.readiness+"/api/readyz", nil)
+	if err != nil {
+		return false
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode == http.StatusOK
+}
+
+// route is one of the configuration.
+type route struct {
+	Name, Host, Prefix, RouteKind string
+	TimeoutMs, SloMs              int
+	Priority                      int
+	Service                       string
+	MaxAttempts                   int
+	Anonymous                     bool
+}
+
+// configure writes a configuration with two tenants.
+func (w *world) configure(routes []route, services ...string) {
+	var all []map[string]any
+	for _, s := range services {
+		all = append(all, map[string]any{"Name": s, "HealthPath": "/healthz", "MaxConns": 100, "Protocol": "h1", "Tls": false})
+	}
+	w.store.put("op/config", map[string]any{
+		"Version": 7, "Routes": routes, "Services": all,
+		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
+		"Tenants": []map[string]any{
+			{"Name": "shows", "ApiKeys": []string{showsKey}, "Priority": 1},
+			{"Name": "kiosks", "ApiKeys": []string{kiosksKey}, "Priority": 1},
+		},
+	})
+}
+
+// The keys of the two tenants.
+const (
+	showsKey  = "jnbanfqasnmgkcuyj8pj"
+	kiosksKey = "bvk9m68k7b2ex5wa5xwy"
+)
