--- a/review/stand-3/budget.go
+++ b/review/stand-3/budget.go
@@ -27,7 +27,7 @@
 		length   = 16 * time.Second
 		deadline = 1500 * time.Millisecond
 	)
-	w.configure([]route{{
+	w.configure(7, []route{{
 		Name: "r-lookup", Host: "nony93.example", Prefix: "/lookup/", RouteKind: "idempotent", TimeoutMs: 800, SloMs: 150, Priority: 2, Service: "entrybook", MaxAttempts: 2,
 	}}, "entrybook")
 	for range runners {
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -18,6 +18,7 @@
 	"same-id": playSameID,
 	"budget":  playBudget,
 	"starved": playStarved,
+	"conns":   playConns,
 }
 
 func main() {
--- a/review/stand-3/runner.go
+++ b/review/stand-3/runner.go
@@ -38,6 +38,9 @@
 	address string
 	// poison is the body of the request that crashes the runner that runs it, or empty.
 	poison string
+	// maxConns is the number of connections that the runner accepts, or zero for any.
+	maxConns int64
+	listener *cappedListener
 
 	mutex  sync.Mutex
 	id     string
@@ -59,13 +62,17 @@
 	}
 	u.mutex.Lock()
 	defer u.mutex.Unlock()
+	if u.maxConns > 0 {
+		u.listener = &cappedListener{Listener: l, most: u.maxConns}
+		l = u.listener
+	}
 	u.boots++
 	if !keepID || u.id == "" {
 		u.id = fmt.Sprintf("i-%s-%s-%d", u.zone, u.name, u.boots)
 	}
 	u.born, u.seq, u.queued = time.Now().UnixMilli(), 0, 0
 	u.conns, u.places = make(map[net.Conn]struct{}), make(chan struct{}, u.slots)
-	u.server = &http.Server{Handler: u.handler(u.id, u.places), ConnState: u.track}
+	u.server = &http.Server{Handler: u.handler(u.id, u.places), ConnState: u.track, IdleTimeout: keepAlive}
 	ctx, cancel := context.WithCancel(context.Background())
 	u.beats = cancel
 	go u.server.Serve(l)
@@ -144,6 +151,7 @@
 func (u *runner) handler(id string, places chan struct{}) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set(headerInstance, id)
+		w.Header().Set("Keep-Alive", fmt.Sprintf("timeout=%d", int(keepAlive.Seconds())))
 		if r.URL.Path == "/healthz" {
 			return
 		}
--- a/review/stand-3/sameid.go
+++ b/review/stand-3/sameid.go
@@ -22,7 +22,7 @@
 	)
 	w.keepID, w.backAfter = trouble, 2*time.Second
 	zones := []string{"may-pen-a", "mandeville-a", "montego-a"}
-	w.configure([]route{{
+	w.configure(7, []route{{
 		Name: "r-fee", Host: "nony93.example", Prefix: "/fee/", RouteKind: "non_idempotent", TimeoutMs: 800, SloMs: 150, Priority: 2, Service: "entrybook", MaxAttempts: 1,
 	}}, "entrybook")
 	for _, z := range zones {
--- a/review/stand-3/world.go
+++ b/review/stand-3/world.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -37,7 +38,7 @@
 apply = 2000ms
 version = 8000ms
 ratio = 0.2
-slack = 102
+slack = %d
 window = 10s
 `
 
@@ -57,7 +58,13 @@
 	backAfter time.Duration
 	keepID    bool
 
-	mutex    sync.Mutex
+	// slack is RetrySlack and maxConns the MaxConns of the services.
+	slack    int
+	maxConns int
+
+	mutex sync.Mutex
+	// ready are the entries that have been ready.
+	ready    []*entry
 	arrivals []arrival
 	crashes  []time.Time
 	// sent are the times at which consumers sent their attempts.
@@ -74,6 +81,7 @@
 	w := &world{
 		record: r, store: newStore(), folder: folder, network: fmt.Sprintf("127.%d.%d.", 64+rand.IntN(128), rand.IntN(250)),
 		zones: map[string]string{"may-pen-a": "may-pen", "mandeville-a": "mandeville", "montego-a": "montego"},
+		slack: retrySlack, maxConns: 100,
 	}
 	l, err := net.Listen("tcp", w.network+"250:0")
 	if err != nil {
@@ -132,18 +140,15 @@
 
 // entry is an entry as a process of its own.
 type entry struct {
-	world                                    *world
-	name, zone                               string
+	process
+	zone                                     string
 	calls, mesh, admin, directory, readiness string
-	settings                                 string
-	command                                  *exec.Cmd
-	done                                     chan struct{}
 }
 
 // addEntry prepares an entry in a zone. Its settings are those of the template platform/entry.ini.
 func (w *world) addEntry(zone string) error {
 	ip := w.network + fmt.Sprint(10+len(w.entries))
-	e := &entry{world: w, zone: zone, name: fmt.Sprintf("edge-%s-%d", zone, len(w.entries)+1)}
+	e := &entry{zone: zone, process: process{world: w, name: fmt.Sprintf("edge-%s-%d", zone, len(w.entries)+1)}}
 	for _, at := range []*string{&e.calls, &e.mesh, &e.admin, &e.directory, &e.readiness} {
 		var err error
 		if *at, err = freePort(ip); err != nil {
@@ -154,20 +159,17 @@
 	return nil
 }
 
-// startEntries writes the settings and starts all entries.
+// startEntries writes the settings of the entries that don't run and starts them.
 func (w *world) startEntries() error {
-	var seeds, domains []string
-	for _, e := range w.entries[:min(len(w.entries), 3)] {
-		seeds = append(seeds, e.mesh)
-	}
-	for zone, region := range w.zones {
-		domains = append(domains, zone+":"+region)
-	}
 	for _, e := range w.entries {
+		if e.command != nil {
+			continue
+		}
 		text := fmt.Sprintf("[host]\nname = %s\nregion = %s\ndomain = %s\ndomains = %s\nmemory = 284MiB\n\n[listen]\ncalls = %s\nmesh = %s\nadmin = %s\n\n[mesh]\nseeds = %s\nagent = 7700\n\n[platform]\nstore = %s\ndirectory = %s\nreadiness = %s\nstable = 3000ms\n%s",
-			e.name, w.zones[e.zone], e.zone, strings.Join(domains, ","), e.calls, e.mesh, e.admin, strings.Join(seeds, ","), w.at, e.directory, e.readiness, bounds)
-		e.settings = filepath.Join(w.folder, e.name+".ini")
-		if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
+			e.name, w.zones[e.zone], e.zone, w.domains(), e.calls, e.mesh, e.admin, w.seeds(), w.at, e.directory, e.readiness, fmt.Sprintf(bounds, w.slack))
+		settings := filepath.Join(w.folder, e.name+".ini")
+		e.args = []string{"entry", "serve", "-settings", settings}
+		if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 			return err
 		}
 		if err := e.start(); err != nil {
@@ -177,40 +179,66 @@
 	return w.awaitReady(10 * time.Second)
 }
 
-func (e *entry) start() error {
-	log, err := os.OpenFile(filepath.Join(e.world.folder, e.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+// seeds returns the addresses of the first three entries, domains the zones with their regions.
+func (w *world) seeds() string {
+	var all []string
+	for _, e := range w.entries[:min(len(w.entries), 3)] {
+		all = append(all, e.mesh)
+	}
+	return strings.Join(all, ",")
+}
+
+func (w *world) domains() string {
+	var all []string
+	for zone, region := range w.zones {
+		all = append(all, zone+":"+region)
+	}
+	return strings.Join(all, ",")
+}
+
+// process is a program of the project.
+type process struct {
+	world   *world
+	name    string
+	args    []string
+	command *exec.Cmd
+	done    chan struct{}
+}
+
+func (p *process) start() error {
+	log, err := os.OpenFile(filepath.Join(p.world.folder, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer log.Close()
-	e.command = exec.Command("target/platform", "entry", "serve", "-settings", e.settings)
-	e.command.Stdout, e.command.Stderr = log, log
-	e.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	e.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + e.world.folder}
-	if err := e.command.Start(); err != nil {
+	p.command = exec.Command("target/platform", p.args...)
+	p.command.Stdout, p.command.Stderr = log, log
+	p.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	p.command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + p.world.folder, "CURRANTPORT_BOOT=" + p.args[len(p.args)-1]}
+	if err := p.command.Start(); err != nil {
 		return err
 	}
-	e.done = make(chan struct{})
+	p.done = make(chan struct{})
 	go func(c *exec.Cmd, done chan struct{}) {
 		_ = c.Wait()
 		close(done)
-	}(e.command, e.done)
-	e.world.record.add("entry %s starts", e.name)
+	}(p.command, p.done)
+	p.world.record.add("%s starts", p.name)
 	return nil
 }
 
-func (e *entry) kill() {
-	if e.command == nil || e.command.Process == nil {
+func (p *process) kill() {
+	if p.command == nil || p.command.Process == nil {
 		return
 	}
 	select {
-	case <-e.done:
+	case <-p.done:
 		return
 	default:
 	}
-	_ = e.command.Process.Kill()
-	<-e.done
-	e.world.record.add("entry %s was killed", e.name)
+	_ = p.command.Process.Kill()
+	<-p.done
+	p.world.record.add("%s was killed", p.name)
 }
 
 // awaitReady waits until all entries say that they are ready.
@@ -225,6 +253,9 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 	}
+	w.mutex.Lock()
+	w.ready = slices.Clone(w.entries)
+	w.mutex.Unlock()
 	w.record.add("all entries are ready")
 	return nil
 }
@@ -252,14 +283,14 @@
 	Anonymous                     bool
 }
 
-// configure writes a configuration with two tenants.
-func (w *world) configure(routes []route, services ...string) {
+// configure writes a version of the configuration, with two tenants.
+func (w *world) configure(version int, routes []route, services ...string) {
 	var all []map[string]any
 	for _, s := range services {
-		all = append(all, map[string]any{"Name": s, "HealthPath": "/healthz", "MaxConns": 100, "Protocol": "h1", "Tls": false})
+		all = append(all, map[string]any{"Name": s, "HealthPath": "/healthz", "MaxConns": w.maxConns, "Protocol": "h1", "Tls": false})
 	}
 	w.store.put("op/config", map[string]any{
-		"Version": 7, "Routes": routes, "Services": all,
+		"Version": version, "Routes": routes, "Services": all,
 		"Limits": map[string]any{"MaxHeaderBytes": 16384, "MaxBodyBytes": 4194304, "HeaderTimeoutMs": 3000, "IdleTimeoutMs": 15000},
 		"Tenants": []map[string]any{
 			{"Name": "shows", "ApiKeys": []string{showsKey}, "Priority": 1},
