--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -19,6 +19,7 @@
 	"budget":  playBudget,
 	"starved": playStarved,
 	"conns":   playConns,
+	"forget":  playForget,
 }
 
 func main() {
