--- a/review/stand-3/sameid.go
+++ b/review/stand-3/sameid.go
@@ -20,7 +20,7 @@
 		pause    = 500 * time.Millisecond
 		deadline = 1500 * time.Millisecond
 	)
-	w.keepID, w.backAfter = trouble, 2*time.Second
+	w.keepID, w.backAfter = trouble, 3*time.Second
 	zones := []string{"may-pen-a", "mandeville-a", "montego-a"}
 	w.configure(7, []route{{
 		Name: "r-fee", Host: "nony93.example", Prefix: "/fee/", RouteKind: "non_idempotent", TimeoutMs: 800, SloMs: 150, Priority: 2, Service: "entrybook", MaxAttempts: 1,
