--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -5,4 +5,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/platform ] && [ -x target/stand3 ] || { echo "build target/platform and target/stand3 first" >&2; exit 2; }
 export TROUBLE="${TROUBLE:-1}"
-exec target/stand3 same-id review/13
+exec target/stand3 budget review/13
