--- a/review/stand-3/budget.go
+++ b/review/stand-3/budget.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -59,7 +58,7 @@
 		sent.Add(1)
 		go func() {
 			defer sent.Done()
-			w.ask(deadline)
+			w.ask(w.allEntries, "GET", "nony93.example", "/lookup/4711", "", showsKey, deadline, "a lookup")
 		}()
 	}
 	sent.Wait()
@@ -67,24 +66,6 @@
 	return w.checkBudget(), nil
 }
 
-// ask sends a request as a consumer with one retry does.
-func (w *world) ask(deadline time.Duration) {
-	began := time.Now()
-	for try := range 2 {
-		left := deadline - time.Since(began)
-		e := w.entries[rand.IntN(len(w.entries))]
-		a := w.send(e, "GET", "nony93.example", "/lookup/4711", "", showsKey, left, "a lookup")
-		if a.err == nil && a.status == 200 || try == 1 {
-			return
-		}
-		wait := a.retryAfter
-		if wait > (deadline-time.Since(began))/3 || time.Since(began)+wait >= deadline {
-			return
-		}
-		time.Sleep(wait)
-	}
-}
-
 // restartAll kills all entries at the same moment and starts them again.
 func (w *world) restartAll(down time.Duration) {
 	w.record.add("all entries are killed")
--- a/review/stand-3/conns.go
+++ b/review/stand-3/conns.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -103,7 +102,6 @@
 		})
 	}
 	var booked, looked, bookedLate, lookedLate tenantCount
-	var statuses [600]atomic.Int64
 	var sent sync.WaitGroup
 	t := time.NewTicker(time.Second / (bookings + lookups))
 	defer t.Stop()
@@ -116,11 +114,9 @@
 			count, lateCount, served := &looked, &lookedLate, false
 			if isBooking {
 				count, lateCount = &booked, &bookedLate
-				a := w.send(w.readyEntry(), "POST", "lopu12.example", "/booking/seat", `{"crew":2}`, showsKey, deadline, "a booking")
-				statuses[min(a.status, len(statuses)-1)].Add(1)
-				served = a.err == nil && a.status == http.StatusOK
+				served = w.ask(w.readyEntries, "POST", "lopu12.example", "/booking/seat", `{"crew":2}`, showsKey, deadline, "a booking")
 			} else {
-				served = w.lookup(deadline)
+				served = w.ask(w.readyEntries, "GET", "nony93.example", fmt.Sprintf("/forecast/%d", rand.IntN(1000)), "", showsKey, deadline, "a look-up")
 			}
 			count.add(served)
 			if isLate {
@@ -129,11 +125,6 @@
 		}()
 	}
 	sent.Wait()
-	for status := range statuses {
-		if n := statuses[status].Load(); n > 0 {
-			w.record.add("bookings with status %d: %d", status, n)
-		}
-	}
 	all := float64(booked.served.Load()+looked.served.Load()) / float64(booked.asked.Load()+looked.asked.Load())
 	w.record.add("the runner has reset %d connections", u.listener.resets.Load())
 	w.record.add("over the play: bookings %.3f of %d served, look-ups %.3f of %d, all %.3f", booked.share(), booked.asked.Load(), looked.share(), looked.asked.Load(), all)
@@ -142,22 +133,9 @@
 	return bookedLate.asked.Load() >= 20 && bookedLate.share() < lookedLate.share()/4, nil
 }
 
-// lookup asks for a look-up, once more after a failure.
-func (w *world) lookup(deadline time.Duration) bool {
-	began := time.Now()
-	for range 2 {
-		a := w.send(w.readyEntry(), "GET", "nony93.example", fmt.Sprintf("/forecast/%d", rand.IntN(1000)), "", showsKey, deadline-time.Since(began), "a look-up")
-		if a.err == nil && a.status == http.StatusOK {
-			return true
-		}
-		time.Sleep(min(a.retryAfter, deadline/3))
-	}
-	return false
-}
-
-// readyEntry returns one of the entries that are ready, as the directory names them.
-func (w *world) readyEntry() *entry {
+// readyEntries returns the entries that are ready, as the directory names them.
+func (w *world) readyEntries() []*entry {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
-	return w.ready[rand.IntN(len(w.ready))]
+	return w.ready
 }
--- a/review/stand-3/main.go
+++ b/review/stand-3/main.go
@@ -15,7 +15,6 @@
 type scenario func(w *world, trouble bool) (broken bool, err error)
 
 var scenarios = map[string]scenario{
-	"same-id": playSameID,
 	"budget":  playBudget,
 	"starved": playStarved,
 	"conns":   playConns,
--- a/review/stand-3/runner.go
+++ b/review/stand-3/runner.go
@@ -36,8 +36,6 @@
 	queue   int
 	work    time.Duration
 	address string
-	// poison is the body of the request that crashes the runner that runs it, or empty.
-	poison string
 	// maxConns is the number of connections that the runner accepts, or zero for any.
 	maxConns int64
 	listener *cappedListener
@@ -54,8 +52,8 @@
 	beats  context.CancelFunc
 }
 
-// start begins a boot. The id is that of the boot before if keepID is set.
-func (u *runner) start(keepID bool) error {
+// start begins a boot, under a new id.
+func (u *runner) start() error {
 	l, err := net.Listen("tcp", u.address)
 	if err != nil {
 		return err
@@ -67,9 +65,7 @@
 		l = u.listener
 	}
 	u.boots++
-	if !keepID || u.id == "" {
-		u.id = fmt.Sprintf("i-%s-%s-%d", u.zone, u.name, u.boots)
-	}
+	u.id = fmt.Sprintf("i-%s-%s-%d", u.zone, u.name, u.boots)
 	u.born, u.seq, u.queued = time.Now().UnixMilli(), 0, 0
 	u.conns, u.places = make(map[net.Conn]struct{}), make(chan struct{}, u.slots)
 	u.server = &http.Server{Handler: u.handler(u.id, u.places), ConnState: u.track, IdleTimeout: keepAlive}
@@ -111,8 +107,8 @@
 }
 
 // crash ends the process of the runner: its port refuses, its connections are reset, its entry lapses after
-// three heartbeats of silence. The runner is back after a time, under the same id if keepID is set.
-func (u *runner) crash(back time.Duration, keepID bool) {
+// three heartbeats of silence. The runner is back after a time.
+func (u *runner) crash(back time.Duration) {
 	u.mutex.Lock()
 	id, server, beats := u.id, u.server, u.beats
 	for c := range u.conns {
@@ -124,15 +120,12 @@
 	beats()
 	_ = server.Close()
 	u.world.record.add("runner %s crashes", id)
-	lapse := time.AfterFunc(3*heartbeat, func() {
+	time.AfterFunc(3*heartbeat, func() {
 		u.world.store.remove("servers/" + id)
 		u.world.record.add("the entry of runner %s lapses", id)
 	})
 	time.AfterFunc(back, func() {
-		if keepID {
-			lapse.Stop()
-		}
-		if err := u.start(keepID); err != nil {
+		if err := u.start(); err != nil {
 			u.world.record.add("runner %s can't start: %v", id, err)
 		}
 	})
@@ -157,11 +150,10 @@
 		}
 		attempt := r.Header.Get(headerID)
 		w.Header().Set(headerID, attempt)
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
-		u.world.arrived(arrival{at: time.Now(), attempt: attempt, service: u.service, runner: id, body: string(body)})
+		u.world.arrived(arrival{at: time.Now(), attempt: attempt, service: u.service, runner: id})
 		if expect := r.Header.Get(headerExpect); expect != "" && expect != id {
 			u.decline(w, attempt, id, http.StatusMisdirectedRequest)
 			return
@@ -177,7 +169,7 @@
 			return
 		}
 		defer func() { <-places }()
-		u.run(w, attempt, id, string(body))
+		u.run(w, attempt, id)
 	})
 }
 
@@ -216,13 +208,8 @@
 
 var runs atomic.Int64
 
-func (u *runner) run(w http.ResponseWriter, attempt, id, body string) {
+func (u *runner) run(w http.ResponseWriter, attempt, id string) {
 	u.world.record.add("runner %s runs %s", id, attempt)
-	if u.poison != "" && body == u.poison {
-		u.world.crashed(id)
-		u.crash(u.world.backAfter, u.world.keepID)
-		return
-	}
 	time.Sleep(u.work)
 	answer := fmt.Sprintf("answer to %s\n", attempt)
 	w.Header().Set(headerMAC, fmt.Sprintf("%x.%s", runs.Add(1), id))
--- a/review/stand-3/starved.go
+++ b/review/stand-3/starved.go
@@ -51,7 +51,7 @@
 		time.AfterFunc(crashAt, func() {
 			w.record.add("all runners crash")
 			for _, u := range w.runners {
-				u.crash(back, false)
+				u.crash(back)
 			}
 		})
 	}
@@ -72,7 +72,7 @@
 			sent.Add(1)
 			go func() {
 				defer sent.Done()
-				served := w.askOnce(c.path, c.key, deadline)
+				served := w.ask(w.allEntries, "GET", "nony93.example", c.path, "", c.key, deadline, "a lookup of "+c.path)
 				c.count.add(served)
 				if isLate {
 					c.late.add(served)
@@ -98,23 +98,3 @@
 		c.served.Add(1)
 	}
 }
-
-// askOnce sends a request as a consumer with one retry does, and reports whether one was served.
-func (w *world) askOnce(path, key string, deadline time.Duration) bool {
-	began := time.Now()
-	for range 2 {
-		e := w.entries[rand.IntN(len(w.entries))]
-		a := w.send(e, "GET", "nony93.example", path, "", key, deadline-time.Since(began), "a lookup of "+path)
-		if a.err == nil && a.status == 200 {
-			return true
-		}
-		if a.retryAfter > (deadline-time.Since(began))/3 {
-			return false
-		}
-		time.Sleep(a.retryAfter)
-		if time.Since(began) >= deadline {
-			return false
-		}
-	}
-	return false
-}
